--- /dev/null
+++ b/simhost/src/host.rs
@@ -0,0 +1,423 @@
+//! One [`Front`] an instance: a router, and the maps between the wire's ids and its indices.
+
+use crate::wire::{self, Availability, How, In, Out, Record, Status};
+use gingerwick::choice::Router;
+use gingerwick::iface::{
+    Action, Effect, Entry, Event, Facts, Lagging, Method, Need, Outcome, Role, RpcId, Standing, Told,
+};
+use gingerwick::time::{Moment, Span};
+use std::borrow::Cow;
+use std::collections::{BTreeMap, HashMap};
+use std::io::Write;
+
+#[derive(Default)]
+pub struct Host {
+    now: Moment,
+    serial: u64,
+    in_frame: bool,
+    lists: HashMap<usize, Vec<Record>>,
+    fronts: BTreeMap<u32, Front>,
+    replies: Vec<u8>,
+}
+
+/// Dense numbers for ids, in the order in which they were first seen.
+struct Doors<K> {
+    index: HashMap<K, usize>,
+}
+
+impl<K: std::hash::Hash + Eq> Doors<K> {
+    fn new() -> Self {
+        Doors { index: HashMap::new() }
+    }
+
+    fn enter(&mut self, id: K) -> usize {
+        let next = self.index.len();
+        *self.index.entry(id).or_insert(next)
+    }
+}
+
+/// An RPC stays known until it is answered and its last call-out has ended.
+struct Open {
+    id: String,
+    out: u32,
+    closed: bool,
+}
+
+struct Front {
+    number: u32,
+    router: Router,
+    zero: Moment,
+    report: Vec<String>,
+    stores: Doors<String>,
+    store_ids: Vec<String>,
+    groups: Doors<i64>,
+    rpcs: HashMap<String, RpcId>,
+    open: HashMap<RpcId, Open>,
+    next_rpc: RpcId,
+    actions: Vec<Action>,
+}
+
+impl Host {
+    /// Takes one line; true where it closed a batch and the reply stands in `output`.
+    pub fn take(&mut self, line: &[u8], output: &mut impl Write) -> Result<bool, String> {
+        let message: In = serde_json::from_slice(line).map_err(|why| why.to_string())?;
+        match message {
+            In::Frame { now_ns, serial } => {
+                if self.in_frame {
+                    return Err("Frame: the batch before it was not closed".into());
+                }
+                (self.now, self.serial, self.in_frame) = (Moment(now_ns), serial, true);
+                return Ok(false);
+            }
+            _ if !self.in_frame => return Err("a message outside any batch".into()),
+            In::Go {} => {
+                self.in_frame = false;
+                put(&mut self.replies, &Out::Yield { serial: self.serial });
+                output.write_all(&self.replies).map_err(|why| why.to_string())?;
+                self.replies.clear();
+                return Ok(true);
+            }
+            In::DefineList { page, records } => {
+                self.lists.insert(page, records);
+            }
+            In::Start { front, rng_seed, boot_info } => {
+                let started = Front::start(front, rng_seed, &boot_info, self.now)?;
+                self.fronts.insert(front, started);
+                self.settle(front);
+            }
+            In::Detach { front } => {
+                self.fronts.remove(&front);
+            }
+            In::Discovery { front, how, page } => {
+                let records = match how {
+                    How::Error => &[][..],
+                    _ => match self.lists.get(&page) {
+                        Some(records) => records,
+                        None => return Err(format!("Discovery: page: no list {page} was defined")),
+                    },
+                };
+                let Some(host) = self.fronts.get_mut(&front) else { return Ok(false) };
+                let event = match how {
+                    How::Error => Event::ListFailed,
+                    _ => Event::List { whole: how != How::Partial, entries: host.entries(records) },
+                };
+                self.tell(front, event);
+            }
+            In::Inbound(new) => self.arrive(new)?,
+            In::Flowing { front, request_id } => {
+                if let Some(rpc) = self.rpc(front, &request_id) {
+                    self.tell(front, Event::Streaming { rpc });
+                }
+            }
+            In::AttemptEnd(end) => self.end(end),
+            In::Gone { front, request_id } => {
+                if let Some(rpc) = self.rpc(front, &request_id) {
+                    self.tell(front, Event::Gone { rpc });
+                    if let Some(host) = self.fronts.get_mut(&front) {
+                        host.close(rpc);
+                    }
+                }
+            }
+            In::Fired { front, nonce } => self.tell(front, Event::Timer { tag: nonce }),
+            In::ProbeResult { front, store, status, wait_time_ns, pressure } => {
+                let Some(host) = self.fronts.get(&front) else { return Ok(false) };
+                let Some(&store) = host.stores.index.get(&*store) else { return Ok(false) };
+                let report = host.report(pressure.as_deref());
+                let (outcome, elapsed) = (outcome(status), Span(wait_time_ns));
+                self.tell(front, Event::Probed { store, outcome, elapsed, report });
+            }
+            In::Inbox { front, src, bytes } => {
+                let bytes = unhex(&bytes).ok_or("Inbox: bytes: not hex digits")?;
+                self.tell(front, Event::Peer { from: src, bytes });
+            }
+        }
+        Ok(false)
+    }
+
+    fn rpc(&self, front: u32, id: &str) -> Option<RpcId> {
+        self.fronts.get(&front)?.rpcs.get(id).copied()
+    }
+
+    fn arrive(&mut self, new: wire::Inbound) -> Result<(), String> {
+        let Some(host) = self.fronts.get_mut(&new.front) else { return Ok(()) };
+        let session = match &new.conn_key {
+            Some(key) => {
+                Some(u64::from_str_radix(key, 16).map_err(|_| format!("Inbound: connKey: {key} is no key"))?)
+            }
+            None => None,
+        };
+        let rpc = host.next_rpc;
+        host.next_rpc += 1;
+        host.rpcs.insert(new.request_id.to_string(), rpc);
+        host.open.insert(rpc, Open { id: new.request_id.into_owned(), out: 0, closed: false });
+        let last_write = (new.last_write_ms > 0.0).then(|| Span((new.last_write_ms * 1e6) as i64));
+        let event = Event::Arrived {
+            rpc,
+            method: new.profile,
+            group: host.groups.enter(new.db_no),
+            session,
+            last_write,
+            deadline: Moment(new.drop_dead_ns),
+            repeat: new.repeat,
+        };
+        self.tell(new.front, event);
+        Ok(())
+    }
+
+    fn end(&mut self, end: wire::AttemptEnd) {
+        let Some(host) = self.fronts.get_mut(&end.front) else { return };
+        let Some(&rpc) = host.rpcs.get(&*end.request_id) else { return };
+        let Some(&store) = host.stores.index.get(&*end.store) else { return };
+        if let Some(open) = host.open.get_mut(&rpc) {
+            open.out = open.out.saturating_sub(1);
+            open.closed |= end.done_flag;
+        }
+        let note = Told {
+            position: (end.progress >= 4).then(|| host.zero + Span::millis(end.progress / 4)),
+            role: match end.progress % 4 {
+                1 => Some(Role::Primary),
+                2 => Some(Role::Replica),
+                _ => None,
+            },
+        };
+        let event = Event::Ended {
+            rpc,
+            call_out: end.hop,
+            store,
+            outcome: outcome(end.status),
+            elapsed: Span(end.wait_time_ns),
+            closed: end.done_flag,
+            note,
+            report: host.report(end.pressure.as_deref()),
+        };
+        self.tell(end.front, event);
+        if let Some(host) = self.fronts.get_mut(&end.front) {
+            host.forget(rpc);
+        }
+    }
+
+    fn tell(&mut self, front: u32, event: Event) {
+        if let Some(host) = self.fronts.get_mut(&front) {
+            host.router.handle(self.now, event, &mut host.actions);
+            self.settle(front);
+        }
+    }
+
+    /// Writes what a front's router asks for.
+    fn settle(&mut self, front: u32) {
+        if let Some(host) = self.fronts.get_mut(&front) {
+            for action in std::mem::take(&mut host.actions) {
+                host.write(&action, &mut self.replies);
+            }
+        }
+    }
+}
+
+impl Front {
+    fn start(number: u32, seed: u64, boot: &wire::BootInfo, now: Moment) -> Result<Front, String> {
+        let facts = facts(boot)?;
+        let mut actions = Vec::new();
+        let router = Router::new(seed, &facts, now, &mut actions);
+        Ok(Front {
+            number,
+            router,
+            zero: Moment(boot.family_info.counted_from_ns),
+            report: boot.report.names.clone(),
+            stores: Doors::new(),
+            store_ids: Vec::new(),
+            groups: Doors::new(),
+            rpcs: HashMap::new(),
+            open: HashMap::new(),
+            next_rpc: 0,
+            actions,
+        })
+    }
+
+    fn entries(&mut self, records: &[Record]) -> Vec<Entry> {
+        let mut entries = Vec::with_capacity(records.len());
+        for record in records {
+            let store = self.stores.enter(record.store.clone());
+            if store == self.store_ids.len() {
+                self.store_ids.push(record.store.clone());
+            }
+            entries.push(Entry {
+                store,
+                group: self.groups.enter(record.set),
+                zone: record.failure_domain,
+                standing: match record.availability {
+                    Availability::Healthy => Standing::Open,
+                    Availability::Cordoned => Standing::Draining,
+                    Availability::Deregistered => Standing::Gone,
+                },
+                primary: record.is_primary == 1.0,
+                started: (record.launched_ns > 0).then_some(Moment(record.launched_ns)),
+            });
+        }
+        entries
+    }
+
+    fn report(&self, row: Option<&[Option<f64>]>) -> Told {
+        let mut told = Told::default();
+        for (name, value) in self.report.iter().zip(row.unwrap_or_default()) {
+            match (name.as_str(), value) {
+                ("x0", Some(secs)) => told.position = Some(self.zero + Span((secs * 1e9).floor() as i64)),
+                ("x1", Some(role)) => {
+                    told.role = Some(if *role == 1.0 { Role::Primary } else { Role::Replica });
+                }
+                _ => {}
+            }
+        }
+        told
+    }
+
+    fn close(&mut self, rpc: RpcId) {
+        if let Some(open) = self.open.get_mut(&rpc) {
+            open.closed = true;
+        }
+        self.forget(rpc);
+    }
+
+    fn forget(&mut self, rpc: RpcId) {
+        if self.open.get(&rpc).is_some_and(|open| open.closed && open.out == 0) {
+            if let Some(open) = self.open.remove(&rpc) {
+                self.rpcs.remove(&open.id);
+            }
+        }
+    }
+
+    fn write(&mut self, action: &Action, replies: &mut Vec<u8>) {
+        let front = self.number;
+        let id = |rpc: &RpcId| self.open.get(rpc).map(|open| open.id.as_str());
+        let written = match action {
+            Action::Send { rpc, store, time_out } => id(rpc).map(|request_id| Out::Forward {
+                front,
+                request_id,
+                store: &self.store_ids[*store],
+                limit_ns: time_out.0,
+            }),
+            Action::PushBack { rpc, come_back } => id(rpc).map(|request_id| Out::Shed {
+                front,
+                request_id,
+                come_back_ns: come_back.map_or(0, |wait| wait.0),
+            }),
+            Action::Abort { rpc } => id(rpc).map(|request_id| Out::RespondError { front, request_id }),
+            Action::Withdraw { rpc, call_out } => {
+                id(rpc).map(|request_id| Out::Withdraw { front, request_id, hop: *call_out })
+            }
+            Action::Remind { tag, at } => Some(Out::Remind { front, nonce: *tag, time_ns: at.0 }),
+            Action::Probe { store } => Some(Out::SoundOut { front, store: &self.store_ids[*store] }),
+            Action::Watch => Some(Out::Watch { front, enable: true }),
+            Action::FetchList => Some(Out::ListAll { front }),
+            Action::Remark(message) => Some(Out::Remark { front, message }),
+        };
+        if let Some(line) = written {
+            put(replies, &line);
+        }
+        match action {
+            Action::Send { rpc, .. } => {
+                if let Some(open) = self.open.get_mut(rpc) {
+                    open.out += 1;
+                }
+            }
+            Action::PushBack { rpc, .. } | Action::Abort { rpc } => self.close(*rpc),
+            _ => {}
+        }
+    }
+}
+
+fn put(replies: &mut Vec<u8>, line: &Out) {
+    serde_json::to_writer(&mut *replies, line).expect("plain values always serialise");
+    replies.push(b'\n');
+}
+
+fn outcome(status: Status) -> Outcome {
+    match status {
+        Status::Ok => Outcome::Ok,
+        Status::Internal => Outcome::Errored,
+        Status::ResourceExhausted => Outcome::Full,
+        Status::DeadlineExceeded => Outcome::TimedOut,
+        Status::Unavailable => Outcome::Unreachable,
+        Status::Aborted => Outcome::Broken,
+        Status::Cancelled => Outcome::Withdrawn,
+        Status::TooLate => Outcome::Moot,
+        Status::NotFound => Outcome::Lagged,
+    }
+}
+
+fn unhex(digits: &Cow<str>) -> Option<Vec<u8>> {
+    let digits = digits.as_bytes();
+    if digits.len() % 2 != 0 {
+        return None;
+    }
+    let pair = |two: &[u8]| u8::from_str_radix(std::str::from_utf8(two).ok()?, 16).ok();
+    digits.chunks(2).map(pair).collect()
+}
+
+fn facts(boot: &wire::BootInfo) -> Result<Facts, String> {
+    let family = &boot.family_info;
+    let wrong = |field: &str, word: &str| format!("Start: {field}: {word:?} is not known");
+    if boot.n_instances == 0 || boot.resolution_ns <= 0 {
+        return Err("Start: nInstances and resolutionNs must be above 0".into());
+    }
+    if family.class_read.len() != boot.classes.len() {
+        return Err("Start: familyInfo.classRead: not one entry a class".into());
+    }
+    let mut methods = Vec::with_capacity(boot.classes.len());
+    for (ix, class) in boot.classes.iter().enumerate() {
+        let bound = Span(family.lag_allowed_ns.get(ix).copied().unwrap_or(0));
+        if class.aim_ns <= 0 || class.deadline_ns < class.aim_ns {
+            return Err(format!("Start: classes[{ix}].aimNs: not between 0 and deadlineNs"));
+        }
+        methods.push(Method {
+            need: match family.class_read[ix].as_str() {
+                "update" => Need::Write,
+                "latest" => Need::Current,
+                "own_writes" => Need::Session,
+                "recent" => Need::Bounded(bound),
+                "loose" => Need::Any,
+                other => return Err(wrong("familyInfo.classRead", other)),
+            },
+            effect: match (class.effect.as_str(), class.key_scope.as_str()) {
+                ("read_like", _) => Effect::Idempotent,
+                ("idempotency_key", scope @ ("all" | "cell")) => {
+                    Effect::Tokened { everywhere: scope == "all", memory: Span(class.memory_span_ns) }
+                }
+                // A zone that drops repeats is no group of stores here: nobody is known to remember.
+                ("idempotency_key", _) => Effect::Tokened { everywhere: false, memory: Span::ZERO },
+                ("non_idempotent", _) => Effect::NonIdempotent,
+                (other, _) => return Err(wrong("classes[].effect", other)),
+            },
+            soft_deadline: Span(class.aim_ns),
+            deadline: Span(class.deadline_ns),
+            utility: class.gain,
+            late_share: class.late_value,
+        });
+    }
+    Ok(Facts {
+        methods,
+        instances: boot.n_instances,
+        zone: boot.zone,
+        tick: Span(boot.resolution_ns),
+        lagging: match family.guards.as_str() {
+            "off" => Lagging::AnswersAnyway,
+            "reject" => Lagging::Refuses,
+            "hold" => Lagging::Holds(Span(family.patience_ns)),
+            other => return Err(wrong("familyInfo.guards", other)),
+        },
+        marks_carried: family.session_marks == "client",
+        ask_within: match boot.membership_mode.as_str() {
+            "push" => None,
+            "ask" => Some(Span(boot.rules.ask_within_ns)),
+            other => return Err(wrong("membershipMode", other)),
+        },
+        max_call_outs: boot.allowed.max_attempts,
+        may_withdraw: boot.allowed.may_cancel,
+        may_probe: boot.allowed.probes,
+        max_come_back: boot.allowed.retry_after.then_some(Span(boot.allowed.max_retry_after_ns)),
+        cold_from: boot.rules.cold_from,
+        cold_for: Span(boot.rules.cold_ns),
+        fall_multiple: boot.rules.fall_multiple,
+        fall_window: Span(boot.rules.overload_for_ns),
+        gone_stays_open: boot.rules.dropped_stay_open,
+    })
+}
--- /dev/null
+++ b/simhost/src/wire.rs
@@ -0,0 +1,253 @@
+//! The wire's messages, by its own names.
+
+use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
+
+#[derive(Deserialize)]
+pub enum In<'a> {
+    #[serde(rename_all = "camelCase")]
+    Frame {
+        now_ns: i64,
+        serial: u64,
+    },
+    Go {},
+    #[serde(rename_all = "camelCase")]
+    Start {
+        front: u32,
+        rng_seed: u64,
+        boot_info: Box<BootInfo>,
+    },
+    Detach {
+        front: u32,
+    },
+    DefineList {
+        page: usize,
+        records: Vec<Record>,
+    },
+    Discovery {
+        front: u32,
+        how: How,
+        #[serde(default)]
+        page: usize,
+    },
+    #[serde(borrow)]
+    Inbound(Inbound<'a>),
+    #[serde(rename_all = "camelCase")]
+    Flowing {
+        front: u32,
+        #[serde(borrow)]
+        request_id: Cow<'a, str>,
+    },
+    #[serde(borrow)]
+    AttemptEnd(AttemptEnd<'a>),
+    #[serde(rename_all = "camelCase")]
+    Gone {
+        front: u32,
+        #[serde(borrow)]
+        request_id: Cow<'a, str>,
+    },
+    Fired {
+        front: u32,
+        nonce: u64,
+    },
+    #[serde(rename_all = "camelCase")]
+    ProbeResult {
+        front: u32,
+        #[serde(borrow)]
+        store: Cow<'a, str>,
+        status: Status,
+        #[serde(default)]
+        wait_time_ns: i64,
+        #[serde(default)]
+        pressure: Option<Vec<Option<f64>>>,
+    },
+    Inbox {
+        front: u32,
+        src: u32,
+        #[serde(borrow)]
+        bytes: Cow<'a, str>,
+    },
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Inbound<'a> {
+    pub front: u32,
+    #[serde(borrow)]
+    pub request_id: Cow<'a, str>,
+    #[serde(default)]
+    pub db_no: i64,
+    #[serde(default, borrow)]
+    pub conn_key: Option<Cow<'a, str>>,
+    pub drop_dead_ns: i64,
+    #[serde(default)]
+    pub repeat: bool,
+    #[serde(default)]
+    pub profile: usize,
+    #[serde(default)]
+    pub last_write_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct AttemptEnd<'a> {
+    pub front: u32,
+    #[serde(borrow)]
+    pub request_id: Cow<'a, str>,
+    #[serde(default)]
+    pub hop: u32,
+    #[serde(default)]
+    pub done_flag: bool,
+    #[serde(borrow)]
+    pub store: Cow<'a, str>,
+    #[serde(default)]
+    pub wait_time_ns: i64,
+    pub status: Status,
+    #[serde(default)]
+    pub progress: i64,
+    #[serde(default)]
+    pub pressure: Option<Vec<Option<f64>>>,
+}
+
+#[derive(Clone, Copy, Deserialize, PartialEq)]
+pub enum How {
+    Partial,
+    Complete,
+    Persisted,
+    Error,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "SCREAMING_SNAKE_CASE")]
+pub enum Status {
+    Ok,
+    Internal,
+    ResourceExhausted,
+    DeadlineExceeded,
+    Unavailable,
+    Aborted,
+    Cancelled,
+    TooLate,
+    NotFound,
+}
+
+#[derive(Clone, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Record {
+    #[serde(default)]
+    pub set: i64,
+    #[serde(default)]
+    pub is_primary: f64,
+    pub store: String,
+    #[serde(default)]
+    pub launched_ns: i64,
+    pub availability: Availability,
+    #[serde(default)]
+    pub failure_domain: usize,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Availability {
+    Healthy,
+    Cordoned,
+    Deregistered,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct BootInfo {
+    pub n_instances: u32,
+    pub classes: Vec<Class>,
+    pub membership_mode: String,
+    pub family_info: FamilyInfo,
+    pub allowed: Allowed,
+    pub report: Report,
+    pub rules: Rules,
+    pub resolution_ns: i64,
+    #[serde(default)]
+    pub zone: usize,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Class {
+    pub aim_ns: i64,
+    pub deadline_ns: i64,
+    pub effect: String,
+    #[serde(default)]
+    pub key_scope: String,
+    #[serde(default)]
+    pub late_value: f64,
+    #[serde(default)]
+    pub memory_span_ns: i64,
+    #[serde(default)]
+    pub gain: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct FamilyInfo {
+    pub guards: String,
+    #[serde(default)]
+    pub lag_allowed_ns: Vec<i64>,
+    pub class_read: Vec<String>,
+    #[serde(default)]
+    pub session_marks: String,
+    #[serde(default)]
+    pub patience_ns: i64,
+    #[serde(default)]
+    pub counted_from_ns: i64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Allowed {
+    pub max_attempts: u32,
+    #[serde(default)]
+    pub may_cancel: bool,
+    #[serde(default)]
+    pub probes: bool,
+    #[serde(default)]
+    pub retry_after: bool,
+    #[serde(default)]
+    pub max_retry_after_ns: i64,
+}
+
+#[derive(Deserialize)]
+pub struct Report {
+    #[serde(default)]
+    pub names: Vec<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Rules {
+    #[serde(default)]
+    pub ask_within_ns: i64,
+    #[serde(default)]
+    pub cold_from: f64,
+    #[serde(default)]
+    pub cold_ns: i64,
+    #[serde(default)]
+    pub fall_multiple: f64,
+    #[serde(default)]
+    pub overload_for_ns: i64,
+    #[serde(default)]
+    pub dropped_stay_open: bool,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all_fields = "camelCase")]
+pub enum Out<'a> {
+    Forward { front: u32, request_id: &'a str, store: &'a str, limit_ns: i64 },
+    Shed { front: u32, request_id: &'a str, come_back_ns: i64 },
+    RespondError { front: u32, request_id: &'a str },
+    Withdraw { front: u32, request_id: &'a str, hop: u32 },
+    Remind { front: u32, nonce: u64, time_ns: i64 },
+    SoundOut { front: u32, store: &'a str },
+    Watch { front: u32, enable: bool },
+    ListAll { front: u32 },
+    Remark { front: u32, message: &'a str },
+    Yield { serial: u64 },
+}
--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,740 @@
+//! Every decision: where each RPC goes, when it waits, and when it is given up.
+//!
+//! A host makes one [`Router`] an instance and hands it events in the order in which they came, each with
+//! the clock of its batch, by [`Router::handle`]; what is to be done is pushed to the caller's list in order.
+//! The types on both sides stand in `iface.rs`. The router shares nothing, reads no clock and draws chance
+//! from its seed alone.
+//!
+//! The ordinary path: a read goes to the replica with the fewest of our call-outs in flight among those whose
+//! told position reaches the read's bound. Where none does, the read waits for one, by the store's own hold
+//! or here, before it touches the primary. `docs/design.md` says where that is departed from.
+
+use crate::iface::*;
+use crate::rng::Mwc;
+use crate::time::{Moment, Span};
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Held,
+    Out,
+    Done,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Input {
+    /// Something that may let it go: its arrival, or news of its group.
+    News,
+    Placed(StoreIx),
+    /// It can't earn anything here any more.
+    Hopeless,
+    /// The call-out ended and is proved never to have run.
+    NeverRan,
+    /// The call-out ended and may have run.
+    MayHaveRun,
+    /// Answered, or of no interest to its client any more.
+    Closed,
+    /// The last moment for an answer of ours.
+    Overdue,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Effects {
+    Seek,
+    Send,
+    Weigh,
+    GiveUp,
+    Forget,
+}
+
+/// One row: in this state, on this input, go to that state and do this. `Placed` matches whatever its store.
+type Row = (State, fn(Input) -> bool, State, Effects);
+
+const RPC_TABLE: &[Row] = &[
+    (State::Held, |i| i == Input::News, State::Held, Effects::Seek),
+    (State::Held, |i| matches!(i, Input::Placed(_)), State::Out, Effects::Send),
+    (State::Held, |i| matches!(i, Input::Hopeless | Input::Overdue), State::Done, Effects::GiveUp),
+    (State::Held, |i| i == Input::Closed, State::Done, Effects::Forget),
+    (State::Out, |i| i == Input::NeverRan, State::Held, Effects::Seek),
+    (State::Out, |i| i == Input::MayHaveRun, State::Held, Effects::Weigh),
+    (State::Out, |i| i == Input::Overdue, State::Done, Effects::GiveUp),
+    (State::Out, |i| i == Input::Closed, State::Done, Effects::Forget),
+];
+
+/// What the start facts come to.
+struct Charter {
+    methods: Vec<Terms>,
+    /// Methods in the order in which held RPCs are tried: writes and current reads first.
+    order: Vec<MethodIx>,
+    zone: usize,
+    lagging: Lagging,
+    marks_carried: bool,
+    ask_again: Option<Span>,
+    max_call_outs: u32,
+    may_withdraw: bool,
+    may_probe: bool,
+    max_come_back: Option<Span>,
+    cold_from: f64,
+    cold_for: Span,
+    cold_window: Span,
+    gone_stays_open: bool,
+    /// From the deadline back: the answer must be in the client's hands before it.
+    margin: Span,
+    /// How often held RPCs, overdue probes and rests are looked at when nothing else happens.
+    pulse: Span,
+    /// Told positions older than this are asked for anew.
+    stale_after: Span,
+}
+
+struct Terms {
+    need: Need,
+    effect: Effect,
+    soft: Span,
+    late_share: f64,
+}
+
+struct Rpc {
+    state: State,
+    method: MethodIx,
+    group: GroupIx,
+    arrived: Moment,
+    /// After this an answer earns nothing.
+    worth_by: Moment,
+    answer_by: Moment,
+    /// The position that a current or session read asks for.
+    mark: Option<Moment>,
+    session: Option<u64>,
+    call_outs: u32,
+    out: Option<CallOut>,
+    ran_from: Option<Moment>,
+    refusals: u32,
+    shunned: Option<StoreIx>,
+}
+
+struct CallOut {
+    number: u32,
+    sent: Moment,
+}
+
+struct Store {
+    group: GroupIx,
+    zone: usize,
+    open: bool,
+    started: Option<Moment>,
+    position: Option<Moment>,
+    /// When its position was last told, whatever it said.
+    told: Moment,
+    claims: Option<Moment>,
+    denied: Moment,
+    in_flight: u32,
+    reads_in_flight: u32,
+    answered: Moment,
+    heard: bool,
+    failures: u32,
+    rest_until: Moment,
+    failed: Moment,
+    probe_out: bool,
+    probed: Moment,
+    /// Held reads that it may have in flight as the primary.
+    room: f64,
+    room_cut: Moment,
+    work: f64,
+    work_at: Moment,
+}
+
+#[derive(Default)]
+struct Group {
+    members: Vec<StoreIx>,
+    held: Vec<BTreeSet<RpcId>>,
+    primary: Option<StoreIx>,
+}
+
+/// One instance's decisions and all that it believes.
+pub struct Router {
+    charter: Charter,
+    rng: Mwc,
+    now: Moment,
+    rpcs: BTreeMap<RpcId, Rpc>,
+    stores: Vec<Option<Store>>,
+    groups: Vec<Group>,
+    sessions: BTreeMap<u64, Moment>,
+    /// Mean elapsed time of each method's answers.
+    usual: Vec<f64>,
+    asked: Moment,
+    ask_at: Option<Moment>,
+}
+
+const PULSE: u64 = 0;
+
+impl Charter {
+    fn new(facts: &Facts) -> Charter {
+        let soft = facts.methods.iter().map(|m| m.soft_deadline).min().unwrap_or(Span::millis(100));
+        let bounds = facts.methods.iter().filter_map(|m| match m.need {
+            Need::Bounded(bound) => Some(bound),
+            _ => None,
+        });
+        let mut order: Vec<MethodIx> = (0..facts.methods.len()).collect();
+        let rank = |need: Need| match need {
+            Need::Write => 0,
+            Need::Current => 1,
+            _ => 2,
+        };
+        order.sort_by_key(|&ix| (rank(facts.methods[ix].need), facts.methods[ix].soft_deadline, ix));
+        let terms = |m: &Method| Terms {
+            need: m.need,
+            effect: m.effect,
+            soft: m.soft_deadline,
+            late_share: m.late_share,
+        };
+        Charter {
+            methods: facts.methods.iter().map(terms).collect(),
+            order,
+            zone: facts.zone,
+            lagging: facts.lagging,
+            marks_carried: facts.marks_carried,
+            ask_again: facts.ask_within.map(|span| span / 2),
+            max_call_outs: facts.max_call_outs,
+            may_withdraw: facts.may_withdraw,
+            may_probe: facts.may_probe,
+            max_come_back: facts.max_come_back,
+            cold_from: facts.cold_from,
+            cold_for: facts.cold_for,
+            cold_window: facts.fall_window,
+            gone_stays_open: facts.gone_stays_open,
+            margin: facts.tick * 2,
+            pulse: (soft / 8).max(facts.tick),
+            stale_after: bounds.min().unwrap_or(soft * 4) / 4,
+        }
+    }
+}
+
+impl Router {
+    pub fn new(seed: u64, facts: &Facts, now: Moment, actions: &mut Vec<Action>) -> Router {
+        let charter = Charter::new(facts);
+        actions.push(Action::Remind { tag: PULSE, at: now + charter.pulse });
+        let ask_at = charter.ask_again.map(|_| now);
+        let usual = charter.methods.iter().map(|m| m.soft.secs() / 4.0).collect();
+        let mut router = Router {
+            charter,
+            rng: Mwc::new(seed),
+            now,
+            rpcs: BTreeMap::new(),
+            stores: Vec::new(),
+            groups: Vec::new(),
+            sessions: BTreeMap::new(),
+            usual,
+            asked: now,
+            ask_at,
+        };
+        router.ask(actions);
+        router
+    }
+
+    pub fn handle(&mut self, now: Moment, event: Event, actions: &mut Vec<Action>) {
+        self.now = now;
+        match event {
+            Event::List { whole, entries } => self.list(whole, entries, actions),
+            Event::ListFailed => self.ask_at = self.charter.ask_again.map(|span| self.now + span / 4),
+            Event::Arrived { rpc, method, group, session, last_write, deadline, .. } => {
+                self.arrive(rpc, method, group, session, last_write, deadline, actions)
+            }
+            Event::Streaming { rpc } | Event::Gone { rpc } => self.drive(rpc, Input::Closed, actions),
+            Event::Ended { rpc, call_out, store, outcome, elapsed, closed, note, report } => {
+                self.learn(store, report, false);
+                self.learn(store, note, true);
+                self.ended(rpc, call_out, store, outcome, elapsed, closed, note, actions);
+                self.retry_held(store, actions);
+            }
+            Event::Timer { tag: PULSE } => self.beat(actions),
+            Event::Timer { tag } => self.drive(tag - 1, Input::Overdue, actions),
+            Event::Probed { store, outcome, report, .. } => {
+                self.learn(store, report, false);
+                if let Some(s) = self.stores.get_mut(store).and_then(Option::as_mut) {
+                    s.probe_out = false;
+                    if outcome == Outcome::Ok {
+                        (s.heard, s.answered) = (true, now);
+                    } else {
+                        self.fail(store);
+                    }
+                }
+                self.retry_held(store, actions);
+            }
+            Event::Peer { .. } => {}
+        }
+    }
+
+    // What is believed of stores.
+
+    fn ask(&mut self, actions: &mut Vec<Action>) {
+        if self.ask_at.is_some_and(|at| at <= self.now) {
+            self.asked = self.now;
+            self.ask_at = self.charter.ask_again.map(|span| self.now + span);
+            actions.push(Action::Watch);
+        }
+    }
+
+    fn list(&mut self, whole: bool, entries: Vec<Entry>, actions: &mut Vec<Action>) {
+        if whole {
+            for store in self.stores.iter_mut().flatten() {
+                store.open &= self.charter.gone_stays_open;
+            }
+        }
+        // A standing watch needs no renewal; one that was lost unseen does.
+        self.ask_at = self.charter.ask_again.map(|span| self.now + span * 4);
+        for entry in entries {
+            if self.stores.len() <= entry.store {
+                self.stores.resize_with(entry.store + 1, || None);
+            }
+            self.group(entry.group);
+            let gone_stays_open = self.charter.gone_stays_open;
+            let store = self.stores[entry.store].get_or_insert_with(|| {
+                self.groups[entry.group].members.push(entry.store);
+                Store::new(&entry)
+            });
+            match entry.standing {
+                Standing::Open => store.open = true,
+                Standing::Draining => store.open = false,
+                Standing::Gone => store.open &= gone_stays_open,
+            }
+            if entry.started > store.started {
+                store.started = entry.started;
+            }
+            // The list's word on roles is weakest: it counts only until the store itself has spoken.
+            if entry.primary && !store.heard && store.claims.is_none() {
+                store.claims = Some(Moment::DAWN);
+            }
+        }
+        for group in 0..self.groups.len() {
+            self.find_primary(group);
+        }
+        self.beat_probes(actions);
+    }
+
+    fn group(&mut self, ix: GroupIx) -> &mut Group {
+        if self.groups.len() <= ix {
+            self.groups.resize_with(ix + 1, Group::default);
+        }
+        let methods = self.charter.methods.len();
+        let group = &mut self.groups[ix];
+        group.held.resize_with(methods, BTreeSet::new);
+        group
+    }
+
+    /// Takes a claim for what it is worth. A position proves freshness however late it comes; a role counts
+    /// from the moment that it speaks of, which for a primary is its position.
+    fn learn(&mut self, ix: StoreIx, told: Told, answer: bool) {
+        let now = self.now;
+        let Some(store) = self.stores.get_mut(ix).and_then(Option::as_mut) else { return };
+        if let Some(position) = told.position {
+            store.position = store.position.max(Some(position.min(now)));
+            store.told = now;
+        }
+        match told.role {
+            Some(Role::Primary) => {
+                let at = told.position.unwrap_or(if answer { now } else { store.denied });
+                if at > store.denied {
+                    store.claims = store.claims.max(Some(at));
+                }
+            }
+            // An answer's "replica" holds at once; a report's only from when it was made.
+            Some(Role::Replica) if answer => (store.claims, store.denied) = (None, now),
+            Some(Role::Replica) if told.position.unwrap_or(now) >= store.claims.unwrap_or(now) => {
+                store.claims = None;
+            }
+            _ => {}
+        }
+        let group = store.group;
+        self.find_primary(group);
+    }
+
+    fn find_primary(&mut self, group: GroupIx) {
+        let claim = |&ix: &StoreIx| Some((self.stores[ix].as_ref()?.claims?, ix));
+        let latest = self.groups[group].members.iter().filter_map(claim).max();
+        self.groups[group].primary = latest.map(|(_, ix)| ix);
+    }
+
+    /// A store that fails gets nothing for a while, each time longer, then a single call-out to show itself:
+    /// one that fails fast would else look idle and draw all. Answers from elsewhere don't shorten it.
+    fn fail(&mut self, ix: StoreIx) {
+        let (now, base) = (self.now, self.charter.pulse * 2);
+        let Some(store) = self.stores.get_mut(ix).and_then(Option::as_mut) else { return };
+        if store.rest_until <= now {
+            store.failures = (store.failures + 1).min(5);
+            store.rest_until = now + base * (1 << (store.failures - 1));
+        }
+        store.failed = now;
+    }
+
+    fn usable(&self, ix: StoreIx, method: MethodIx) -> bool {
+        let Some(store) = &self.stores[ix] else { return false };
+        if !store.open || !store.heard || store.rest_until > self.now {
+            return false;
+        }
+        let on_trial = store.failures > 0;
+        !(on_trial && (store.in_flight > 0 || store.answered <= store.failed && self.charter.may_probe))
+            && self.within_cold_budget(store, method)
+    }
+
+    /// Our part of what all fronts may send to a store that has just started: the part of its full capacity
+    /// that it surely has, of what we send to the busiest store that is warm. While we know of none, one at
+    /// a time.
+    fn within_cold_budget(&self, store: &Store, method: MethodIx) -> bool {
+        let Some(part) = self.warmth(store) else { return true };
+        let warm = self.stores.iter().flatten().filter(|s| self.warmth(s).is_none());
+        let most = warm.map(|s| self.work_now(s)).fold(0.0, f64::max);
+        let work = self.work_now(store) + self.usual[method];
+        work <= most * part || (store.in_flight == 0 && work <= 2.0 * self.usual[method])
+    }
+
+    fn warmth(&self, store: &Store) -> Option<f64> {
+        let age = self.now - store.started?;
+        let part = self.charter.cold_from
+            + (1.0 - self.charter.cold_from) * age.secs() / self.charter.cold_for.secs().max(1e-9);
+        (age < self.charter.cold_for).then_some(part)
+    }
+
+    fn work_now(&self, store: &Store) -> f64 {
+        let window = self.charter.cold_window.secs().max(1e-9);
+        store.work * (-(self.now - store.work_at).secs() / window).exp()
+    }
+
+    // What becomes of an RPC.
+
+    #[allow(clippy::too_many_arguments)]
+    fn arrive(
+        &mut self,
+        id: RpcId,
+        method: MethodIx,
+        group: GroupIx,
+        session: Option<u64>,
+        last_write: Option<Span>,
+        deadline: Moment,
+        actions: &mut Vec<Action>,
+    ) {
+        let answer_by = deadline - self.charter.margin;
+        self.group(group);
+        let Some(terms) = self.charter.methods.get(method) else {
+            actions.push(Action::PushBack { rpc: id, come_back: None });
+            return;
+        };
+        let mark = match terms.need {
+            Need::Current => Some(self.now),
+            Need::Session if self.charter.marks_carried => last_write.map(|ago| self.now - ago),
+            Need::Session => session.and_then(|key| self.sessions.get(&key).copied()),
+            _ => None,
+        };
+        let worth_by = if terms.late_share > 0.0 { answer_by } else { answer_by.min(self.now + terms.soft) };
+        let rpc = Rpc {
+            state: State::Held,
+            method,
+            group,
+            arrived: self.now,
+            worth_by,
+            answer_by,
+            mark,
+            session,
+            call_outs: 0,
+            out: None,
+            ran_from: None,
+            refusals: 0,
+            shunned: None,
+        };
+        self.rpcs.insert(id, rpc);
+        actions.push(Action::Remind { tag: id + 1, at: answer_by });
+        self.drive(id, Input::News, actions);
+    }
+
+    /// Reads the table until nothing follows.
+    fn drive(&mut self, id: RpcId, first: Input, actions: &mut Vec<Action>) {
+        let mut next = Some(first);
+        while let Some(input) = next {
+            let Some(rpc) = self.rpcs.get_mut(&id) else { return };
+            let Some(row) = RPC_TABLE.iter().find(|row| row.0 == rpc.state && row.1(input)) else { return };
+            rpc.state = row.2;
+            let (method, group) = (rpc.method, rpc.group);
+            next = match row.3 {
+                Effects::Seek => self.seek(id),
+                Effects::Send => self.send(id, input, actions),
+                Effects::Weigh => self.weigh(id),
+                Effects::GiveUp => self.give_up(id, actions),
+                Effects::Forget => None,
+            };
+            match self.rpcs.get(&id).map(|rpc| rpc.state) {
+                Some(State::Held) if next.is_none() => self.groups[group].held[method].insert(id),
+                _ => self.groups[group].held[method].remove(&id),
+            };
+            if row.2 == State::Done {
+                self.rpcs.remove(&id);
+            }
+        }
+    }
+
+    fn seek(&mut self, id: RpcId) -> Option<Input> {
+        let rpc = &self.rpcs[&id];
+        let terms = &self.charter.methods[rpc.method];
+        if self.now >= rpc.worth_by || rpc.call_outs >= self.charter.max_call_outs {
+            return Some(Input::Hopeless);
+        }
+        if let (Some(ran), Effect::Tokened { memory, .. }) = (rpc.ran_from, terms.effect) {
+            // Past the memory of its group a repeat would take effect twice.
+            if self.now >= ran + memory - self.charter.margin {
+                return Some(Input::Hopeless);
+            }
+        }
+        let primary = self.groups[rpc.group].primary.filter(|&ix| self.usable(ix, rpc.method));
+        let needed = match terms.need {
+            Need::Write => return primary.map(Input::Placed),
+            Need::Bounded(bound) => Some(self.now - bound),
+            _ => rpc.mark,
+        };
+        let members = &self.groups[rpc.group].members;
+        let is_primary = |ix: &StoreIx| self.groups[rpc.group].primary == Some(*ix);
+        let all: Vec<StoreIx> =
+            members.iter().copied().filter(|ix| !is_primary(ix) && self.usable(*ix, rpc.method)).collect();
+        let mut replicas: Vec<StoreIx> = all.iter().copied().filter(|&ix| Some(ix) != rpc.shunned).collect();
+        if replicas.is_empty() && rpc.refusals == 0 {
+            replicas = all;
+        }
+        let position = |ix: &StoreIx| self.stores[*ix].as_ref().and_then(|s| s.position);
+        let fresh = |ix: &StoreIx| needed.is_none() || position(ix) >= needed;
+        let fit: Vec<StoreIx> = replicas.iter().copied().filter(fresh).collect();
+        let current = terms.need == Need::Current;
+        let (lagging, waited) = (self.charter.lagging, self.now - rpc.arrived);
+        let (refusals, soft) = (rpc.refusals, terms.soft);
+        if !fit.is_empty() {
+            return self.fewest(&fit).map(Input::Placed);
+        }
+        match lagging {
+            Lagging::Holds(patience) if refusals == 0 && !replicas.is_empty() => {
+                let freshest = replicas.iter().filter_map(position).max();
+                let near = |ix: &StoreIx| position(ix) >= freshest.map(|at| at - patience);
+                let near: Vec<StoreIx> = replicas.iter().copied().filter(near).collect();
+                return self.fewest(&near).map(Input::Placed);
+            }
+            Lagging::Refuses if refusals == 0 && !current && !replicas.is_empty() => {
+                return replicas.iter().copied().max_by_key(|ix| position(ix)).map(Input::Placed);
+            }
+            Lagging::AnswersAnyway if !current && waited < soft / 2 && !replicas.is_empty() => return None,
+            _ => {}
+        }
+        let primary = primary?;
+        let store = self.stores[primary].as_ref()?;
+        (current || f64::from(store.reads_in_flight) < store.room).then_some(Input::Placed(primary))
+    }
+
+    /// The fewest of our call-outs in flight; ties by own zone, then chance.
+    fn fewest(&mut self, among: &[StoreIx]) -> Option<StoreIx> {
+        let rank = |ix: StoreIx| {
+            let store = self.stores[ix].as_ref()?;
+            Some((store.in_flight, store.zone != self.charter.zone))
+        };
+        let least = among.iter().filter_map(|&ix| rank(ix)).min()?;
+        let best: Vec<StoreIx> = among.iter().copied().filter(|&ix| rank(ix) == Some(least)).collect();
+        Some(best[self.rng.below(best.len())])
+    }
+
+    fn send(&mut self, id: RpcId, input: Input, actions: &mut Vec<Action>) -> Option<Input> {
+        let Input::Placed(ix) = input else { return None };
+        let rpc = self.rpcs.get_mut(&id)?;
+        let read = self.charter.methods[rpc.method].need != Need::Write;
+        // A store does not begin what is past its time-out, so work that earns nothing is not done.
+        let until = if read { rpc.worth_by } else { rpc.answer_by };
+        let time_out = (until - self.now).max(Span(1));
+        rpc.out = Some(CallOut { number: rpc.call_outs, sent: self.now });
+        rpc.call_outs += 1;
+        let usual = self.usual[rpc.method];
+        let work = self.work_now(self.stores[ix].as_ref()?) + usual;
+        let store = self.stores[ix].as_mut()?;
+        (store.work, store.work_at) = (work, self.now);
+        store.in_flight += 1;
+        store.reads_in_flight += u32::from(read);
+        actions.push(Action::Send { rpc: id, store: ix, time_out });
+        None
+    }
+
+    /// After a call-out that may have run.
+    fn weigh(&mut self, id: RpcId) -> Option<Input> {
+        match self.charter.methods[self.rpcs.get(&id)?.method].effect {
+            Effect::NonIdempotent => Some(Input::Hopeless),
+            _ => Some(Input::News),
+        }
+    }
+
+    /// The final answer, at once. Only where a repeat is harmless does it invite one.
+    fn give_up(&mut self, id: RpcId, actions: &mut Vec<Action>) -> Option<Input> {
+        let rpc = self.rpcs.get(&id)?;
+        let terms = &self.charter.methods[rpc.method];
+        let may_have_run = rpc.ran_from.is_some() || rpc.out.is_some();
+        let harmless = match terms.effect {
+            Effect::Idempotent => true,
+            Effect::Tokened { everywhere, .. } => everywhere || !may_have_run,
+            Effect::NonIdempotent => !may_have_run,
+        };
+        if harmless {
+            let left = (rpc.answer_by - self.now).max(Span::ZERO);
+            let come_back = self.charter.max_come_back.map(|most| left.min(most));
+            actions.push(Action::PushBack { rpc: id, come_back });
+        } else {
+            actions.push(Action::Abort { rpc: id });
+        }
+        if let Some(out) = rpc.out.as_ref().filter(|_| self.charter.may_withdraw) {
+            actions.push(Action::Withdraw { rpc: id, call_out: out.number });
+        }
+        None
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn ended(
+        &mut self,
+        id: RpcId,
+        call_out: u32,
+        ix: StoreIx,
+        outcome: Outcome,
+        elapsed: Span,
+        closed: bool,
+        note: Told,
+        actions: &mut Vec<Action>,
+    ) {
+        let (now, sent) = (self.now, self.now - elapsed);
+        let known = self.rpcs.get(&id).map(|rpc| rpc.method);
+        let Some(store) = self.stores.get_mut(ix).and_then(Option::as_mut) else { return };
+        store.in_flight = store.in_flight.saturating_sub(1);
+        // Late ends of RPCs already given up still free their place; their kind is not kept.
+        let read = known.is_none_or(|method| self.charter.methods[method].need != Need::Write);
+        store.reads_in_flight = store.reads_in_flight.saturating_sub(u32::from(read)).min(store.in_flight);
+        match outcome {
+            Outcome::Ok | Outcome::Lagged => {
+                (store.heard, store.answered, store.failures) = (true, now, 0);
+                if let Some(method) = known {
+                    let soft = self.charter.methods[method].soft;
+                    if outcome == Outcome::Ok && elapsed < soft / 2 {
+                        store.room += 1.0 / store.room;
+                    } else if elapsed >= soft && store.room_cut < sent {
+                        (store.room, store.room_cut) = ((store.room * 0.7).max(1.0), now);
+                    }
+                }
+            }
+            // Slow is not silent: only a store that has answered nothing since this was sent has failed.
+            Outcome::TimedOut if store.answered < sent => self.fail(ix),
+            Outcome::Errored | Outcome::Full | Outcome::Unreachable | Outcome::Broken => self.fail(ix),
+            _ => {}
+        }
+        let Some(rpc) = self.rpcs.get_mut(&id) else { return };
+        if rpc.out.as_ref().is_none_or(|out| out.number != call_out) {
+            return;
+        }
+        let out = rpc.out.take();
+        if outcome == Outcome::Ok {
+            self.usual[rpc.method] += (elapsed.secs() - self.usual[rpc.method]) / 32.0;
+            let wrote = self.charter.methods[rpc.method].need == Need::Write && !self.charter.marks_carried;
+            if let (true, Some(key), Some(at)) = (wrote, rpc.session, note.position) {
+                let mark = self.sessions.entry(key).or_insert(at);
+                *mark = at.max(*mark);
+            }
+        } else {
+            rpc.refusals += u32::from(outcome == Outcome::Lagged);
+            rpc.shunned = Some(ix);
+            if !outcome.proves_it_never_ran() && rpc.ran_from.is_none() {
+                rpc.ran_from = out.map(|out| out.sent);
+            }
+        }
+        let input = match outcome {
+            _ if closed => Input::Closed,
+            outcome if outcome.proves_it_never_ran() => Input::NeverRan,
+            _ => Input::MayHaveRun,
+        };
+        self.drive(id, input, actions);
+    }
+
+    /// Tests the held RPCs of a store's group anew, most urgent first; where one of a method must go on
+    /// waiting, so must the later ones.
+    fn retry_held(&mut self, ix: StoreIx, actions: &mut Vec<Action>) {
+        if let Some(store) = self.stores.get(ix).and_then(Option::as_ref) {
+            self.retry_group(store.group, actions);
+        }
+    }
+
+    fn retry_group(&mut self, group: GroupIx, actions: &mut Vec<Action>) {
+        for nth in 0..self.charter.order.len() {
+            let method = self.charter.order[nth];
+            while let Some(&first) = self.groups[group].held[method].first() {
+                self.drive(first, Input::News, actions);
+                if self.groups[group].held[method].first() == Some(&first) {
+                    break;
+                }
+            }
+        }
+    }
+
+    // What happens when nothing does.
+
+    fn beat(&mut self, actions: &mut Vec<Action>) {
+        actions.push(Action::Remind { tag: PULSE, at: self.now + self.charter.pulse });
+        self.ask(actions);
+        self.beat_probes(actions);
+        for group in 0..self.groups.len() {
+            self.group(group);
+            self.retry_group(group, actions);
+        }
+    }
+
+    fn beat_probes(&mut self, actions: &mut Vec<Action>) {
+        if !self.charter.may_probe {
+            for store in self.stores.iter_mut().flatten() {
+                store.heard = true;
+            }
+            return;
+        }
+        let (now, stale, pulse) = (self.now, self.charter.stale_after, self.charter.pulse);
+        for ix in 0..self.stores.len() {
+            let Some(store) = &self.stores[ix] else { continue };
+            let group = &self.groups[store.group];
+            let waiting = group.held.iter().any(|held| !held.is_empty());
+            let lost = group.primary.is_none() || group.primary.is_some_and(|ix| self.resting(ix));
+            let wanted = !store.heard
+                || store.told + stale <= now
+                || lost
+                || (waiting && store.told + pulse * 2 <= now)
+                || (store.failures > 0 && store.rest_until <= now);
+            let paced = store.probed + if store.failures > 1 { pulse * 4 } else { pulse * 2 } <= now;
+            if store.open && wanted && paced && !store.probe_out {
+                if let Some(store) = self.stores[ix].as_mut() {
+                    (store.probe_out, store.probed) = (true, now);
+                }
+                actions.push(Action::Probe { store: ix });
+            }
+        }
+    }
+
+    fn resting(&self, ix: StoreIx) -> bool {
+        self.stores[ix].as_ref().is_none_or(|store| store.failures > 0 || !store.open)
+    }
+}
+
+impl Store {
+    fn new(entry: &Entry) -> Store {
+        Store {
+            group: entry.group,
+            zone: entry.zone,
+            open: false,
+            started: None,
+            position: None,
+            told: Moment::DAWN,
+            claims: None,
+            denied: Moment::DAWN,
+            in_flight: 0,
+            reads_in_flight: 0,
+            answered: Moment::DAWN,
+            heard: false,
+            failures: 0,
+            rest_until: Moment::DAWN,
+            failed: Moment::DAWN,
+            probe_out: false,
+            probed: Moment::DAWN,
+            room: 2.0,
+            room_cut: Moment::DAWN,
+            work: 0.0,
+            work_at: Moment::DAWN,
+        }
+    }
+}
--- /dev/null
+++ b/src/rng.rs
@@ -0,0 +1,29 @@
+//! Chance, from a seed alone: Marsaglia's multiply-with-carry with a 32-bit word.
+
+/// A multiply-with-carry generator; equal seeds give equal runs.
+#[derive(Clone, Debug)]
+pub struct Mwc(u64);
+
+impl Mwc {
+    const FACTOR: u64 = 4_294_957_665;
+
+    pub fn new(seed: u64) -> Mwc {
+        // The two fixed points (0 and FACTOR * 2^32 - 1) would repeat for ever.
+        let state = seed % (Self::FACTOR << 32).wrapping_sub(1);
+        let mut rng = Mwc(if state == 0 { Self::FACTOR } else { state });
+        for _ in 0..4 {
+            rng.next(); // Seeds that differ in few bits start alike otherwise.
+        }
+        rng
+    }
+
+    fn next(&mut self) -> u32 {
+        self.0 = Self::FACTOR * (self.0 & 0xffff_ffff) + (self.0 >> 32);
+        self.0 as u32
+    }
+
+    /// A whole number under `end`; 0 where `end` is 0.
+    pub fn below(&mut self, end: usize) -> usize {
+        ((u64::from(self.next()) * end as u64) >> 32) as usize
+    }
+}
