--- a/simhost/src/host.rs
+++ b/simhost/src/host.rs
@@ -6,7 +6,6 @@
     Action, Effect, Entry, Event, Facts, Lagging, Method, Need, Outcome, Role, RpcId, Standing, Told,
 };
 use gingerwick::time::{Moment, Span};
-use std::borrow::Cow;
 use std::collections::{BTreeMap, HashMap};
 use std::io::Write;
 
@@ -150,7 +149,7 @@
         host.next_rpc += 1;
         host.rpcs.insert(new.request_id.to_string(), rpc);
         host.open.insert(rpc, Open { id: new.request_id.into_owned(), out: 0, closed: false });
-        let last_write = (new.last_write_ms > 0.0).then(|| Span((new.last_write_ms * 1e6) as i64));
+        let last_write = (new.last_write_ms > 0.0).then_some(Span((new.last_write_ms * 1e6) as i64));
         let event = Event::Arrived {
             rpc,
             method: new.profile,
@@ -344,9 +343,9 @@
     }
 }
 
-fn unhex(digits: &Cow<str>) -> Option<Vec<u8>> {
+fn unhex(digits: &str) -> Option<Vec<u8>> {
     let digits = digits.as_bytes();
-    if digits.len() % 2 != 0 {
+    if !digits.len().is_multiple_of(2) {
         return None;
     }
     let pair = |two: &[u8]| u8::from_str_radix(std::str::from_utf8(two).ok()?, 16).ok();
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -238,6 +238,7 @@
 }
 
 #[derive(Serialize)]
+#[allow(clippy::enum_variant_names)] // The wire's names.
 #[serde(rename_all_fields = "camelCase")]
 pub enum Out<'a> {
     Forward { front: u32, request_id: &'a str, store: &'a str, limit_ns: i64 },
