Cold stores: budget from own work done at warm stores and one core's worth

Cause: the budget followed the work sent to the busiest warm store, which under overload is several times what a store can do.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -77,6 +77,9 @@
     cold_from: f64,
     cold_for: Span,
     cold_window: Span,
+    cold_multiple: f64,
+    /// Our share of what a single warm core may be sent in a window.
+    cold_core: f64,
     gone_stays_open: bool,
     /// From the deadline back: the answer must be in the client's hands before it.
     margin: Span,
@@ -140,6 +143,8 @@
     room_cut: Moment,
     work: f64,
     work_at: Moment,
+    done: f64,
+    done_at: Moment,
 }
 
 #[derive(Default)]
@@ -200,6 +205,10 @@
             cold_from: facts.cold_from,
             cold_for: facts.cold_for,
             cold_window: facts.fall_window,
+            cold_multiple: facts.fall_multiple,
+            cold_core: facts.fall_multiple * facts.fall_window.secs()
+                / f64::from(facts.instances.max(1))
+                / 2.0,
             gone_stays_open: facts.gone_stays_open,
             margin: facts.tick * 2,
             pulse: (soft / 8).max(facts.tick),
@@ -375,15 +384,16 @@
             && self.within_cold_budget(store, method)
     }
 
-    /// Our part of what all fronts may send to a store that has just started: the part of its full capacity
-    /// that it surely has, of what we send to the busiest store that is warm. While we know of none, one at
-    /// a time.
+    /// Our part of what all fronts may send to a store that has just started. What it surely has of its full
+    /// capacity, times our mean of work done at warm stores: a sum over fronts that no store's capacity falls
+    /// under. Halved as a window may hold a burst and its refill, and again for chance. One core is taken
+    /// for granted, so that a store can show itself where we have seen nothing yet.
     fn within_cold_budget(&self, store: &Store, method: MethodIx) -> bool {
         let Some(part) = self.warmth(store) else { return true };
-        let warm = self.stores.iter().flatten().filter(|s| self.warmth(s).is_none());
-        let most = warm.map(|s| self.work_now(s)).fold(0.0, f64::max);
-        let work = self.work_now(store) + self.usual[method];
-        work <= most * part || (store.in_flight == 0 && work <= 2.0 * self.usual[method])
+        let warm = || self.stores.iter().flatten().filter(|s| s.open && self.warmth(s).is_none());
+        let done = warm().map(|s| self.faded(s.done, s.done_at)).sum::<f64>() / warm().count().max(1) as f64;
+        let budget = part * (done * self.charter.cold_multiple / 4.0).max(self.charter.cold_core);
+        self.faded(store.work, store.work_at) + self.usual[method] <= budget
     }
 
     fn warmth(&self, store: &Store) -> Option<f64> {
@@ -393,9 +403,8 @@
         (age < self.charter.cold_for).then_some(part)
     }
 
-    fn work_now(&self, store: &Store) -> f64 {
-        let window = self.charter.cold_window.secs().max(1e-9);
-        store.work * (-(self.now - store.work_at).secs() / window).exp()
+    fn faded(&self, work: f64, at: Moment) -> f64 {
+        work * (-(self.now - at).secs() / self.charter.cold_window.secs().max(1e-9)).exp()
     }
 
     // What becomes of an RPC.
@@ -543,7 +552,7 @@
         rpc.out = Some(CallOut { number: rpc.call_outs, sent: self.now });
         rpc.call_outs += 1;
         let usual = self.usual[rpc.method];
-        let work = self.work_now(self.stores[ix].as_ref()?) + usual;
+        let work = self.stores[ix].as_ref().map(|s| self.faded(s.work, s.work_at))? + usual;
         let store = self.stores[ix].as_mut()?;
         (store.work, store.work_at) = (work, self.now);
         store.in_flight += 1;
@@ -597,6 +606,10 @@
     ) {
         let (now, sent) = (self.now, self.now - elapsed);
         let known = self.rpcs.get(&id).map(|rpc| rpc.method);
+        if let (Outcome::Ok, Some(method), Some(Some(store))) = (outcome, known, self.stores.get(ix)) {
+            let done = self.faded(store.done, store.done_at) + self.usual[method];
+            self.stores[ix].iter_mut().for_each(|s| (s.done, s.done_at) = (done, now));
+        }
         let Some(store) = self.stores.get_mut(ix).and_then(Option::as_mut) else { return };
         store.in_flight = store.in_flight.saturating_sub(1);
         // Late ends of RPCs already given up still free their place; their kind is not kept.
@@ -735,6 +748,8 @@
             room_cut: Moment::DAWN,
             work: 0.0,
             work_at: Moment::DAWN,
+            done: 0.0,
+            done_at: Moment::DAWN,
         }
     }
 }
