Room per store: hold reads that would queue, and let the primary help out

Cause: reads queued at crowded replicas until their time-out had them dropped or run for nothing, while the primary of the same group stood idle. Each store has a room for our call-outs that lateness cuts and timely answers widen; reads beyond it wait here, newest first, and go to the primary within its own room. It could hurt where one method is late by nature: its lateness narrows the store for all.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -138,7 +138,7 @@
     failed: Moment,
     probe_out: bool,
     probed: Moment,
-    /// Held reads that it may have in flight as the primary.
+    /// Our call-outs that it may hold before further reads go elsewhere or wait.
     room: f64,
     room_cut: Moment,
     work: f64,
@@ -481,7 +481,9 @@
     fn seek(&mut self, id: RpcId) -> Option<Input> {
         let rpc = &self.rpcs[&id];
         let terms = &self.charter.methods[rpc.method];
-        if self.now >= rpc.worth_by || rpc.call_outs >= self.charter.max_call_outs {
+        if self.now + Span((self.usual[rpc.method] * 5e8) as i64) >= rpc.worth_by
+            || rpc.call_outs >= self.charter.max_call_outs
+        {
             return Some(Input::Hopeless);
         }
         if let (Some(ran), Effect::Tokened { memory, .. }) = (rpc.ran_from, terms.effect) {
@@ -509,26 +511,30 @@
         let fit: Vec<StoreIx> = replicas.iter().copied().filter(fresh).collect();
         let current = terms.need == Need::Current;
         let (lagging, waited) = (self.charter.lagging, self.now - rpc.arrived);
-        let (refusals, soft) = (rpc.refusals, terms.soft);
-        if !fit.is_empty() {
-            return self.fewest(&fit).map(Input::Placed);
-        }
-        match lagging {
-            Lagging::Holds(patience) if refusals == 0 && !replicas.is_empty() => {
+        let (refusals, half) = (rpc.refusals, terms.soft / 2);
+        let choice = match lagging {
+            _ if !fit.is_empty() => fit,
+            Lagging::Holds(patience) if refusals == 0 => {
                 let freshest = replicas.iter().filter_map(position).max();
                 let near = |ix: &StoreIx| position(ix) >= freshest.map(|at| at - patience);
-                let near: Vec<StoreIx> = replicas.iter().copied().filter(near).collect();
-                return self.fewest(&near).map(Input::Placed);
+                replicas.iter().copied().filter(near).collect()
             }
-            Lagging::Refuses if refusals == 0 && !current && !replicas.is_empty() => {
-                return replicas.iter().copied().max_by_key(|ix| position(ix)).map(Input::Placed);
+            Lagging::Refuses if refusals == 0 && !current => {
+                replicas.iter().copied().max_by_key(|ix| position(ix)).into_iter().collect()
             }
-            Lagging::AnswersAnyway if !current && waited < soft / 2 && !replicas.is_empty() => return None,
-            _ => {}
+            Lagging::AnswersAnyway if !current && waited < half && !replicas.is_empty() => return None,
+            _ => Vec::new(),
+        };
+        let roomy: Vec<StoreIx> = choice.iter().copied().filter(|&ix| self.has_room(ix)).collect();
+        if !roomy.is_empty() {
+            return self.fewest(&roomy).map(Input::Placed);
         }
-        let primary = primary?;
-        let store = self.stores[primary].as_ref()?;
-        (current || f64::from(store.reads_in_flight) < store.room).then_some(Input::Placed(primary))
+        // Departure: where every replica that would do is crowded, the primary helps out within its room.
+        primary.filter(|&ix| (current && choice.is_empty()) || self.has_room(ix)).map(Input::Placed)
+    }
+
+    fn has_room(&self, ix: StoreIx) -> bool {
+        self.stores[ix].as_ref().is_some_and(|store| f64::from(store.in_flight) < store.room)
     }
 
     /// The fewest of our call-outs in flight; ties by own zone, then chance.
@@ -618,18 +624,18 @@
         match outcome {
             Outcome::Ok | Outcome::Lagged => {
                 (store.heard, store.answered, store.failures) = (true, now, 0);
-                if let Some(method) = known {
-                    let soft = self.charter.methods[method].soft;
-                    if outcome == Outcome::Ok && elapsed < soft / 2 {
-                        store.room += 1.0 / store.room;
-                    } else if elapsed >= soft && store.room_cut < sent {
-                        (store.room, store.room_cut) = ((store.room * 0.7).max(1.0), now);
-                    }
+                let soft = known.map_or(elapsed, |method| self.charter.methods[method].soft);
+                if outcome == Outcome::Ok && elapsed < soft * 3 / 4 {
+                    store.room += 1.0 / store.room;
+                } else if outcome == Outcome::Ok {
+                    store.crowded(sent, now);
                 }
             }
+            Outcome::TimedOut if store.answered >= sent => store.crowded(sent, now),
             // Slow is not silent: only a store that has answered nothing since this was sent has failed.
-            Outcome::TimedOut if store.answered < sent => self.fail(ix),
-            Outcome::Errored | Outcome::Full | Outcome::Unreachable | Outcome::Broken => self.fail(ix),
+            Outcome::TimedOut | Outcome::Errored | Outcome::Full | Outcome::Unreachable | Outcome::Broken => {
+                self.fail(ix)
+            }
             _ => {}
         }
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
@@ -670,10 +676,14 @@
     fn retry_group(&mut self, group: GroupIx, actions: &mut Vec<Action>) {
         for nth in 0..self.charter.order.len() {
             let method = self.charter.order[nth];
-            while let Some(&first) = self.groups[group].held[method].first() {
-                self.drive(first, Input::News, actions);
-                if self.groups[group].held[method].first() == Some(&first) {
-                    break;
+            // Newest first, so that under overload some are answered in time rather than all late; then
+            // oldest first, for what only waiting makes possible.
+            for end in [BTreeSet::last, BTreeSet::first] {
+                while let Some(&next) = end(&self.groups[group].held[method]) {
+                    self.drive(next, Input::News, actions);
+                    if end(&self.groups[group].held[method]) == Some(&next) {
+                        break;
+                    }
                 }
             }
         }
@@ -725,6 +735,14 @@
 }
 
 impl Store {
+    /// Answers that come late mean a queue: less is put there at once, at most once for what was sent before
+    /// the last time.
+    fn crowded(&mut self, sent: Moment, now: Moment) {
+        if self.room_cut < sent {
+            (self.room, self.room_cut) = ((self.room * 0.8).max(1.0), now);
+        }
+    }
+
     fn new(entry: &Entry) -> Store {
         Store {
             group: entry.group,
@@ -744,7 +762,7 @@
             failed: Moment::DAWN,
             probe_out: false,
             probed: Moment::DAWN,
-            room: 2.0,
+            room: 4.0,
             room_cut: Moment::DAWN,
             work: 0.0,
             work_at: Moment::DAWN,
