--- a/src/choice.rs
+++ b/src/choice.rs
@@ -163,7 +163,7 @@
     stores: Vec<Option<Store>>,
     groups: Vec<Group>,
     sessions: BTreeMap<u64, Moment>,
-    /// Mean elapsed time of each method's answers.
+    /// Median elapsed time of each method's answers, followed by small steps.
     usual: Vec<f64>,
     asked: Moment,
     ask_at: Option<Moment>,
@@ -393,7 +393,9 @@
         let warm = || self.stores.iter().flatten().filter(|s| s.open && self.warmth(s).is_none());
         let done = warm().map(|s| self.faded(s.done, s.done_at)).sum::<f64>() / warm().count().max(1) as f64;
         let budget = part * (done * self.charter.cold_multiple / 4.0).max(self.charter.cold_core);
-        self.faded(store.work, store.work_at) + self.usual[method] <= budget
+        // Long work that a heavy tail may stretch is kept away as long as one from each front would be much.
+        let lone = self.usual[method] <= self.charter.cold_core * part;
+        lone && self.faded(store.work, store.work_at) + self.usual[method] <= budget
     }
 
     fn warmth(&self, store: &Store) -> Option<f64> {
@@ -481,7 +483,7 @@
     fn seek(&mut self, id: RpcId) -> Option<Input> {
         let rpc = &self.rpcs[&id];
         let terms = &self.charter.methods[rpc.method];
-        if self.now + Span((self.usual[rpc.method] * 5e8) as i64) >= rpc.worth_by
+        if self.now + Span((self.usual[rpc.method] * 1e9) as i64) >= rpc.worth_by
             || rpc.call_outs >= self.charter.max_call_outs
         {
             return Some(Input::Hopeless);
@@ -512,12 +514,16 @@
         let current = terms.need == Need::Current;
         let (lagging, waited) = (self.charter.lagging, self.now - rpc.arrived);
         let (refusals, half) = (rpc.refusals, terms.soft / 2);
+        let slack = self.charter.stale_after;
+        let near = |ix: StoreIx, patience: Span| {
+            let told = self.stores[ix].as_ref().and_then(|s| Some(s.told - s.position?));
+            told.is_some_and(|lag| needed.is_none_or(|at| lag <= self.now - at + patience + slack))
+        };
         let choice = match lagging {
             _ if !fit.is_empty() => fit,
-            Lagging::Holds(patience) if refusals == 0 => {
-                let freshest = replicas.iter().filter_map(position).max();
-                let near = |ix: &StoreIx| position(ix) >= freshest.map(|at| at - patience);
-                replicas.iter().copied().filter(near).collect()
+            // Its hold is worth trying only where the lag it last told of could be made up within it.
+            Lagging::Holds(patience) if refusals == 0 && replicas.iter().any(|&ix| near(ix, patience)) => {
+                replicas.iter().copied().filter(|&ix| near(ix, patience)).collect()
             }
             Lagging::Refuses if refusals == 0 && !current => {
                 replicas.iter().copied().max_by_key(|ix| position(ix)).into_iter().collect()
@@ -644,7 +650,8 @@
         }
         let out = rpc.out.take();
         if outcome == Outcome::Ok {
-            self.usual[rpc.method] += (elapsed.secs() - self.usual[rpc.method]) / 32.0;
+            let usual = &mut self.usual[rpc.method];
+            *usual *= if elapsed.secs() > *usual { 1.05 } else { 0.95 };
             let wrote = self.charter.methods[rpc.method].need == Need::Write && !self.charter.marks_carried;
             if let (true, Some(key), Some(at)) = (wrote, rpc.session, note.position) {
                 let mark = self.sessions.entry(key).or_insert(at);
