Room judged by the time each call-out was given, and grown only while in use

Cause: a read that had waited was given less time than the room's measure allowed, so rooms widened until a quarter of the call-outs timed out.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -117,6 +117,8 @@
 struct CallOut {
     number: u32,
     sent: Moment,
+    /// An answer that takes longer than this is a sign of a queue.
+    timely: Span,
 }
 
 struct Store {
@@ -561,7 +563,8 @@
         // A store does not begin what is past its time-out, so work that earns nothing is not done.
         let until = if read { rpc.worth_by } else { rpc.answer_by };
         let time_out = (until - self.now).max(Span(1));
-        rpc.out = Some(CallOut { number: rpc.call_outs, sent: self.now });
+        let timely = time_out.min(self.charter.methods[rpc.method].soft) * 3 / 4;
+        rpc.out = Some(CallOut { number: rpc.call_outs, sent: self.now, timely });
         rpc.call_outs += 1;
         let usual = self.usual[rpc.method];
         let work = self.stores[ix].as_ref().map(|s| self.faded(s.work, s.work_at))? + usual;
@@ -618,6 +621,7 @@
     ) {
         let (now, sent) = (self.now, self.now - elapsed);
         let known = self.rpcs.get(&id).map(|rpc| rpc.method);
+        let timely = self.rpcs.get(&id).and_then(|rpc| Some(rpc.out.as_ref()?.timely)).unwrap_or(elapsed);
         if let (Outcome::Ok, Some(method), Some(Some(store))) = (outcome, known, self.stores.get(ix)) {
             let done = self.faded(store.done, store.done_at) + self.usual[method];
             self.stores[ix].iter_mut().for_each(|s| (s.done, s.done_at) = (done, now));
@@ -630,11 +634,10 @@
         match outcome {
             Outcome::Ok | Outcome::Lagged => {
                 (store.heard, store.answered, store.failures) = (true, now, 0);
-                let soft = known.map_or(elapsed, |method| self.charter.methods[method].soft);
-                if outcome == Outcome::Ok && elapsed < soft * 3 / 4 {
-                    store.room += 1.0 / store.room;
-                } else if outcome == Outcome::Ok {
+                if outcome == Outcome::Ok && elapsed >= timely {
                     store.crowded(sent, now);
+                } else if f64::from(store.in_flight + 1) * 2.0 >= store.room {
+                    store.room += 1.0 / store.room;
                 }
             }
             Outcome::TimedOut if store.answered >= sent => store.crowded(sent, now),
