Writes and current reads keep to the primary's room too

Cause: writes jammed the primary's queue until it turned everything away, and each refusal rested it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -498,7 +498,7 @@
         }
         let primary = self.groups[rpc.group].primary.filter(|&ix| self.usable(ix, rpc.method));
         let needed = match terms.need {
-            Need::Write => return primary.map(Input::Placed),
+            Need::Write => return primary.filter(|&ix| self.has_room(ix)).map(Input::Placed),
             Need::Bounded(bound) => Some(self.now - bound),
             _ => rpc.mark,
         };
@@ -538,7 +538,7 @@
             return self.fewest(&roomy).map(Input::Placed);
         }
         // Departure: where every replica that would do is crowded, the primary helps out within its room.
-        primary.filter(|&ix| (current && choice.is_empty()) || self.has_room(ix)).map(Input::Placed)
+        primary.filter(|&ix| self.has_room(ix)).map(Input::Placed)
     }
 
     fn has_room(&self, ix: StoreIx) -> bool {
