Long reads without a bound go to the replica most behind

Cause, told apart by the positions in answers and probes: replicas answered quickly yet their lag grew by a second a second on all of them at once, only where long reads ran; a replica applies nothing while it holds one, and the least busy choice had spread them over all. Should also hold against backups or dumps run through a replica. It could harm where long reads do not stall the log: one replica is then busier than it need be.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -96,6 +96,8 @@
     effect: Effect,
     soft: Span,
     late_share: f64,
+    /// May hold up a replica's apply for longer than a bound allows.
+    stalls: bool,
 }
 
 struct Rpc {
@@ -183,6 +185,7 @@
             Need::Bounded(bound) => Some(bound),
             _ => None,
         });
+        let tightest = bounds.min();
         let mut order: Vec<MethodIx> = (0..facts.methods.len()).collect();
         let rank = |need: Need| match need {
             Need::Write => 0,
@@ -195,6 +198,7 @@
             effect: m.effect,
             soft: m.soft_deadline,
             late_share: m.late_share,
+            stalls: m.need == Need::Any && tightest.is_some_and(|bound| m.soft_deadline >= bound),
         };
         Charter {
             methods: facts.methods.iter().map(terms).collect(),
@@ -218,7 +222,7 @@
             margin: facts.tick * 2,
             pulse: (soft / 8).max(facts.tick),
             pressing: soft,
-            stale_after: bounds.min().unwrap_or(soft * 4) / 4,
+            stale_after: tightest.unwrap_or(soft * 4) / 4,
         }
     }
 }
@@ -538,6 +542,11 @@
             _ => Vec::new(),
         };
         let roomy: Vec<StoreIx> = choice.iter().copied().filter(|&ix| self.has_room(ix)).collect();
+        // Departure: a read without a bound that may take longer than others' bounds goes to the replica most
+        // behind, not the least busy: long reads spread evenly would keep every replica from applying its log.
+        if terms.stalls && !roomy.is_empty() {
+            return roomy.into_iter().min_by_key(|ix| (position(ix), *ix)).map(Input::Placed);
+        }
         if !roomy.is_empty() {
             return self.fewest(&roomy).map(Input::Placed);
         }
@@ -570,7 +579,8 @@
         // The queue that any method leaves must suit the most pressing one, or the patient crowd it out.
         let usual = self.usual[rpc.method];
         let queue = Span((usual * 1e9) as i64) + self.charter.pressing / 2;
-        let timely = queue.min(time_out * 3 / 4);
+        let stalls = self.charter.methods[rpc.method].stalls;
+        let timely = (time_out * 3 / 4).min(if stalls { time_out } else { queue });
         rpc.out = Some(CallOut { number: rpc.call_outs, sent: self.now, timely });
         rpc.call_outs += 1;
         let work = self.stores[ix].as_ref().map(|s| self.faded(s.work, s.work_at))? + usual;
