--- a/simhost/src/host.rs
+++ b/simhost/src/host.rs
@@ -3,7 +3,8 @@
 use crate::wire::{self, Availability, How, In, Out, Record, Status};
 use gingerwick::choice::Router;
 use gingerwick::iface::{
-    Action, Effect, Entry, Event, Facts, Lagging, Method, Need, Outcome, Role, RpcId, Standing, Told,
+    Action, Arrival, Effect, End, Entry, Event, Facts, Lagging, Method, Need, Outcome, Role, RpcId, Standing,
+    Told,
 };
 use gingerwick::time::{Moment, Span};
 use std::collections::{BTreeMap, HashMap};
@@ -150,7 +151,7 @@
         host.rpcs.insert(new.request_id.to_string(), rpc);
         host.open.insert(rpc, Open { id: new.request_id.into_owned(), out: 0, closed: false });
         let last_write = (new.last_write_ms > 0.0).then_some(Span((new.last_write_ms * 1e6) as i64));
-        let event = Event::Arrived {
+        let event = Event::Arrived(Arrival {
             rpc,
             method: new.profile,
             group: host.groups.enter(new.db_no),
@@ -158,7 +159,7 @@
             last_write,
             deadline: Moment(new.drop_dead_ns),
             repeat: new.repeat,
-        };
+        });
         self.tell(new.front, event);
         Ok(())
     }
@@ -179,7 +180,7 @@
                 _ => None,
             },
         };
-        let event = Event::Ended {
+        let event = Event::Ended(End {
             rpc,
             call_out: end.hop,
             store,
@@ -188,7 +189,7 @@
             closed: end.done_flag,
             note,
             report: host.report(end.pressure.as_deref()),
-        };
+        });
         self.tell(end.front, event);
         if let Some(host) = self.fronts.get_mut(&end.front) {
             host.forget(rpc);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -125,6 +125,7 @@
     timely: Span,
 }
 
+#[derive(Default)]
 struct Store {
     group: GroupIx,
     zone: usize,
@@ -136,7 +137,6 @@
     claims: Option<Moment>,
     denied: Moment,
     in_flight: u32,
-    reads_in_flight: u32,
     answered: Moment,
     heard: bool,
     failures: u32,
@@ -172,11 +172,12 @@
     /// What each method's quicker answers take, so mostly without a queue: small steps hold about three in
     /// ten under it.
     usual: Vec<f64>,
-    asked: Moment,
     ask_at: Option<Moment>,
 }
 
 const PULSE: u64 = 0;
+/// What a store may hold of ours before it has shown how much suits it.
+const FIRST_ROOM: f64 = 4.0;
 
 impl Charter {
     fn new(facts: &Facts) -> Charter {
@@ -242,7 +243,6 @@
             groups: Vec::new(),
             sessions: BTreeMap::new(),
             usual,
-            asked: now,
             ask_at,
         };
         router.ask(actions);
@@ -254,15 +254,13 @@
         match event {
             Event::List { whole, entries } => self.list(whole, entries, actions),
             Event::ListFailed => self.ask_at = self.charter.ask_again.map(|span| self.now + span / 4),
-            Event::Arrived { rpc, method, group, session, last_write, deadline, .. } => {
-                self.arrive(rpc, method, group, session, last_write, deadline, actions)
-            }
+            Event::Arrived(new) => self.arrive(new, actions),
             Event::Streaming { rpc } | Event::Gone { rpc } => self.drive(rpc, Input::Closed, actions),
-            Event::Ended { rpc, call_out, store, outcome, elapsed, closed, note, report } => {
-                self.learn(store, report, false);
-                self.learn(store, note, true);
-                self.ended(rpc, call_out, store, outcome, elapsed, closed, note, actions);
-                self.retry_held(store, actions);
+            Event::Ended(end) => {
+                self.learn(end.store, end.report, false);
+                self.learn(end.store, end.note, true);
+                self.ended(&end, actions);
+                self.retry_held(end.store, actions);
             }
             Event::Timer { tag: PULSE } => self.beat(actions),
             Event::Timer { tag } => self.drive(tag - 1, Input::Overdue, actions),
@@ -286,7 +284,6 @@
 
     fn ask(&mut self, actions: &mut Vec<Action>) {
         if self.ask_at.is_some_and(|at| at <= self.now) {
-            self.asked = self.now;
             self.ask_at = self.charter.ask_again.map(|span| self.now + span);
             actions.push(Action::Watch);
         }
@@ -308,7 +305,7 @@
             let gone_stays_open = self.charter.gone_stays_open;
             let store = self.stores[entry.store].get_or_insert_with(|| {
                 self.groups[entry.group].members.push(entry.store);
-                Store::new(&entry)
+                Store { group: entry.group, zone: entry.zone, room: FIRST_ROOM, ..Store::default() }
             });
             match entry.standing {
                 Standing::Open => store.open = true,
@@ -421,18 +418,9 @@
 
     // What becomes of an RPC.
 
-    #[allow(clippy::too_many_arguments)]
-    fn arrive(
-        &mut self,
-        id: RpcId,
-        method: MethodIx,
-        group: GroupIx,
-        session: Option<u64>,
-        last_write: Option<Span>,
-        deadline: Moment,
-        actions: &mut Vec<Action>,
-    ) {
-        let answer_by = deadline - self.charter.margin;
+    fn arrive(&mut self, new: Arrival, actions: &mut Vec<Action>) {
+        let Arrival { rpc: id, method, group, session, .. } = new;
+        let answer_by = new.deadline - self.charter.margin;
         self.group(group);
         let Some(terms) = self.charter.methods.get(method) else {
             actions.push(Action::PushBack { rpc: id, come_back: None });
@@ -440,7 +428,7 @@
         };
         let mark = match terms.need {
             Need::Current => Some(self.now),
-            Need::Session if self.charter.marks_carried => last_write.map(|ago| self.now - ago),
+            Need::Session if self.charter.marks_carried => new.last_write.map(|ago| self.now - ago),
             Need::Session => session.and_then(|key| self.sessions.get(&key).copied()),
             _ => None,
         };
@@ -587,7 +575,6 @@
         let store = self.stores[ix].as_mut()?;
         (store.work, store.work_at) = (work, self.now);
         store.in_flight += 1;
-        store.reads_in_flight += u32::from(read);
         actions.push(Action::Send { rpc: id, store: ix, time_out });
         None
     }
@@ -623,18 +610,8 @@
         None
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn ended(
-        &mut self,
-        id: RpcId,
-        call_out: u32,
-        ix: StoreIx,
-        outcome: Outcome,
-        elapsed: Span,
-        closed: bool,
-        note: Told,
-        actions: &mut Vec<Action>,
-    ) {
+    fn ended(&mut self, end: &End, actions: &mut Vec<Action>) {
+        let End { rpc: id, store: ix, outcome, elapsed, .. } = *end;
         let (now, sent) = (self.now, self.now - elapsed);
         let known = self.rpcs.get(&id).map(|rpc| rpc.method);
         let timely = self.rpcs.get(&id).and_then(|rpc| Some(rpc.out.as_ref()?.timely)).unwrap_or(elapsed);
@@ -644,9 +621,6 @@
         }
         let Some(store) = self.stores.get_mut(ix).and_then(Option::as_mut) else { return };
         store.in_flight = store.in_flight.saturating_sub(1);
-        // Late ends of RPCs already given up still free their place; their kind is not kept.
-        let read = known.is_none_or(|method| self.charter.methods[method].need != Need::Write);
-        store.reads_in_flight = store.reads_in_flight.saturating_sub(u32::from(read)).min(store.in_flight);
         match outcome {
             Outcome::Ok | Outcome::Lagged => {
                 (store.heard, store.answered, store.failures) = (true, now, 0);
@@ -664,7 +638,7 @@
             _ => {}
         }
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
-        if rpc.out.as_ref().is_none_or(|out| out.number != call_out) {
+        if rpc.out.as_ref().is_none_or(|out| out.number != end.call_out) {
             return;
         }
         let out = rpc.out.take();
@@ -672,7 +646,7 @@
             let usual = &mut self.usual[rpc.method];
             *usual *= if elapsed.secs() > *usual { 1.02 } else { 0.95 };
             let wrote = self.charter.methods[rpc.method].need == Need::Write && !self.charter.marks_carried;
-            if let (true, Some(key), Some(at)) = (wrote, rpc.session, note.position) {
+            if let (true, Some(key), Some(at)) = (wrote, rpc.session, end.note.position) {
                 let mark = self.sessions.entry(key).or_insert(at);
                 *mark = at.max(*mark);
             }
@@ -684,7 +658,7 @@
             }
         }
         let input = match outcome {
-            _ if closed => Input::Closed,
+            _ if end.closed => Input::Closed,
             outcome if outcome.proves_it_never_ran() => Input::NeverRan,
             _ => Input::MayHaveRun,
         };
@@ -743,7 +717,7 @@
             let wanted = !store.heard
                 || store.told + stale <= now
                 || lost
-                || (waiting && store.told + pulse * 2 <= now)
+                || (waiting && store.told + stale / 2 <= now)
                 || (store.failures > 0 && store.rest_until <= now);
             let paced = store.probed + if store.failures > 1 { pulse * 4 } else { pulse * 2 } <= now;
             if store.open && wanted && paced && !store.probe_out {
@@ -768,32 +742,4 @@
             (self.room, self.room_cut) = ((self.room * 0.8).max(1.0), now);
         }
     }
-
-    fn new(entry: &Entry) -> Store {
-        Store {
-            group: entry.group,
-            zone: entry.zone,
-            open: false,
-            started: None,
-            position: None,
-            told: Moment::DAWN,
-            claims: None,
-            denied: Moment::DAWN,
-            in_flight: 0,
-            reads_in_flight: 0,
-            answered: Moment::DAWN,
-            heard: false,
-            failures: 0,
-            rest_until: Moment::DAWN,
-            failed: Moment::DAWN,
-            probe_out: false,
-            probed: Moment::DAWN,
-            room: 4.0,
-            room_cut: Moment::DAWN,
-            work: 0.0,
-            work_at: Moment::DAWN,
-            done: 0.0,
-            done_at: Moment::DAWN,
-        }
-    }
 }
--- a/src/iface.rs
+++ b/src/iface.rs
@@ -139,6 +139,36 @@
     }
 }
 
+/// An RPC that a client has handed to this instance.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub rpc: RpcId,
+    pub method: MethodIx,
+    pub group: GroupIx,
+    pub session: Option<u64>,
+    /// How long before the arrival its session's last write was committed, where that is carried.
+    pub last_write: Option<Span>,
+    /// When the client gives this try up.
+    pub deadline: Moment,
+    pub repeat: bool,
+}
+
+/// How a call-out ended.
+#[derive(Clone, Debug)]
+pub struct End {
+    pub rpc: RpcId,
+    pub call_out: u32,
+    pub store: StoreIx,
+    pub outcome: Outcome,
+    pub elapsed: Span,
+    /// The RPC needs no answer any more.
+    pub closed: bool,
+    /// What the answer itself says.
+    pub note: Told,
+    /// What a report that came with it says, as old as that is.
+    pub report: Told,
+}
+
 #[derive(Clone, Debug)]
 pub enum Event {
     /// Changes to the list, or all of it.
@@ -148,34 +178,12 @@
     },
     /// A call to the list failed, or its watch broke off.
     ListFailed,
-    Arrived {
-        rpc: RpcId,
-        method: MethodIx,
-        group: GroupIx,
-        session: Option<u64>,
-        /// How long before the arrival its session's last write was committed, where that is carried.
-        last_write: Option<Span>,
-        /// When the client gives this try up.
-        deadline: Moment,
-        repeat: bool,
-    },
+    Arrived(Arrival),
     /// The answer has begun; from here on it is the client's.
     Streaming {
         rpc: RpcId,
     },
-    Ended {
-        rpc: RpcId,
-        call_out: u32,
-        store: StoreIx,
-        outcome: Outcome,
-        elapsed: Span,
-        /// The RPC needs no answer any more.
-        closed: bool,
-        /// What the answer itself says.
-        note: Told,
-        /// What a report that came with it says, as old as that is.
-        report: Told,
-    },
+    Ended(End),
     Gone {
         rpc: RpcId,
     },
--- a/src/time.rs
+++ b/src/time.rs
@@ -3,7 +3,7 @@
 use std::ops::{Add, AddAssign, Div, Mul, Sub};
 
 /// A point on the caller's monotonic clock, in nanoseconds from an arbitrary origin.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Moment(pub i64);
 
 /// A length of time in nanoseconds.
@@ -15,6 +15,13 @@
     pub const DAWN: Moment = Moment(i64::MIN / 4);
 }
 
+/// What never happened lies at the dawn.
+impl Default for Moment {
+    fn default() -> Moment {
+        Moment::DAWN
+    }
+}
+
 impl Span {
     pub const ZERO: Span = Span(0);
 
