--- a/src/choice.rs
+++ b/src/choice.rs
@@ -494,7 +494,7 @@
         }
         let primary = self.groups[rpc.group].primary.filter(|&ix| self.usable(ix, rpc.method));
         let needed = match terms.need {
-            Need::Write => return primary.filter(|&ix| self.has_room(ix)).map(Input::Placed),
+            Need::Write => return primary.filter(|&ix| self.has_room(ix, 1.0)).map(Input::Placed),
             Need::Bounded(bound) => Some(self.now - bound),
             _ => rpc.mark,
         };
@@ -529,7 +529,7 @@
             Lagging::AnswersAnyway if !current && waited < half && !replicas.is_empty() => return None,
             _ => Vec::new(),
         };
-        let roomy: Vec<StoreIx> = choice.iter().copied().filter(|&ix| self.has_room(ix)).collect();
+        let roomy: Vec<StoreIx> = choice.iter().copied().filter(|&ix| self.has_room(ix, 1.0)).collect();
         // Departure: a read without a bound that may take longer than others' bounds goes to the replica most
         // behind, not the least busy: long reads spread evenly would keep every replica from applying its log.
         if terms.stalls && !roomy.is_empty() {
@@ -539,11 +539,13 @@
             return self.fewest(&roomy).map(Input::Placed);
         }
         // Departure: where every replica that would do is crowded, the primary helps out within its room.
-        primary.filter(|&ix| self.has_room(ix)).map(Input::Placed)
+        // Half of its room stays free for writes and current reads.
+        let most = if current { 1.0 } else { 0.5 };
+        primary.filter(|&ix| self.has_room(ix, most)).map(Input::Placed)
     }
 
-    fn has_room(&self, ix: StoreIx) -> bool {
-        self.stores[ix].as_ref().is_some_and(|store| f64::from(store.in_flight) < store.room)
+    fn has_room(&self, ix: StoreIx, part: f64) -> bool {
+        self.stores[ix].as_ref().is_some_and(|store| f64::from(store.in_flight) < store.room * part)
     }
 
     /// The fewest of our call-outs in flight; ties by own zone, then chance.
