--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,10 +28,8 @@
     Placed(StoreIx),
     /// It can't earn anything here any more.
     Hopeless,
-    /// The call-out ended and is proved never to have run.
-    NeverRan,
-    /// The call-out ended and may have run.
-    MayHaveRun,
+    /// The call-out ended without an answer for the client.
+    Returned,
     /// Answered, or of no interest to its client any more.
     Closed,
     /// The last moment for an answer of ours.
@@ -42,7 +40,6 @@
 enum Effects {
     Seek,
     Send,
-    Weigh,
     GiveUp,
     Forget,
 }
@@ -55,8 +52,7 @@
     (State::Held, |i| matches!(i, Input::Placed(_)), State::Out, Effects::Send),
     (State::Held, |i| matches!(i, Input::Hopeless | Input::Overdue), State::Done, Effects::GiveUp),
     (State::Held, |i| i == Input::Closed, State::Done, Effects::Forget),
-    (State::Out, |i| i == Input::NeverRan, State::Held, Effects::Seek),
-    (State::Out, |i| i == Input::MayHaveRun, State::Held, Effects::Weigh),
+    (State::Out, |i| i == Input::Returned, State::Held, Effects::Seek),
     (State::Out, |i| i == Input::Overdue, State::Done, Effects::GiveUp),
     (State::Out, |i| i == Input::Closed, State::Done, Effects::Forget),
 ];
@@ -260,7 +256,7 @@
                 self.learn(end.store, end.report, false);
                 self.learn(end.store, end.note, true);
                 self.ended(&end, actions);
-                self.retry_held(end.store, actions);
+                self.retry_held(self.group_of(end.store), actions);
             }
             Event::Timer { tag: PULSE } => self.beat(actions),
             Event::Timer { tag } => self.drive(tag - 1, Input::Overdue, actions),
@@ -274,7 +270,7 @@
                         self.fail(store);
                     }
                 }
-                self.retry_held(store, actions);
+                self.retry_held(self.group_of(store), actions);
             }
             Event::Peer { .. } => {}
         }
@@ -301,7 +297,7 @@
             if self.stores.len() <= entry.store {
                 self.stores.resize_with(entry.store + 1, || None);
             }
-            self.group(entry.group);
+            self.know_group(entry.group);
             let gone_stays_open = self.charter.gone_stays_open;
             let store = self.stores[entry.store].get_or_insert_with(|| {
                 self.groups[entry.group].members.push(entry.store);
@@ -326,14 +322,15 @@
         self.beat_probes(actions);
     }
 
-    fn group(&mut self, ix: GroupIx) -> &mut Group {
-        if self.groups.len() <= ix {
-            self.groups.resize_with(ix + 1, Group::default);
+    fn know_group(&mut self, ix: GroupIx) {
+        let held = vec![BTreeSet::new(); self.charter.methods.len()];
+        while self.groups.len() <= ix {
+            self.groups.push(Group { held: held.clone(), ..Group::default() });
         }
-        let methods = self.charter.methods.len();
-        let group = &mut self.groups[ix];
-        group.held.resize_with(methods, BTreeSet::new);
-        group
+    }
+
+    fn group_of(&self, ix: StoreIx) -> Option<GroupIx> {
+        Some(self.stores.get(ix)?.as_ref()?.group)
     }
 
     /// Takes a claim for what it is worth. A position proves freshness however late it comes; a role counts
@@ -421,7 +418,7 @@
     fn arrive(&mut self, new: Arrival, actions: &mut Vec<Action>) {
         let Arrival { rpc: id, method, group, session, .. } = new;
         let answer_by = new.deadline - self.charter.margin;
-        self.group(group);
+        self.know_group(group);
         let Some(terms) = self.charter.methods.get(method) else {
             actions.push(Action::PushBack { rpc: id, come_back: None });
             return;
@@ -464,7 +461,6 @@
             next = match row.3 {
                 Effects::Seek => self.seek(id),
                 Effects::Send => self.send(id, input, actions),
-                Effects::Weigh => self.weigh(id),
                 Effects::GiveUp => self.give_up(id, actions),
                 Effects::Forget => None,
             };
@@ -486,11 +482,13 @@
         {
             return Some(Input::Hopeless);
         }
-        if let (Some(ran), Effect::Tokened { memory, .. }) = (rpc.ran_from, terms.effect) {
-            // Past the memory of its group a repeat would take effect twice.
-            if self.now >= ran + memory - self.charter.margin {
+        // What may have run is not sent again, or only while its group remembers it.
+        match (rpc.ran_from, terms.effect) {
+            (Some(_), Effect::NonIdempotent) => return Some(Input::Hopeless),
+            (Some(ran), Effect::Tokened { memory, .. }) if self.now >= ran + memory - self.charter.margin => {
                 return Some(Input::Hopeless);
             }
+            _ => {}
         }
         let primary = self.groups[rpc.group].primary.filter(|&ix| self.usable(ix, rpc.method));
         let needed = match terms.need {
@@ -581,14 +579,6 @@
         None
     }
 
-    /// After a call-out that may have run.
-    fn weigh(&mut self, id: RpcId) -> Option<Input> {
-        match self.charter.methods[self.rpcs.get(&id)?.method].effect {
-            Effect::NonIdempotent => Some(Input::Hopeless),
-            _ => Some(Input::News),
-        }
-    }
-
     /// The final answer, at once. Only where a repeat is harmless does it invite one.
     fn give_up(&mut self, id: RpcId, actions: &mut Vec<Action>) -> Option<Input> {
         let rpc = self.rpcs.get(&id)?;
@@ -659,23 +649,13 @@
                 rpc.ran_from = out.map(|out| out.sent);
             }
         }
-        let input = match outcome {
-            _ if end.closed => Input::Closed,
-            outcome if outcome.proves_it_never_ran() => Input::NeverRan,
-            _ => Input::MayHaveRun,
-        };
-        self.drive(id, input, actions);
+        self.drive(id, if end.closed { Input::Closed } else { Input::Returned }, actions);
     }
 
     /// Tests the held RPCs of a store's group anew, most urgent first; where one of a method must go on
     /// waiting, so must the later ones.
-    fn retry_held(&mut self, ix: StoreIx, actions: &mut Vec<Action>) {
-        if let Some(store) = self.stores.get(ix).and_then(Option::as_ref) {
-            self.retry_group(store.group, actions);
-        }
-    }
-
-    fn retry_group(&mut self, group: GroupIx, actions: &mut Vec<Action>) {
+    fn retry_held(&mut self, group: Option<GroupIx>, actions: &mut Vec<Action>) {
+        let Some(group) = group else { return };
         for nth in 0..self.charter.order.len() {
             let method = self.charter.order[nth];
             // Newest first, so that under overload some are answered in time rather than all late; then
@@ -698,8 +678,7 @@
         self.ask(actions);
         self.beat_probes(actions);
         for group in 0..self.groups.len() {
-            self.group(group);
-            self.retry_group(group, actions);
+            self.retry_held(Some(group), actions);
         }
     }
 
@@ -715,7 +694,8 @@
             let Some(store) = &self.stores[ix] else { continue };
             let group = &self.groups[store.group];
             let waiting = group.held.iter().any(|held| !held.is_empty());
-            let lost = group.primary.is_none() || group.primary.is_some_and(|ix| self.resting(ix));
+            let sound = |ix: StoreIx| self.stores[ix].as_ref().is_some_and(|s| s.failures == 0 && s.open);
+            let lost = !group.primary.is_some_and(sound);
             let wanted = !store.heard
                 || store.told + stale <= now
                 || lost
@@ -730,10 +710,6 @@
             }
         }
     }
-
-    fn resting(&self, ix: StoreIx) -> bool {
-        self.stores[ix].as_ref().is_none_or(|store| store.failures > 0 || !store.open)
-    }
 }
 
 impl Store {
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,187 @@
+//! The five rules under seeded random events, and a few plain cases, each for a failure once met.
+
+mod support;
+
+use gingerwick::iface::*;
+use gingerwick::time::{Moment, Span};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use support::*;
+
+const LAGGING: [Lagging; 3] = [Lagging::AnswersAnyway, Lagging::Refuses, Lagging::Holds(Span::millis(100))];
+const OUTCOMES: [Outcome; 9] = [
+    Outcome::Ok,
+    Outcome::Errored,
+    Outcome::Full,
+    Outcome::TimedOut,
+    Outcome::Unreachable,
+    Outcome::Broken,
+    Outcome::Withdrawn,
+    Outcome::Moot,
+    Outcome::Lagged,
+];
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 192,
+        rng_seed: RngSeed::Fixed(20_26),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn rules_hold_after_every_step(
+        seed in any::<u64>(),
+        lagging in 0..3usize,
+        steps in prop::collection::vec((0..12u8, any::<u16>(), any::<u8>()), 1..400),
+    ) {
+        let mut bench = Bench::ready(LAGGING[lagging], 2, seed);
+        for (kind, pick, how) in steps {
+            let (pick, how) = (usize::from(pick), usize::from(how));
+            let store = pick % bench.group_of.len();
+            let old = Span::millis(how as i64 * 20);
+            match kind {
+                0..=3 => {
+                    // A try may be given up after less than the method's deadline, but for current reads, whose
+                    // arrival the checker reads off it.
+                    let share = if how % 6 == CURRENT { 1.0 } else { 0.4 + how as f64 / 425.0 };
+                    bench.arrive(how % 6, pick % 2, share);
+                }
+                4..=6 => {
+                    let out: Vec<RpcId> =
+                        bench.live.iter().filter(|(_, live)| live.out.is_some()).map(|(&rpc, _)| rpc).collect();
+                    if let Some(&rpc) = out.get(pick % out.len().max(1)) {
+                        // Half of all answers are good, so that runs get past the first failure.
+                        let outcome = OUTCOMES[if how < 128 { 0 } else { how % 9 }];
+                        let role = [None, Some(true), Some(false)][how % 3];
+                        bench.end(rpc, outcome, role);
+                    }
+                }
+                7..=8 => {
+                    let outcome = if how < 200 { Outcome::Ok } else { Outcome::TimedOut };
+                    bench.probed(store, outcome, bench.now - old, how % 7 == 0);
+                }
+                9 => {
+                    let standing = [Standing::Open, Standing::Draining, Standing::Gone][how % 3];
+                    if how % 4 == 0 {
+                        bench.started[store] = Some(bench.now - old / 10);
+                    }
+                    bench.list(store, standing);
+                }
+                10 => bench.give(Event::ListFailed),
+                _ => bench.pass(Span::millis(how as i64)),
+            }
+        }
+        bench.pass(Span::millis(10_000));
+        prop_assert!(bench.live.is_empty(), "every RPC has its answer in the end");
+    }
+}
+
+fn ended(bench: &mut Bench, rpc: RpcId, outcome: Outcome, role: Option<bool>) -> Option<StoreIx> {
+    bench.end(rpc, outcome, role);
+    bench.live.get(&rpc).and_then(|live| live.out).map(|out| out.1)
+}
+
+#[test]
+fn a_bounded_read_goes_to_a_replica_and_waits_for_one_before_the_primary() {
+    let mut bench = Bench::ready(Lagging::AnswersAnyway, 1, 1);
+    bench.arrive(BOUNDED, 0, 1.0);
+    assert_ne!(bench.sent[0].1, 0, "a fresh replica serves it");
+    bench.pass(BOUND + TICK);
+    let held = bench.arrive(BOUNDED, 0, 1.0);
+    assert!(bench.live[&held].out.is_none(), "told positions have aged past the bound: held");
+    bench.probed(2, Outcome::Ok, bench.now, false);
+    assert_eq!(bench.live[&held].out.map(|out| out.1), Some(2), "news of a fresh one lets it go");
+    bench.pass(BOUND + TICK);
+    let late = bench.arrive(BOUNDED, 0, 1.0);
+    bench.pass(Span::millis(400));
+    assert_eq!(bench.live[&late].out.map(|out| out.1), Some(0), "half of its time is spent: the primary");
+}
+
+#[test]
+fn an_answer_that_says_replica_ends_a_primary_and_writes_wait_for_the_next() {
+    let mut bench = Bench::ready(Lagging::AnswersAnyway, 1, 1);
+    let write = bench.arrive(WRITE, 0, 1.0);
+    assert_eq!(ended(&mut bench, write, Outcome::Lagged, Some(false)), None, "held: nobody is primary");
+    bench.probed(0, Outcome::Ok, bench.now - Span::millis(900), true);
+    assert!(bench.live[&write].out.is_none(), "a report older than the answer does not bring it back");
+    bench.pass(Span::millis(100));
+    bench.probed(1, Outcome::Ok, bench.now, true);
+    assert_eq!(bench.live[&write].out.map(|out| out.1), Some(1));
+}
+
+#[test]
+fn what_may_have_run_is_aborted_or_repeated_only_as_its_method_allows() {
+    let mut bench = Bench::ready(Lagging::AnswersAnyway, 1, 1);
+    let write = bench.arrive(WRITE, 0, 1.0);
+    ended(&mut bench, write, Outcome::Broken, None);
+    assert_eq!(bench.answers[&write], "aborted", "at once, not near its deadline");
+    bench.pass(Span::millis(1000));
+    bench.probed(0, Outcome::Ok, bench.now, true);
+    let tokened = bench.arrive(TOKENED, 0, 1.0);
+    assert_eq!(ended(&mut bench, tokened, Outcome::Errored, None), None, "its only primary rests");
+    bench.pass(MEMORY);
+    assert_eq!(bench.answers[&tokened], "aborted", "past its group's memory");
+}
+
+#[test]
+fn a_store_that_fails_fast_is_not_taken_for_an_idle_one() {
+    let mut bench = Bench::ready(Lagging::AnswersAnyway, 1, 1);
+    for _ in 0..60 {
+        let rpc = bench.arrive(ANY, 0, 1.0);
+        while let Some((_, store, _)) = bench.live.get(&rpc).and_then(|live| live.out) {
+            bench.end(rpc, if store == 1 { Outcome::Errored } else { Outcome::Ok }, None);
+        }
+        bench.pass(Span::millis(10));
+    }
+    let bad = bench.sent.iter().filter(|sent| sent.1 == 1).count();
+    assert!(bad <= 6, "{bad} call-outs went to the store that answers nothing but errors");
+}
+
+#[test]
+fn a_cold_store_gets_little_and_no_long_work() {
+    let mut bench = Bench::ready(Lagging::AnswersAnyway, 1, 1);
+    bench.started[1] = Some(bench.now);
+    bench.list(1, Standing::Open);
+    for _ in 0..50 {
+        let long = bench.arrive(LONG, 0, 1.0);
+        let short = bench.arrive(ANY, 0, 1.0);
+        assert_ne!(bench.live.get(&long).and_then(|live| live.out).map(|out| out.1), Some(1));
+        bench.end(short, Outcome::Full, None);
+        bench.end(long, Outcome::Ok, None);
+        bench.pass(Span::millis(20));
+    }
+    let cold = bench.sent_cold[1].len();
+    assert!(cold <= 8, "{cold} call-outs in its first second, when all may send it 0.4 of a core a second");
+}
+
+#[test]
+fn long_reads_leave_all_replicas_but_the_laggard_free_to_catch_up() {
+    let mut bench = Bench::ready(Lagging::Holds(Span::millis(100)), 1, 1);
+    bench.pass(Span::millis(100));
+    bench.probed(1, Outcome::Ok, bench.now, false);
+    for _ in 0..3 {
+        bench.arrive(LONG, 0, 1.0);
+    }
+    assert!(bench.sent.iter().all(|sent| sent.1 == 2), "all to the one behind, though it is the busier");
+}
+
+#[test]
+fn crowded_replicas_make_reads_wait_and_a_pushback_says_when_to_return() {
+    let mut bench = Bench::ready(Lagging::AnswersAnyway, 1, 1);
+    let reads: Vec<RpcId> = (0..40).map(|_| bench.arrive(BOUNDED, 0, 1.0)).collect();
+    let out = reads.iter().filter(|rpc| bench.live[rpc].out.is_some()).count();
+    assert!(out < 20, "{out} of 40 are out where nothing has been answered yet");
+    bench.pass(Span::millis(650));
+    assert!(reads.iter().all(|rpc| !bench.live.contains_key(rpc) || bench.live[rpc].out.is_some()));
+    let unknown = bench.arrive(WRITE, 0, 1.0);
+    bench.give(Event::Gone { rpc: unknown });
+    bench.give(Event::Timer { tag: 99 });
+    bench.give(Event::Probed {
+        store: 77,
+        outcome: Outcome::Ok,
+        elapsed: TICK,
+        report: Told { position: Some(Moment(0)), role: None },
+    });
+    bench.live.remove(&unknown);
+}
