Marked repeats of reads that earn nothing late keep to half the room

Cause: newest first favoured a retry storm over first tries; such a repeat comes after its first try spent the soft deadline. Harm: a repeat of what a killed front held still had time; it gets a place where half the room is free.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -111,6 +111,8 @@
     out: Option<CallOut>,
     ran_from: Option<Moment>,
     refusals: u32,
+    /// Its client had a try before this one, most likely until nothing could be earned any more.
+    repeat: bool,
     shunned: Option<StoreIx>,
 }
 
@@ -443,6 +445,7 @@
             out: None,
             ran_from: None,
             refusals: 0,
+            repeat: new.repeat && terms.late_share == 0.0,
             shunned: None,
         };
         self.rpcs.insert(id, rpc);
@@ -527,7 +530,9 @@
             Lagging::AnswersAnyway if !current && waited < half && !replicas.is_empty() => return None,
             _ => Vec::new(),
         };
-        let roomy: Vec<StoreIx> = choice.iter().copied().filter(|&ix| self.has_room(ix, 1.0)).collect();
+        // A retry storm must not push out first tries: newest first would favour it.
+        let part = if rpc.repeat { 0.5 } else { 1.0 };
+        let roomy: Vec<StoreIx> = choice.iter().copied().filter(|&ix| self.has_room(ix, part)).collect();
         // Departure: a read without a bound that may take longer than others' bounds goes to the replica most
         // behind, not the least busy: long reads spread evenly would keep every replica from applying its log.
         if terms.stalls && !roomy.is_empty() {
@@ -538,7 +543,7 @@
         }
         // Departure: where every replica that would do is crowded, the primary helps out within its room.
         // Half of its room stays free for writes and current reads.
-        let most = if current { 1.0 } else { 0.5 };
+        let most = if current { part } else { 0.5 * part };
         primary.filter(|&ix| self.has_room(ix, most)).map(Input::Placed)
     }
 
