--- a/src/choice.rs
+++ b/src/choice.rs
@@ -531,7 +531,7 @@
             _ => Vec::new(),
         };
         // A retry storm must not push out first tries: newest first would favour it.
-        let part = if rpc.repeat { 0.5 } else { 1.0 };
+        let part = if rpc.repeat { 0.25 } else { 1.0 };
         let roomy: Vec<StoreIx> = choice.iter().copied().filter(|&ix| self.has_room(ix, part)).collect();
         // Departure: a read without a bound that may take longer than others' bounds goes to the replica most
         // behind, not the least busy: long reads spread evenly would keep every replica from applying its log.
