No wait where every replica is too far behind to make it up

Cause: where positions stood seconds behind (slow apply, late reports) reads spent half of their time for nothing and timed out at the primary with the rest. Condition: the lag last told, less the bound, is more than half the soft deadline and a report's age on every usable replica. It could send a read to the primary that a sudden catch-up would have saved; its room bounds that.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -527,7 +527,12 @@
             Lagging::Refuses if refusals == 0 && !current => {
                 replicas.iter().copied().max_by_key(|ix| position(ix)).into_iter().collect()
             }
-            Lagging::AnswersAnyway if !current && waited < half && !replicas.is_empty() => return None,
+            // Departure: where every replica is too far behind to make it up by then, the wait is left out.
+            Lagging::AnswersAnyway
+                if !current && waited < half && replicas.iter().any(|&ix| near(ix, half)) =>
+            {
+                return None;
+            }
             _ => Vec::new(),
         };
         // A retry storm must not push out first tries: newest first would favour it.
