--- a/src/choice.rs
+++ b/src/choice.rs
@@ -72,6 +72,8 @@
     max_come_back: Option<Span>,
     cold_from: f64,
     cold_for: Span,
+    /// Work sent and done fades over a quarter of the rule's window, so that a burst and its refill stay near
+    /// what the window may hold.
     cold_window: Span,
     cold_multiple: f64,
     /// Our share of what a single warm core may be sent in a window.
@@ -212,7 +214,7 @@
             max_come_back: facts.max_come_back,
             cold_from: facts.cold_from,
             cold_for: facts.cold_for,
-            cold_window: facts.fall_window,
+            cold_window: facts.fall_window / 4,
             cold_multiple: facts.fall_multiple,
             cold_core: facts.fall_multiple * facts.fall_window.secs()
                 / f64::from(facts.instances.max(1))
@@ -392,16 +394,16 @@
 
     /// Our part of what all fronts may send to a store that has just started. What it surely has of its full
     /// capacity, times our mean of work done at warm stores: a sum over fronts that no store's capacity falls
-    /// under. Halved as a window may hold a burst and its refill, and again for chance. One core is taken
-    /// for granted, so that a store can show itself where we have seen nothing yet.
+    /// under; half of the multiple is left to chance. One core is taken for granted, so that a store can show
+    /// itself where we have seen nothing yet.
     fn within_cold_budget(&self, store: &Store, method: MethodIx) -> bool {
         let Some(part) = self.warmth(store) else { return true };
         let warm = || self.stores.iter().flatten().filter(|s| s.open && self.warmth(s).is_none());
         let done = warm().map(|s| self.faded(s.done, s.done_at)).sum::<f64>() / warm().count().max(1) as f64;
-        let budget = part * (done * self.charter.cold_multiple / 4.0).max(self.charter.cold_core);
+        let budget = part * (done * self.charter.cold_multiple / 2.0).max(self.charter.cold_core / 4.0);
         // Long work that a heavy tail may stretch is kept away as long as one from each front would be much.
         let lone = self.usual[method] <= self.charter.cold_core * part;
-        lone && self.faded(store.work, store.work_at) + self.usual[method] <= budget
+        lone && self.faded(store.work, store.work_at) <= budget
     }
 
     fn warmth(&self, store: &Store) -> Option<f64> {
