--- a/src/choice.rs
+++ b/src/choice.rs
@@ -394,13 +394,13 @@
 
     /// Our part of what all fronts may send to a store that has just started. What it surely has of its full
     /// capacity, times our mean of work done at warm stores: a sum over fronts that no store's capacity falls
-    /// under; half of the multiple is left to chance. One core is taken for granted, so that a store can show
+    /// under; two thirds of the multiple are left to chance. One core is taken for granted, so that a store can show
     /// itself where we have seen nothing yet.
     fn within_cold_budget(&self, store: &Store, method: MethodIx) -> bool {
         let Some(part) = self.warmth(store) else { return true };
         let warm = || self.stores.iter().flatten().filter(|s| s.open && self.warmth(s).is_none());
         let done = warm().map(|s| self.faded(s.done, s.done_at)).sum::<f64>() / warm().count().max(1) as f64;
-        let budget = part * (done * self.charter.cold_multiple / 2.0).max(self.charter.cold_core / 4.0);
+        let budget = part * (done * self.charter.cold_multiple / 3.0).max(self.charter.cold_core / 4.0);
         // Long work that a heavy tail may stretch is kept away as long as one from each front would be much.
         let lone = self.usual[method] <= self.charter.cold_core * part;
         lone && self.faded(store.work, store.work_at) <= budget
