--- a/src/choice.rs
+++ b/src/choice.rs
@@ -482,9 +482,9 @@
     fn seek(&mut self, id: RpcId) -> Option<Input> {
         let rpc = &self.rpcs[&id];
         let terms = &self.charter.methods[rpc.method];
-        if self.now + Span((self.usual[rpc.method] * 1e9) as i64) >= rpc.worth_by
-            || rpc.call_outs >= self.charter.max_call_outs
-        {
+        // Never more than a third: a method that is not sent at all would stay slow in our books for ever.
+        let fair = Span((self.usual[rpc.method] * 2e9) as i64).min(terms.soft / 3);
+        if self.now + fair >= rpc.worth_by || rpc.call_outs >= self.charter.max_call_outs {
             return Some(Input::Hopeless);
         }
         // What may have run is not sent again, or only while its group remembers it.
