--- a/src/choice.rs
+++ b/src/choice.rs
@@ -253,7 +253,11 @@
         self.now = now;
         match event {
             Event::List { whole, entries } => self.list(whole, entries, actions),
-            Event::ListFailed => self.ask_at = self.charter.ask_again.map(|span| self.now + span / 4),
+            // Many fronts asking again in step would fail together again.
+            Event::ListFailed => {
+                let chance = self.rng.below(16) as i64;
+                self.ask_at = self.charter.ask_again.map(|span| self.now + span / 64 * (16 + chance));
+            }
             Event::Arrived(new) => self.arrive(new, actions),
             Event::Streaming { rpc } | Event::Gone { rpc } => self.drive(rpc, Input::Closed, actions),
             Event::Ended(end) => {
@@ -268,10 +272,9 @@
                 self.learn(store, report, false);
                 if let Some(s) = self.stores.get_mut(store).and_then(Option::as_mut) {
                     s.probe_out = false;
-                    if outcome == Outcome::Ok {
-                        (s.heard, s.answered) = (true, now);
-                    } else {
-                        self.fail(store);
+                    match outcome {
+                        Outcome::Ok => (s.heard, s.answered) = (true, now),
+                        _ => self.fail(store),
                     }
                 }
                 self.retry_held(self.group_of(store), actions);
@@ -302,7 +305,6 @@
                 self.stores.resize_with(entry.store + 1, || None);
             }
             self.know_group(entry.group);
-            let gone_stays_open = self.charter.gone_stays_open;
             let store = self.stores[entry.store].get_or_insert_with(|| {
                 self.groups[entry.group].members.push(entry.store);
                 Store { group: entry.group, zone: entry.zone, room: FIRST_ROOM, ..Store::default() }
@@ -310,11 +312,9 @@
             match entry.standing {
                 Standing::Open => store.open = true,
                 Standing::Draining => store.open = false,
-                Standing::Gone => store.open &= gone_stays_open,
-            }
-            if entry.started > store.started {
-                store.started = entry.started;
+                Standing::Gone => store.open &= self.charter.gone_stays_open,
             }
+            store.started = store.started.max(entry.started);
             // The list's word on roles is weakest: it counts only until the store itself has spoken.
             if entry.primary && !store.heard && store.claims.is_none() {
                 store.claims = Some(Moment::DAWN);
@@ -384,12 +384,10 @@
 
     fn usable(&self, ix: StoreIx, method: MethodIx) -> bool {
         let Some(store) = &self.stores[ix] else { return false };
-        if !store.open || !store.heard || store.rest_until > self.now {
-            return false;
-        }
-        let on_trial = store.failures > 0;
-        !(on_trial && (store.in_flight > 0 || store.answered <= store.failed && self.charter.may_probe))
-            && self.within_cold_budget(store, method)
+        let blind = !self.charter.may_probe;
+        let sound = store.failures == 0 || (store.in_flight == 0 && (blind || store.answered > store.failed));
+        let up = store.open && (blind || store.heard) && store.rest_until <= self.now;
+        up && sound && self.within_cold_budget(store, method)
     }
 
     /// Our part of what all fronts may send to a store that has just started. What it surely has of its full
@@ -503,22 +501,19 @@
         };
         let members = &self.groups[rpc.group].members;
         let is_primary = |ix: &StoreIx| self.groups[rpc.group].primary == Some(*ix);
-        let all: Vec<StoreIx> =
-            members.iter().copied().filter(|ix| !is_primary(ix) && self.usable(*ix, rpc.method)).collect();
-        let mut replicas: Vec<StoreIx> = all.iter().copied().filter(|&ix| Some(ix) != rpc.shunned).collect();
-        if replicas.is_empty() && rpc.refusals == 0 {
-            replicas = all;
-        }
+        let able = |ix: &StoreIx| !is_primary(ix) && self.usable(*ix, rpc.method);
+        let mut replicas: Vec<StoreIx> = members.iter().copied().filter(able).collect();
+        let alone = replicas.len() == 1 && rpc.refusals == 0;
+        replicas.retain(|&ix| alone || Some(ix) != rpc.shunned);
         let position = |ix: &StoreIx| self.stores[*ix].as_ref().and_then(|s| s.position);
         let fresh = |ix: &StoreIx| needed.is_none() || position(ix) >= needed;
         let fit: Vec<StoreIx> = replicas.iter().copied().filter(fresh).collect();
         let current = terms.need == Need::Current;
         let (lagging, waited) = (self.charter.lagging, self.now - rpc.arrived);
         let (refusals, half) = (rpc.refusals, terms.soft / 2);
-        let slack = self.charter.stale_after;
         let near = |ix: StoreIx, patience: Span| {
-            let told = self.stores[ix].as_ref().and_then(|s| Some(s.told - s.position?));
-            told.is_some_and(|lag| needed.is_none_or(|at| lag <= self.now - at + patience + slack))
+            let most = needed.map(|at| self.now - at + patience + self.charter.stale_after);
+            self.stores[ix].as_ref().is_some_and(|s| s.position.is_some_and(|at| most >= Some(s.told - at)))
         };
         let choice = match lagging {
             _ if !fit.is_empty() => fit,
@@ -542,11 +537,10 @@
         let roomy: Vec<StoreIx> = choice.iter().copied().filter(|&ix| self.has_room(ix, part)).collect();
         // Departure: a read without a bound that may take longer than others' bounds goes to the replica most
         // behind, not the least busy: long reads spread evenly would keep every replica from applying its log.
-        if terms.stalls && !roomy.is_empty() {
-            return roomy.into_iter().min_by_key(|ix| (position(ix), *ix)).map(Input::Placed);
-        }
-        if !roomy.is_empty() {
-            return self.fewest(&roomy).map(Input::Placed);
+        match roomy.iter().copied().min_by_key(|ix| (position(ix), *ix)) {
+            Some(behind) if terms.stalls => return Some(Input::Placed(behind)),
+            Some(_) => return self.fewest(&roomy).map(Input::Placed),
+            None => {}
         }
         // Departure: where every replica that would do is crowded, the primary helps out within its room.
         // Half of its room stays free for writes and current reads.
@@ -578,9 +572,9 @@
         let time_out = (until - self.now).max(Span(1));
         // The queue that any method leaves must suit the most pressing one, or the patient crowd it out.
         let usual = self.usual[rpc.method];
-        let queue = Span((usual * 1e9) as i64) + self.charter.pressing / 2;
         let stalls = self.charter.methods[rpc.method].stalls;
-        let timely = (time_out * 3 / 4).min(if stalls { time_out } else { queue });
+        let queue = if stalls { time_out } else { Span((usual * 1e9) as i64) + self.charter.pressing / 2 };
+        let timely = queue.min(time_out * 3 / 4);
         rpc.out = Some(CallOut { number: rpc.call_outs, sent: self.now, timely });
         rpc.call_outs += 1;
         let work = self.stores[ix].as_ref().map(|s| self.faded(s.work, s.work_at))? + usual;
@@ -695,12 +689,6 @@
     }
 
     fn beat_probes(&mut self, actions: &mut Vec<Action>) {
-        if !self.charter.may_probe {
-            for store in self.stores.iter_mut().flatten() {
-                store.heard = true;
-            }
-            return;
-        }
         let (now, stale, pulse) = (self.now, self.charter.stale_after, self.charter.pulse);
         for ix in 0..self.stores.len() {
             let Some(store) = &self.stores[ix] else { continue };
@@ -714,7 +702,7 @@
                 || (waiting && store.told + stale / 2 <= now)
                 || (store.failures > 0 && store.rest_until <= now);
             let paced = store.probed + if store.failures > 1 { pulse * 4 } else { pulse * 2 } <= now;
-            if store.open && wanted && paced && !store.probe_out {
+            if self.charter.may_probe && store.open && wanted && paced && !store.probe_out {
                 if let Some(store) = self.stores[ix].as_mut() {
                     (store.probe_out, store.probed) = (true, now);
                 }
