--- a/simhost/src/host.rs
+++ b/simhost/src/host.rs
@@ -60,7 +60,7 @@
 impl Host {
     /// Takes one line; true where it closed a batch and the reply stands in `output`.
     pub fn take(&mut self, line: &[u8], output: &mut impl Write) -> Result<bool, String> {
-        let message: In = serde_json::from_slice(line).map_err(|why| why.to_string())?;
+        let message: In = serde_json::from_slice(line).map_err(|why| fault(line, &why))?;
         match message {
             In::Frame { now_ns, serial } => {
                 if self.in_frame {
@@ -325,6 +325,12 @@
     }
 }
 
+/// Reads a faulty line once more, for the way to the field at fault.
+fn fault(line: &[u8], why: &serde_json::Error) -> String {
+    let again = serde_path_to_error::deserialize::<_, In>(&mut serde_json::Deserializer::from_slice(line));
+    again.err().map_or_else(|| why.to_string(), |why| why.to_string())
+}
+
 fn put(replies: &mut Vec<u8>, line: &Out) {
     serde_json::to_writer(&mut *replies, line).expect("plain values always serialise");
     replies.push(b'\n');
