Probes are paid for by the RPCs of their group

Now each RPC pays for one probe in its group, a group with RPCs held may ask one member a beat more, and a quiet group costs nothing. It should also hold against slow probes and any growth of the fleet; it harms a front whose rare reads come after a silence: they wait for the round trip of one probe.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -14,8 +14,9 @@
 use crate::time::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet};
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum State {
+    #[default]
     Held,
     Out,
     Done,
@@ -98,6 +99,7 @@
     stalls: bool,
 }
 
+#[derive(Default)]
 struct Rpc {
     state: State,
     method: MethodIx,
@@ -158,6 +160,8 @@
     members: Vec<StoreIx>,
     held: Vec<BTreeSet<RpcId>>,
     primary: Option<StoreIx>,
+    /// Probes that its own RPCs have paid for.
+    credit: f64,
 }
 
 /// One instance's decisions and all that it believes.
@@ -169,8 +173,7 @@
     stores: Vec<Option<Store>>,
     groups: Vec<Group>,
     sessions: BTreeMap<u64, Moment>,
-    /// What each method's quicker answers take, so mostly without a queue: small steps hold about three in
-    /// ten under it.
+    /// What each method's quicker answers take: small steps hold about three in ten under it.
     usual: Vec<f64>,
     ask_at: Option<Moment>,
 }
@@ -182,18 +185,13 @@
 impl Charter {
     fn new(facts: &Facts) -> Charter {
         let soft = facts.methods.iter().map(|m| m.soft_deadline).min().unwrap_or(Span::millis(100));
-        let bounds = facts.methods.iter().filter_map(|m| match m.need {
-            Need::Bounded(bound) => Some(bound),
-            _ => None,
-        });
-        let tightest = bounds.min();
+        let bound = |m: &Method| if let Need::Bounded(bound) = m.need { Some(bound) } else { None };
+        let tightest = facts.methods.iter().filter_map(bound).min();
         let mut order: Vec<MethodIx> = (0..facts.methods.len()).collect();
-        let rank = |need: Need| match need {
-            Need::Write => 0,
-            Need::Current => 1,
-            _ => 2,
-        };
-        order.sort_by_key(|&ix| (rank(facts.methods[ix].need), facts.methods[ix].soft_deadline, ix));
+        let of = |ix: MethodIx| &facts.methods[ix];
+        order.sort_by_key(|&ix| {
+            (of(ix).need != Need::Write, of(ix).need != Need::Current, of(ix).soft_deadline)
+        });
         let terms = |m: &Method| Terms {
             need: m.need,
             effect: m.effect,
@@ -252,7 +250,7 @@
     pub fn handle(&mut self, now: Moment, event: Event, actions: &mut Vec<Action>) {
         self.now = now;
         match event {
-            Event::List { whole, entries } => self.list(whole, entries, actions),
+            Event::List { whole, entries } => self.list(whole, entries),
             // Many fronts asking again in step would fail together again.
             Event::ListFailed => {
                 let chance = self.rng.below(16) as i64;
@@ -277,7 +275,9 @@
                         _ => self.fail(store),
                     }
                 }
-                self.retry_held(self.group_of(store), actions);
+                let group = self.group_of(store);
+                self.retry_held(group, actions);
+                group.into_iter().for_each(|group| self.sound_out(group, actions));
             }
             Event::Peer { .. } => {}
         }
@@ -292,7 +292,7 @@
         }
     }
 
-    fn list(&mut self, whole: bool, entries: Vec<Entry>, actions: &mut Vec<Action>) {
+    fn list(&mut self, whole: bool, entries: Vec<Entry>) {
         if whole {
             for store in self.stores.iter_mut().flatten() {
                 store.open &= self.charter.gone_stays_open;
@@ -323,7 +323,6 @@
         for group in 0..self.groups.len() {
             self.find_primary(group);
         }
-        self.beat_probes(actions);
     }
 
     fn know_group(&mut self, ix: GroupIx) {
@@ -432,25 +431,15 @@
             _ => None,
         };
         let worth_by = if terms.late_share > 0.0 { answer_by } else { answer_by.min(self.now + terms.soft) };
-        let rpc = Rpc {
-            state: State::Held,
-            method,
-            group,
-            arrived: self.now,
-            worth_by,
-            answer_by,
-            mark,
-            session,
-            call_outs: 0,
-            out: None,
-            ran_from: None,
-            refusals: 0,
-            repeat: new.repeat && terms.late_share == 0.0,
-            shunned: None,
-        };
+        let (arrived, repeat) = (self.now, new.repeat && terms.late_share == 0.0);
+        let rpc =
+            Rpc { method, group, arrived, worth_by, answer_by, mark, session, repeat, ..Rpc::default() };
         self.rpcs.insert(id, rpc);
         actions.push(Action::Remind { tag: id + 1, at: answer_by });
         self.drive(id, Input::News, actions);
+        let Group { credit, members, .. } = &mut self.groups[group];
+        *credit = (*credit + 1.0).min(members.len() as f64);
+        self.sound_out(group, actions);
     }
 
     /// Reads the table until nothing follows.
@@ -682,32 +671,43 @@
     fn beat(&mut self, actions: &mut Vec<Action>) {
         actions.push(Action::Remind { tag: PULSE, at: self.now + self.charter.pulse });
         self.ask(actions);
-        self.beat_probes(actions);
         for group in 0..self.groups.len() {
             self.retry_held(Some(group), actions);
+            let Group { credit, held, .. } = &mut self.groups[group];
+            *credit = if held.iter().all(BTreeSet::is_empty) { *credit } else { credit.max(1.0) };
+            self.sound_out(group, actions);
         }
     }
 
-    fn beat_probes(&mut self, actions: &mut Vec<Action>) {
-        let (now, stale, pulse) = (self.now, self.charter.stale_after, self.charter.pulse);
-        for ix in 0..self.stores.len() {
-            let Some(store) = &self.stores[ix] else { continue };
-            let group = &self.groups[store.group];
-            let waiting = group.held.iter().any(|held| !held.is_empty());
+    /// Probes are paid for by the RPCs of their group, so that all fronts' together follow the traffic: fronts
+    /// times stores would cost more than it. A group with RPCs held may ask one member a beat beyond that.
+    fn sound_out(&mut self, ix: GroupIx, actions: &mut Vec<Action>) {
+        let (now, stale, pace) = (self.now, self.charter.stale_after, self.charter.pulse * 2);
+        while self.charter.may_probe && self.groups[ix].credit >= 1.0 {
+            let group = &self.groups[ix];
+            let waiting = !group.held.iter().all(BTreeSet::is_empty);
             let sound = |ix: StoreIx| self.stores[ix].as_ref().is_some_and(|s| s.failures == 0 && s.open);
             let lost = !group.primary.is_some_and(sound);
-            let wanted = !store.heard
-                || store.told + stale <= now
-                || lost
-                || (waiting && store.told + stale / 2 <= now)
-                || (store.failures > 0 && store.rest_until <= now);
-            let paced = store.probed + if store.failures > 1 { pulse * 4 } else { pulse * 2 } <= now;
-            if self.charter.may_probe && store.open && wanted && paced && !store.probe_out {
-                if let Some(store) = self.stores[ix].as_mut() {
-                    (store.probe_out, store.probed) = (true, now);
-                }
-                actions.push(Action::Probe { store: ix });
+            let wanted = |ix: &&StoreIx| {
+                let Some(store) = &self.stores[**ix] else { return false };
+                let old = if waiting { stale / 2 } else { stale };
+                let due = !store.heard
+                    || (store.told + old <= now && group.primary != Some(**ix))
+                    || (waiting && lost)
+                    || (store.failures > 0 && store.rest_until <= now);
+                let paced = store.probed + pace * (if store.failures > 1 { 2 } else { 1 }) <= now;
+                store.open && due && paced && !store.probe_out
+            };
+            let wanted: Vec<StoreIx> = group.members.iter().filter(wanted).copied().collect();
+            if wanted.is_empty() {
+                return;
+            }
+            let store = wanted[self.rng.below(wanted.len())];
+            if let Some(store) = self.stores[store].as_mut() {
+                (store.probe_out, store.probed) = (true, now);
             }
+            self.groups[ix].credit -= 1.0;
+            actions.push(Action::Probe { store });
         }
     }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -155,6 +155,19 @@
     assert!(cold <= 8, "{cold} call-outs in its first second, when all may send it 0.4 of a core a second");
 }
 
+#[test]
+fn probes_follow_the_front_s_own_traffic() {
+    let mut bench = Bench::ready(Lagging::AnswersAnyway, 20, 1);
+    bench.pass(Span::millis(20_000));
+    assert_eq!(bench.probes.len(), 0, "no RPC, no probe, however old all that was told has grown");
+    for _ in 0..10 {
+        bench.arrive(BOUNDED, 0, 1.0);
+        bench.pass(Span::millis(1000));
+    }
+    let probes = bench.probes.len();
+    assert!((1..=10).contains(&probes), "{probes} probes for ten reads in one of twenty groups");
+}
+
 #[test]
 fn long_reads_leave_all_replicas_but_the_laggard_free_to_catch_up() {
     let mut bench = Bench::ready(Lagging::Holds(Span::millis(100)), 1, 1);
