--- a/src/choice.rs
+++ b/src/choice.rs
@@ -452,7 +452,7 @@
         actions.push(Action::Remind { tag: id + 1, at: answer_by });
         self.drive(id, Input::News, actions);
         let Group { credit, members, .. } = &mut self.groups[group];
-        *credit = (*credit + 1.0).min(members.len() as f64);
+        *credit = (*credit + f64::from(u8::from(!new.repeat))).min(members.len() as f64);
         self.sound_out(group, actions);
     }
 
