Long reads keep to half of the replicas; busy primaries help no reads out

And a replica without room counted as fit, which sent the read on to the primary at once. Now a replica without room is passed over before freshness is tested, and a primary that lately said it is over seven tenths busy helps no reads out (its claim is one more limit beside its room, so a false idle claim changes nothing). The first should hold against any read that stalls apply; it harms long reads in a group whose laggards are sick. seek is split in two, Effects is now Step.

--- a/simhost/src/host.rs
+++ b/simhost/src/host.rs
@@ -179,6 +179,7 @@
                 2 => Some(Role::Replica),
                 _ => None,
             },
+            load: None,
         };
         let event = Event::Ended(End {
             rpc,
@@ -261,6 +262,7 @@
         for (name, value) in self.report.iter().zip(row.unwrap_or_default()) {
             match (name.as_str(), value) {
                 ("x0", Some(secs)) => told.position = Some(self.zero + Span((secs * 1e9).floor() as i64)),
+                ("load_share", Some(share)) => told.load = Some(*share),
                 ("x1", Some(role)) => {
                     told.role = Some(if *role == 1.0 { Role::Primary } else { Role::Replica });
                 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -27,7 +27,6 @@
     /// Something that may let it go: its arrival, or news of its group.
     News,
     Placed(StoreIx),
-    /// It can't earn anything here any more.
     Hopeless,
     /// The call-out ended without an answer for the client.
     Returned,
@@ -38,7 +37,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Effects {
+enum Step {
     Seek,
     Send,
     GiveUp,
@@ -46,16 +45,16 @@
 }
 
 /// One row: in this state, on this input, go to that state and do this. `Placed` matches whatever its store.
-type Row = (State, fn(Input) -> bool, State, Effects);
+type Row = (State, fn(Input) -> bool, State, Step);
 
 const RPC_TABLE: &[Row] = &[
-    (State::Held, |i| i == Input::News, State::Held, Effects::Seek),
-    (State::Held, |i| matches!(i, Input::Placed(_)), State::Out, Effects::Send),
-    (State::Held, |i| matches!(i, Input::Hopeless | Input::Overdue), State::Done, Effects::GiveUp),
-    (State::Held, |i| i == Input::Closed, State::Done, Effects::Forget),
-    (State::Out, |i| i == Input::Returned, State::Held, Effects::Seek),
-    (State::Out, |i| i == Input::Overdue, State::Done, Effects::GiveUp),
-    (State::Out, |i| i == Input::Closed, State::Done, Effects::Forget),
+    (State::Held, |i| i == Input::News, State::Held, Step::Seek),
+    (State::Held, |i| matches!(i, Input::Placed(_)), State::Out, Step::Send),
+    (State::Held, |i| matches!(i, Input::Hopeless | Input::Overdue), State::Done, Step::GiveUp),
+    (State::Held, |i| i == Input::Closed, State::Done, Step::Forget),
+    (State::Out, |i| i == Input::Returned, State::Held, Step::Seek),
+    (State::Out, |i| i == Input::Overdue, State::Done, Step::GiveUp),
+    (State::Out, |i| i == Input::Closed, State::Done, Step::Forget),
 ];
 
 /// What the start facts come to.
@@ -73,7 +72,6 @@
     max_come_back: Option<Span>,
     cold_from: f64,
     cold_for: Span,
-    /// Work done fades over this.
     cold_window: Span,
     cold_multiple: f64,
     gone_stays_open: bool,
@@ -85,8 +83,7 @@
     stale_after: Span,
     /// The shortest soft deadline.
     pressing: Span,
-    /// Ours among all fronts.
-    share: f64,
+    our_share: f64,
 }
 
 struct Terms {
@@ -140,6 +137,8 @@
     position: Option<Moment>,
     /// When its position was last told, whatever it said.
     told: Moment,
+    /// How busy it last said it was, and when.
+    load: Option<(f64, Moment)>,
     claims: Option<Moment>,
     denied: Moment,
     in_flight: u32,
@@ -186,6 +185,7 @@
 const PULSE: u64 = 0;
 /// What a store may hold of all fronts' call-outs before it has shown how much suits it.
 const FIRST_ROOM: f64 = 16.0;
+const BUSY: f64 = 0.7;
 const LEAST_ROOM: f64 = 2.0;
 
 impl Charter {
@@ -228,7 +228,7 @@
             margin,
             pulse: (soft / 8).max(facts.tick),
             pressing: soft,
-            share: 1.0 / f64::from(facts.instances.max(1)),
+            our_share: 1.0 / f64::from(facts.instances.max(1)),
             stale_after: tightest.unwrap_or(soft * 4) / 4,
         }
     }
@@ -317,7 +317,7 @@
             if !self.groups[entry.group].members.contains(&entry.store) {
                 self.groups[entry.group].members.push(entry.store);
                 (store.group, store.zone, store.room) =
-                    (entry.group, entry.zone, (FIRST_ROOM * self.charter.share).min(FIRST_ROOM / 4.0));
+                    (entry.group, entry.zone, (FIRST_ROOM * self.charter.our_share).min(FIRST_ROOM / 4.0));
             }
             match entry.standing {
                 Standing::Open => store.open = true,
@@ -353,6 +353,7 @@
             store.position = store.position.max(Some(position.min(now)));
             store.told = now;
         }
+        store.load = told.load.map(|load| (load, now)).or(store.load);
         match told.role {
             Some(Role::Primary) => {
                 let at = told.position.unwrap_or(if answer { now } else { store.denied });
@@ -413,7 +414,7 @@
         let Some(part) = self.warmth(store) else { return f64::INFINITY };
         let warm = || self.stores.iter().filter(|s| s.open && self.warmth(s).is_none());
         let done = warm().map(|s| self.faded(s.done, s.done_at)).sum::<f64>() / warm().count().max(1) as f64;
-        let rate = (done / self.charter.cold_window.secs() / 3.0).max(self.charter.share / 2.0);
+        let rate = (done / self.charter.cold_window.secs() / 3.0).max(self.charter.our_share / 2.0);
         part * self.charter.cold_multiple * rate
     }
 
@@ -465,10 +466,10 @@
             rpc.state = row.2;
             let (method, group) = (rpc.method, rpc.group);
             next = match row.3 {
-                Effects::Seek => self.seek(id),
-                Effects::Send => self.send(id, input, actions),
-                Effects::GiveUp => self.give_up(id, actions),
-                Effects::Forget => None,
+                Step::Seek => self.seek(id),
+                Step::Send => self.send(id, input, actions),
+                Step::GiveUp => self.give_up(id, actions),
+                Step::Forget => None,
             };
             match self.rpcs.get(&id).map(|rpc| rpc.state) {
                 Some(State::Held) if next.is_none() => self.groups[group].held[method].insert(id),
@@ -485,66 +486,66 @@
         let terms = &self.charter.methods[rpc.method];
         // Never more than a third: a method that is not sent at all would stay slow in our books for ever.
         let fair = Span((self.usual[rpc.method] * 2e9) as i64).min(terms.soft / 3);
-        if self.now + fair >= rpc.worth_by || rpc.call_outs >= self.charter.max_call_outs {
-            return Some(Input::Hopeless);
-        }
-        if rpc.ran_from.is_some_and(|ran| self.now >= ran + terms.repeat_for) {
+        let barred = rpc.ran_from.is_some_and(|ran| self.now >= ran + terms.repeat_for);
+        if barred || self.now + fair >= rpc.worth_by || rpc.call_outs >= self.charter.max_call_outs {
             return Some(Input::Hopeless);
         }
         let primary = self.groups[rpc.group].primary.filter(|&ix| self.usable(ix, rpc.method));
+        if terms.need == Need::Write {
+            return primary.filter(|&ix| self.has_room(ix, 1.0)).map(Input::Placed);
+        }
+        // A retry storm must not push out first tries: newest first would favour it.
+        let part = if rpc.repeat { 0.25 } else { 1.0 };
+        let current = terms.need == Need::Current;
+        let choice = self.qualifying(rpc, part)?;
+        if let Some(ix) = self.fewest(&choice) {
+            return Some(Input::Placed(ix));
+        }
+        // Departure: where every replica that would do is crowded, the primary helps out within its room, unless
+        // it lately said that it is busy. Half of its room stays free for writes and current reads.
+        let most = if current { part } else { 0.5 * part };
+        let recent = self.now - self.charter.stale_after * 4;
+        let busy = |ix: StoreIx| self.stores[ix].load.is_some_and(|(load, at)| at > recent && load > BUSY);
+        primary.filter(|&ix| self.has_room(ix, most) && (current || !busy(ix))).map(Input::Placed)
+    }
+
+    /// The replicas that will do for a read; none leaves it to the primary, `None` makes it wait.
+    fn qualifying(&self, rpc: &Rpc, part: f64) -> Option<Vec<StoreIx>> {
+        let (terms, group) = (&self.charter.methods[rpc.method], &self.groups[rpc.group]);
+        let able = |ix: &StoreIx| group.primary != Some(*ix) && self.usable(*ix, rpc.method);
+        let mut replicas: Vec<StoreIx> = group.members.iter().copied().filter(able).collect();
+        let position = |ix: &StoreIx| self.stores[*ix].position;
+        // Departure: a read without a bound that may take longer than others' bounds keeps to the half of the
+        // replicas most behind: long reads on all would let none apply its log.
+        if terms.stalls && !replicas.is_empty() {
+            replicas.sort_by_key(position);
+            replicas.truncate(replicas.len().div_ceil(2));
+            return replicas.iter().find(|&&ix| self.has_room(ix, part)).map(|&ix| vec![ix]);
+        }
+        let alone = replicas.len() == 1 && rpc.refusals == 0;
+        replicas.retain(|&ix| (alone || Some(ix) != rpc.shunned) && self.has_room(ix, part));
         let needed = match terms.need {
-            Need::Write => return primary.filter(|&ix| self.has_room(ix, 1.0)).map(Input::Placed),
             Need::Bounded(bound) => Some(self.now - bound),
             _ => rpc.mark,
         };
-        let members = &self.groups[rpc.group].members;
-        let is_primary = |ix: &StoreIx| self.groups[rpc.group].primary == Some(*ix);
-        let able = |ix: &StoreIx| !is_primary(ix) && self.usable(*ix, rpc.method);
-        let mut replicas: Vec<StoreIx> = members.iter().copied().filter(able).collect();
-        let alone = replicas.len() == 1 && rpc.refusals == 0;
-        replicas.retain(|&ix| alone || Some(ix) != rpc.shunned);
-        let position = |ix: &StoreIx| self.stores[*ix].position;
-        let fresh = |ix: &StoreIx| needed.is_none() || position(ix) >= needed;
-        let fit: Vec<StoreIx> = replicas.iter().copied().filter(fresh).collect();
-        let current = terms.need == Need::Current;
-        let (lagging, waited) = (self.charter.lagging, self.now - rpc.arrived);
-        let (refusals, half) = (rpc.refusals, terms.soft / 2);
-        let near = |ix: StoreIx, patience: Span| {
+        let near = |ix: &StoreIx, patience: Span| {
             let most = needed.map(|at| self.now - at + patience + self.charter.stale_after);
-            let store = &self.stores[ix];
-            store.position.is_some_and(|at| most >= Some(store.told - at))
+            position(ix).is_some_and(|at| most >= Some(self.stores[*ix].told - at))
         };
-        let choice = match lagging {
-            _ if !fit.is_empty() => fit,
+        let (fresh, half) = (|ix: &StoreIx| needed.is_none() || position(ix) >= needed, terms.soft / 2);
+        let hopes = terms.need != Need::Current && self.now - rpc.arrived < half;
+        match self.charter.lagging {
+            _ if replicas.iter().any(fresh) => replicas.retain(fresh),
             // Its hold is worth trying only where the lag it last told of could be made up within it.
-            Lagging::Holds(patience) if refusals == 0 && replicas.iter().any(|&ix| near(ix, patience)) => {
-                replicas.iter().copied().filter(|&ix| near(ix, patience)).collect()
-            }
-            Lagging::Refuses if refusals == 0 && !current => {
-                replicas.iter().copied().max_by_key(|ix| position(ix)).into_iter().collect()
+            Lagging::Holds(patience) if rpc.refusals == 0 => replicas.retain(|ix| near(ix, patience)),
+            Lagging::Refuses if rpc.refusals == 0 && terms.need != Need::Current => {
+                replicas = replicas.into_iter().max_by_key(position).into_iter().collect();
             }
             // Departure: where every replica is too far behind to make it up by then, the wait is left out.
-            Lagging::AnswersAnyway
-                if !current && waited < half && replicas.iter().any(|&ix| near(ix, half)) =>
-            {
-                return None;
-            }
-            _ => Vec::new(),
-        };
-        // A retry storm must not push out first tries: newest first would favour it.
-        let part = if rpc.repeat { 0.25 } else { 1.0 };
-        let roomy: Vec<StoreIx> = choice.iter().copied().filter(|&ix| self.has_room(ix, part)).collect();
-        // Departure: a read without a bound that may take longer than others' bounds goes to the replica most
-        // behind, not the least busy: long reads spread evenly would keep every replica from applying its log.
-        match roomy.iter().copied().min_by_key(|ix| (position(ix), *ix)) {
-            Some(behind) if terms.stalls => return Some(Input::Placed(behind)),
-            Some(_) => return self.fewest(&roomy).map(Input::Placed),
-            None => {}
+            Lagging::AnswersAnyway if hopes && replicas.iter().any(|ix| near(ix, half)) => return None,
+            _ => replicas.clear(),
         }
-        // Departure: where every replica that would do is crowded, the primary helps out within its room.
-        // Half of its room stays free for writes and current reads.
-        let most = if current { part } else { 0.5 * part };
-        primary.filter(|&ix| self.has_room(ix, most)).map(Input::Placed)
+        Some(replicas)
     }
 
     /// The fewest of our call-outs in flight; ties by own zone, then chance.
@@ -595,7 +596,7 @@
 
     fn ended(&mut self, end: &End, actions: &mut Vec<Action>) {
         let End { rpc: id, store: ix, outcome, elapsed, .. } = *end;
-        let (now, sent, least) = (self.now, self.now - elapsed, LEAST_ROOM * self.charter.share);
+        let (now, sent, least) = (self.now, self.now - elapsed, LEAST_ROOM * self.charter.our_share);
         let out = self.rpcs.get(&id).and_then(|rpc| rpc.out.as_ref());
         let (timely, pressed, work) =
             out.map_or((elapsed, false, 0.0), |out| (out.timely, out.pressed, out.work));
@@ -687,7 +688,7 @@
                 let store = &self.stores[**ix];
                 let old = if waiting { stale / 2 } else { stale };
                 let due = store.answered == Moment::DAWN
-                    || (store.told + old <= now && group.primary != Some(**ix))
+                    || (store.told + old <= now && (waiting || group.primary != Some(**ix)))
                     || (waiting && lost)
                     || (store.failures > 0 && store.rest_until <= now);
                 let paced = store.probed + pace * (if store.failures > 1 { 2 } else { 1 }) <= now;
--- a/src/iface.rs
+++ b/src/iface.rs
@@ -113,6 +113,8 @@
 pub struct Told {
     pub position: Option<Moment>,
     pub role: Option<Role>,
+    /// The part of its cores that is busy.
+    pub load: Option<f64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
