A late answer cuts the rooms under one of all replicas of its group

A front sends each of them a call-out in 16 s, too few to learn from, but its group one in 3 s. Time-outs now cut too, even from a store that has answered nothing since. It should hold against any trouble that a group shares; it harms sound siblings of one sick replica, only where rooms are under one. Tried and left out: full or lagging replicas passed over, ties by lag, cuts of a tenth and of three tenths.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -2,8 +2,7 @@
 //!
 //! A host makes one [`Router`] an instance and hands it events in the order in which they came, each with
 //! the clock of its batch, by [`Router::handle`]; what is to be done is pushed to the caller's list in order.
-//! The types on both sides stand in `iface.rs`. The router shares nothing, reads no clock and draws chance
-//! from its seed alone.
+//! The types on both sides stand in `iface.rs`. It shares nothing, reads no clock; chance is from its seed.
 //!
 //! The ordinary path: a read goes to the replica with the fewest of our call-outs in flight among those whose
 //! told position reaches the read's bound. Where none does, the read waits for one, by the store's own hold
@@ -148,8 +147,8 @@
     failed: Moment,
     probe_out: bool,
     probed: Moment,
-    /// Our call-outs that it may hold before further ones go elsewhere or wait. Under one it is the part of the
-    /// time: many fronts with one call-out each bury a store.
+    /// Our call-outs that it may hold before further ones go elsewhere or wait. Under one it is the part of
+    /// the time: many fronts with one call-out each bury a store.
     room: f64,
     room_cut: Moment,
     /// Our work at it when the last call-out was sent, in seconds.
@@ -186,7 +185,6 @@
 /// What a store may hold of all fronts' call-outs before it has shown how much suits it.
 const FIRST_ROOM: f64 = 16.0;
 const BUSY: f64 = 0.7;
-const LEAST_ROOM: f64 = 2.0;
 
 impl Charter {
     fn new(facts: &Facts) -> Charter {
@@ -300,7 +298,6 @@
     }
 
     fn list(&mut self, whole: bool, entries: Vec<Entry>) {
-        let now = self.now;
         if whole {
             for store in &mut self.stores {
                 store.open &= self.charter.gone_stays_open;
@@ -328,7 +325,7 @@
                 // Each front's first call-out to a cold store comes at a time of its own.
                 let chance = self.rng.below(64) as f64 / 256.0;
                 (store.started, store.sent, store.owing) =
-                    (entry.started, now, chance * self.charter.pressing.secs());
+                    (entry.started, self.now, chance * self.charter.pressing.secs());
             }
             // The list's word on roles is weakest: it counts only until the store itself has spoken.
             if entry.primary && store.answered == Moment::DAWN && store.claims.is_none() {
@@ -340,8 +337,8 @@
 
     fn know_group(&mut self, ix: GroupIx) {
         let held = vec![BTreeSet::new(); self.charter.methods.len()];
-        let most = self.groups.len().max(ix + 1);
-        self.groups.resize_with(most, || Group { held: held.clone(), ..Group::default() });
+        self.groups
+            .resize_with(self.groups.len().max(ix + 1), || Group { held: held.clone(), ..Group::default() });
     }
 
     /// Takes a claim for what it is worth. A position proves freshness however late it comes; a role counts
@@ -501,8 +498,8 @@
         if let Some(ix) = self.fewest(&choice) {
             return Some(Input::Placed(ix));
         }
-        // Departure: where every replica that would do is crowded, the primary helps out within its room, unless
-        // it lately said that it is busy. Half of its room stays free for writes and current reads.
+        // Departure: where every replica that would do is crowded, the primary helps out within its room,
+        // unless it lately said that it is busy. Half of its room stays free for writes and current reads.
         let most = if current { part } else { 0.5 * part };
         let recent = self.now - self.charter.stale_after * 4;
         let busy = |ix: StoreIx| self.stores[ix].load.is_some_and(|(load, at)| at > recent && load > BUSY);
@@ -596,30 +593,34 @@
 
     fn ended(&mut self, end: &End, actions: &mut Vec<Action>) {
         let End { rpc: id, store: ix, outcome, elapsed, .. } = *end;
-        let (now, sent, least) = (self.now, self.now - elapsed, LEAST_ROOM * self.charter.our_share);
+        let (now, sent, least) = (self.now, self.now - elapsed, FIRST_ROOM / 4.0 * self.charter.our_share);
         let out = self.rpcs.get(&id).and_then(|rpc| rpc.out.as_ref());
-        let (timely, pressed, work) =
-            out.map_or((elapsed, false, 0.0), |out| (out.timely, out.pressed, out.work));
-        let work = if outcome == Outcome::Ok { work } else { 0.0 };
-        let done = self.stores.get(ix).map_or(0.0, |store| self.faded(store.done, store.done_at)) + work;
+        let (timely, pressed, work) = out.map_or((elapsed, false, 0.0), |o| (o.timely, o.pressed, o.work));
+        let done = self.stores.get(ix).map_or(0.0, |store| self.faded(store.done, store.done_at));
+        let done = done + if outcome == Outcome::Ok { work } else { 0.0 };
         let Some(store) = self.stores.get_mut(ix) else { return };
         (store.in_flight, store.done, store.done_at) = (store.in_flight.saturating_sub(1), done, now);
+        let late = outcome == Outcome::TimedOut || (outcome == Outcome::Ok && elapsed >= timely);
         match outcome {
             Outcome::Ok | Outcome::Lagged => {
                 (store.answered, store.failures) = (now, 0);
-                if outcome == Outcome::Ok && elapsed >= timely {
-                    store.crowded(sent, now, least);
-                } else if pressed {
-                    store.room += (1.0 / store.room).min(store.room / 4.0);
-                }
+                store.room += if pressed && !late { (1.0 / store.room).min(store.room / 4.0) } else { 0.0 };
             }
-            Outcome::TimedOut if store.answered >= sent => store.crowded(sent, now, least),
             // Slow is not silent: only a store that has answered nothing since this was sent has failed.
+            Outcome::TimedOut if store.answered >= sent => {}
             Outcome::TimedOut | Outcome::Errored | Outcome::Full | Outcome::Unreachable | Outcome::Broken => {
                 self.fail(ix)
             }
             _ => {}
         }
+        // Where rooms are under one, few answers come from each store: what one replica shows must do for all.
+        let Group { members, primary, .. } = &self.groups[self.stores[ix].group];
+        for &other in members.iter().filter(|_| late) {
+            let alike = ![ix, other].map(Some).contains(primary) && self.stores[other].room < 1.0;
+            if other == ix || alike {
+                self.stores[other].crowded(sent, now, least);
+            }
+        }
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
         if rpc.out.as_ref().is_none_or(|out| out.number != end.call_out) {
             return;
@@ -675,15 +676,14 @@
         }
     }
 
-    /// Probes are paid for by the RPCs of their group, so that all fronts' together follow the traffic: fronts
-    /// times stores would cost more than it. A group with RPCs held may ask one member a beat beyond that.
+    /// Probes are paid for by the RPCs of their group, so that all fronts' together follow the traffic:
+    /// fronts times stores would cost more than it. A group with RPCs held may ask one member a beat beyond that.
     fn sound_out(&mut self, ix: GroupIx, actions: &mut Vec<Action>) {
         let (now, stale, pace) = (self.now, self.charter.stale_after, self.charter.pulse * 2);
         while self.charter.may_probe && self.groups[ix].credit >= 1.0 {
             let group = &self.groups[ix];
             let waiting = !group.held.iter().all(BTreeSet::is_empty);
-            let sound = |ix: StoreIx| self.stores[ix].failures == 0 && self.stores[ix].open;
-            let lost = !group.primary.is_some_and(sound);
+            let lost = !group.primary.is_some_and(|ix| self.stores[ix].failures == 0 && self.stores[ix].open);
             let wanted = |ix: &&StoreIx| {
                 let store = &self.stores[**ix];
                 let old = if waiting { stale / 2 } else { stale };
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -205,6 +205,22 @@
     }
 }
 
+#[test]
+fn of_many_fronts_each_takes_one_replica_s_late_answer_as_said_of_its_group() {
+    let mut outs = Vec::new();
+    for late in [false, true] {
+        let mut bench = Bench::one_of(100, Lagging::AnswersAnyway, 1, 1);
+        for step in 0..200 {
+            let read = bench.arrive(ANY, 0, 1.0);
+            bench.pass(Span::millis(if late && step % 2 == 0 { 480 } else { 90 }));
+            bench.end(read, Outcome::Ok, None);
+            bench.pass(Span::millis(if late && step % 2 == 0 { 20 } else { 410 }));
+        }
+        outs.push(bench.sent.iter().filter(|sent| sent.1 != 0).count());
+    }
+    assert!(outs[1] >= 5 && outs[1] * 3 < outs[0] * 2, "{outs:?} sent to replicas, timely and late ones");
+}
+
 #[test]
 fn long_reads_leave_half_of_the_replicas_free_to_catch_up_whatever_their_number() {
     let mut bench = Bench::one_of(100, Lagging::Holds(Span::millis(100)), 1, 1);
