Held reads pay for one probe in four beats; a probe turned away rests no store

It should also hold against any other limit on probes; it harms a held read whose first probe finds a laggard: the next comes later.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -29,7 +29,6 @@
     Hopeless,
     /// The call-out ended without an answer for the client.
     Returned,
-    /// Answered, or of no interest to its client any more.
     Closed,
     /// The last moment for an answer of ours.
     Overdue,
@@ -278,6 +277,7 @@
                     s.probe_out = false;
                     match outcome {
                         Outcome::Ok => s.answered = now,
+                        Outcome::Full => {} // Too many asked it at once: no word of its health.
                         _ => self.fail(store),
                     }
                 }
@@ -613,7 +613,7 @@
             }
             _ => {}
         }
-        // Where rooms are under one, few answers come from each store: what one replica shows must do for all.
+        // Where rooms are under one, each store answers too seldom: what one replica shows must do for all.
         let Group { members, primary, .. } = &self.groups[self.stores[ix].group];
         for &other in members.iter().filter(|_| late) {
             let alike = ![ix, other].map(Some).contains(primary) && self.stores[other].room < 1.0;
@@ -671,13 +671,13 @@
         for group in 0..self.groups.len() {
             self.retry_held(Some(group), actions);
             let Group { credit, held, .. } = &mut self.groups[group];
-            *credit = if held.iter().all(BTreeSet::is_empty) { *credit } else { credit.max(1.0) };
+            *credit += if *credit >= 1.0 || held.iter().all(BTreeSet::is_empty) { 0.0 } else { 0.25 };
             self.sound_out(group, actions);
         }
     }
 
     /// Probes are paid for by the RPCs of their group, so that all fronts' together follow the traffic:
-    /// fronts times stores would cost more than it. A group with RPCs held may ask one member a beat beyond that.
+    /// fronts times stores would cost more than it. A group with RPCs held may ask one in four beats more.
     fn sound_out(&mut self, ix: GroupIx, actions: &mut Vec<Action>) {
         let (now, stale, pace) = (self.now, self.charter.stale_after, self.charter.pulse * 2);
         while self.charter.may_probe && self.groups[ix].credit >= 1.0 {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -191,6 +191,24 @@
     assert!((2..=8).contains(&sends.len()), "{} of 2000 reads in its first two seconds", sends.len());
 }
 
+#[test]
+fn held_reads_ask_slowly_and_a_probe_turned_away_rests_no_store() {
+    let mut bench = Bench::ready(Lagging::AnswersAnyway, 1, 1);
+    bench.pass(Span::millis(200));
+    bench.probed(1, Outcome::Full, bench.now, false);
+    let reads = [bench.arrive(ANY, 0, 1.0), bench.arrive(ANY, 0, 1.0)];
+    assert!(
+        bench.sent.iter().any(|sent| sent.1 == 1),
+        "the second goes to the one that was too busy for a probe"
+    );
+    reads.iter().for_each(|&read| bench.end(read, Outcome::Ok, None));
+    bench.pass(BOUND * 2);
+    let before = bench.probes.len();
+    bench.arrive(BOUNDED, 0, 1.0);
+    bench.pass(Span::millis(250));
+    assert!(bench.probes.len() - before <= 2, "its own probe and one more in its first five beats");
+}
+
 #[test]
 fn of_many_fronts_each_sends_a_primary_less_than_one_call_out_after_the_other() {
     for (instances, at_once) in [(2, true), (100, false)] {
