--- /dev/null
+++ b/front/src/admit.rs
@@ -0,0 +1,68 @@
+//! Admission: the head of a statement becomes an RPC of a known method with a time to be answered by.
+
+use crate::pg::Head;
+use gingerwick::iface::{Facts, MethodIx, Need, RpcId};
+use gingerwick::time::{Moment, Span};
+use std::collections::HashMap;
+use std::ops::Range;
+
+/// What the start facts say about RPCs at the door.
+pub struct Terms {
+    methods: HashMap<String, (MethodIx, bool)>,
+}
+
+impl Terms {
+    pub fn new(names: Vec<String>, facts: &Facts) -> Terms {
+        let keyed = |ix: usize| matches!(facts.methods[ix].need, Need::Write | Need::Session);
+        Terms { methods: names.into_iter().enumerate().map(|(ix, name)| (name, (ix, keyed(ix)))).collect() }
+    }
+}
+
+/// A statement as it came, and where in it the digits of its patience stand.
+#[derive(Debug)]
+pub struct Query {
+    pub body: Vec<u8>,
+    pub patience: Range<usize>,
+}
+
+#[derive(Debug)]
+pub struct Admission {
+    pub rpc: RpcId,
+    pub method: MethodIx,
+    pub cluster: i64,
+    pub session: Option<u64>,
+    pub last_write: Option<Span>,
+    pub deadline: Moment,
+    pub repeat: bool,
+    pub query: Query,
+}
+
+/// A day: no client waits as long, and no time beyond it is reckoned with.
+const LONGEST_MS: i64 = 86_400_000;
+
+pub fn admit(
+    terms: &Terms,
+    now: Moment,
+    rpc: RpcId,
+    head: &Head,
+    body: &[u8],
+) -> Result<Admission, (&'static str, &'static str)> {
+    let &(method, keyed) = terms.methods.get(head.class).ok_or(("42704", "c names no known class"))?;
+    let after = head.after_ms.filter(|ms| (1..9_000_000_000_000).contains(ms));
+    Ok(Admission {
+        rpc,
+        method,
+        cluster: head.cluster,
+        session: head.key.filter(|_| keyed).map(session),
+        last_write: after.map(|ms| now - Moment(ms * 1_000_000)),
+        deadline: now + Span::millis(head.patience_ms.min(LONGEST_MS)),
+        repeat: head.repeat,
+        query: Query { body: body.to_vec(), patience: head.patience.clone() },
+    })
+}
+
+/// A session's number: its sixteen hex digits, or where it is named otherwise a hash of the name (FNV-1a).
+fn session(key: &str) -> u64 {
+    let hash = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    u64::from_str_radix(key, 16).unwrap_or_else(|_| key.bytes().fold(0xcbf2_9ce4_8422_2325, hash))
+}
--- /dev/null
+++ b/front/src/discovery.rs
@@ -0,0 +1,249 @@
+//! Discovery: the list as it was known at the start, then a watch that is taken up again whenever it ends.
+
+use crate::clock::{self, Alarms};
+use crate::ledger::{Ledger, Share};
+use crate::log;
+use crate::owner::News;
+use crate::wire::{Bell, Wire};
+use gingerwick::iface::Standing;
+use gingerwick::rng::Mwc;
+use gingerwick::time::{Moment, Span};
+use may::sync::mpsc::Sender;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Hosts {
+    #[serde(default)]
+    pub seq: i64,
+    #[serde(default)]
+    pub whole: bool,
+    #[serde(default)]
+    pub hosts: Vec<Host>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Host {
+    pub host: String,
+    #[serde(default)]
+    pub dial: String,
+    #[serde(default)]
+    pub site: String,
+    #[serde(default)]
+    pub block: i64,
+    pub health: Health,
+    #[serde(default)]
+    pub born_ms: f64,
+    #[serde(default)]
+    pub recovery: String,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum Health {
+    Serving,
+    Draining,
+    Deleted,
+}
+
+impl Host {
+    pub fn standing(&self) -> Standing {
+        match self.health {
+            Health::Serving => Standing::Open,
+            Health::Draining => Standing::Draining,
+            Health::Deleted => Standing::Gone,
+        }
+    }
+
+    pub fn dial(&self) -> Option<SocketAddr> {
+        self.dial.parse().ok()
+    }
+
+    pub fn is_primary(&self) -> bool {
+        self.recovery == "off"
+    }
+
+    pub fn started(&self) -> Option<Moment> {
+        clock::from_unix_ms(self.born_ms)
+    }
+}
+
+/// An empty line comes every two seconds where nothing changes.
+const SILENCE: Span = Span::millis(5_000);
+const CONNECT_WITHIN: Span = Span::millis(1_000);
+/// The shortest and the longest pause before the watch is taken up again; chance spreads each.
+const PAUSES: (Span, Span) = (Span::millis(50), Span::millis(2_000));
+/// A line that is longer than any list.
+const MOST_LINE: usize = 4 << 20;
+
+pub struct Watch {
+    pub addr: SocketAddr,
+    pub alarms: Arc<Alarms>,
+    pub ledger: Arc<Ledger>,
+    pub owner: Sender<News>,
+    pub seq: i64,
+    pub rng: Mwc,
+}
+
+impl Watch {
+    pub fn run(mut self) {
+        let mut pause = PAUSES.0;
+        loop {
+            let before = self.seq;
+            let why = self.watch().unwrap_or_else(|why| why);
+            if before != self.seq {
+                pause = PAUSES.0;
+            }
+            log!("the watch on discovery ended: {why}");
+            let _ = self.owner.send(News::ListFailed);
+            let chance = self.rng.below(64) as i64;
+            self.alarms.pause(pause / 64 * (32 + chance));
+            pause = (pause * 2).min(PAUSES.1);
+        }
+    }
+
+    /// One watch from its connection to its end; says why it ended.
+    fn watch(&mut self) -> Result<&'static str, &'static str> {
+        let entry = self.ledger.enter(Share::Discovery).ok_or("no descriptor is free")?;
+        let (now, bell) = (self.alarms.now(), Bell::default());
+        let mut wire = Wire::connect(&self.alarms, &self.addr, now + CONNECT_WITHIN, entry)
+            .map_err(|_| "no connection")?;
+        let request = format!(
+            "GET /discovery/hosts?watch=1&after={} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
+            self.seq, self.addr
+        );
+        wire.listen_to(now + CONNECT_WITHIN, &bell);
+        wire.write(&[request.as_bytes()], now + CONNECT_WITHIN, &bell)
+            .map_err(|_| "the request was not taken")?;
+        let mut stream = Stream::default();
+        loop {
+            let by = self.alarms.now() + SILENCE;
+            wire.listen_to(by, &bell);
+            wire.read(by, &bell).map_err(|_| "it fell silent or was closed")?;
+            stream.take(&wire.buffer)?;
+            wire.buffer.clear();
+            while let Some(line) = stream.line() {
+                self.line(&line)?;
+            }
+            if stream.ended {
+                return Ok("its answer is complete");
+            }
+        }
+    }
+
+    fn line(&mut self, line: &[u8]) -> Result<(), &'static str> {
+        if line.trim_ascii().is_empty() {
+            return Ok(());
+        }
+        let hosts: Hosts = match serde_json::from_slice(line) {
+            Ok(hosts) => hosts,
+            Err(why) => {
+                log!("a line of discovery can't be read: {why}");
+                return Err("a line could not be read");
+            }
+        };
+        // A list older than ours must not turn it back.
+        if hosts.seq < self.seq || (hosts.seq == self.seq && !hosts.whole) {
+            return Ok(());
+        }
+        self.seq = hosts.seq;
+        let _ = self.owner.send(News::List { whole: hosts.whole, hosts: hosts.hosts });
+        Ok(())
+    }
+}
+
+/// An HTTP answer taken in pieces split anywhere: its head, its chunks, their lines.
+#[derive(Default)]
+pub struct Stream {
+    raw: Vec<u8>,
+    text: Vec<u8>,
+    headed: bool,
+    chunked: bool,
+    /// What of the present chunk, or of a body of known length, is still to come.
+    left: usize,
+    /// The line end behind a chunk is still to come.
+    tail: bool,
+    pub ended: bool,
+}
+
+impl Stream {
+    pub fn take(&mut self, bytes: &[u8]) -> Result<(), &'static str> {
+        self.raw.extend_from_slice(bytes);
+        if !self.headed && !self.head()? {
+            return Ok(());
+        }
+        loop {
+            if self.left > 0 {
+                let part = self.left.min(self.raw.len());
+                self.text.extend(self.raw.drain(..part));
+                self.left -= part;
+                if self.left > 0 || !self.chunked {
+                    self.ended = self.left == 0;
+                    break;
+                }
+                self.tail = true;
+            }
+            if !self.chunked || self.ended {
+                break;
+            }
+            if self.tail {
+                if self.raw.len() < 2 {
+                    break;
+                }
+                if self.raw.drain(..2).ne(*b"\r\n") {
+                    return Err("a chunk has no end");
+                }
+                self.tail = false;
+            }
+            match httparse::parse_chunk_size(&self.raw) {
+                Ok(httparse::Status::Complete((used, size))) => {
+                    self.raw.drain(..used);
+                    self.left = usize::try_from(size).unwrap_or(usize::MAX);
+                    self.ended = size == 0;
+                }
+                Ok(httparse::Status::Partial) => break,
+                Err(_) => return Err("a chunk's size can't be read"),
+            }
+        }
+        if self.text.len() > MOST_LINE || (self.left == 0 && self.raw.len() > MOST_LINE) {
+            return Err("a line has no end");
+        }
+        Ok(())
+    }
+
+    fn head(&mut self) -> Result<bool, &'static str> {
+        let mut headers = [httparse::EMPTY_HEADER; 32];
+        let mut response = httparse::Response::new(&mut headers);
+        let used = match response.parse(&self.raw) {
+            Ok(httparse::Status::Complete(used)) => used,
+            Ok(httparse::Status::Partial) if self.raw.len() < 16 << 10 => return Ok(false),
+            _ => return Err("the answer's head can't be read"),
+        };
+        if response.code != Some(200) {
+            return Err("the answer is not 200");
+        }
+        let value = |name: &str| {
+            let header = response.headers.iter().find(|header| header.name.eq_ignore_ascii_case(name))?;
+            std::str::from_utf8(header.value).ok()
+        };
+        self.chunked =
+            value("transfer-encoding").is_some_and(|way| way.to_ascii_lowercase().contains("chunked"));
+        if !self.chunked {
+            let length = value("content-length").and_then(|length| length.trim().parse().ok());
+            self.left = length.unwrap_or(usize::MAX);
+            self.ended = self.left == 0;
+        }
+        self.headed = true;
+        self.raw.drain(..used);
+        Ok(true)
+    }
+
+    /// The next whole line; where the answer is complete, what is left of it.
+    pub fn line(&mut self) -> Option<Vec<u8>> {
+        if let Some(end) = self.text.iter().position(|&byte| byte == b'\n') {
+            return Some(self.text.drain(..=end).collect());
+        }
+        (self.ended && !self.text.is_empty()).then(|| std::mem::take(&mut self.text))
+    }
+}
--- /dev/null
+++ b/front/src/lib.rs
@@ -0,0 +1,19 @@
+//! The front on sockets: it takes RPCs in, puts them before gingerwick's decisions, and does what they say.
+//!
+//! Stages, in the order in which an RPC passes them: [`session`] takes it in, [`admit`] admits it, [`owner`]
+//! has it routed and keeps it in the book, [`send`] sends its call-outs, [`relay`] reads their answers.
+
+pub mod admit;
+pub mod clock;
+pub mod discovery;
+pub mod ledger;
+pub mod log;
+pub mod owner;
+pub mod pg;
+pub mod pool;
+pub mod relay;
+pub mod send;
+pub mod session;
+pub mod shutdown;
+pub mod start;
+pub mod wire;
--- /dev/null
+++ b/front/src/pg.rs
@@ -0,0 +1,267 @@
+//! PostgreSQL's messages, version 3, as bytes in memory: nothing here reads or writes a socket.
+//!
+//! What the operators' page words in its own way (`id`, `c`, `d`, `cluster`, `after`, `r`) is read here and
+//! nowhere else.
+
+use std::ops::Range;
+
+/// A statement with a value of 64 KiB in hex digits, and room for the rest.
+pub const MOST_QUERY: usize = 160 << 10;
+/// A value of 64 KiB with its row's head.
+pub const MOST_VALUE: usize = 72 << 10;
+const MOST_STARTUP: usize = 10_000;
+
+pub const VERSION_3: u32 = 196_608;
+const CANCEL: u32 = 80_877_102;
+const SSL: u32 = 80_877_103;
+const GSSENC: u32 = 80_877_104;
+
+/// A message in a buffer: its tag and where its body stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Frame {
+    pub tag: u8,
+    pub body: Range<usize>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bad {
+    TooLong,
+    Malformed,
+}
+
+/// The message that begins at `from`, once it is there whole.
+pub fn frame(bytes: &[u8], from: usize, most: usize) -> Result<Option<Frame>, Bad> {
+    let Some(head) = bytes.get(from..from + 5) else { return Ok(None) };
+    let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
+    if length < 4 {
+        return Err(Bad::Malformed);
+    }
+    if length > most {
+        return Err(Bad::TooLong);
+    }
+    let body = from + 5..from + 1 + length;
+    Ok((body.end <= bytes.len()).then_some(Frame { tag: head[0], body }))
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Opening {
+    Start { minor: u16 },
+    Encrypt,
+    Cancel,
+    OtherVersion,
+}
+
+/// The untagged first message of a connection, and its length.
+pub fn opening(bytes: &[u8]) -> Result<Option<(Opening, usize)>, Bad> {
+    let Some(head) = bytes.get(..8) else { return Ok(None) };
+    let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
+    if length < 8 {
+        return Err(Bad::Malformed);
+    }
+    if length > MOST_STARTUP {
+        return Err(Bad::TooLong);
+    }
+    if bytes.len() < length {
+        return Ok(None);
+    }
+    let kind = match u32::from_be_bytes([head[4], head[5], head[6], head[7]]) {
+        SSL | GSSENC => Opening::Encrypt,
+        CANCEL => Opening::Cancel,
+        version if version >> 16 == 3 => Opening::Start { minor: version as u16 },
+        _ => Opening::OtherVersion,
+    };
+    Ok(Some((kind, length)))
+}
+
+/// Appends a message: its tag, its length, and what `body` appends.
+fn put(out: &mut Vec<u8>, tag: u8, body: impl FnOnce(&mut Vec<u8>)) {
+    out.push(tag);
+    let at = out.len();
+    out.extend_from_slice(&[0; 4]);
+    body(out);
+    let length = (out.len() - at) as u32;
+    out[at..at + 4].copy_from_slice(&length.to_be_bytes());
+}
+
+fn text(out: &mut Vec<u8>, word: &str) {
+    out.extend_from_slice(word.as_bytes());
+    out.push(0);
+}
+
+pub fn ready(out: &mut Vec<u8>) {
+    put(out, b'Z', |out| out.push(b'I'));
+}
+
+/// What a client is told when its session begins.
+pub fn greeting(out: &mut Vec<u8>, minor: u16, number: u32) {
+    if minor > 0 {
+        put(out, b'v', |out| out.extend_from_slice(&[0; 8]));
+    }
+    put(out, b'R', |out| out.extend_from_slice(&[0; 4]));
+    for (name, value) in [
+        ("server_version", "15.0"),
+        ("server_encoding", "UTF8"),
+        ("client_encoding", "UTF8"),
+        ("DateStyle", "ISO, MDY"),
+        ("integer_datetimes", "on"),
+        ("standard_conforming_strings", "on"),
+    ] {
+        put(out, b'S', |out| {
+            text(out, name);
+            text(out, value);
+        });
+    }
+    // A number to cancel by is part of the greeting; cancels are closed unread.
+    put(out, b'K', |out| {
+        out.extend_from_slice(&number.to_be_bytes());
+        out.extend_from_slice(&[0; 4]);
+    });
+    ready(out);
+}
+
+/// A start-up message for a store.
+pub fn start_up() -> Vec<u8> {
+    let mut out = vec![0; 4];
+    out.extend_from_slice(&VERSION_3.to_be_bytes());
+    for word in ["user", "backend", "database", "store", ""] {
+        text(&mut out, word);
+    }
+    let length = out.len() as u32;
+    out[..4].copy_from_slice(&length.to_be_bytes());
+    out
+}
+
+pub fn query(out: &mut Vec<u8>, statement: &str) {
+    put(out, b'Q', |out| text(out, statement));
+}
+
+pub fn empty(out: &mut Vec<u8>) {
+    put(out, b'I', |_| ());
+}
+
+pub fn complete(out: &mut Vec<u8>, word: &str) {
+    put(out, b'C', |out| text(out, word));
+}
+
+/// An ErrorResponse; `detail` goes into the field D.
+pub fn error(out: &mut Vec<u8>, severity: &str, code: &str, message: &str, detail: Option<&str>) {
+    put(out, b'E', |out| {
+        for (field, value) in [(b'S', severity), (b'V', severity), (b'C', code), (b'M', message)] {
+            out.push(field);
+            text(out, value);
+        }
+        if let Some(detail) = detail {
+            out.push(b'D');
+            text(out, detail);
+        }
+        out.push(0);
+    });
+}
+
+/// A field of an ErrorResponse's body.
+pub fn field(body: &[u8], wanted: u8) -> Option<&str> {
+    let named = body.split(|&byte| byte == 0).find(|part| part.first() == Some(&wanted))?;
+    std::str::from_utf8(&named[1..]).ok()
+}
+
+/// The name and the value of a ParameterStatus.
+pub fn parameter(body: &[u8]) -> Option<(&str, &str)> {
+    let mut words = body.split(|&byte| byte == 0);
+    let (name, value) = (words.next()?, words.next()?);
+    Some((std::str::from_utf8(name).ok()?, std::str::from_utf8(value).ok()?))
+}
+
+/// The only column of a DataRow, where it has just one that is not null.
+pub fn only_column(body: &[u8]) -> Option<&[u8]> {
+    let length = u32::from_be_bytes(body.get(2..6)?.try_into().ok()?);
+    let value = &body[6..];
+    (body[..2] == [0, 1] && value.len() == length as usize).then_some(value)
+}
+
+/// What the comment at the head of a statement says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Head<'a> {
+    pub class: &'a str,
+    pub cluster: i64,
+    pub patience_ms: i64,
+    /// Where the digits of `d` stand in the statement.
+    pub patience: Range<usize>,
+    pub after_ms: Option<i64>,
+    pub repeat: bool,
+    /// The first quoted text behind the comment.
+    pub key: Option<&'a str>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Statement<'a> {
+    Empty,
+    /// Answered at once by this word; without effect here.
+    Vain(&'static str),
+    Kv(Head<'a>),
+    /// Why it can't be taken: SQLSTATE and message.
+    Refused(&'static str, &'static str),
+}
+
+/// Reads a Query's body in place.
+pub fn statement(body: &[u8]) -> Statement<'_> {
+    use Statement::{Empty, Kv, Refused, Vain};
+    let Some((&0, bytes)) = body.split_last() else {
+        return Refused("08P01", "query without its closing zero");
+    };
+    let Ok(text) = std::str::from_utf8(bytes) else {
+        return Refused("22021", "query is not UTF-8");
+    };
+    if text.contains('\0') {
+        return Refused("08P01", "zero byte inside a query");
+    }
+    let trimmed = text.trim_matches(|c: char| c.is_ascii_whitespace() || c == ';');
+    if trimmed.is_empty() {
+        return Empty;
+    }
+    let first = trimmed.split_ascii_whitespace().next().unwrap_or_default();
+    for word in ["SET", "RESET", "DISCARD"] {
+        if first.eq_ignore_ascii_case(word) {
+            return Vain(word);
+        }
+    }
+    match head(text) {
+        Ok(head) => Kv(head),
+        Err(why) => Refused("42601", why),
+    }
+}
+
+fn head(text: &str) -> Result<Head<'_>, &'static str> {
+    let open = text.find("/*").ok_or("no comment at the head of the statement")?;
+    if !text[..open].trim().is_empty() {
+        return Err("no comment at the head of the statement");
+    }
+    let inner = open + 2;
+    let close = inner + text[inner..].find("*/").ok_or("comment without an end")?;
+    let mut head = Head { cluster: -1, ..Head::default() };
+    let mut at = inner;
+    for pair in text[inner..close].split(',') {
+        let (name, value) = pair.split_once('=').ok_or("comment holds more than names and values")?;
+        let (name, start) = (name.trim(), at + pair.len() - value.len());
+        let value = value.trim_end();
+        match name {
+            "c" => head.class = value,
+            "cluster" => head.cluster = value.parse().map_err(|_| "cluster is no number")?,
+            "d" => {
+                head.patience_ms = value.parse().map_err(|_| "d is no number")?;
+                head.patience = start..start + value.len();
+            }
+            "after" => head.after_ms = Some(value.parse().map_err(|_| "after is no number")?),
+            "r" => head.repeat = value == "1",
+            _ => {}
+        }
+        at += pair.len() + 1;
+    }
+    if head.class.is_empty() {
+        return Err("comment without c");
+    }
+    if head.patience.is_empty() || head.patience_ms <= 0 {
+        return Err("comment without a d above 0");
+    }
+    head.key = text[close..].split('\'').nth(1);
+    Ok(head)
+}
--- /dev/null
+++ b/front/src/send.rs
@@ -0,0 +1,197 @@
+//! Call-outs and probes: one coroutine each, from the connection it takes to the outcome it reports.
+
+use crate::admit::Query;
+use crate::clock::Alarms;
+use crate::owner::News;
+use crate::pg;
+use crate::pool::Pool;
+use crate::relay::{report, Reply};
+use crate::wire::{Bell, Stop, Wire};
+use gingerwick::iface::{Outcome, RpcId, StoreIx, Told};
+use gingerwick::time::{Moment, Span};
+use may::sync::mpsc::{channel, Sender};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+pub struct CallOut {
+    pub rpc: RpcId,
+    pub number: u32,
+    pub store: StoreIx,
+    pub addr: SocketAddr,
+    pub sent: Moment,
+    /// The front waits for its outcome until then.
+    pub by: Moment,
+    pub query: Arc<Query>,
+    pub bell: Arc<Bell>,
+}
+
+/// What became of a call-out.
+pub struct End {
+    pub rpc: RpcId,
+    pub number: u32,
+    pub store: StoreIx,
+    pub sent: Moment,
+    pub outcome: Outcome,
+    pub note: Told,
+    pub report: Told,
+    pub value: Vec<u8>,
+}
+
+impl End {
+    /// A call-out that never left.
+    pub fn moot(rpc: RpcId, number: u32, store: StoreIx, sent: Moment) -> End {
+        let (note, report) = (Told::default(), Told::default());
+        End { rpc, number, store, sent, outcome: Outcome::Moot, note, report, value: Vec::new() }
+    }
+}
+
+/// Ends a call-out exactly once: one that is dropped by a panic may have run.
+struct Pending {
+    owner: Sender<News>,
+    end: Option<End>,
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        if let Some(end) = self.end.take() {
+            let _ = self.owner.send(News::Ended(end));
+        }
+    }
+}
+
+pub fn call_out(pool: &Pool, owner: Sender<News>, job: CallOut) {
+    let CallOut { rpc, number, store, sent, .. } = job;
+    let end = End { outcome: Outcome::Broken, ..End::moot(rpc, number, store, sent) };
+    let mut pending = Pending { owner, end: Some(end) };
+    let (outcome, reply) = attempt(pool, &pending.owner, &job);
+    if let Some(end) = &mut pending.end {
+        (end.outcome, end.note, end.report, end.value) = (outcome, reply.note, reply.report, reply.value);
+    }
+}
+
+fn attempt(pool: &Pool, owner: &Sender<News>, job: &CallOut) -> (Outcome, Reply) {
+    let CallOut { addr, by, bell, query, .. } = job;
+    loop {
+        let reused = pool.reuse(addr);
+        let again = reused.is_some();
+        let mut wire = match reused.map_or_else(|| pool.open(addr, *by, bell), Ok) {
+            Ok(wire) => wire,
+            Err(outcome) => return (outcome, Reply::default()),
+        };
+        wire.listen_to(*by, bell);
+        // Connecting took its time: what held when this was decided may hold no more.
+        if !confirmed(owner, job) {
+            pool.keep(*addr, wire);
+            return (Outcome::Moot, Reply::default());
+        }
+        let patience = ((*by - pool.alarms.now()).0 / 1_000_000).max(1).to_string();
+        let (head, tail) = (&query.body[..query.patience.start], &query.body[query.patience.end..]);
+        let length = (4 + head.len() + patience.len() + tail.len()) as u32;
+        let parts: [&[u8]; 5] = [b"Q", &length.to_be_bytes(), head, patience.as_bytes(), tail];
+        match wire.write(&parts, *by, bell) {
+            Ok(()) => return answer(pool, wire, job),
+            // Closed by the store while it was idle here: nothing of this has run.
+            Err(Stop::Broken) if again => {}
+            Err(Stop::Broken) => return (Outcome::Unreachable, Reply::default()),
+            Err(Stop::Late | Stop::Rung) => return (Outcome::Moot, Reply::default()),
+        }
+    }
+}
+
+fn confirmed(owner: &Sender<News>, job: &CallOut) -> bool {
+    let (reply, answer) = channel();
+    let asked = owner.send(News::Confirm { rpc: job.rpc, call_out: job.number, store: job.store, reply });
+    asked.is_ok() && answer.recv().unwrap_or(false)
+}
+
+/// A connection whose answer was not read to its end is closed: late bytes would reach another RPC.
+fn answer(pool: &Pool, mut wire: Wire, job: &CallOut) -> (Outcome, Reply) {
+    let mut reply = Reply::default();
+    loop {
+        if let Some(outcome) = reply.read(&wire.buffer) {
+            if reply.ready {
+                pool.keep(job.addr, wire);
+            }
+            return (outcome, reply);
+        }
+        match wire.read(job.by, &job.bell) {
+            Ok(()) => {}
+            Err(Stop::Broken) => return (reply.ended(), reply),
+            Err(Stop::Late) => return (Outcome::TimedOut, reply),
+            Err(Stop::Rung) => return (Outcome::Withdrawn, reply),
+        }
+    }
+}
+
+/// Asks a store for its report. It shares the call-outs' connections.
+pub fn probe(pool: &Pool, owner: &Sender<News>, store: StoreIx, addr: SocketAddr, within: Span) {
+    let sent = pool.alarms.now();
+    let (by, bell) = (sent + within, Bell::default());
+    let (outcome, told) = sound(pool, addr, by, &bell);
+    let elapsed = pool.alarms.now() - sent;
+    let _ = owner.send(News::Probed { store, outcome, elapsed, report: told });
+}
+
+fn sound(pool: &Pool, addr: SocketAddr, by: Moment, bell: &Bell) -> (Outcome, Told) {
+    loop {
+        let reused = pool.reuse(&addr);
+        let again = reused.is_some();
+        let mut wire = match reused.map_or_else(|| pool.open(&addr, by, bell), Ok) {
+            Ok(wire) => wire,
+            Err(outcome) => return (outcome, Told::default()),
+        };
+        wire.listen_to(by, bell);
+        let mut query = Vec::new();
+        pg::query(&mut query, "SHOW health");
+        match wire.write(&[&query], by, bell) {
+            Ok(()) => {}
+            Err(Stop::Broken) if again => continue,
+            Err(_) => return (Outcome::Unreachable, Told::default()),
+        }
+        let mut reply = Reply::default();
+        loop {
+            if let Some(outcome) = reply.read(&wire.buffer) {
+                let text = reply.column().and_then(|column| std::str::from_utf8(column).ok());
+                let told = text.map(report).unwrap_or_default();
+                if reply.ready {
+                    pool.keep(addr, wire);
+                }
+                return (outcome, told);
+            }
+            match wire.read(by, bell) {
+                Ok(()) => {}
+                Err(Stop::Broken) => return (reply.ended(), Told::default()),
+                Err(_) => return (Outcome::TimedOut, Told::default()),
+            }
+        }
+    }
+}
+
+pub fn spawn(task: impl FnOnce() + Send + 'static) {
+    // SAFETY: no thread-local state is held across a switch, and stacks are sized by measurement.
+    unsafe { may::coroutine::spawn(task) };
+}
+
+/// What starts call-outs and probes.
+#[derive(Clone)]
+pub struct Outlet {
+    pub pool: Arc<Pool>,
+    pub owner: Sender<News>,
+    pub probe_within: Span,
+}
+
+impl Outlet {
+    pub fn alarms(&self) -> &Arc<Alarms> {
+        &self.pool.alarms
+    }
+
+    pub fn send(&self, job: CallOut) {
+        let Outlet { pool, owner, .. } = self.clone();
+        spawn(move || call_out(&pool, owner, job));
+    }
+
+    pub fn probe(&self, store: StoreIx, addr: SocketAddr) {
+        let Outlet { pool, owner, probe_within } = self.clone();
+        spawn(move || probe(&pool, &owner, store, addr, probe_within));
+    }
+}
--- /dev/null
+++ b/front/src/session.rs
@@ -0,0 +1,448 @@
+//! Client sessions: one coroutine each, which owns the socket, takes in what the client sends and writes the
+//! answers in the order of its queries. It goes on reading while RPCs are out, so a client that leaves is seen.
+
+use crate::admit;
+use crate::clock::Alarms;
+use crate::ledger::{Entry, Ledger};
+use crate::log;
+use crate::owner::News;
+use crate::pg::{self, Bad, Opening, Statement};
+use crate::shutdown::Leave;
+use gingerwick::iface::RpcId;
+use gingerwick::time::{Moment, Span};
+use may::io::WaitIo;
+use may::net::TcpStream;
+use may::sync::mpsc::Sender;
+use std::collections::VecDeque;
+use std::io::{ErrorKind, IoSlice, Read, Write};
+use std::net::Shutdown;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+/// Queries of one client answered side by side; what it sends beyond them stays unread.
+const MOST_PENDING: usize = 64;
+const START_WITHIN: Span = Span::millis(10_000);
+const WRITE_WITHIN: Span = Span::millis(10_000);
+const CLOSE_WITHIN: Span = Span::millis(1_000);
+
+/// What a client gets for an RPC.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// RowDescription, DataRow and CommandComplete as the store gave them.
+    Value(Vec<u8>),
+    PushBack(Option<Span>),
+    Abort,
+    Refused(&'static str, &'static str),
+}
+
+/// Where answers for a session are left; the only part of it that others hold.
+pub struct Mailbox {
+    answers: Mutex<Vec<(RpcId, Answer)>>,
+    close: AtomicBool,
+    waker: may::io::WaitIoWaker,
+}
+
+impl Mailbox {
+    fn post(&self, rpc: RpcId, answer: Answer) {
+        self.answers.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).push((rpc, answer));
+        self.waker.wakeup();
+    }
+
+    pub fn ask_to_close(&self) {
+        self.close.store(true, Ordering::Release);
+        self.waker.wakeup();
+    }
+}
+
+/// The duty to answer an RPC. Dropped unanswered, by a panic or a lost channel, it aborts.
+pub struct Ticket {
+    pub rpc: RpcId,
+    mailbox: Option<Arc<Mailbox>>,
+}
+
+impl Ticket {
+    pub fn answer(mut self, answer: Answer) {
+        if let Some(mailbox) = self.mailbox.take() {
+            mailbox.post(self.rpc, answer);
+        }
+    }
+
+    /// Its client is gone: nothing is owed.
+    pub fn void(mut self) {
+        self.mailbox = None;
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if let Some(mailbox) = self.mailbox.take() {
+            log!("RPC {} was dropped unanswered, aborted", self.rpc);
+            mailbox.post(self.rpc, Answer::Abort);
+        }
+    }
+}
+
+/// What all sessions share.
+pub struct Shared {
+    pub alarms: Arc<Alarms>,
+    pub ledger: Arc<Ledger>,
+    pub owner: Sender<News>,
+    pub terms: admit::Terms,
+    pub leave: Arc<Leave>,
+    pub rpcs: AtomicU64,
+    pub number: AtomicU64,
+}
+
+enum Slot {
+    Open(RpcId),
+    Ready(Vec<u8>),
+}
+
+#[derive(PartialEq, Eq)]
+enum Phase {
+    Opening,
+    Serving,
+    /// After an error in the extended protocol: all up to a Sync is passed over.
+    SkipToSync,
+    /// No more is read; what is pending is still answered.
+    Last,
+}
+
+struct Session {
+    shared: Arc<Shared>,
+    stream: TcpStream,
+    mailbox: Arc<Mailbox>,
+    inbox: Vec<u8>,
+    /// Answers in the order of the queries.
+    slots: VecDeque<Slot>,
+    outbox: VecDeque<Vec<u8>>,
+    /// How much of the first of the outbox has left.
+    left: usize,
+    phase: Phase,
+    served: bool,
+    idle: Option<u64>,
+}
+
+enum Heard {
+    Bytes,
+    Nothing,
+    Gone,
+}
+
+/// Runs a client's session from its first byte to its close.
+pub fn run(shared: Arc<Shared>, stream: TcpStream, entry: &Option<Entry>) {
+    let _ = stream.set_nodelay(true);
+    let (answers, close, waker) = (Mutex::new(Vec::new()), AtomicBool::new(false), stream.waker());
+    let mailbox = Arc::new(Mailbox { answers, close, waker });
+    let _member = shared.leave.join(&mailbox);
+    let mut session = Session {
+        shared,
+        stream,
+        mailbox,
+        inbox: Vec::new(),
+        slots: VecDeque::new(),
+        outbox: VecDeque::new(),
+        left: 0,
+        phase: Phase::Opening,
+        served: false,
+        idle: None,
+    };
+    if entry.is_none() {
+        session.last("53300", "no descriptor is free");
+    }
+    if session.serve() {
+        session.close_gently();
+    }
+}
+
+impl Drop for Session {
+    /// However the session ends, what it still waited for is told to the owner.
+    fn drop(&mut self) {
+        self.stir();
+        for slot in &self.slots {
+            if let Slot::Open(rpc) = slot {
+                let _ = self.shared.owner.send(News::Gone { rpc: *rpc });
+            }
+        }
+    }
+}
+
+impl Session {
+    /// True where the client should be let go gently, false where the connection is dead.
+    fn serve(&mut self) -> bool {
+        let began = self.shared.alarms.now();
+        let mut stalled: Option<Moment> = None;
+        self.wake_at(began + START_WITHIN);
+        loop {
+            self.take_in();
+            self.collect();
+            let Ok(blocked) = self.flush() else { return false };
+            let now = self.shared.alarms.now();
+            match stalled {
+                _ if !blocked => stalled = None,
+                None => {
+                    stalled = Some(now);
+                    self.wake_at(now + WRITE_WITHIN);
+                }
+                Some(since) if now >= since + WRITE_WITHIN => return false,
+                Some(_) => {}
+            }
+            if self.may_read() {
+                match self.read() {
+                    Heard::Bytes => {
+                        self.stir();
+                        continue;
+                    }
+                    Heard::Gone => return false,
+                    Heard::Nothing => {}
+                }
+            }
+            if self.slots.is_empty() && self.outbox.is_empty() {
+                if self.phase == Phase::Last || (self.inbox.is_empty() && self.should_close()) {
+                    return true;
+                }
+                if self.phase == Phase::Opening && now >= began + START_WITHIN {
+                    return false;
+                }
+                self.rest();
+            }
+            self.stream.wait_io();
+        }
+    }
+
+    /// What came in is worked off first; a client that sends without reading is not read.
+    fn may_read(&self) -> bool {
+        self.phase != Phase::Last && self.slots.len() < MOST_PENDING && self.outbox.len() < MOST_PENDING
+    }
+
+    fn should_close(&self) -> bool {
+        self.mailbox.close.load(Ordering::Acquire) || (self.served && self.shared.leave.begun())
+    }
+
+    fn wake_at(&self, at: Moment) {
+        let waker = self.stream.waker();
+        self.shared.alarms.at(at, move || waker.wakeup());
+    }
+
+    /// Nothing to do: buffers are given back, and the ledger may ask for the descriptor.
+    fn rest(&mut self) {
+        if self.idle.is_none() {
+            self.idle = Some(self.shared.ledger.idle(&self.mailbox));
+        }
+        if self.inbox.is_empty() {
+            self.inbox = Vec::new();
+        }
+        self.outbox = VecDeque::new();
+    }
+
+    fn stir(&mut self) {
+        if let Some(serial) = self.idle.take() {
+            self.shared.ledger.busy(serial);
+        }
+    }
+
+    fn read(&mut self) -> Heard {
+        let mut bytes = [0; 4096];
+        loop {
+            match self.stream.inner().read(&mut bytes) {
+                Ok(0) => return Heard::Gone,
+                Ok(n) => {
+                    self.inbox.extend_from_slice(&bytes[..n]);
+                    return Heard::Bytes;
+                }
+                Err(why) if why.kind() == ErrorKind::WouldBlock => return Heard::Nothing,
+                Err(why) if why.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return Heard::Gone,
+            }
+        }
+    }
+
+    /// Works off the whole messages of the inbox.
+    fn take_in(&mut self) {
+        let inbox = std::mem::take(&mut self.inbox);
+        let mut at = 0;
+        while self.phase != Phase::Last && self.slots.len() < MOST_PENDING {
+            let step = match self.phase {
+                Phase::Opening => self.open(&inbox[at..]),
+                _ => self.message(&inbox, at),
+            };
+            match step {
+                Ok(0) => break,
+                Ok(used) => at += used,
+                Err(Bad::TooLong) => self.last("54000", "message too long"),
+                Err(Bad::Malformed) => self.last("08P01", "malformed message"),
+            }
+        }
+        self.inbox = inbox;
+        self.inbox.drain(..at);
+    }
+
+    fn open(&mut self, bytes: &[u8]) -> Result<usize, Bad> {
+        let Some((opening, used)) = pg::opening(bytes)? else { return Ok(0) };
+        let mut out = Vec::new();
+        match opening {
+            Opening::Encrypt => out.push(b'N'),
+            Opening::Cancel => {
+                self.phase = Phase::Last;
+                return Ok(used);
+            }
+            Opening::OtherVersion => {
+                self.last("0A000", "only version 3 of the protocol is spoken");
+                return Ok(used);
+            }
+            Opening::Start { minor } => {
+                pg::greeting(&mut out, minor, self.shared.number.fetch_add(1, Ordering::Relaxed) as u32);
+                self.phase = Phase::Serving;
+            }
+        }
+        self.slots.push_back(Slot::Ready(out));
+        Ok(used)
+    }
+
+    /// One message of a session that has begun.
+    fn message(&mut self, inbox: &[u8], at: usize) -> Result<usize, Bad> {
+        let Some(frame) = pg::frame(inbox, at, pg::MOST_QUERY)? else { return Ok(0) };
+        let used = frame.body.end - at;
+        let skip = self.phase == Phase::SkipToSync;
+        match frame.tag {
+            b'X' => self.phase = Phase::Last,
+            b'S' => {
+                self.phase = Phase::Serving;
+                self.reply(|_| ());
+            }
+            b'Q' if !skip => self.query(&inbox[frame.body]),
+            b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'F' if !skip => {
+                let mut out = Vec::new();
+                pg::error(&mut out, "ERROR", "0A000", "only simple queries are taken", None);
+                if frame.tag == b'F' {
+                    pg::ready(&mut out);
+                } else {
+                    self.phase = Phase::SkipToSync;
+                }
+                self.slots.push_back(Slot::Ready(out));
+            }
+            b'Q' | b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'F' | b'd' | b'c' | b'f' => {}
+            _ => return Err(Bad::Malformed),
+        }
+        Ok(used)
+    }
+
+    fn query(&mut self, body: &[u8]) {
+        match pg::statement(body) {
+            Statement::Empty => self.reply(pg::empty),
+            Statement::Vain(word) => self.reply(|out| pg::complete(out, word)),
+            Statement::Refused(code, why) => self.reply(|out| pg::error(out, "ERROR", code, why, None)),
+            Statement::Kv(head) => {
+                let rpc = self.shared.rpcs.fetch_add(1, Ordering::Relaxed);
+                match admit::admit(&self.shared.terms, self.shared.alarms.now(), rpc, &head, body) {
+                    Err((code, why)) => self.reply(|out| pg::error(out, "ERROR", code, why, None)),
+                    Ok(admission) => {
+                        self.slots.push_back(Slot::Open(rpc));
+                        let ticket = Ticket { rpc, mailbox: Some(self.mailbox.clone()) };
+                        // Where the owner is no more, the ticket drops and aborts.
+                        let _ = self.shared.owner.send(News::Arrived(admission, ticket));
+                    }
+                }
+            }
+        }
+    }
+
+    fn reply(&mut self, write: impl FnOnce(&mut Vec<u8>)) {
+        let mut out = Vec::new();
+        write(&mut out);
+        pg::ready(&mut out);
+        self.slots.push_back(Slot::Ready(out));
+    }
+
+    /// A fatal error: what is pending is answered before it, and nothing is read after it.
+    fn last(&mut self, code: &str, why: &str) {
+        let mut out = Vec::new();
+        pg::error(&mut out, "FATAL", code, why, None);
+        self.slots.push_back(Slot::Ready(out));
+        self.phase = Phase::Last;
+    }
+
+    /// Puts answers that have come in their places and moves those whose turn it is to the outbox.
+    fn collect(&mut self) {
+        let came = std::mem::take(
+            &mut *self.mailbox.answers.lock().unwrap_or_else(|poisoned| poisoned.into_inner()),
+        );
+        for (rpc, answer) in came {
+            if let Some(slot) = self.slots.iter_mut().find(|slot| matches!(slot, Slot::Open(r) if *r == rpc))
+            {
+                *slot = Slot::Ready(encode(answer));
+                self.served = true;
+            }
+        }
+        while let Some(Slot::Ready(_)) = self.slots.front() {
+            if let Some(Slot::Ready(bytes)) = self.slots.pop_front() {
+                self.outbox.push_back(bytes);
+            }
+        }
+    }
+
+    /// Writes what it can in gathered writes; true where the client must read first.
+    fn flush(&mut self) -> std::io::Result<bool> {
+        while !self.outbox.is_empty() {
+            let rest = self.outbox.iter().take(16).enumerate();
+            let slices: Vec<IoSlice> = rest
+                .map(|(nth, part)| IoSlice::new(if nth == 0 { &part[self.left..] } else { part }))
+                .collect();
+            match self.stream.inner().write_vectored(&slices) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(n) => self.left += n,
+                Err(why) if why.kind() == ErrorKind::WouldBlock => return Ok(true),
+                Err(why) if why.kind() == ErrorKind::Interrupted => {}
+                Err(why) => return Err(why),
+            }
+            while let Some(first) = self.outbox.front().filter(|first| first.len() <= self.left) {
+                self.left -= first.len();
+                self.outbox.pop_front();
+            }
+        }
+        Ok(false)
+    }
+
+    /// Ends sending and reads to the client's end: a close with bytes unread would be a reset, which takes
+    /// with it an answer that the client has not read yet.
+    fn close_gently(&mut self) {
+        if self.stream.shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        let until = self.shared.alarms.now() + CLOSE_WITHIN;
+        self.wake_at(until);
+        let mut bytes = [0; 4096];
+        while self.shared.alarms.now() < until {
+            match self.stream.inner().read(&mut bytes) {
+                Ok(0) => return,
+                Ok(_) => {}
+                Err(why) if why.kind() == ErrorKind::WouldBlock => {
+                    self.stream.wait_io();
+                }
+                Err(why) if why.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return,
+            }
+        }
+    }
+}
+
+fn encode(answer: Answer) -> Vec<u8> {
+    let mut out = Vec::new();
+    match answer {
+        Answer::Value(value) => out = value,
+        Answer::PushBack(come_back) => {
+            let wait = come_back.map(|span| (span.0 / 1_000_000).max(0).to_string());
+            pg::error(
+                &mut out,
+                "ERROR",
+                "53300",
+                "pushed back: it did not run, or may run again",
+                wait.as_deref(),
+            );
+        }
+        Answer::Abort => pg::error(&mut out, "ERROR", "58000", "aborted: it may have run", None),
+        Answer::Refused(code, why) => pg::error(&mut out, "ERROR", code, why, None),
+    }
+    pg::ready(&mut out);
+    out
+}
--- /dev/null
+++ b/front/src/wire.rs
@@ -0,0 +1,130 @@
+//! A connection that the front opened: its one owner reads and writes it, each with an end in time.
+
+use crate::clock::{duration, Alarms};
+use crate::ledger::Entry;
+use gingerwick::time::Moment;
+use may::io::{WaitIo, WaitIoWaker};
+use may::net::TcpStream;
+use std::io::{ErrorKind, IoSlice, Read, Write};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+
+/// Why a read or a write did not come about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stop {
+    /// The other side closed or broke the connection.
+    Broken,
+    Late,
+    Rung,
+}
+
+/// By which the owner calls a call-out off: it never touches the call-out's socket itself.
+#[derive(Default)]
+pub struct Bell {
+    rung: AtomicBool,
+    waker: Mutex<Option<WaitIoWaker>>,
+}
+
+impl Bell {
+    pub fn ring(&self) {
+        self.rung.store(true, Ordering::Release);
+        if let Some(waker) = &*self.waker.lock().unwrap_or_else(|poisoned| poisoned.into_inner()) {
+            waker.wakeup();
+        }
+    }
+}
+
+pub struct Wire {
+    stream: TcpStream,
+    alarms: Arc<Alarms>,
+    pub buffer: Vec<u8>,
+    _entry: Entry,
+}
+
+impl Wire {
+    pub fn connect(
+        alarms: &Arc<Alarms>,
+        addr: &SocketAddr,
+        by: Moment,
+        entry: Entry,
+    ) -> std::io::Result<Wire> {
+        let left = by - alarms.now();
+        if left.0 <= 0 {
+            return Err(ErrorKind::TimedOut.into());
+        }
+        let stream = TcpStream::connect_timeout(addr, duration(left))?;
+        stream.set_nodelay(true)?;
+        Ok(Wire { stream, alarms: alarms.clone(), buffer: Vec::new(), _entry: entry })
+    }
+
+    /// Makes `by` and `bell` heard by the reads and writes that follow.
+    pub fn listen_to(&self, by: Moment, bell: &Bell) {
+        let waker = self.stream.waker();
+        self.alarms.at(by, move || waker.wakeup());
+        *bell.waker.lock().unwrap_or_else(|poisoned| poisoned.into_inner()) = Some(self.stream.waker());
+    }
+
+    fn stopped(&self, by: Moment, bell: &Bell) -> Option<Stop> {
+        if bell.rung.load(Ordering::Acquire) {
+            return Some(Stop::Rung);
+        }
+        (self.alarms.now() >= by).then_some(Stop::Late)
+    }
+
+    /// Appends to the buffer what comes next.
+    pub fn read(&mut self, by: Moment, bell: &Bell) -> Result<(), Stop> {
+        let mut bytes = [0; 4096];
+        loop {
+            match self.stream.inner().read(&mut bytes) {
+                Ok(0) => return Err(Stop::Broken),
+                Ok(n) => {
+                    self.buffer.extend_from_slice(&bytes[..n]);
+                    return Ok(());
+                }
+                Err(why) if why.kind() == ErrorKind::WouldBlock => match self.stopped(by, bell) {
+                    Some(stop) => return Err(stop),
+                    None => {
+                        self.stream.wait_io();
+                    }
+                },
+                Err(why) if why.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return Err(Stop::Broken),
+            }
+        }
+    }
+
+    /// Writes all parts. An error means that the last byte never left.
+    pub fn write(&mut self, parts: &[&[u8]], by: Moment, bell: &Bell) -> Result<(), Stop> {
+        let total: usize = parts.iter().map(|part| part.len()).sum();
+        let mut left = 0;
+        while left < total {
+            let mut skip = left;
+            let rest = parts.iter().map(|part| {
+                let cut = skip.min(part.len());
+                skip -= cut;
+                IoSlice::new(&part[cut..])
+            });
+            let slices: Vec<IoSlice> = rest.filter(|slice| !slice.is_empty()).collect();
+            match self.stream.inner().write_vectored(&slices) {
+                Ok(0) => return Err(Stop::Broken),
+                Ok(n) => left += n,
+                Err(why) if why.kind() == ErrorKind::WouldBlock => match self.stopped(by, bell) {
+                    Some(stop) => return Err(stop),
+                    None => {
+                        self.stream.wait_io();
+                    }
+                },
+                Err(why) if why.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return Err(Stop::Broken),
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether an idle connection is open still, with nothing unread on it.
+    pub fn is_quiet(&self) -> bool {
+        let heard = self.stream.inner().read(&mut [0]);
+        self.buffer.is_empty() && heard.is_err_and(|why| why.kind() == ErrorKind::WouldBlock)
+    }
+}
--- a/simhost/src/host.rs
+++ b/simhost/src/host.rs
@@ -2,11 +2,11 @@
 
 use crate::wire::{self, Availability, How, In, Out, Record, Status};
 use gingerwick::choice::Router;
-use gingerwick::iface::{
-    Action, Arrival, Effect, End, Entry, Event, Facts, Lagging, Method, Need, Outcome, Role, RpcId, Standing,
-    Told,
-};
+use gingerwick::iface::{Action, Arrival, End, Entry, Event, Outcome, Role, RpcId, Standing, Told};
 use gingerwick::time::{Moment, Span};
+use hosting::book::Book;
+use hosting::doors::Doors;
+use hosting::facts::{self, BootInfo};
 use std::collections::{BTreeMap, HashMap};
 use std::io::Write;
 
@@ -20,39 +20,15 @@
     replies: Vec<u8>,
 }
 
-/// Dense numbers for ids, in the order in which they were first seen.
-struct Doors<K> {
-    index: HashMap<K, usize>,
-}
-
-impl<K: std::hash::Hash + Eq> Doors<K> {
-    fn new() -> Self {
-        Doors { index: HashMap::new() }
-    }
-
-    fn enter(&mut self, id: K) -> usize {
-        let next = self.index.len();
-        *self.index.entry(id).or_insert(next)
-    }
-}
-
-/// An RPC stays known until it is answered and its last call-out has ended.
-struct Open {
-    id: String,
-    out: u32,
-    closed: bool,
-}
-
 struct Front {
     number: u32,
     router: Router,
     zero: Moment,
     report: Vec<String>,
     stores: Doors<String>,
-    store_ids: Vec<String>,
     groups: Doors<i64>,
     rpcs: HashMap<String, RpcId>,
-    open: HashMap<RpcId, Open>,
+    book: Book<String>,
     next_rpc: RpcId,
     actions: Vec<Action>,
 }
@@ -121,7 +97,7 @@
             In::Fired { front, nonce } => self.tell(front, Event::Timer { tag: nonce }),
             In::ProbeResult { front, store, status, wait_time_ns, pressure } => {
                 let Some(host) = self.fronts.get(&front) else { return Ok(false) };
-                let Some(&store) = host.stores.index.get(&*store) else { return Ok(false) };
+                let Some(store) = host.stores.find(&*store) else { return Ok(false) };
                 let report = host.report(pressure.as_deref());
                 let (outcome, elapsed) = (outcome(status), Span(wait_time_ns));
                 self.tell(front, Event::Probed { store, outcome, elapsed, report });
@@ -149,7 +125,7 @@
         let rpc = host.next_rpc;
         host.next_rpc += 1;
         host.rpcs.insert(new.request_id.to_string(), rpc);
-        host.open.insert(rpc, Open { id: new.request_id.into_owned(), out: 0, closed: false });
+        host.book.enter(rpc, new.request_id.into_owned());
         let last_write = (new.last_write_ms > 0.0).then_some(Span((new.last_write_ms * 1e6) as i64));
         let event = Event::Arrived(Arrival {
             rpc,
@@ -167,11 +143,7 @@
     fn end(&mut self, end: wire::AttemptEnd) {
         let Some(host) = self.fronts.get_mut(&end.front) else { return };
         let Some(&rpc) = host.rpcs.get(&*end.request_id) else { return };
-        let Some(&store) = host.stores.index.get(&*end.store) else { return };
-        if let Some(open) = host.open.get_mut(&rpc) {
-            open.out = open.out.saturating_sub(1);
-            open.closed |= end.done_flag;
-        }
+        let Some(store) = host.stores.find(&*end.store) else { return };
         let note = Told {
             position: (end.progress >= 4).then(|| host.zero + Span::millis(end.progress / 4)),
             role: match end.progress % 4 {
@@ -193,7 +165,8 @@
         });
         self.tell(end.front, event);
         if let Some(host) = self.fronts.get_mut(&end.front) {
-            host.forget(rpc);
+            let gone = host.book.returned(rpc, end.done_flag);
+            host.forget(gone);
         }
     }
 
@@ -215,8 +188,8 @@
 }
 
 impl Front {
-    fn start(number: u32, seed: u64, boot: &wire::BootInfo, now: Moment) -> Result<Front, String> {
-        let facts = facts(boot)?;
+    fn start(number: u32, seed: u64, boot: &BootInfo, now: Moment) -> Result<Front, String> {
+        let facts = facts::facts(boot).map_err(|why| format!("Start: {why}"))?;
         let mut actions = Vec::new();
         let router = Router::new(seed, &facts, now, &mut actions);
         Ok(Front {
@@ -224,11 +197,10 @@
             router,
             zero: Moment(boot.family_info.counted_from_ns),
             report: boot.report.names.clone(),
-            stores: Doors::new(),
-            store_ids: Vec::new(),
-            groups: Doors::new(),
+            stores: Doors::default(),
+            groups: Doors::default(),
             rpcs: HashMap::new(),
-            open: HashMap::new(),
+            book: Book::default(),
             next_rpc: 0,
             actions,
         })
@@ -237,12 +209,8 @@
     fn entries(&mut self, records: &[Record]) -> Vec<Entry> {
         let mut entries = Vec::with_capacity(records.len());
         for record in records {
-            let store = self.stores.enter(record.store.clone());
-            if store == self.store_ids.len() {
-                self.store_ids.push(record.store.clone());
-            }
             entries.push(Entry {
-                store,
+                store: self.stores.enter(record.store.clone()),
                 group: self.groups.enter(record.set),
                 zone: record.failure_domain,
                 standing: match record.availability {
@@ -273,28 +241,24 @@
     }
 
     fn close(&mut self, rpc: RpcId) {
-        if let Some(open) = self.open.get_mut(&rpc) {
-            open.closed = true;
-        }
-        self.forget(rpc);
+        let gone = self.book.close(rpc);
+        self.forget(gone);
     }
 
-    fn forget(&mut self, rpc: RpcId) {
-        if self.open.get(&rpc).is_some_and(|open| open.closed && open.out == 0) {
-            if let Some(open) = self.open.remove(&rpc) {
-                self.rpcs.remove(&open.id);
-            }
+    fn forget(&mut self, id: Option<String>) {
+        if let Some(id) = id {
+            self.rpcs.remove(&id);
         }
     }
 
     fn write(&mut self, action: &Action, replies: &mut Vec<u8>) {
         let front = self.number;
-        let id = |rpc: &RpcId| self.open.get(rpc).map(|open| open.id.as_str());
+        let id = |rpc: &RpcId| self.book.get(*rpc).map(String::as_str);
         let written = match action {
             Action::Send { rpc, store, time_out } => id(rpc).map(|request_id| Out::Forward {
                 front,
                 request_id,
-                store: &self.store_ids[*store],
+                store: self.stores.name(*store),
                 limit_ns: time_out.0,
             }),
             Action::PushBack { rpc, come_back } => id(rpc).map(|request_id| Out::Shed {
@@ -307,7 +271,7 @@
                 id(rpc).map(|request_id| Out::Withdraw { front, request_id, hop: *call_out })
             }
             Action::Remind { tag, at } => Some(Out::Remind { front, nonce: *tag, time_ns: at.0 }),
-            Action::Probe { store } => Some(Out::SoundOut { front, store: &self.store_ids[*store] }),
+            Action::Probe { store } => Some(Out::SoundOut { front, store: self.stores.name(*store) }),
             Action::Watch => Some(Out::Watch { front, enable: true }),
             Action::FetchList => Some(Out::ListAll { front }),
             Action::Remark(message) => Some(Out::Remark { front, message }),
@@ -317,9 +281,7 @@
         }
         match action {
             Action::Send { rpc, .. } => {
-                if let Some(open) = self.open.get_mut(rpc) {
-                    open.out += 1;
-                }
+                self.book.sent(*rpc);
             }
             Action::PushBack { rpc, .. } | Action::Abort { rpc } => self.close(*rpc),
             _ => {}
@@ -360,72 +322,3 @@
     let pair = |two: &[u8]| u8::from_str_radix(std::str::from_utf8(two).ok()?, 16).ok();
     digits.chunks(2).map(pair).collect()
 }
-
-fn facts(boot: &wire::BootInfo) -> Result<Facts, String> {
-    let family = &boot.family_info;
-    let wrong = |field: &str, word: &str| format!("Start: {field}: {word:?} is not known");
-    if boot.n_instances == 0 || boot.resolution_ns <= 0 {
-        return Err("Start: nInstances and resolutionNs must be above 0".into());
-    }
-    if family.class_read.len() != boot.classes.len() {
-        return Err("Start: familyInfo.classRead: not one entry a class".into());
-    }
-    let mut methods = Vec::with_capacity(boot.classes.len());
-    for (ix, class) in boot.classes.iter().enumerate() {
-        let bound = Span(family.lag_allowed_ns.get(ix).copied().unwrap_or(0));
-        if class.aim_ns <= 0 || class.deadline_ns < class.aim_ns {
-            return Err(format!("Start: classes[{ix}].aimNs: not between 0 and deadlineNs"));
-        }
-        methods.push(Method {
-            need: match family.class_read[ix].as_str() {
-                "update" => Need::Write,
-                "latest" => Need::Current,
-                "own_writes" => Need::Session,
-                "recent" => Need::Bounded(bound),
-                "loose" => Need::Any,
-                other => return Err(wrong("familyInfo.classRead", other)),
-            },
-            effect: match (class.effect.as_str(), class.key_scope.as_str()) {
-                ("read_like", _) => Effect::Idempotent,
-                ("idempotency_key", scope @ ("all" | "cell")) => {
-                    Effect::Tokened { everywhere: scope == "all", memory: Span(class.memory_span_ns) }
-                }
-                // A zone that drops repeats is no group of stores here: nobody is known to remember.
-                ("idempotency_key", _) => Effect::Tokened { everywhere: false, memory: Span::ZERO },
-                ("non_idempotent", _) => Effect::NonIdempotent,
-                (other, _) => return Err(wrong("classes[].effect", other)),
-            },
-            soft_deadline: Span(class.aim_ns),
-            deadline: Span(class.deadline_ns),
-            utility: class.gain,
-            late_share: class.late_value,
-        });
-    }
-    Ok(Facts {
-        methods,
-        instances: boot.n_instances,
-        zone: boot.zone,
-        tick: Span(boot.resolution_ns),
-        lagging: match family.guards.as_str() {
-            "off" => Lagging::AnswersAnyway,
-            "reject" => Lagging::Refuses,
-            "hold" => Lagging::Holds(Span(family.patience_ns)),
-            other => return Err(wrong("familyInfo.guards", other)),
-        },
-        marks_carried: family.session_marks == "client",
-        ask_within: match boot.membership_mode.as_str() {
-            "push" => None,
-            "ask" => Some(Span(boot.rules.ask_within_ns)),
-            other => return Err(wrong("membershipMode", other)),
-        },
-        max_call_outs: boot.allowed.max_attempts,
-        may_withdraw: boot.allowed.may_cancel,
-        may_probe: boot.allowed.probes,
-        max_come_back: boot.allowed.retry_after.then_some(Span(boot.allowed.max_retry_after_ns)),
-        cold_from: boot.rules.cold_from,
-        cold_for: Span(boot.rules.cold_ns),
-        fall_multiple: boot.rules.fall_multiple,
-        fall_window: Span(boot.rules.overload_for_ns),
-        gone_stays_open: boot.rules.dropped_stay_open,
-    })
-}
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -1,5 +1,6 @@
 //! The wire's messages, by its own names.
 
+use hosting::facts::BootInfo;
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 
@@ -154,89 +155,6 @@
     Deregistered,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct BootInfo {
-    pub n_instances: u32,
-    pub classes: Vec<Class>,
-    pub membership_mode: String,
-    pub family_info: FamilyInfo,
-    pub allowed: Allowed,
-    pub report: Report,
-    pub rules: Rules,
-    pub resolution_ns: i64,
-    #[serde(default)]
-    pub zone: usize,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Class {
-    pub aim_ns: i64,
-    pub deadline_ns: i64,
-    pub effect: String,
-    #[serde(default)]
-    pub key_scope: String,
-    #[serde(default)]
-    pub late_value: f64,
-    #[serde(default)]
-    pub memory_span_ns: i64,
-    #[serde(default)]
-    pub gain: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct FamilyInfo {
-    pub guards: String,
-    #[serde(default)]
-    pub lag_allowed_ns: Vec<i64>,
-    pub class_read: Vec<String>,
-    #[serde(default)]
-    pub session_marks: String,
-    #[serde(default)]
-    pub patience_ns: i64,
-    #[serde(default)]
-    pub counted_from_ns: i64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Allowed {
-    pub max_attempts: u32,
-    #[serde(default)]
-    pub may_cancel: bool,
-    #[serde(default)]
-    pub probes: bool,
-    #[serde(default)]
-    pub retry_after: bool,
-    #[serde(default)]
-    pub max_retry_after_ns: i64,
-}
-
-#[derive(Deserialize)]
-pub struct Report {
-    #[serde(default)]
-    pub names: Vec<String>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Rules {
-    #[serde(default)]
-    pub ask_within_ns: i64,
-    #[serde(default)]
-    pub cold_from: f64,
-    #[serde(default)]
-    pub cold_ns: i64,
-    #[serde(default)]
-    pub fall_multiple: f64,
-    #[serde(default)]
-    pub overload_for_ns: i64,
-    #[serde(default)]
-    pub dropped_stay_open: bool,
-}
-
 #[derive(Serialize)]
 #[allow(clippy::enum_variant_names)] // The wire's names.
 #[serde(rename_all_fields = "camelCase")]
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -191,10 +191,8 @@
         let bound = |m: &Method| if let Need::Bounded(bound) = m.need { Some(bound) } else { None };
         let tightest = facts.methods.iter().filter_map(bound).min();
         let mut order: Vec<MethodIx> = (0..facts.methods.len()).collect();
-        let of = |ix: MethodIx| &facts.methods[ix];
-        order.sort_by_key(|&ix| {
-            (of(ix).need != Need::Write, of(ix).need != Need::Current, of(ix).soft_deadline)
-        });
+        let rank = |m: &Method| (m.need != Need::Write, m.need != Need::Current, m.soft_deadline);
+        order.sort_by_key(|&ix| rank(&facts.methods[ix]));
         let margin = facts.tick * 2;
         let terms = |m: &Method| {
             let (repeat_for, harmless) = match m.effect {
@@ -237,17 +235,9 @@
         actions.push(Action::Remind { tag: PULSE, at: now + charter.pulse });
         let ask_at = charter.ask_again.map(|_| now);
         let usual = charter.methods.iter().map(|m| m.soft.secs() / 4.0).collect();
-        let mut router = Router {
-            charter,
-            rng: Mwc::new(seed),
-            now,
-            rpcs: BTreeMap::new(),
-            stores: Vec::new(),
-            groups: Vec::new(),
-            sessions: BTreeMap::new(),
-            usual,
-            ask_at,
-        };
+        let (rpcs, stores, groups, sessions) = Default::default();
+        let rng = Mwc::new(seed);
+        let mut router = Router { charter, rng, now, rpcs, stores, groups, sessions, usual, ask_at };
         router.ask(actions);
         router
     }
@@ -288,6 +278,18 @@
         }
     }
 
+    /// Asked right before a call-out's bytes leave, since connecting takes time: whether what it was sent for
+    /// still holds. Where stores check a read's bound themselves, it is theirs.
+    pub fn confirms(&mut self, now: Moment, id: RpcId, call_out: u32, ix: StoreIx) -> bool {
+        self.now = now;
+        let Some(rpc) = self.rpcs.get(&id) else { return false };
+        let ours = rpc.out.as_ref().is_some_and(|out| out.number == call_out);
+        let checked = self.charter.lagging != Lagging::AnswersAnyway;
+        let fresh = checked || self.stores[ix].position >= self.needed(rpc);
+        let reads = self.charter.methods[rpc.method].need != Need::Write;
+        ours && self.stores[ix].open && (self.groups[rpc.group].primary == Some(ix) || (reads && fresh))
+    }
+
     // What is believed of stores.
 
     fn ask(&mut self, actions: &mut Vec<Action>) {
@@ -298,11 +300,8 @@
     }
 
     fn list(&mut self, whole: bool, entries: Vec<Entry>) {
-        if whole {
-            for store in &mut self.stores {
-                store.open &= self.charter.gone_stays_open;
-            }
-        }
+        let stays = self.charter.gone_stays_open;
+        self.stores.iter_mut().filter(|_| whole).for_each(|store| store.open &= stays);
         // A standing watch needs no renewal; one that was lost unseen does.
         self.ask_at = self.charter.ask_again.map(|span| self.now + span * 4);
         for entry in entries {
@@ -316,11 +315,8 @@
                 (store.group, store.zone, store.room) =
                     (entry.group, entry.zone, (FIRST_ROOM * self.charter.our_share).min(FIRST_ROOM / 4.0));
             }
-            match entry.standing {
-                Standing::Open => store.open = true,
-                Standing::Draining => store.open = false,
-                Standing::Gone => store.open &= self.charter.gone_stays_open,
-            }
+            let kept = entry.standing == Standing::Gone && store.open && stays;
+            store.open = kept || entry.standing == Standing::Open;
             if entry.started > store.started {
                 // Each front's first call-out to a cold store comes at a time of its own.
                 let chance = self.rng.below(64) as f64 / 256.0;
@@ -506,6 +502,14 @@
         primary.filter(|&ix| self.has_room(ix, most) && (current || !busy(ix))).map(Input::Placed)
     }
 
+    /// The position that a read asks for now.
+    fn needed(&self, rpc: &Rpc) -> Option<Moment> {
+        match self.charter.methods[rpc.method].need {
+            Need::Bounded(bound) => Some(self.now - bound),
+            _ => rpc.mark,
+        }
+    }
+
     /// The replicas that will do for a read; none leaves it to the primary, `None` makes it wait.
     fn qualifying(&self, rpc: &Rpc, part: f64) -> Option<Vec<StoreIx>> {
         let (terms, group) = (&self.charter.methods[rpc.method], &self.groups[rpc.group]);
@@ -521,10 +525,7 @@
         }
         let alone = replicas.len() == 1 && rpc.refusals == 0;
         replicas.retain(|&ix| (alone || Some(ix) != rpc.shunned) && self.has_room(ix, part));
-        let needed = match terms.need {
-            Need::Bounded(bound) => Some(self.now - bound),
-            _ => rpc.mark,
-        };
+        let needed = self.needed(rpc);
         let near = |ix: &StoreIx, patience: Span| {
             let most = needed.map(|at| self.now - at + patience + self.charter.stale_after);
             position(ix).is_some_and(|at| most >= Some(self.stores[*ix].told - at))
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -291,3 +291,22 @@
     });
     bench.live.remove(&unknown);
 }
+
+#[test]
+fn a_call_out_is_confirmed_only_while_what_it_was_sent_for_holds() {
+    let mut bench = Bench::ready(Lagging::AnswersAnyway, 1, 1);
+    let read = bench.arrive(BOUNDED, 0, 1.0);
+    let (call_out, store, sent) = bench.live[&read].out.expect("three fresh stores");
+    let replica = [1, 2].into_iter().find(|&ix| ix != store).expect("three stores");
+    let router = &mut bench.router;
+    assert!(router.confirms(sent, read, call_out, store));
+    assert!(!router.confirms(sent, read, call_out + 1, store), "another call-out");
+    assert!(!router.confirms(sent, read + 1, call_out, store), "no such RPC");
+    assert!(router.confirms(sent + BOUND, read, call_out, replica));
+    assert!(!router.confirms(sent + BOUND + TICK, read, call_out, replica), "connecting outlasted the bound");
+    assert!(router.confirms(sent + BOUND + TICK, read, call_out, 0), "a primary stands at the present");
+    bench.list(0, Standing::Draining);
+    assert!(!bench.router.confirms(sent, read, call_out, 0), "drained meanwhile");
+    let write = bench.arrive(WRITE, 0, 1.0);
+    assert!(!bench.router.confirms(sent, write, 0, 0), "held, not out");
+}
