What was never sent is pushed back by half of its time; sessions stand on a pure intake

Tested and excluded: slow call-outs (90 us to the first at the median), lost answers, restarts of connections. At fault: seek in choice.rs held reads until a third of the soft deadline before their worth ended, past half of what their client waits. Now a timer of each RPC tests it at that half.

The intake of clients' bytes is a unit without sockets; the ledger weighs buffers, keeps a share of descriptors for clients that are turned away and at most half of the stores' for one store; a thread writes the log; a panic of a session, a probe or an alarm is contained; connections to a store that started anew, drains or is gone are dropped.

--- a/front/src/admit.rs
+++ b/front/src/admit.rs
@@ -1,7 +1,8 @@
 //! Admission: the head of a statement becomes an RPC of a known method with a time to be answered by.
 
+use crate::ledger::Weight;
 use crate::pg::Head;
-use gingerwick::iface::{Facts, MethodIx, Need, RpcId};
+use gingerwick::iface::{Facts, MethodIx, Need};
 use gingerwick::time::{Moment, Span};
 use std::collections::HashMap;
 use std::ops::Range;
@@ -19,45 +20,37 @@
 }
 
 /// A statement as it came, and where in it the digits of its patience stand.
-#[derive(Debug)]
 pub struct Query {
     pub body: Vec<u8>,
     pub patience: Range<usize>,
+    pub weight: Weight,
 }
 
 #[derive(Debug)]
 pub struct Admission {
-    pub rpc: RpcId,
     pub method: MethodIx,
     pub cluster: i64,
     pub session: Option<u64>,
     pub last_write: Option<Span>,
     pub deadline: Moment,
     pub repeat: bool,
-    pub query: Query,
+    pub patience: Range<usize>,
 }
 
 /// A day: no client waits as long, and no time beyond it is reckoned with.
 const LONGEST_MS: i64 = 86_400_000;
 
-pub fn admit(
-    terms: &Terms,
-    now: Moment,
-    rpc: RpcId,
-    head: &Head,
-    body: &[u8],
-) -> Result<Admission, (&'static str, &'static str)> {
+pub fn admit(terms: &Terms, now: Moment, head: &Head) -> Result<Admission, (&'static str, &'static str)> {
     let &(method, keyed) = terms.methods.get(head.class).ok_or(("42704", "c names no known class"))?;
     let after = head.after_ms.filter(|ms| (1..9_000_000_000_000).contains(ms));
     Ok(Admission {
-        rpc,
         method,
         cluster: head.cluster,
         session: head.key.filter(|_| keyed).map(session),
         last_write: after.map(|ms| now - Moment(ms * 1_000_000)),
         deadline: now + Span::millis(head.patience_ms.min(LONGEST_MS)),
         repeat: head.repeat,
-        query: Query { body: body.to_vec(), patience: head.patience.clone() },
+        patience: head.patience.clone(),
     })
 }
 
--- a/front/src/clock.rs
+++ b/front/src/clock.rs
@@ -2,6 +2,7 @@
 
 use gingerwick::time::{Moment, Span};
 use std::collections::BTreeMap;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::mpsc::{channel, RecvTimeoutError, Sender};
 use std::sync::Mutex;
 use std::thread;
@@ -66,7 +67,8 @@
                 }
                 let now = clock.now();
                 while let Some(first) = due.first_entry().filter(|first| first.key().0 <= now) {
-                    first.remove()();
+                    // All that waits waits for this thread: what one ring does must not end it.
+                    let _ = catch_unwind(AssertUnwindSafe(first.remove()));
                 }
             }
         });
--- a/front/src/discovery.rs
+++ b/front/src/discovery.rs
@@ -45,13 +45,16 @@
     Serving,
     Draining,
     Deleted,
+    /// A word that is not known: nothing new is sent there.
+    #[serde(other)]
+    Unknown,
 }
 
 impl Host {
     pub fn standing(&self) -> Standing {
         match self.health {
             Health::Serving => Standing::Open,
-            Health::Draining => Standing::Draining,
+            Health::Draining | Health::Unknown => Standing::Draining,
             Health::Deleted => Standing::Gone,
         }
     }
--- a/front/src/ledger.rs
+++ b/front/src/ledger.rs
@@ -1,29 +1,39 @@
-//! The ledger of descriptors: every socket is entered before it is opened and struck out when its entry drops.
+//! The ledger of descriptors and of the memory in buffers: every socket is entered before it is opened and
+//! struck out when its entry drops, every buffer is weighed.
 
 use crate::session::Mailbox;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Share {
     Clients,
+    /// Clients accepted only to be told that there is no room.
+    TurnedAway,
     Stores,
     Discovery,
 }
 
-/// The process's own: standard streams, the listener, the event loop's, the signal pipe, and room for a
-/// connection that is accepted only to be told that there is none.
-const SPARE: usize = 32;
+/// The process's own: standard streams, the listener, the event loop's, the signal pipe.
+const SPARE: usize = 24;
+const TURNED_AWAY: usize = 16;
 const DISCOVERY: usize = 4;
 
+#[derive(Default)]
 struct Entries {
-    taken: [usize; 3],
+    taken: [usize; 4],
+    /// Of the stores' share, by address.
+    by_store: HashMap<SocketAddr, usize>,
     idle: BTreeMap<u64, Arc<Mailbox>>,
     serial: u64,
 }
 
 pub struct Ledger {
-    most: [usize; 3],
+    most: [usize; 4],
+    most_held: usize,
+    held: AtomicUsize,
     entries: Mutex<Entries>,
 }
 
@@ -31,21 +41,58 @@
 pub struct Entry {
     ledger: Arc<Ledger>,
     share: Share,
+    store: Option<SocketAddr>,
+}
+
+impl Entry {
+    pub fn turns_away(&self) -> bool {
+        self.share == Share::TurnedAway
+    }
 }
 
 impl Drop for Entry {
     fn drop(&mut self) {
-        self.ledger.lock().taken[self.share as usize] -= 1;
+        let mut entries = self.ledger.lock();
+        entries.taken[self.share as usize] -= 1;
+        if let Some(addr) = self.store {
+            let left = entries.by_store.get(&addr).map_or(0, |taken| taken - 1);
+            if left == 0 {
+                entries.by_store.remove(&addr);
+            } else {
+                entries.by_store.insert(addr, left);
+            }
+        }
+    }
+}
+
+/// The memory of some buffers; its drop takes it off.
+pub struct Weight {
+    ledger: Arc<Ledger>,
+    bytes: usize,
+}
+
+impl Weight {
+    pub fn set(&mut self, bytes: usize) {
+        self.ledger.held.fetch_add(bytes, Ordering::Relaxed);
+        self.ledger.held.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.bytes = bytes;
+    }
+}
+
+impl Drop for Weight {
+    fn drop(&mut self) {
+        self.set(0);
     }
 }
 
 impl Ledger {
-    pub fn new(descriptors: usize) -> Arc<Ledger> {
-        let rest = descriptors.saturating_sub(SPARE + DISCOVERY).max(2);
-        // Each RPC out holds one of both kinds, but those held here and idle sessions hold a client's alone.
+    pub fn new(descriptors: usize, memory: usize) -> Arc<Ledger> {
+        let rest = descriptors.saturating_sub(SPARE + TURNED_AWAY + DISCOVERY).max(2);
+        // An RPC that is out holds one of both kinds; held ones and idle sessions hold a client's alone.
         let stores = (rest * 2 / 5).max(1);
-        let entries = Entries { taken: [0; 3], idle: BTreeMap::new(), serial: 0 };
-        Arc::new(Ledger { most: [rest - stores, stores, DISCOVERY], entries: Mutex::new(entries) })
+        let most = [rest - stores, TURNED_AWAY, stores, DISCOVERY];
+        // A third for clients' buffers and statements; stores' answers, stacks and all else share the rest.
+        Arc::new(Ledger { most, most_held: memory / 3, held: AtomicUsize::new(0), entries: Mutex::default() })
     }
 
     fn lock(&self) -> MutexGuard<'_, Entries> {
@@ -60,16 +107,40 @@
             return None;
         }
         *taken += 1;
-        Some(Entry { ledger: self.clone(), share })
+        Some(Entry { ledger: self.clone(), share, store: None })
+    }
+
+    /// One for a connection to a store. A single store, silent perhaps, gets half of the share at most.
+    pub fn enter_store(self: &Arc<Ledger>, addr: SocketAddr) -> Option<Entry> {
+        let most = self.most[Share::Stores as usize].div_ceil(2);
+        if self.lock().by_store.get(&addr).is_some_and(|taken| *taken >= most) {
+            return None;
+        }
+        let mut entry = self.enter(Share::Stores)?;
+        entry.store = Some(addr);
+        *self.lock().by_store.entry(addr).or_default() += 1;
+        Some(entry)
+    }
+
+    /// One for a client: idle ones go first where few are left, and beyond the last it is turned away.
+    pub fn enter_client(self: &Arc<Ledger>) -> Option<Entry> {
+        let most = self.most[Share::Clients as usize];
+        if self.taken(Share::Clients) + most / 16 >= most {
+            self.close_longest_idle();
+        }
+        self.enter(Share::Clients).or_else(|| self.enter(Share::TurnedAway))
     }
 
     pub fn taken(&self, share: Share) -> usize {
         self.lock().taken[share as usize]
     }
 
-    /// Few enough are left that the client longest idle had better go.
-    pub fn short_of_clients(&self) -> bool {
-        self.lock().taken[Share::Clients as usize] + self.most[0] / 16 >= self.most[0]
+    pub fn weight(self: &Arc<Ledger>) -> Weight {
+        Weight { ledger: self.clone(), bytes: 0 }
+    }
+
+    pub fn is_heavy(&self) -> bool {
+        self.held.load(Ordering::Relaxed) > self.most_held
     }
 
     /// A session has nothing to do; the number strikes it out again.
--- a/front/src/lib.rs
+++ b/front/src/lib.rs
@@ -1,6 +1,6 @@
 //! The front on sockets: it takes RPCs in, puts them before gingerwick's decisions, and does what they say.
 //!
-//! Stages, in the order in which an RPC passes them: [`session`] takes it in, [`admit`] admits it, [`owner`]
+//! Stages, in the order in which an RPC passes them: [`take_in`] takes it in, [`admit`] admits it, [`owner`]
 //! has it routed and keeps it in the book, [`send`] sends its call-outs, [`relay`] reads their answers.
 
 pub mod admit;
@@ -16,4 +16,5 @@
 pub mod session;
 pub mod shutdown;
 pub mod start;
+pub mod take_in;
 pub mod wire;
--- a/front/src/log.rs
+++ b/front/src/log.rs
@@ -1,10 +1,20 @@
-//! The log: lines on standard error, each place's held to a few a second.
+//! The log: lines on standard error, each place's held to a few a second. A thread writes them, so that a
+//! reader of the log who stalls never stalls the worker.
 
-use std::sync::Mutex;
+use std::sync::mpsc::{sync_channel, SyncSender};
+use std::sync::{Mutex, OnceLock};
+use std::thread;
 use std::time::{Duration, Instant};
 
 /// Lines a second from one place; more would cost the worker time when everything fails alike.
 const LINES: u32 = 5;
+/// Lines that wait for the writer; what comes on top is left out.
+const WAITING: usize = 256;
+
+enum Entry {
+    Line(String),
+    Flush(SyncSender<()>),
+}
 
 pub struct Limit(Mutex<Option<(Instant, u32)>>);
 
@@ -36,13 +46,41 @@
     }
 }
 
+fn writer() -> &'static SyncSender<Entry> {
+    static WRITER: OnceLock<SyncSender<Entry>> = OnceLock::new();
+    WRITER.get_or_init(|| {
+        let (lines, entries) = sync_channel(WAITING);
+        thread::spawn(move || {
+            for entry in entries {
+                match entry {
+                    Entry::Line(line) => eprintln!("gingerwick: {line}"),
+                    Entry::Flush(done) => drop(done),
+                }
+            }
+        });
+        lines
+    })
+}
+
+pub fn write(line: String) {
+    let _ = writer().try_send(Entry::Line(line));
+}
+
+/// Waits a moment for what was logged to be written, before the process ends.
+pub fn flush() {
+    let (done, written) = sync_channel(0);
+    if writer().try_send(Entry::Flush(done)).is_ok() {
+        let _ = written.recv_timeout(Duration::from_millis(100));
+    }
+}
+
 #[macro_export]
 macro_rules! log {
     ($($words:tt)*) => {{
         static LIMIT: $crate::log::Limit = $crate::log::Limit::new();
         match LIMIT.pass() {
-            Some(0) => eprintln!("gingerwick: {}", format_args!($($words)*)),
-            Some(more) => eprintln!("gingerwick: {} ({more} like this left out)", format_args!($($words)*)),
+            Some(0) => $crate::log::write(format!($($words)*)),
+            Some(more) => $crate::log::write(format!("{} ({more} like this left out)", format_args!($($words)*))),
             None => {}
         }
     }};
--- a/front/src/owner.rs
+++ b/front/src/owner.rs
@@ -9,7 +9,7 @@
 use crate::session::{Answer, Ticket};
 use crate::wire::Bell;
 use gingerwick::choice::Router;
-use gingerwick::iface::{Action, Arrival, End, Entry, Event, Facts, MethodIx, Outcome, RpcId, StoreIx, Told};
+use gingerwick::iface::{Action, Arrival, End, Entry, Event, Facts, Outcome, RpcId, Standing, StoreIx, Told};
 use gingerwick::time::{Moment, Span};
 use hosting::book::Book;
 use hosting::doors::Doors;
@@ -20,7 +20,7 @@
 use std::sync::Arc;
 
 pub enum News {
-    Arrived(Admission, Ticket),
+    Arrived(Admission, Query, Ticket),
     Gone {
         rpc: RpcId,
     },
@@ -72,6 +72,7 @@
     book: Book<Live>,
     stores: Doors<String>,
     dials: Vec<Option<SocketAddr>>,
+    started: Vec<Option<Moment>>,
     groups: Doors<i64>,
     timers: BTreeSet<(Moment, u64)>,
     /// The last resort of each RPC: past its own last moment, before its client's.
@@ -134,11 +135,11 @@
     fn take(&mut self, now: Moment, news: News) {
         let state = &mut self.state;
         match news {
-            News::Arrived(admission, ticket) => {
+            News::Arrived(admission, query, ticket) => {
                 if state.book.len() >= self.most_held {
                     return ticket.answer(Answer::PushBack(None));
                 }
-                state.arrive(now, admission, ticket, self.facts.tick);
+                state.arrive(now, admission, query, ticket, self.facts.tick);
             }
             News::Gone { rpc } => {
                 if let Some(ticket) = state.book.get_mut(rpc).and_then(|live| live.ticket.take()) {
@@ -162,7 +163,9 @@
                 for host in &hosts {
                     self.listed.insert(host.host.clone(), host.clone());
                 }
-                state.list(whole, hosts, &self.zones, now);
+                for addr in state.list(whole, hosts, &self.zones, now) {
+                    self.outlet.pool.forget(&addr);
+                }
                 let dials: BTreeSet<SocketAddr> = state.dials.iter().flatten().copied().collect();
                 self.outlet.pool.keep_only(&dials);
             }
@@ -232,6 +235,7 @@
             book: Book::default(),
             stores: Doors::default(),
             dials: Vec::new(),
+            started: Vec::new(),
             groups: Doors::default(),
             timers: BTreeSet::new(),
             resorts: BTreeSet::new(),
@@ -263,14 +267,14 @@
         }
     }
 
-    fn arrive(&mut self, now: Moment, new: Admission, ticket: Ticket, tick: Span) {
+    fn arrive(&mut self, now: Moment, new: Admission, query: Query, ticket: Ticket, tick: Span) {
         let Some(group) = self.groups.find(&new.cluster) else {
             return ticket.answer(Answer::Refused("42704", "cluster names no listed group"));
         };
-        let Admission { rpc, method, session, last_write, deadline, repeat, query, .. } = new;
+        let rpc = ticket.rpc;
+        let Admission { method, session, last_write, deadline, repeat, .. } = new;
         self.book.enter(rpc, Live { ticket: Some(ticket), query: Arc::new(query), out: None });
         self.resorts.insert((deadline - tick, rpc));
-        let method: MethodIx = method;
         let arrival = Arrival { rpc, method, group, session, last_write, deadline, repeat };
         self.tell(now, Event::Arrived(arrival));
     }
@@ -297,14 +301,20 @@
         self.book.close(rpc);
     }
 
-    fn list(&mut self, whole: bool, hosts: Vec<Host>, zones: &[String], now: Moment) {
-        let mut entries = Vec::with_capacity(hosts.len());
+    /// Tells the list; returns the addresses to which connections made before are of no more use.
+    fn list(&mut self, whole: bool, hosts: Vec<Host>, zones: &[String], now: Moment) -> Vec<SocketAddr> {
+        let (mut entries, mut stale) = (Vec::with_capacity(hosts.len()), Vec::new());
         for host in hosts {
             let store = self.stores.enter(host.host.clone());
             if self.dials.len() <= store {
                 self.dials.resize(store + 1, None);
+                self.started.resize(store + 1, None);
             }
             self.dials[store] = host.dial();
+            if host.standing() != Standing::Open || self.started[store] != host.started() {
+                stale.extend(host.dial());
+            }
+            self.started[store] = host.started();
             entries.push(Entry {
                 store,
                 group: self.groups.enter(host.block),
@@ -315,5 +325,6 @@
             });
         }
         self.tell(now, Event::List { whole, entries });
+        stale
     }
 }
--- a/front/src/pool.rs
+++ b/front/src/pool.rs
@@ -1,7 +1,8 @@
 //! Connections to stores: reused first, the one used last before the others, opened only where none is free.
 
 use crate::clock::Alarms;
-use crate::ledger::{Ledger, Share};
+use crate::ledger::Ledger;
+use crate::log;
 use crate::pg;
 use crate::wire::{Bell, Stop, Wire};
 use gingerwick::iface::Outcome;
@@ -48,13 +49,14 @@
     /// Opens a connection and brings its start-up through.
     pub fn open(&self, addr: &SocketAddr, by: Moment, bell: &Bell) -> Result<Wire, Outcome> {
         let dialled = self.alarms.now() + self.dial;
-        let entry = match self.ledger.enter(Share::Stores) {
-            Some(entry) => entry,
-            None => {
-                self.drop_oldest();
-                self.ledger.enter(Share::Stores).ok_or(Outcome::Moot)?
-            }
-        };
+        let entry = self.ledger.enter_store(*addr).or_else(|| {
+            self.drop_oldest();
+            self.ledger.enter_store(*addr)
+        });
+        let entry = entry.ok_or_else(|| {
+            log!("no connection to {addr}: the descriptors for stores are used up");
+            Outcome::Moot
+        })?;
         // What runs out of its own time is no word on the store.
         let late = if by < dialled { Outcome::Moot } else { Outcome::Unreachable };
         let until = by.min(dialled);
@@ -106,6 +108,12 @@
         });
     }
 
+    /// Drops all to an address: what listened there has started anew, drains or is gone.
+    pub fn forget(&self, addr: &SocketAddr) {
+        let idle = self.lock().remove(addr);
+        drop(idle);
+    }
+
     /// Drops all to addresses that are no store's now.
     pub fn keep_only(&self, addrs: &BTreeSet<SocketAddr>) {
         self.lock().retain(|addr, _| addrs.contains(addr));
--- a/front/src/send.rs
+++ b/front/src/send.rs
@@ -124,12 +124,28 @@
 }
 
 /// Asks a store for its report. It shares the call-outs' connections.
-pub fn probe(pool: &Pool, owner: &Sender<News>, store: StoreIx, addr: SocketAddr, within: Span) {
+pub fn probe(pool: &Pool, owner: Sender<News>, store: StoreIx, addr: SocketAddr, within: Span) {
+    let mut sounding =
+        Sounding { owner, store, told: Told::default(), outcome: Outcome::Broken, elapsed: within };
     let sent = pool.alarms.now();
-    let (by, bell) = (sent + within, Bell::default());
-    let (outcome, told) = sound(pool, addr, by, &bell);
-    let elapsed = pool.alarms.now() - sent;
-    let _ = owner.send(News::Probed { store, outcome, elapsed, report: told });
+    (sounding.outcome, sounding.told) = sound(pool, addr, sent + within, &Bell::default());
+    sounding.elapsed = pool.alarms.now() - sent;
+}
+
+/// Ends a probe exactly once: a store whose probe never ended would not be probed again.
+struct Sounding {
+    owner: Sender<News>,
+    store: StoreIx,
+    outcome: Outcome,
+    elapsed: Span,
+    told: Told,
+}
+
+impl Drop for Sounding {
+    fn drop(&mut self) {
+        let Sounding { store, outcome, elapsed, told: report, .. } = *self;
+        let _ = self.owner.send(News::Probed { store, outcome, elapsed, report });
+    }
 }
 
 fn sound(pool: &Pool, addr: SocketAddr, by: Moment, bell: &Bell) -> (Outcome, Told) {
@@ -192,6 +208,6 @@
 
     pub fn probe(&self, store: StoreIx, addr: SocketAddr) {
         let Outlet { pool, owner, probe_within } = self.clone();
-        spawn(move || probe(&pool, &owner, store, addr, probe_within));
+        spawn(move || probe(&pool, owner, store, addr, probe_within));
     }
 }
--- a/front/src/session.rs
+++ b/front/src/session.rs
@@ -1,13 +1,14 @@
 //! Client sessions: one coroutine each, which owns the socket, takes in what the client sends and writes the
 //! answers in the order of its queries. It goes on reading while RPCs are out, so a client that leaves is seen.
 
-use crate::admit;
+use crate::admit::{self, Query};
 use crate::clock::Alarms;
-use crate::ledger::{Entry, Ledger};
+use crate::ledger::{Entry, Ledger, Weight};
 use crate::log;
 use crate::owner::News;
-use crate::pg::{self, Bad, Opening, Statement};
+use crate::pg::{self, Statement};
 use crate::shutdown::Leave;
+use crate::take_in::{Item, TakeIn};
 use gingerwick::iface::RpcId;
 use gingerwick::time::{Moment, Span};
 use may::io::WaitIo;
@@ -16,6 +17,7 @@
 use std::collections::VecDeque;
 use std::io::{ErrorKind, IoSlice, Read, Write};
 use std::net::Shutdown;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
@@ -24,6 +26,8 @@
 const START_WITHIN: Span = Span::millis(10_000);
 const WRITE_WITHIN: Span = Span::millis(10_000);
 const CLOSE_WITHIN: Span = Span::millis(1_000);
+/// Buffers of a session that are too small to be let go for.
+const LIGHT: usize = 16 << 10;
 
 /// What a client gets for an RPC.
 #[derive(Debug, PartialEq, Eq)]
@@ -98,29 +102,21 @@
     Ready(Vec<u8>),
 }
 
-#[derive(PartialEq, Eq)]
-enum Phase {
-    Opening,
-    Serving,
-    /// After an error in the extended protocol: all up to a Sync is passed over.
-    SkipToSync,
-    /// No more is read; what is pending is still answered.
-    Last,
-}
-
 struct Session {
     shared: Arc<Shared>,
     stream: TcpStream,
     mailbox: Arc<Mailbox>,
-    inbox: Vec<u8>,
+    inbox: TakeIn,
     /// Answers in the order of the queries.
     slots: VecDeque<Slot>,
     outbox: VecDeque<Vec<u8>>,
     /// How much of the first of the outbox has left.
     left: usize,
-    phase: Phase,
+    /// Nothing more is taken in; what is pending is still answered.
+    last: bool,
     served: bool,
     idle: Option<u64>,
+    weight: Weight,
 }
 
 enum Heard {
@@ -130,27 +126,30 @@
 }
 
 /// Runs a client's session from its first byte to its close.
-pub fn run(shared: Arc<Shared>, stream: TcpStream, entry: &Option<Entry>) {
+pub fn run(shared: Arc<Shared>, stream: TcpStream, entry: &Entry) {
     let _ = stream.set_nodelay(true);
     let (answers, close, waker) = (Mutex::new(Vec::new()), AtomicBool::new(false), stream.waker());
     let mailbox = Arc::new(Mailbox { answers, close, waker });
     let _member = shared.leave.join(&mailbox);
+    let weight = shared.ledger.weight();
     let mut session = Session {
         shared,
         stream,
         mailbox,
-        inbox: Vec::new(),
+        inbox: TakeIn::default(),
         slots: VecDeque::new(),
         outbox: VecDeque::new(),
         left: 0,
-        phase: Phase::Opening,
+        last: false,
         served: false,
         idle: None,
+        weight,
     };
-    if entry.is_none() {
-        session.last("53300", "no descriptor is free");
+    if entry.turns_away() {
+        session.end("53300", "no descriptor is free");
     }
-    if session.serve() {
+    let served = catch_unwind(AssertUnwindSafe(|| session.serve()));
+    if served.unwrap_or_else(|_| session.after_panic()) {
         session.close_gently();
     }
 }
@@ -187,7 +186,15 @@
                 Some(since) if now >= since + WRITE_WITHIN => return false,
                 Some(_) => {}
             }
-            if self.may_read() {
+            if self.too_heavy() {
+                if blocked {
+                    log!("a client that does not read was let go: the memory for buffers is used up");
+                    return false;
+                }
+                self.end("53200", "the memory for buffers is used up");
+                continue;
+            }
+            if self.slots.len() < MOST_PENDING && self.outbox.len() < MOST_PENDING {
                 match self.read() {
                     Heard::Bytes => {
                         self.stir();
@@ -198,10 +205,10 @@
                 }
             }
             if self.slots.is_empty() && self.outbox.is_empty() {
-                if self.phase == Phase::Last || (self.inbox.is_empty() && self.should_close()) {
+                if self.last || (self.inbox.is_empty() && self.should_close()) {
                     return true;
                 }
-                if self.phase == Phase::Opening && now >= began + START_WITHIN {
+                if !self.inbox.has_begun() && now >= began + START_WITHIN {
                     return false;
                 }
                 self.rest();
@@ -210,11 +217,6 @@
         }
     }
 
-    /// What came in is worked off first; a client that sends without reading is not read.
-    fn may_read(&self) -> bool {
-        self.phase != Phase::Last && self.slots.len() < MOST_PENDING && self.outbox.len() < MOST_PENDING
-    }
-
     fn should_close(&self) -> bool {
         self.mailbox.close.load(Ordering::Acquire) || (self.served && self.shared.leave.begun())
     }
@@ -224,15 +226,23 @@
         self.shared.alarms.at(at, move || waker.wakeup());
     }
 
+    /// Weighs its buffers; true where all sessions' are too much and this one's are no small part of it.
+    fn too_heavy(&mut self) -> bool {
+        let ready = self.slots.iter().map(|slot| if let Slot::Ready(bytes) = slot { bytes.len() } else { 0 });
+        let out: usize = self.outbox.iter().map(Vec::len).sum();
+        let weight = self.inbox.weight() + ready.sum::<usize>() + out;
+        self.weight.set(weight);
+        weight > LIGHT && !self.last && self.shared.ledger.is_heavy()
+    }
+
     /// Nothing to do: buffers are given back, and the ledger may ask for the descriptor.
     fn rest(&mut self) {
         if self.idle.is_none() {
             self.idle = Some(self.shared.ledger.idle(&self.mailbox));
         }
-        if self.inbox.is_empty() {
-            self.inbox = Vec::new();
-        }
+        self.inbox.rest();
         self.outbox = VecDeque::new();
+        self.weight.set(self.inbox.weight());
     }
 
     fn stir(&mut self) {
@@ -247,7 +257,7 @@
             match self.stream.inner().read(&mut bytes) {
                 Ok(0) => return Heard::Gone,
                 Ok(n) => {
-                    self.inbox.extend_from_slice(&bytes[..n]);
+                    self.inbox.feed(&bytes[..n]);
                     return Heard::Bytes;
                 }
                 Err(why) if why.kind() == ErrorKind::WouldBlock => return Heard::Nothing,
@@ -259,107 +269,83 @@
 
     /// Works off the whole messages of the inbox.
     fn take_in(&mut self) {
-        let inbox = std::mem::take(&mut self.inbox);
-        let mut at = 0;
-        while self.phase != Phase::Last && self.slots.len() < MOST_PENDING {
-            let step = match self.phase {
-                Phase::Opening => self.open(&inbox[at..]),
-                _ => self.message(&inbox, at),
-            };
-            match step {
-                Ok(0) => break,
-                Ok(used) => at += used,
-                Err(Bad::TooLong) => self.last("54000", "message too long"),
-                Err(Bad::Malformed) => self.last("08P01", "malformed message"),
-            }
-        }
-        self.inbox = inbox;
-        self.inbox.drain(..at);
-    }
-
-    fn open(&mut self, bytes: &[u8]) -> Result<usize, Bad> {
-        let Some((opening, used)) = pg::opening(bytes)? else { return Ok(0) };
-        let mut out = Vec::new();
-        match opening {
-            Opening::Encrypt => out.push(b'N'),
-            Opening::Cancel => {
-                self.phase = Phase::Last;
-                return Ok(used);
-            }
-            Opening::OtherVersion => {
-                self.last("0A000", "only version 3 of the protocol is spoken");
-                return Ok(used);
-            }
-            Opening::Start { minor } => {
-                pg::greeting(&mut out, minor, self.shared.number.fetch_add(1, Ordering::Relaxed) as u32);
-                self.phase = Phase::Serving;
-            }
-        }
-        self.slots.push_back(Slot::Ready(out));
-        Ok(used)
-    }
-
-    /// One message of a session that has begun.
-    fn message(&mut self, inbox: &[u8], at: usize) -> Result<usize, Bad> {
-        let Some(frame) = pg::frame(inbox, at, pg::MOST_QUERY)? else { return Ok(0) };
-        let used = frame.body.end - at;
-        let skip = self.phase == Phase::SkipToSync;
-        match frame.tag {
-            b'X' => self.phase = Phase::Last,
-            b'S' => {
-                self.phase = Phase::Serving;
-                self.reply(|_| ());
-            }
-            b'Q' if !skip => self.query(&inbox[frame.body]),
-            b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'F' if !skip => {
-                let mut out = Vec::new();
-                pg::error(&mut out, "ERROR", "0A000", "only simple queries are taken", None);
-                if frame.tag == b'F' {
-                    pg::ready(&mut out);
-                } else {
-                    self.phase = Phase::SkipToSync;
+        while !self.last && self.slots.len() < MOST_PENDING {
+            match self.inbox.next_item() {
+                None => return,
+                Some(Item::Encrypt) => self.slots.push_back(Slot::Ready(vec![b'N'])),
+                Some(Item::Greet { minor }) => {
+                    let number = self.shared.number.fetch_add(1, Ordering::Relaxed) as u32;
+                    self.say(|out| pg::greeting(out, minor, number));
                 }
-                self.slots.push_back(Slot::Ready(out));
+                Some(Item::Query(body)) => self.query(body),
+                Some(Item::Sync) => self.say(pg::ready),
+                Some(Item::Unsupported { alone }) => self.say(|out| {
+                    pg::error(out, "ERROR", "0A000", "only simple queries are taken", None);
+                    if alone {
+                        pg::ready(out);
+                    }
+                }),
+                Some(Item::Cancel | Item::Terminate) => self.last = true,
+                Some(Item::Unfit { code, why }) => self.end(code, why),
             }
-            b'Q' | b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'F' | b'd' | b'c' | b'f' => {}
-            _ => return Err(Bad::Malformed),
         }
-        Ok(used)
     }
 
-    fn query(&mut self, body: &[u8]) {
-        match pg::statement(body) {
-            Statement::Empty => self.reply(pg::empty),
-            Statement::Vain(word) => self.reply(|out| pg::complete(out, word)),
-            Statement::Refused(code, why) => self.reply(|out| pg::error(out, "ERROR", code, why, None)),
-            Statement::Kv(head) => {
-                let rpc = self.shared.rpcs.fetch_add(1, Ordering::Relaxed);
-                match admit::admit(&self.shared.terms, self.shared.alarms.now(), rpc, &head, body) {
-                    Err((code, why)) => self.reply(|out| pg::error(out, "ERROR", code, why, None)),
-                    Ok(admission) => {
-                        self.slots.push_back(Slot::Open(rpc));
-                        let ticket = Ticket { rpc, mailbox: Some(self.mailbox.clone()) };
-                        // Where the owner is no more, the ticket drops and aborts.
-                        let _ = self.shared.owner.send(News::Arrived(admission, ticket));
-                    }
-                }
-            }
+    fn query(&mut self, body: Vec<u8>) {
+        let terms = &self.shared.terms;
+        let head = match pg::statement(&body) {
+            Statement::Empty => return self.reply(pg::empty),
+            Statement::Vain(word) => return self.reply(|out| pg::complete(out, word)),
+            Statement::Refused(code, why) => Err((code, why)),
+            Statement::Kv(head) => admit::admit(terms, self.shared.alarms.now(), &head),
+        };
+        let admission = match head {
+            Ok(admission) => admission,
+            Err((code, why)) => return self.reply(|out| pg::error(out, "ERROR", code, why, None)),
+        };
+        if self.shared.ledger.is_heavy() {
+            return self.slots.push_back(Slot::Ready(encode(Answer::PushBack(None))));
         }
+        let rpc = self.shared.rpcs.fetch_add(1, Ordering::Relaxed);
+        self.slots.push_back(Slot::Open(rpc));
+        let mut weight = self.shared.ledger.weight();
+        weight.set(body.len());
+        let query = Query { body, patience: admission.patience.clone(), weight };
+        let ticket = Ticket { rpc, mailbox: Some(self.mailbox.clone()) };
+        // Where the owner is no more, the ticket drops and aborts.
+        let _ = self.shared.owner.send(News::Arrived(admission, query, ticket));
     }
 
-    fn reply(&mut self, write: impl FnOnce(&mut Vec<u8>)) {
+    fn say(&mut self, write: impl FnOnce(&mut Vec<u8>)) {
         let mut out = Vec::new();
         write(&mut out);
-        pg::ready(&mut out);
         self.slots.push_back(Slot::Ready(out));
     }
 
-    /// A fatal error: what is pending is answered before it, and nothing is read after it.
-    fn last(&mut self, code: &str, why: &str) {
-        let mut out = Vec::new();
-        pg::error(&mut out, "FATAL", code, why, None);
-        self.slots.push_back(Slot::Ready(out));
-        self.phase = Phase::Last;
+    fn reply(&mut self, write: impl FnOnce(&mut Vec<u8>)) {
+        self.say(|out| {
+            write(out);
+            pg::ready(out);
+        });
+    }
+
+    /// A fatal error: what is pending is answered before it, and nothing is taken in after it.
+    fn end(&mut self, code: &str, why: &str) {
+        self.say(|out| pg::error(out, "FATAL", code, why, None));
+        self.last = true;
+    }
+
+    /// A fault of ours: all that is pending aborts, as far as the client still takes it.
+    fn after_panic(&mut self) -> bool {
+        for slot in &mut self.slots {
+            if let Slot::Open(rpc) = slot {
+                let _ = self.shared.owner.send(News::Gone { rpc: *rpc });
+                *slot = Slot::Ready(encode(Answer::Abort));
+            }
+        }
+        self.end("XX000", "internal fault");
+        self.collect();
+        matches!(self.flush(), Ok(false))
     }
 
     /// Puts answers that have come in their places and moves those whose turn it is to the outbox.
--- a/front/src/shutdown.rs
+++ b/front/src/shutdown.rs
@@ -79,6 +79,7 @@
     fn end_if_empty(&self, members: &Members) {
         if members.closed && members.sessions.is_empty() {
             log!("left, nothing open");
+            log::flush();
             std::process::exit(0);
         }
     }
--- a/front/src/start.rs
+++ b/front/src/start.rs
@@ -3,7 +3,7 @@
 use crate::admit::Terms;
 use crate::clock::{duration, Alarms, Clock};
 use crate::discovery::{Hosts, Watch};
-use crate::ledger::{Ledger, Share};
+use crate::ledger::Ledger;
 use crate::log;
 use crate::owner::{News, Owner};
 use crate::pool::Pool;
@@ -42,11 +42,12 @@
 #[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: usize,
 }
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { sockets: 1024 }
+        Limits { sockets: 1024, memory_mb: 192 }
     }
 }
 
@@ -86,7 +87,7 @@
     may::config().set_workers(1).set_pool_capacity(64).set_stack_size(STACK).set_worker_pin(false);
     std::panic::set_hook(Box::new(|panic| log!("{panic}")));
     let alarms = Arc::new(Alarms::start(clock));
-    let ledger = Ledger::new(launch.limits.sockets);
+    let ledger = Ledger::new(launch.limits.sockets, launch.limits.memory_mb << 20);
     let (owner, news) = channel();
     let dial = Span(settings.allowed.dial_timeout_ns);
     let closed_after = Span(settings.allowed.conn_idle_ns);
@@ -152,14 +153,12 @@
     while !closing.load(Ordering::Acquire) {
         match listener.accept() {
             Ok((stream, _)) => {
-                if shared.ledger.short_of_clients() {
-                    shared.ledger.close_longest_idle();
-                }
-                let entry = shared.ledger.enter(Share::Clients);
+                let Some(entry) = shared.ledger.enter_client() else {
+                    log!("a client was dropped unheard: no descriptor is left even to turn it away");
+                    continue;
+                };
                 let shared = shared.clone();
-                spawn(move || {
-                    session::run(shared, stream, &entry);
-                });
+                spawn(move || session::run(shared, stream, &entry));
             }
             Err(why) => {
                 log!("a connection was not accepted: {why}");
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -260,7 +260,8 @@
                 self.retry_held(group, actions);
             }
             Event::Timer { tag: PULSE } => self.beat(actions),
-            Event::Timer { tag } => self.drive(tag - 1, Input::Overdue, actions),
+            Event::Timer { tag } if tag % 2 == 1 => self.drive(tag / 2, Input::News, actions),
+            Event::Timer { tag } => self.drive(tag / 2 - 1, Input::Overdue, actions),
             Event::Probed { store, outcome, report, .. } => {
                 let group = self.learn(store, report, false);
                 if let Some(s) = self.stores.get_mut(store) {
@@ -319,9 +320,8 @@
             store.open = kept || entry.standing == Standing::Open;
             if entry.started > store.started {
                 // Each front's first call-out to a cold store comes at a time of its own.
-                let chance = self.rng.below(64) as f64 / 256.0;
-                (store.started, store.sent, store.owing) =
-                    (entry.started, self.now, chance * self.charter.pressing.secs());
+                let owing = self.rng.below(64) as f64 / 256.0 * self.charter.pressing.secs();
+                (store.started, store.sent, store.owing) = (entry.started, self.now, owing);
             }
             // The list's word on roles is weakest: it counts only until the store itself has spoken.
             if entry.primary && store.answered == Moment::DAWN && store.claims.is_none() {
@@ -332,9 +332,8 @@
     }
 
     fn know_group(&mut self, ix: GroupIx) {
-        let held = vec![BTreeSet::new(); self.charter.methods.len()];
-        self.groups
-            .resize_with(self.groups.len().max(ix + 1), || Group { held: held.clone(), ..Group::default() });
+        let (held, most) = (vec![BTreeSet::new(); self.charter.methods.len()], self.groups.len().max(ix + 1));
+        self.groups.resize_with(most, || Group { held: held.clone(), ..Group::default() });
     }
 
     /// Takes a claim for what it is worth. A position proves freshness however late it comes; a role counts
@@ -443,7 +442,8 @@
         let rpc =
             Rpc { method, group, arrived, worth_by, answer_by, mark, session, repeat, ..Rpc::default() };
         self.rpcs.insert(id, rpc);
-        actions.push(Action::Remind { tag: id + 1, at: answer_by });
+        let moments = [(id * 2 + 1, arrived + (answer_by - arrived) / 2), (id * 2 + 2, answer_by)];
+        actions.extend(moments.map(|(tag, at)| Action::Remind { tag, at }));
         self.drive(id, Input::News, actions);
         let Group { credit, members, .. } = &mut self.groups[group];
         *credit = (*credit + f64::from(u8::from(!new.repeat))).min(members.len() as f64);
@@ -480,7 +480,10 @@
         // Never more than a third: a method that is not sent at all would stay slow in our books for ever.
         let fair = Span((self.usual[rpc.method] * 2e9) as i64).min(terms.soft / 3);
         let barred = rpc.ran_from.is_some_and(|ran| self.now >= ran + terms.repeat_for);
-        if barred || self.now + fair >= rpc.worth_by || rpc.call_outs >= self.charter.max_call_outs {
+        // A client that has waited half of its time for nothing had better ask elsewhere.
+        let half = rpc.arrived + (rpc.answer_by - rpc.arrived) / 2;
+        let in_vain = self.now + fair >= rpc.worth_by || (rpc.call_outs == 0 && self.now >= half);
+        if barred || in_vain || rpc.call_outs >= self.charter.max_call_outs {
             return Some(Input::Hopeless);
         }
         let primary = self.groups[rpc.group].primary.filter(|&ix| self.usable(ix, rpc.method));
@@ -609,10 +612,8 @@
             }
             // Slow is not silent: only a store that has answered nothing since this was sent has failed.
             Outcome::TimedOut if store.answered >= sent => {}
-            Outcome::TimedOut | Outcome::Errored | Outcome::Full | Outcome::Unreachable | Outcome::Broken => {
-                self.fail(ix)
-            }
-            _ => {}
+            Outcome::Withdrawn | Outcome::Moot => {}
+            _ => self.fail(ix),
         }
         // Where rooms are under one, each store answers too seldom: what one replica shows must do for all.
         let Group { members, primary, .. } = &self.groups[self.stores[ix].group];
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -310,3 +310,21 @@
     let write = bench.arrive(WRITE, 0, 1.0);
     assert!(!bench.router.confirms(sent, write, 0, 0), "held, not out");
 }
+
+#[test]
+fn what_was_never_sent_is_given_up_by_half_of_its_time_and_what_was_sent_is_not() {
+    let mut bench = Bench::ready(Lagging::AnswersAnyway, 1, 1);
+    let sent = bench.arrive(WRITE, 0, 1.0);
+    for store in 0..3 {
+        bench.list(store, Standing::Draining);
+    }
+    let held = [bench.arrive(WRITE, 0, 1.0), bench.arrive(WRITE, 0, 0.5), bench.arrive(BOUNDED, 0, 0.4)];
+    let start = bench.now;
+    for (rpc, half) in held.into_iter().zip([1500, 750, 300]).rev() {
+        bench.pass(start + Span::millis(half) - TICK * 3 - bench.now);
+        assert!(bench.live.contains_key(&rpc), "{rpc} has time left to wait");
+        bench.pass(TICK * 2);
+        assert_eq!(bench.answers.get(&rpc).copied(), Some("pushed back"), "{rpc}, never sent");
+    }
+    assert!(bench.live.contains_key(&sent), "its call-out may still be answered");
+}
