--- /dev/null
+++ b/front/tests/loopback.rs
@@ -0,0 +1,447 @@
+//! The whole path over loopback: the daemon between a client, stand-ins for two stores and one for discovery.
+
+use front::pg;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Far longer than anything here takes: reached only where something hangs.
+const LIMIT: Duration = Duration::from_secs(10);
+
+fn message(out: &mut Vec<u8>, tag: u8, body: &[u8]) {
+    out.push(tag);
+    out.extend((body.len() as u32 + 4).to_be_bytes());
+    out.extend(body);
+}
+
+/// The next message on a stream; none where it ended.
+fn next(stream: &mut TcpStream) -> Option<(u8, Vec<u8>)> {
+    let mut head = [0; 5];
+    stream.read_exact(&mut head).ok()?;
+    let mut body = vec![0; u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize - 4];
+    stream.read_exact(&mut body).ok()?;
+    Some((head[0], body))
+}
+
+/// A store that does what the key of a statement says.
+#[derive(Clone)]
+struct Store {
+    addr: SocketAddr,
+    primary: bool,
+    seen: Arc<Mutex<Vec<String>>>,
+    /// Where set, a start-up is answered only after a message from the test.
+    gate: Arc<Mutex<Option<Receiver<()>>>>,
+    knocked: Sender<()>,
+    closes: Arc<AtomicBool>,
+}
+
+impl Store {
+    fn start(primary: bool) -> (Store, Receiver<()>) {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let (knocked, knocks) = channel();
+        let addr = listener.local_addr().expect("its address");
+        let (seen, gate, closes) = Default::default();
+        let store = Store { addr, primary, seen, gate, knocked, closes };
+        let serving = store.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let store = serving.clone();
+                thread::spawn(move || store.serve(stream));
+            }
+        });
+        (store, knocks)
+    }
+
+    fn serve(&self, mut stream: TcpStream) -> Option<()> {
+        let mut length = [0; 4];
+        stream.read_exact(&mut length).ok()?;
+        stream.read_exact(&mut vec![0; u32::from_be_bytes(length) as usize - 4]).ok()?;
+        let gate = self.gate.lock().expect("no panic").take();
+        if let Some(gate) = gate {
+            self.knocked.send(()).ok()?;
+            gate.recv().ok()?;
+        }
+        let mut out = Vec::new();
+        message(&mut out, b'R', &[0; 4]);
+        message(&mut out, b'Z', b"I");
+        stream.write_all(&out).ok()?;
+        while let Some((b'Q', body)) = next(&mut stream) {
+            let text = String::from_utf8(body).expect("text").trim_end_matches('\0').to_string();
+            let unix = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
+            let value = if text == "SHOW health" {
+                let role = u8::from(self.primary);
+                format!("x0={:.3},x1={role},load_share=0.1", unix.as_secs_f64()).into_bytes()
+            } else {
+                self.seen.lock().expect("no panic").push(text.clone());
+                vec![0, 255, b'\n', 7]
+            };
+            let key = text.split('\'').nth(1).unwrap_or_default().to_string();
+            let mut out = Vec::new();
+            match key.as_str() {
+                "silent" => continue,
+                "reset" => return None,
+                "full" => pg::error(&mut out, "ERROR", "53300", "full", None),
+                "error" => pg::error(&mut out, "ERROR", "XX000", "broken", None),
+                _ => {
+                    if key == "slow" {
+                        self.knocked.send(()).ok()?;
+                        thread::sleep(Duration::from_millis(700));
+                    }
+                    let row = [&[0, 1], &(value.len() as u32).to_be_bytes()[..], &value].concat();
+                    message(
+                        &mut out,
+                        b'T',
+                        b"\0\x01content\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01",
+                    );
+                    message(&mut out, b'D', &row);
+                    message(&mut out, b'C', b"SELECT 1\0");
+                }
+            }
+            message(&mut out, b'S', if self.primary { b"recovery\0off\0" } else { b"recovery\0on\0" });
+            message(&mut out, b'Z', b"I");
+            stream.write_all(&out).ok()?;
+            if self.closes.load(Ordering::Acquire) && text == "SHOW health" {
+                return None;
+            }
+        }
+        Some(())
+    }
+}
+
+/// Discovery: one watch, whose lines are what the test sends.
+fn discovery() -> (SocketAddr, Sender<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("its address");
+    let (lines, told) = channel::<String>();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let _ = stream.read(&mut [0; 1024]);
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            loop {
+                let line = match told.recv_timeout(Duration::from_secs(1)) {
+                    Ok(line) => line + "\n",
+                    Err(_) => "\n".to_string(),
+                };
+                if stream.write_all(format!("{:x}\r\n{line}\r\n", line.len()).as_bytes()).is_err() {
+                    break;
+                }
+            }
+        }
+    });
+    (addr, lines)
+}
+
+const SETTINGS: &str = r#"{"nInstances":2,"zone":0,"azs":["a"],"resolutionNs":5000000,"membershipMode":"push",
+    "classes":[{"name":"read","aimNs":600000000,"deadlineNs":1500000000,"effect":"read_like"},
+        {"name":"order","aimNs":500000000,"deadlineNs":3000000000,"effect":"non_idempotent","lateValue":0.5}],
+    "familyInfo":{"classRead":["recent","update"],"guards":"off","lagAllowedNs":[800000000,0],"sessionMarks":"client"},
+    "allowed":{"maxAttempts":6,"mayCancel":true,"probes":true,"retryAfter":true,"maxRetryAfterNs":2000000000},
+    "report":{"names":["x0","x1","load_share"]},"rules":{}}"#;
+
+struct Front {
+    child: Child,
+    listen: SocketAddr,
+    lines: Sender<String>,
+    primary: Store,
+    replica: Store,
+    knocks: Receiver<()>,
+}
+
+fn host(store: &Store, name: &str, health: &str) -> String {
+    let role = if store.primary { "off" } else { "on" };
+    format!(
+        r#"{{"host":"{name}","dial":"{}","site":"a","block":3,"health":"{health}","recovery":"{role}"}}"#,
+        store.addr
+    )
+}
+
+fn launch(config: &str, listen: SocketAddr, discovery: SocketAddr) -> Child {
+    let name = format!("{}-{}.json", listen.port(), config.len());
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, config).expect("a writable folder");
+    Command::new(env!("CARGO_BIN_EXE_gingerwick"))
+        .env("ROUTER_CONFIG", &path)
+        .env("ROUTER_NAME", "n0")
+        .env("ROUTER_LISTEN", listen.to_string())
+        .env("ROUTER_DISCOVERY", discovery.to_string())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the daemon was built")
+}
+
+fn free_port() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a free port")
+}
+
+impl Front {
+    fn start() -> Front {
+        let ((primary, knocks), (replica, _)) = (Store::start(true), Store::start(false));
+        let (discovery, lines) = discovery();
+        let hosts = [host(&primary, "p", "SERVING"), host(&replica, "r", "SERVING")].join(",");
+        let config = format!(
+            r#"{{"seed":"8c1f30d27a5be964","limits":{{"memory_mb":192,"sockets":1024}},
+                "known":{{"seq":4,"whole":true,"hosts":[{hosts}]}},"settings":{SETTINGS}}}"#
+        );
+        let listen = free_port();
+        let child = launch(&config, listen, discovery);
+        Front { child, listen, lines, primary, replica, knocks }
+    }
+
+    fn signal(&self, name: &str) {
+        let done = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+        assert!(done.expect("a kill command").success());
+    }
+
+    fn ended(&mut self) -> ExitStatus {
+        let until = Instant::now() + LIMIT;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("a child of ours") {
+                return status;
+            }
+            assert!(Instant::now() < until, "the daemon goes on");
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+impl Drop for Front {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+struct Client(TcpStream);
+
+#[derive(Debug, PartialEq)]
+enum Got {
+    Empty,
+    Value(Vec<u8>),
+    Error(String, Option<String>),
+    Ended,
+}
+
+impl Client {
+    /// Sends the first query straight behind the start-up.
+    fn open(listen: SocketAddr) -> Client {
+        let until = Instant::now() + LIMIT;
+        let stream = loop {
+            match TcpStream::connect(listen) {
+                Ok(stream) => break stream,
+                Err(why) => assert!(Instant::now() < until, "no connection: {why}"),
+            }
+            thread::sleep(Duration::from_millis(5));
+        };
+        stream.set_read_timeout(Some(LIMIT)).expect("a time-out");
+        let mut client = Client(stream);
+        client.0.write_all(&pg::start_up()).expect("sent");
+        client.send(";");
+        assert_eq!(
+            (client.got(), client.got()),
+            (Got::Empty, Got::Empty),
+            "the greeting and the empty query"
+        );
+        client
+    }
+
+    fn send(&mut self, statement: &str) {
+        let mut out = Vec::new();
+        pg::query(&mut out, statement);
+        self.0.write_all(&out).expect("sent");
+    }
+
+    /// What comes up to the next ReadyForQuery.
+    fn got(&mut self) -> Got {
+        let mut got = Got::Empty;
+        loop {
+            match next(&mut self.0) {
+                None => return if got == Got::Empty { Got::Ended } else { got },
+                Some((b'Z', _)) => return got,
+                Some((b'D', body)) => got = Got::Value(pg::only_column(&body).expect("a column").to_vec()),
+                Some((b'E', body)) => {
+                    let field = |name| pg::field(&body, name).map(str::to_string);
+                    got = Got::Error(field(b'C').expect("a code"), field(b'D'));
+                }
+                Some(_) => {}
+            }
+        }
+    }
+
+    fn ask(&mut self, class: &str, key: &str, d: u32) -> Got {
+        self.send(&statement(class, key, d));
+        self.got()
+    }
+}
+
+fn statement(class: &str, key: &str, d: u32) -> String {
+    format!("/* id=1f,c={class},d={d},cluster=3 */ SELECT content FROM kv WHERE name = '{key}'")
+}
+
+fn value() -> Got {
+    Got::Value(vec![0, 255, b'\n', 7])
+}
+
+fn error(code: &str) -> Got {
+    Got::Error(code.to_string(), None)
+}
+
+#[test]
+fn an_rpc_is_served_pushed_back_or_aborted() {
+    let front = Front::start();
+    let mut client = Client::open(front.listen);
+    assert_eq!(client.ask("order", "good", 3000), value());
+    assert_eq!(client.ask("read", "good", 1500), value());
+    let seen = front.primary.seen.lock().expect("no panic").remove(0);
+    let sent = seen.replace(",d=", "|").replace(",cluster", "|");
+    let [head, patience, tail] = sent.split('|').collect::<Vec<_>>()[..] else { panic!("{seen}") };
+    assert_eq!(
+        [head, tail].concat(),
+        statement("order", "good", 0).replace(",d=0,cluster", ""),
+        "only d changes"
+    );
+    assert!((1..=3000).contains(&patience.parse().expect("a number")), "{patience}");
+
+    let Got::Error(code, Some(wait)) = client.ask("order", "full", 400) else { panic!("no pushback") };
+    assert!(code == "53300" && wait.parse::<u32>().expect("milliseconds") <= 2000);
+    // What was turned away rests its store; it comes back by a probe.
+    let until = Instant::now() + LIMIT;
+    while client.ask("order", "good", 1000) != value() {
+        assert!(Instant::now() < until, "a store that rested does not come back");
+    }
+    assert_eq!(client.ask("order", "error", 3000), error("58000"), "it may have run");
+    while client.ask("order", "good", 1000) != value() {
+        assert!(Instant::now() < until, "a store that rested does not come back");
+    }
+    let began = Instant::now();
+    assert_eq!(client.ask("order", "silent", 500), error("58000"));
+    assert!(began.elapsed() < Duration::from_millis(500), "before its client gives up");
+    assert_eq!(client.ask("read", "good", 1500), value(), "a replica is not touched by that");
+
+    for (text, code) in [
+        (statement("other", "good", 500), "42704"),
+        (statement("read", "good", 500).replace("cluster=3", "cluster=9"), "42704"),
+        ("SELECT 1".to_string(), "42601"),
+    ] {
+        client.send(&text);
+        assert_eq!(client.got(), error(code), "{text}");
+    }
+    client.0.write_all(b"?\0\0\0\x04").expect("sent");
+    assert_eq!((client.got(), client.got()), (error("08P01"), Got::Ended));
+}
+
+#[test]
+fn pipelined_queries_are_answered_in_order_whatever_comes_first() {
+    let front = Front::start();
+    let mut client = Client::open(front.listen);
+    let mut bytes = Vec::new();
+    pg::query(&mut bytes, &statement("order", "slow", 3000));
+    pg::query(&mut bytes, &statement("other", "good", 3000));
+    pg::query(&mut bytes, &statement("read", "good", 1500));
+    pg::query(&mut bytes, "");
+    for part in bytes.chunks(7) {
+        client.0.write_all(part).expect("sent");
+    }
+    let got = [client.got(), client.got(), client.got(), client.got()];
+    assert_eq!(got, [value(), error("42704"), value(), Got::Empty]);
+    drop(client);
+    assert!(front.replica.seen.lock().expect("no panic").len() <= 1);
+}
+
+#[test]
+fn a_call_out_whose_store_drains_while_it_connects_is_not_sent() {
+    let front = Front::start();
+    let mut client = Client::open(front.listen);
+    // Each probe ends its connection, so that the write needs one of its own.
+    front.primary.closes.store(true, Ordering::Release);
+    while client.ask("order", "good", 1000) != value() {}
+    front.primary.closes.store(false, Ordering::Release);
+    let (open, gate) = channel();
+    *front.primary.gate.lock().expect("no panic") = Some(gate);
+    let seen = front.primary.seen.lock().expect("no panic").len();
+    // What is idle is dropped with the new start that the list tells of.
+    let started = host(&front.primary, "p", "SERVING").replace("{", r#"{"born_ms":1000,"#);
+    front.lines.send(format!(r#"{{"seq":5,"hosts":[{started}]}}"#)).expect("a watch");
+    let older = host(&front.primary, "p", "DRAINING");
+    front.lines.send(format!(r#"{{"seq":3,"hosts":[{older}]}}"#)).expect("a watch");
+    let until = Instant::now() + LIMIT;
+    loop {
+        client.send(&statement("order", "good", 1000));
+        if front.knocks.recv_timeout(Duration::from_millis(50)).is_ok() {
+            break;
+        }
+        assert!(client.got() == value() && Instant::now() < until, "the list of a new start does not arrive");
+    }
+    let seen = seen.max(front.primary.seen.lock().expect("no panic").len());
+    let mut other = Client::open(front.listen);
+    let draining = host(&front.primary, "p", "DRAINING");
+    let gone = host(&front.replica, "r", "DRAINING");
+    front.lines.send(format!(r#"{{"seq":6,"hosts":[{draining},{gone}]}}"#)).expect("a watch");
+    // A read is pushed back once the front has heard that both drain.
+    while other.ask("read", "good", 60) == value() {
+        assert!(Instant::now() < until, "the drain does not arrive");
+    }
+    open.send(()).expect("the store waits");
+    let Got::Error(code, _) = client.got() else { panic!("served by a store that drains") };
+    assert_eq!(code, "53300", "it never ran");
+    assert_eq!(front.primary.seen.lock().expect("no panic").len(), seen);
+}
+
+#[test]
+fn sigterm_answers_what_is_out_takes_what_still_comes_and_ends_soon() {
+    let mut front = Front::start();
+    let mut busy = Client::open(front.listen);
+    let mut idle = Client::open(front.listen);
+    while busy.ask("order", "good", 1000) != value() {}
+    let mut gone = Client::open(front.listen);
+    gone.send(&statement("order", "silent", 60_000));
+    drop(gone);
+    busy.send(&statement("order", "slow", 3000));
+    front.knocks.recv_timeout(LIMIT).expect("the statement arrives");
+    front.signal("-TERM");
+    assert_eq!(idle.got(), Got::Ended, "idle sessions go first");
+    let mut late = Client::open(front.listen);
+    assert_eq!(late.ask("read", "good", 1500), value());
+    assert_eq!((late.got(), busy.got(), busy.got()), (Got::Ended, value(), Got::Ended));
+    assert!(front.ended().success(), "nobody is waited for who is gone");
+}
+
+#[test]
+fn a_killed_front_starts_again_on_its_address_and_serves() {
+    let mut front = Front::start();
+    let mut client = Client::open(front.listen);
+    while client.ask("order", "good", 1000) != value() {}
+    front.signal("-KILL");
+    assert!(!front.ended().success());
+    let hosts = host(&front.primary, "p", "SERVING");
+    let config =
+        format!(r#"{{"seed":"1","known":{{"seq":4,"whole":true,"hosts":[{hosts}]}},"settings":{SETTINGS}}}"#);
+    front.child = launch(&config, front.listen, discovery().0);
+    let mut client = Client::open(front.listen);
+    assert_eq!(client.ask("order", "good", 3000), value());
+}
+
+#[test]
+fn what_is_wrong_at_the_start_ends_it_with_one_line_that_names_the_key() {
+    let good = format!(r#"{{"seed":"1","settings":{SETTINGS}}}"#);
+    for (config, key) in [
+        ("{".to_string(), "ROUTER_CONFIG"),
+        (good.replace(r#""seed":"1""#, r#""seed":"xyz""#), "seed"),
+        (good.replace(r#""mayCancel":true"#, r#""mayCancel":7"#), "settings.allowed.mayCancel"),
+        (good.replace(r#""guards":"off""#, r#""guards":"often""#), "familyInfo.guards"),
+        (good.replace(r#""nInstances":2,"#, ""), "nInstances"),
+        (good.replace(r#""aimNs":600000000"#, r#""aimNs":0"#), "classes[0].aimNs"),
+    ] {
+        let child = launch(&config, free_port(), free_port());
+        let output = child.wait_with_output().expect("it ends");
+        let said = String::from_utf8(output.stderr).expect("text");
+        assert!(!output.status.success() && said.lines().count() == 1 && said.contains(key), "{key}: {said}");
+    }
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let output = launch(&good, taken.local_addr().expect("its address"), free_port()).wait_with_output();
+    assert!(String::from_utf8(output.expect("it ends").stderr).expect("text").contains("ROUTER_LISTEN"));
+}
--- /dev/null
+++ b/front/tests/messages.rs
@@ -0,0 +1,287 @@
+//! The message code, the outcome table, the ledger and discovery's stream, without a socket.
+
+use front::clock::{from_unix_ms, from_unix_s};
+use front::discovery::{Host, Hosts, Stream};
+use front::ledger::{Ledger, Share};
+use front::pg::{self, Statement};
+use front::relay::{report, Reply};
+use front::take_in::{Item, TakeIn};
+use gingerwick::iface::{Outcome, Role, Standing};
+use gingerwick::time::Moment;
+use proptest::prelude::*;
+
+const GET: &str = "/* id=9b1f03aa5c7e2d41,c=basket,d=480,cluster=2,after=1767225600123,r=1 */ \
+                   SELECT content FROM kv WHERE name = '7f3a9c21e0b4d655'";
+
+fn message(tag: u8, body: &[u8]) -> Vec<u8> {
+    let length = (body.len() as u32 + 4).to_be_bytes();
+    [&[tag], &length[..], body].concat()
+}
+
+fn all(parts: &[&[u8]]) -> Vec<Item> {
+    let mut inbox = TakeIn::default();
+    let mut items = Vec::new();
+    for part in parts {
+        inbox.feed(part);
+        items.extend(std::iter::from_fn(|| inbox.next_item()));
+    }
+    items
+}
+
+/// One message or another, most of them whole.
+fn some_message() -> impl Strategy<Value = Vec<u8>> {
+    let tag = prop::sample::select(b"QQQQSPBDEHCFdcfX?".to_vec());
+    let body = prop_oneof![
+        Just(GET.as_bytes().to_vec()),
+        Just(Vec::new()),
+        prop::collection::vec(any::<u8>(), 0..40),
+        prop::collection::vec(prop::sample::select(b"/* c=d,=9;'".to_vec()), 0..40),
+    ];
+    prop_oneof![
+        8 => (tag, body, any::<bool>()).prop_map(|(tag, mut body, zero)| {
+            body.extend(zero.then_some(0));
+            message(tag, &body)
+        }),
+        1 => prop::collection::vec(any::<u8>(), 0..12),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn a_client_s_bytes_mean_the_same_however_they_are_split(
+        messages in prop::collection::vec(some_message(), 0..12),
+        cuts in prop::collection::vec(1usize..30, 0..80),
+        encrypted in any::<bool>(),
+    ) {
+        let mut bytes = if encrypted { vec![0, 0, 0, 8, 4, 210, 22, 47] } else { Vec::new() };
+        bytes.extend(pg::start_up());
+        bytes.extend(messages.concat());
+        let (mut parts, mut rest) = (Vec::new(), &bytes[..]);
+        for cut in cuts {
+            let (part, behind) = rest.split_at(cut.min(rest.len()));
+            parts.push(part);
+            rest = behind;
+        }
+        parts.push(rest);
+        let items = all(&[&bytes]);
+        prop_assert_eq!(&items, &all(&parts));
+        for item in &items {
+            if let Item::Query(body) = item {
+                pg::statement(body);
+            }
+        }
+        let last = |item: &Item| matches!(item, Item::Unfit { .. } | Item::Terminate | Item::Cancel);
+        prop_assert!(items.iter().rev().skip(1).all(|item| !last(item)), "nothing comes behind an end");
+    }
+
+    #[test]
+    fn random_bytes_end_in_no_panic_anywhere(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        all(&[&bytes]);
+        pg::statement(&bytes);
+        Reply::default().read(&bytes);
+        report(&String::from_utf8_lossy(&bytes));
+        let mut stream = Stream::default();
+        if stream.take(&bytes).is_ok() {
+            while stream.line().is_some() {}
+        }
+    }
+
+    #[test]
+    fn a_store_s_answer_means_the_same_however_it_is_split(
+        value in prop::collection::vec(any::<u8>(), 0..5000),
+        cuts in prop::collection::vec(1usize..400, 0..30),
+    ) {
+        let row = [&[0, 1], &(value.len() as u32).to_be_bytes()[..], &value].concat();
+        let passed = [message(b'T', b"\0\x01content\0"), message(b'D', &row), message(b'C', b"SELECT 1\0")].concat();
+        let rest = [
+            message(b'S', b"recovery\0on\0"),
+            message(b'S', b"lsn_ms\x001767225600123\0"),
+            message(b'Z', b"I"),
+        ];
+        let bytes = [&passed[..], &rest.concat()].concat();
+        let (mut reply, mut end) = (Reply::default(), 0);
+        for cut in cuts {
+            end = (end + cut).min(bytes.len());
+            let outcome = reply.read(&bytes[..end]);
+            prop_assert_eq!(outcome.is_some(), end == bytes.len());
+            if outcome.is_some() {
+                break;
+            }
+        }
+        if !reply.ready {
+            prop_assert_eq!(reply.read(&bytes), Some(Outcome::Ok));
+        }
+        prop_assert_eq!(&reply.value, &passed, "passed on unchanged");
+        prop_assert_eq!(reply.column(), Some(&value[..]));
+        prop_assert_eq!(reply.note.role, Some(Role::Replica));
+        prop_assert_eq!(reply.note.position, Some(Moment(1_767_225_600_123_000_000)));
+    }
+
+    #[test]
+    fn each_descriptor_and_each_byte_is_given_back_once(steps in prop::collection::vec((0usize..5, any::<u16>()), 1..200)) {
+        let ledger = Ledger::new(64, 3 << 10);
+        let (mut entries, mut weights) = (Vec::new(), Vec::new());
+        let shares = [Share::Clients, Share::TurnedAway, Share::Stores, Share::Discovery];
+        for (step, how) in steps {
+            let addr = std::net::SocketAddr::from(([127, 0, 0, 1], how % 3));
+            match step {
+                0 => entries.extend(ledger.enter_store(addr).map(|entry| (2, entry))),
+                1 => entries.extend(ledger.enter_client().map(|entry| (usize::from(entry.turns_away()), entry))),
+                2 => entries.extend(ledger.enter(Share::Discovery).map(|entry| (3, entry))),
+                3 if !entries.is_empty() => {
+                    let (_, entry) = entries.swap_remove(usize::from(how) % entries.len());
+                    drop(entry);
+                }
+                _ if how % 2 == 0 => {
+                    let mut weight = ledger.weight();
+                    weight.set(usize::from(how));
+                    weights.push((usize::from(how), weight));
+                }
+                _ => {
+                    weights.pop();
+                }
+            }
+            let mut counts = [0; 4];
+            entries.iter().for_each(|(share, _)| counts[*share] += 1);
+            prop_assert_eq!(shares.map(|share| ledger.taken(share)), counts);
+            prop_assert!(counts.iter().sum::<usize>() < 64, "some stay spare");
+            let held: usize = weights.iter().map(|(bytes, _)| bytes).sum();
+            prop_assert_eq!(ledger.is_heavy(), held > 1 << 10);
+        }
+        drop((entries, weights));
+        prop_assert_eq!(shares.map(|share| ledger.taken(share)), [0; 4]);
+        prop_assert!(!ledger.is_heavy());
+    }
+
+    #[test]
+    fn discovery_s_lines_are_the_same_however_the_answer_is_split(
+        lines in prop::collection::vec("[a-z ]{0,30}", 1..10),
+        sizes in prop::collection::vec(1usize..25, 1..40),
+        cuts in prop::collection::vec(1usize..40, 0..60),
+    ) {
+        let text = lines.join("\n") + "\n";
+        let mut answer = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
+        let mut rest = text.as_bytes();
+        for size in sizes.into_iter().chain([usize::MAX]) {
+            let (part, behind) = rest.split_at(size.min(rest.len()));
+            if !part.is_empty() {
+                answer.extend([format!("{:x}\r\n", part.len()).as_bytes(), part, b"\r\n"].concat());
+            }
+            rest = behind;
+        }
+        answer.extend(b"0\r\n\r\n");
+        let mut stream = Stream::default();
+        let mut rest = &answer[..];
+        let mut seen = Vec::new();
+        for cut in cuts.into_iter().chain([usize::MAX]) {
+            let (part, behind) = rest.split_at(cut.min(rest.len()));
+            prop_assert_eq!(stream.take(part), Ok(()));
+            seen.extend(std::iter::from_fn(|| stream.line()));
+            rest = behind;
+        }
+        prop_assert!(stream.ended);
+        prop_assert_eq!(seen.concat(), text.into_bytes());
+    }
+}
+
+#[test]
+fn the_head_is_read_and_says_where_its_patience_stands() {
+    let body = [GET.as_bytes(), b"\0"].concat();
+    let Statement::Kv(head) = pg::statement(&body) else { panic!("a statement of the page's form") };
+    assert_eq!((head.class, head.cluster, head.patience_ms, head.repeat), ("basket", 2, 480, true));
+    assert_eq!((head.after_ms, head.key), (Some(1_767_225_600_123), Some("7f3a9c21e0b4d655")));
+    assert_eq!(&body[head.patience], b"480");
+}
+
+#[test]
+fn what_cannot_be_taken_is_refused_by_a_fitting_code() {
+    for (text, code) in [
+        ("SELECT 1", "42601"),
+        ("/* c=a,d=1 SELECT", "42601"),
+        ("/* c=a,cluster=2 */ SELECT", "42601"),
+        ("/* c=a,d=0,cluster=2 */ SELECT", "42601"),
+        ("/* c=a,d=x,cluster=2 */ SELECT", "42601"),
+        ("/* nonsense */ SELECT", "42601"),
+        ("a\0b", "08P01"),
+    ] {
+        let body = [text.as_bytes(), b"\0"].concat();
+        assert!(matches!(pg::statement(&body), Statement::Refused(c, _) if c == code), "{text}");
+    }
+    assert!(matches!(pg::statement(b"\xff\0"), Statement::Refused("22021", _)));
+    assert_eq!(pg::statement(b" ; \0"), Statement::Empty);
+    assert_eq!(pg::statement(b"reset all\0"), Statement::Vain("RESET"));
+    let long = [pg::start_up(), message(b'Q', &vec![b'a'; pg::MOST_QUERY])].concat();
+    let too_long = Item::Unfit { code: "54000", why: "message too long" };
+    assert_eq!(all(&[&long[..200]]), [Item::Greet { minor: 0 }, too_long], "told by its head alone");
+    let version_2 = [0, 0, 0, 8, 0, 2, 0, 0];
+    assert!(matches!(all(&[&version_2])[..], [Item::Unfit { code: "0A000", .. }]));
+    assert_eq!(all(&[&[0, 0, 0, 16, 4, 210, 22, 46, 0, 0, 0, 1, 0, 0, 0, 0]]), [Item::Cancel]);
+    let extended =
+        [pg::start_up(), message(b'P', b"\0\0\0\0"), message(b'E', b"\0\0\0\0\0"), message(b'S', b"")];
+    let unsupported = Item::Unsupported { alone: false };
+    assert_eq!(all(&[&extended.concat()]), [Item::Greet { minor: 0 }, unsupported, Item::Sync]);
+}
+
+#[test]
+fn each_row_of_the_outcome_table_is_one_outcome() {
+    let answer = |messages: &[Vec<u8>]| {
+        let mut reply = Reply::default();
+        let outcome = reply.read(&messages.concat());
+        (outcome.unwrap_or_else(|| reply.ended()), reply.ready)
+    };
+    let error = |code: &str| {
+        let mut out = Vec::new();
+        pg::error(&mut out, "ERROR", code, "words", None);
+        out
+    };
+    let ready = message(b'Z', b"I");
+    let (row, complete) = (message(b'D', &[0, 1, 0, 0, 0, 1, 7]), message(b'C', b"SELECT 1\0"));
+    let heads = message(b'T', b"\0\x01content\0");
+    let value = [heads.clone(), row.clone(), complete.clone()];
+    assert_eq!(answer(&[&value[..], std::slice::from_ref(&ready)].concat()), (Outcome::Ok, true));
+    assert_eq!(answer(&value), (Outcome::Ok, false), "whole, though its connection broke behind it");
+    assert_eq!(answer(&[heads.clone(), row.clone()]), (Outcome::Broken, false), "not whole");
+    assert_eq!(answer(&[]), (Outcome::Broken, false));
+    assert_eq!(answer(&[heads.clone(), complete.clone(), ready.clone()]), (Outcome::Errored, true), "no row");
+    assert_eq!(
+        answer(&[heads, row.clone(), row, complete, ready.clone()]),
+        (Outcome::Errored, true),
+        "two rows"
+    );
+    for (code, outcome) in [
+        ("25006", Outcome::Lagged),
+        ("72000", Outcome::Lagged),
+        ("XX000", Outcome::Errored),
+        ("57P03", Outcome::Errored),
+        ("53300", Outcome::Full),
+    ] {
+        assert_eq!(answer(&[error(code), ready.clone()]), (outcome, true), "{code}");
+        assert_eq!(answer(&[error(code)]), (outcome, false), "{code}, fatal");
+        assert_eq!(outcome.proves_it_never_ran(), outcome != Outcome::Errored);
+    }
+}
+
+#[test]
+fn positions_keep_their_units() {
+    let at = Some(Moment(1_767_225_600_123_000_000));
+    assert_eq!(from_unix_ms(1_767_225_600_123.0), at);
+    assert_eq!(from_unix_s(1_767_225_600.123), at);
+    assert_eq!(report("x0=1767225600.123,x1=1,load_share=0.25").position, at);
+    for none in [f64::NAN, f64::INFINITY, -1.0, 0.0, 1e300] {
+        assert_eq!((from_unix_ms(none), from_unix_s(none)), (None, None));
+    }
+    let told = report("x1=0,util=0.61,new=7,broken");
+    assert_eq!((told.role, told.load, told.position), (Some(Role::Replica), Some(0.61), None));
+}
+
+#[test]
+fn a_listed_host_is_read_with_all_that_may_be_missing_or_new() {
+    let line = r#"{"seq":43,"hosts":[{"host":"s","dial":"127.0.0.1:1","site":"a","block":3,"health":"SERVING",
+        "born_ms":1767225600123,"recovery":"off","new":{}},{"host":"t","health":"PAUSED"}]}"#;
+    let hosts: Hosts = serde_json::from_str(line).expect("a line of the page's form");
+    let [s, t] = &hosts.hosts[..] else { panic!("two hosts") };
+    let told = |host: &Host| (host.standing(), host.is_primary(), host.started());
+    assert_eq!(told(s), (Standing::Open, true, Some(Moment(1_767_225_600_123_000_000))));
+    assert_eq!(told(t), (Standing::Draining, false, None), "a word not known gets nothing new");
+    assert!((hosts.seq, hosts.whole) == (43, false) && s.dial().is_some() && t.dial().is_none());
+}
