--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+# What is done by hand most often. `make run CONFIG=FILE` starts the daemon on the start facts in FILE.
+.PHONY: all build test lint run ci
+
+all: build
+
+build:
+	cargo build --release --locked
+
+test:
+	cargo test --workspace --locked
+
+lint:
+	cargo fmt --all --check
+	cargo clippy --workspace --all-targets --locked -- -D warnings
+
+run: build
+	ROUTER_CONFIG=$(CONFIG) exec target/release/gingerwick
+
+ci:
+	bash .ci/run
--- a/front/src/discovery.rs
+++ b/front/src/discovery.rs
@@ -72,8 +72,8 @@
     }
 }
 
-/// An empty line comes every two seconds where nothing changes.
-const SILENCE: Span = Span::millis(5_000);
+/// An empty line comes every two seconds where nothing changes; what was to be told counts as told after six.
+const SILENCE: Span = Span::millis(4_500);
 const CONNECT_WITHIN: Span = Span::millis(1_000);
 /// The shortest and the longest pause before the watch is taken up again; chance spreads each.
 const PAUSES: (Span, Span) = (Span::millis(50), Span::millis(2_000));
--- a/front/src/ledger.rs
+++ b/front/src/ledger.rs
@@ -27,6 +27,8 @@
     /// Of the stores' share, by address.
     by_store: HashMap<SocketAddr, usize>,
     idle: BTreeMap<u64, Arc<Mailbox>>,
+    /// Idle ones that were asked to go and have not gone yet.
+    asked: usize,
     serial: u64,
 }
 
@@ -54,6 +56,9 @@
     fn drop(&mut self) {
         let mut entries = self.ledger.lock();
         entries.taken[self.share as usize] -= 1;
+        if self.share == Share::Clients {
+            entries.asked = entries.asked.saturating_sub(1);
+        }
         if let Some(addr) = self.store {
             let left = entries.by_store.get(&addr).map_or(0, |taken| taken - 1);
             if left == 0 {
@@ -122,13 +127,27 @@
         Some(entry)
     }
 
-    /// One for a client: idle ones go first where few are left, and beyond the last it is turned away.
+    /// One for a client. Where few are left those longest idle are asked to go, so that there is room for the next.
     pub fn enter_client(self: &Arc<Ledger>) -> Option<Entry> {
         let most = self.most[Share::Clients as usize];
-        if self.taken(Share::Clients) + most / 16 >= most {
-            self.close_longest_idle();
+        let few = most / 16 + 1;
+        let mut entries = self.lock();
+        let asked = if entries.taken[Share::Clients as usize] + few > most && entries.asked < few {
+            entries.idle.pop_first()
+        } else {
+            None
+        };
+        entries.asked += usize::from(asked.is_some());
+        drop(entries);
+        if let Some((_, mailbox)) = asked {
+            mailbox.ask_to_close();
         }
-        self.enter(Share::Clients).or_else(|| self.enter(Share::TurnedAway))
+        self.enter(Share::Clients)
+    }
+
+    /// Whether a client that was asked to go has still to.
+    pub fn frees_soon(&self) -> bool {
+        self.lock().asked > 0
     }
 
     pub fn taken(&self, share: Share) -> usize {
@@ -155,12 +174,4 @@
     pub fn busy(&self, serial: u64) {
         self.lock().idle.remove(&serial);
     }
-
-    /// Asks the session longest idle to close.
-    pub fn close_longest_idle(&self) {
-        let first = self.lock().idle.pop_first();
-        if let Some((_, mailbox)) = first {
-            mailbox.ask_to_close();
-        }
-    }
 }
--- a/front/src/relay.rs
+++ b/front/src/relay.rs
@@ -44,27 +44,20 @@
                 b'S' => self.parameter(body),
                 b'Z' => {
                     self.ready = true;
-                    return Some(self.outcome());
+                    return Some(self.outcome(Outcome::Errored));
                 }
                 _ => {}
             }
         }
     }
 
-    fn outcome(&self) -> Outcome {
+    /// What it comes to where nothing more will be read; `cut` where it had not said enough. A fatal error or a
+    /// whole value counts, whatever became of the connection behind it.
+    pub fn outcome(&self, cut: Outcome) -> Outcome {
         match self.error {
             Some(outcome) => outcome,
             None if self.whole() => Outcome::Ok,
-            None => Outcome::Errored,
-        }
-    }
-
-    /// The connection ended: a fatal error or a whole value counts as told.
-    pub fn ended(&self) -> Outcome {
-        match self.error {
-            Some(outcome) => outcome,
-            None if self.whole() => Outcome::Ok,
-            None => Outcome::Broken,
+            None => cut,
         }
     }
 
--- a/front/src/send.rs
+++ b/front/src/send.rs
@@ -116,13 +116,20 @@
         }
         match wire.read(job.by, &job.bell) {
             Ok(()) => {}
-            Err(Stop::Broken) => return (reply.ended(), reply),
-            Err(Stop::Late) => return (Outcome::TimedOut, reply),
-            Err(Stop::Rung) => return (Outcome::Withdrawn, reply),
+            Err(stop) => return (reply.outcome(cut_by(stop)), reply),
         }
     }
 }
 
+/// It was written whole, so it may have run.
+fn cut_by(stop: Stop) -> Outcome {
+    match stop {
+        Stop::Broken => Outcome::Broken,
+        Stop::Late => Outcome::TimedOut,
+        Stop::Rung => Outcome::Withdrawn,
+    }
+}
+
 /// Asks a store for its report. It shares the call-outs' connections.
 pub fn probe(pool: &Pool, owner: Sender<News>, store: StoreIx, addr: SocketAddr, within: Span) {
     let mut sounding =
@@ -176,18 +183,28 @@
             }
             match wire.read(by, bell) {
                 Ok(()) => {}
-                Err(Stop::Broken) => return (reply.ended(), Told::default()),
-                Err(_) => return (Outcome::TimedOut, Told::default()),
+                Err(stop) => return (reply.outcome(cut_by(stop)), Told::default()),
             }
         }
     }
 }
 
+/// Stacks in words of eight bytes; docs/design.md has what was measured.
+pub const STACK: usize = 8 << 10;
+const LONG_LIVED_STACK: usize = 32 << 10;
+
+/// Starts a coroutine for one connection or one call-out.
 pub fn spawn(task: impl FnOnce() + Send + 'static) {
-    // SAFETY: no thread-local state is held across a switch, and stacks are sized by measurement.
+    // SAFETY: no thread-local state is held across a switch, and the stack is sized by measurement.
     unsafe { may::coroutine::spawn(task) };
 }
 
+/// Starts one of the few that live as long as the process: the decisions and the list's parser go deeper.
+pub fn spawn_long_lived(task: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
+    // SAFETY: as above.
+    unsafe { may::coroutine::Builder::new().stack_size(LONG_LIVED_STACK).spawn(task) }.map(drop)
+}
+
 /// What starts call-outs and probes.
 #[derive(Clone)]
 pub struct Outlet {
--- a/front/src/session.rs
+++ b/front/src/session.rs
@@ -11,7 +11,7 @@
 use crate::take_in::{Item, TakeIn};
 use gingerwick::iface::RpcId;
 use gingerwick::time::{Moment, Span};
-use may::io::WaitIo;
+use may::io::{WaitIo, WaitIoWaker};
 use may::net::TcpStream;
 use may::sync::mpsc::Sender;
 use std::collections::VecDeque;
@@ -25,7 +25,8 @@
 const MOST_PENDING: usize = 64;
 const START_WITHIN: Span = Span::millis(10_000);
 const WRITE_WITHIN: Span = Span::millis(10_000);
-const CLOSE_WITHIN: Span = Span::millis(1_000);
+/// So long after its last byte a client may not have read it yet.
+pub const CLOSE_WITHIN: Span = Span::millis(500);
 /// Buffers of a session that are too small to be let go for.
 const LIGHT: usize = 16 << 10;
 
@@ -43,10 +44,19 @@
 pub struct Mailbox {
     answers: Mutex<Vec<(RpcId, Answer)>>,
     close: AtomicBool,
-    waker: may::io::WaitIoWaker,
+    waker: WaitIoWaker,
 }
 
 impl Mailbox {
+    pub fn new(waker: WaitIoWaker) -> Arc<Mailbox> {
+        Arc::new(Mailbox { answers: Mutex::default(), close: AtomicBool::new(false), waker })
+    }
+
+    /// The answers that have come since it was last asked.
+    pub fn collect(&self) -> Vec<(RpcId, Answer)> {
+        std::mem::take(&mut *self.answers.lock().unwrap_or_else(|poisoned| poisoned.into_inner()))
+    }
+
     fn post(&self, rpc: RpcId, answer: Answer) {
         self.answers.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).push((rpc, answer));
         self.waker.wakeup();
@@ -65,6 +75,10 @@
 }
 
 impl Ticket {
+    pub fn new(rpc: RpcId, mailbox: Arc<Mailbox>) -> Ticket {
+        Ticket { rpc, mailbox: Some(mailbox) }
+    }
+
     pub fn answer(mut self, answer: Answer) {
         if let Some(mailbox) = self.mailbox.take() {
             mailbox.post(self.rpc, answer);
@@ -116,6 +130,7 @@
     last: bool,
     served: bool,
     idle: Option<u64>,
+    active: Moment,
     weight: Weight,
 }
 
@@ -128,10 +143,9 @@
 /// Runs a client's session from its first byte to its close.
 pub fn run(shared: Arc<Shared>, stream: TcpStream, entry: &Entry) {
     let _ = stream.set_nodelay(true);
-    let (answers, close, waker) = (Mutex::new(Vec::new()), AtomicBool::new(false), stream.waker());
-    let mailbox = Arc::new(Mailbox { answers, close, waker });
+    let mailbox = Mailbox::new(stream.waker());
     let _member = shared.leave.join(&mailbox);
-    let weight = shared.ledger.weight();
+    let (weight, active) = (shared.ledger.weight(), shared.alarms.now());
     let mut session = Session {
         shared,
         stream,
@@ -143,6 +157,7 @@
         last: false,
         served: false,
         idle: None,
+        active,
         weight,
     };
     if entry.turns_away() {
@@ -257,6 +272,7 @@
             match self.stream.inner().read(&mut bytes) {
                 Ok(0) => return Heard::Gone,
                 Ok(n) => {
+                    self.active = self.shared.alarms.now();
                     self.inbox.feed(&bytes[..n]);
                     return Heard::Bytes;
                 }
@@ -311,7 +327,7 @@
         let mut weight = self.shared.ledger.weight();
         weight.set(body.len());
         let query = Query { body, patience: admission.patience.clone(), weight };
-        let ticket = Ticket { rpc, mailbox: Some(self.mailbox.clone()) };
+        let ticket = Ticket::new(rpc, self.mailbox.clone());
         // Where the owner is no more, the ticket drops and aborts.
         let _ = self.shared.owner.send(News::Arrived(admission, query, ticket));
     }
@@ -350,10 +366,7 @@
 
     /// Puts answers that have come in their places and moves those whose turn it is to the outbox.
     fn collect(&mut self) {
-        let came = std::mem::take(
-            &mut *self.mailbox.answers.lock().unwrap_or_else(|poisoned| poisoned.into_inner()),
-        );
-        for (rpc, answer) in came {
+        for (rpc, answer) in self.mailbox.collect() {
             if let Some(slot) = self.slots.iter_mut().find(|slot| matches!(slot, Slot::Open(r) if *r == rpc))
             {
                 *slot = Slot::Ready(encode(answer));
@@ -376,7 +389,10 @@
                 .collect();
             match self.stream.inner().write_vectored(&slices) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(n) => self.left += n,
+                Ok(n) => {
+                    self.left += n;
+                    self.active = self.shared.alarms.now();
+                }
                 Err(why) if why.kind() == ErrorKind::WouldBlock => return Ok(true),
                 Err(why) if why.kind() == ErrorKind::Interrupted => {}
                 Err(why) => return Err(why),
@@ -395,7 +411,7 @@
         if self.stream.shutdown(Shutdown::Write).is_err() {
             return;
         }
-        let until = self.shared.alarms.now() + CLOSE_WITHIN;
+        let until = self.active + CLOSE_WITHIN;
         self.wake_at(until);
         let mut bytes = [0; 4096];
         while self.shared.alarms.now() < until {
--- a/front/src/shutdown.rs
+++ b/front/src/shutdown.rs
@@ -63,7 +63,7 @@
 
     /// Called once, from the thread that waits for signals.
     pub fn begin(self: &Arc<Leave>, alarms: &Alarms, stop_accepting: impl FnOnce() + Send + 'static) {
-        log!("SIGTERM: leaving, {} sessions open", self.lock().sessions.len());
+        log!("leaving as asked, {} sessions open", self.lock().sessions.len());
         self.begun.store(true, Ordering::Release);
         self.ask_all();
         let leave = self.clone();
--- a/front/src/start.rs
+++ b/front/src/start.rs
@@ -3,11 +3,11 @@
 use crate::admit::Terms;
 use crate::clock::{duration, Alarms, Clock};
 use crate::discovery::{Hosts, Watch};
-use crate::ledger::Ledger;
+use crate::ledger::{Entry, Ledger, Share};
 use crate::log;
 use crate::owner::{News, Owner};
 use crate::pool::Pool;
-use crate::send::{spawn, Outlet};
+use crate::send::{spawn, spawn_long_lived, Outlet, STACK};
 use crate::session::{self, Shared};
 use crate::shutdown::Leave;
 use gingerwick::rng::Mwc;
@@ -16,7 +16,7 @@
 use may::net::TcpListener;
 use may::sync::mpsc::channel;
 use serde::Deserialize;
-use signal_hook::consts::SIGTERM;
+use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -103,7 +103,8 @@
         seq = known.seq;
         let _ = owner.send(News::List { whole: true, hosts: known.hosts });
     }
-    spawn(move || decides.run());
+    let started = |why: std::io::Error| format!("no stack for a coroutine: {why}");
+    spawn_long_lived(move || decides.run()).map_err(started)?;
     let watch = Watch {
         addr: discovery,
         alarms: alarms.clone(),
@@ -112,7 +113,7 @@
         seq,
         rng: Mwc::new(seed),
     };
-    spawn(move || watch.run());
+    spawn_long_lived(move || watch.run()).map_err(started)?;
     let sweeper = alarms.clone();
     spawn(move || loop {
         sweeper.pause(Span::millis(1_000));
@@ -133,7 +134,7 @@
     spawn(move || accept(listener, Arc::new(shared), &accepting));
     log!("{} serves on {listen}", launch.name);
 
-    let mut signals = Signals::new([SIGTERM]).map_err(|why| format!("signals: {why}"))?;
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|why| format!("signals: {why}"))?;
     if signals.forever().next().is_some() {
         leave.begin(&alarms, move || {
             closing.store(true, Ordering::Release);
@@ -146,14 +147,11 @@
     }
 }
 
-/// In words of eight bytes.
-const STACK: usize = 8 << 10;
-
 fn accept(listener: TcpListener, shared: Arc<Shared>, closing: &AtomicBool) {
     while !closing.load(Ordering::Acquire) {
         match listener.accept() {
             Ok((stream, _)) => {
-                let Some(entry) = shared.ledger.enter_client() else {
+                let Some(entry) = entry(&shared) else {
                     log!("a client was dropped unheard: no descriptor is left even to turn it away");
                     continue;
                 };
@@ -162,9 +160,22 @@
             }
             Err(why) => {
                 log!("a connection was not accepted: {why}");
-                shared.ledger.close_longest_idle();
                 shared.alarms.pause(Span::millis(50));
             }
         }
     }
 }
+
+/// A client's entry: it waits for room where that is about to be made, and is turned away where not.
+fn entry(shared: &Shared) -> Option<Entry> {
+    let until = shared.alarms.now() + session::CLOSE_WITHIN;
+    loop {
+        if let Some(entry) = shared.ledger.enter_client() {
+            return Some(entry);
+        }
+        if !shared.ledger.frees_soon() || shared.alarms.now() >= until {
+            return shared.ledger.enter(Share::TurnedAway);
+        }
+        shared.alarms.pause(Span::millis(5));
+    }
+}
--- a/front/src/wire.rs
+++ b/front/src/wire.rs
@@ -65,11 +65,16 @@
         *bell.waker.lock().unwrap_or_else(|poisoned| poisoned.into_inner()) = Some(self.stream.waker());
     }
 
-    fn stopped(&self, by: Moment, bell: &Bell) -> Option<Stop> {
+    /// Until the socket may go on, unless it is to stop.
+    fn wait(&self, by: Moment, bell: &Bell) -> Result<(), Stop> {
         if bell.rung.load(Ordering::Acquire) {
-            return Some(Stop::Rung);
+            return Err(Stop::Rung);
         }
-        (self.alarms.now() >= by).then_some(Stop::Late)
+        if self.alarms.now() >= by {
+            return Err(Stop::Late);
+        }
+        self.stream.wait_io();
+        Ok(())
     }
 
     /// Appends to the buffer what comes next.
@@ -82,12 +87,7 @@
                     self.buffer.extend_from_slice(&bytes[..n]);
                     return Ok(());
                 }
-                Err(why) if why.kind() == ErrorKind::WouldBlock => match self.stopped(by, bell) {
-                    Some(stop) => return Err(stop),
-                    None => {
-                        self.stream.wait_io();
-                    }
-                },
+                Err(why) if why.kind() == ErrorKind::WouldBlock => self.wait(by, bell)?,
                 Err(why) if why.kind() == ErrorKind::Interrupted => {}
                 Err(_) => return Err(Stop::Broken),
             }
@@ -109,12 +109,7 @@
             match self.stream.inner().write_vectored(&slices) {
                 Ok(0) => return Err(Stop::Broken),
                 Ok(n) => left += n,
-                Err(why) if why.kind() == ErrorKind::WouldBlock => match self.stopped(by, bell) {
-                    Some(stop) => return Err(stop),
-                    None => {
-                        self.stream.wait_io();
-                    }
-                },
+                Err(why) if why.kind() == ErrorKind::WouldBlock => self.wait(by, bell)?,
                 Err(why) if why.kind() == ErrorKind::Interrupted => {}
                 Err(_) => return Err(Stop::Broken),
             }
--- a/front/tests/loopback.rs
+++ b/front/tests/loopback.rs
@@ -180,11 +180,15 @@
 
 impl Front {
     fn start() -> Front {
+        Front::within(1024, 192)
+    }
+
+    fn within(sockets: usize, memory_mb: usize) -> Front {
         let ((primary, knocks), (replica, _)) = (Store::start(true), Store::start(false));
         let (discovery, lines) = discovery();
         let hosts = [host(&primary, "p", "SERVING"), host(&replica, "r", "SERVING")].join(",");
         let config = format!(
-            r#"{{"seed":"8c1f30d27a5be964","limits":{{"memory_mb":192,"sockets":1024}},
+            r#"{{"seed":"8c1f30d27a5be964","limits":{{"memory_mb":{memory_mb},"sockets":{sockets}}},
                 "known":{{"seq":4,"whole":true,"hosts":[{hosts}]}},"settings":{SETTINGS}}}"#
         );
         let listen = free_port();
@@ -445,3 +449,59 @@
     let output = launch(&good, taken.local_addr().expect("its address"), free_port()).wait_with_output();
     assert!(String::from_utf8(output.expect("it ends").stderr).expect("text").contains("ROUTER_LISTEN"));
 }
+
+#[test]
+fn a_flood_of_idle_clients_costs_those_longest_idle_their_place() {
+    let front = Front::within(100, 192);
+    let mut clients: Vec<Client> = (0..80).map(|_| Client::open(front.listen)).collect();
+    assert_eq!(clients[0].got(), Got::Ended, "the first has been idle longest");
+    let last = clients.last_mut().expect("eighty");
+    while last.ask("order", "good", 1000) != value() {}
+    // Those with an RPC out are let be, and what comes on top of them is told so.
+    clients.drain(..60).for_each(drop);
+    for client in &mut clients {
+        client.send(&statement("order", "silent", 5000));
+    }
+    let mut turned_away = 0;
+    for _ in 0..40 {
+        let mut stream = TcpStream::connect(front.listen).expect("the listener goes on");
+        stream.set_read_timeout(Some(LIMIT)).expect("a time-out");
+        let mut out = pg::start_up();
+        pg::query(&mut out, &statement("order", "silent", 5000));
+        stream.write_all(&out).expect("sent");
+        let mut client = Client(stream);
+        if client.0.peek(&mut [0]).expect("a greeting or an error") == 1 && client.got() == error("53300") {
+            turned_away += 1;
+        } else {
+            clients.push(client);
+        }
+    }
+    assert!(turned_away >= 1, "never more than the descriptors allow");
+    clients.clear();
+    assert_eq!(Client::open(front.listen).ask("read", "good", 1500), value(), "and room comes back");
+}
+
+#[test]
+fn buffers_beyond_the_memory_for_them_end_the_sessions_that_fill_them() {
+    let front = Front::within(1024, 1);
+    let mut clients: Vec<Client> = (0..5).map(|_| Client::open(front.listen)).collect();
+    let mut part = vec![b'Q'];
+    part.extend(150_000u32.to_be_bytes());
+    part.resize(140_000, b'a');
+    let mut ended = 0;
+    for client in &mut clients {
+        if client.0.write_all(&part).is_err() {
+            ended += 1;
+            continue;
+        }
+        client.0.set_read_timeout(Some(Duration::from_millis(500))).expect("a time-out");
+        ended += usize::from(client.got() == error("53200"));
+    }
+    assert!((1..5).contains(&ended), "{ended} of five were ended, a third of a megabyte is for all");
+    drop(clients);
+    let mut client = Client::open(front.listen);
+    let until = Instant::now() + LIMIT;
+    while client.ask("read", "good", 1500) != value() {
+        assert!(Instant::now() < until, "the memory is not given back");
+    }
+}
--- a/front/tests/messages.rs
+++ b/front/tests/messages.rs
@@ -227,7 +227,7 @@
     let answer = |messages: &[Vec<u8>]| {
         let mut reply = Reply::default();
         let outcome = reply.read(&messages.concat());
-        (outcome.unwrap_or_else(|| reply.ended()), reply.ready)
+        (outcome.unwrap_or_else(|| reply.outcome(Outcome::Broken)), reply.ready)
     };
     let error = |code: &str| {
         let mut out = Vec::new();
