Half-sent queries come to an end; lists and drains are tested without a race

Seen: one run in fifteen of the loopback tests failed at a client's first connection. Excluded by 1500 starts with a connection each: a crash or a lost session of the daemon. At fault was the test's own search for a free port: a process forked by another thread holds that listener until its program begins, takes the connection and drops it.

--- a/front/src/session.rs
+++ b/front/src/session.rs
@@ -23,7 +23,7 @@
 
 /// Queries of one client answered side by side; what it sends beyond them stays unread.
 const MOST_PENDING: usize = 64;
-const START_WITHIN: Span = Span::millis(10_000);
+const WHOLE_WITHIN: Span = Span::millis(10_000);
 const WRITE_WITHIN: Span = Span::millis(10_000);
 /// So long after its last byte a client may not have read it yet.
 pub const CLOSE_WITHIN: Span = Span::millis(500);
@@ -184,9 +184,7 @@
 impl Session {
     /// True where the client should be let go gently, false where the connection is dead.
     fn serve(&mut self) -> bool {
-        let began = self.shared.alarms.now();
         let mut stalled: Option<Moment> = None;
-        self.wake_at(began + START_WITHIN);
         loop {
             self.take_in();
             self.collect();
@@ -223,8 +221,12 @@
                 if self.last || (self.inbox.is_empty() && self.should_close()) {
                     return true;
                 }
-                if !self.inbox.has_begun() && now >= began + START_WITHIN {
-                    return false;
+                // A start-up or a query half sent must come to its end.
+                if !self.inbox.has_begun() || !self.inbox.is_empty() {
+                    if now >= self.active + WHOLE_WITHIN {
+                        return false;
+                    }
+                    self.wake_at(self.active + WHOLE_WITHIN);
                 }
                 self.rest();
             }
--- a/front/tests/loopback.rs
+++ b/front/tests/loopback.rs
@@ -4,7 +4,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -37,7 +37,7 @@
     /// Where set, a start-up is answered only after a message from the test.
     gate: Arc<Mutex<Option<Receiver<()>>>>,
     knocked: Sender<()>,
-    closes: Arc<AtomicBool>,
+    starts: Arc<AtomicUsize>,
 }
 
 impl Store {
@@ -45,8 +45,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let (knocked, knocks) = channel();
         let addr = listener.local_addr().expect("its address");
-        let (seen, gate, closes) = Default::default();
-        let store = Store { addr, primary, seen, gate, knocked, closes };
+        let (seen, gate, starts) = Default::default();
+        let store = Store { addr, primary, seen, gate, knocked, starts };
         let serving = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -61,6 +61,7 @@
         let mut length = [0; 4];
         stream.read_exact(&mut length).ok()?;
         stream.read_exact(&mut vec![0; u32::from_be_bytes(length) as usize - 4]).ok()?;
+        self.starts.fetch_add(1, Ordering::AcqRel);
         let gate = self.gate.lock().expect("no panic").take();
         if let Some(gate) = gate {
             self.knocked.send(()).ok()?;
@@ -105,9 +106,6 @@
             message(&mut out, b'S', if self.primary { b"recovery\0off\0" } else { b"recovery\0on\0" });
             message(&mut out, b'Z', b"I");
             stream.write_all(&out).ok()?;
-            if self.closes.load(Ordering::Acquire) && text == "SHOW health" {
-                return None;
-            }
         }
         Some(())
     }
@@ -150,6 +148,7 @@
     primary: Store,
     replica: Store,
     knocks: Receiver<()>,
+    marks: AtomicU32,
 }
 
 fn host(store: &Store, name: &str, health: &str) -> String {
@@ -161,7 +160,7 @@
 }
 
 fn launch(config: &str, listen: SocketAddr, discovery: SocketAddr) -> Child {
-    let name = format!("{}-{}.json", listen.port(), config.len());
+    let name = format!("{listen}-{}.json", config.len());
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, config).expect("a writable folder");
     Command::new(env!("CARGO_BIN_EXE_gingerwick"))
@@ -174,26 +173,54 @@
         .expect("the daemon was built")
 }
 
-fn free_port() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a free port")
+/// An address of its own for each front. It is not tried first: a listener that another thread's new process has
+/// inherited takes connections until that process has begun its program, and drops them then.
+fn free_address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(2);
+    let (pid, next) = (std::process::id(), NEXT.fetch_add(1, Ordering::AcqRel));
+    SocketAddr::from(([127, 10 + (pid % 200) as u8, (pid / 200 % 250) as u8, next as u8], 6543))
 }
 
 impl Front {
     fn start() -> Front {
-        Front::within(1024, 192)
+        Front::within(1024, 192, SETTINGS)
+    }
+
+    /// All connections are call-outs' then, and may take their time.
+    fn without_probes() -> Front {
+        let settings = SETTINGS.replace(r#""probes":true"#, r#""probes":false,"dialTimeoutNs":8000000000"#);
+        Front::within(1024, 192, &settings)
     }
 
-    fn within(sockets: usize, memory_mb: usize) -> Front {
+    /// Tells an entry, and waits until the front has heard it: a group named behind it is known then.
+    fn list(&self, seq: u32, entry: &str) {
+        let mark = self.marks.fetch_add(1, Ordering::AcqRel);
+        let marked = host(&self.replica, "m", "DRAINING").replace(":3,", &format!(":{mark},"));
+        for (seq, entry) in [(seq, entry), (mark, &marked)] {
+            self.lines.send(format!(r#"{{"seq":{seq},"hosts":[{entry}]}}"#)).expect("a watch");
+        }
+        let asked = statement("read", "good", 20).replace("cluster=3", &format!("cluster={mark}"));
+        let (mut client, until) = (Client::open(self.listen), Instant::now() + LIMIT);
+        loop {
+            client.send(&asked);
+            if client.got() != error("42704") {
+                return;
+            }
+            assert!(Instant::now() < until, "the list is not heard");
+        }
+    }
+
+    fn within(sockets: usize, memory_mb: usize, settings: &str) -> Front {
         let ((primary, knocks), (replica, _)) = (Store::start(true), Store::start(false));
         let (discovery, lines) = discovery();
         let hosts = [host(&primary, "p", "SERVING"), host(&replica, "r", "SERVING")].join(",");
         let config = format!(
             r#"{{"seed":"8c1f30d27a5be964","limits":{{"memory_mb":{memory_mb},"sockets":{sockets}}},
-                "known":{{"seq":4,"whole":true,"hosts":[{hosts}]}},"settings":{SETTINGS}}}"#
+                "known":{{"seq":4,"whole":true,"hosts":[{hosts}]}},"settings":{settings}}}"#
         );
-        let listen = free_port();
+        let listen = free_address();
         let child = launch(&config, listen, discovery);
-        Front { child, listen, lines, primary, replica, knocks }
+        Front { child, listen, lines, primary, replica, knocks, marks: AtomicU32::new(100) }
     }
 
     fn signal(&self, name: &str) {
@@ -217,6 +244,11 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let mut said = String::new();
+        if let Some(log) = self.child.stderr.as_mut().filter(|_| thread::panicking()) {
+            let _ = log.read_to_string(&mut said);
+            eprintln!("the daemon's log:\n{said}");
+        }
     }
 }
 
@@ -358,41 +390,30 @@
 
 #[test]
 fn a_call_out_whose_store_drains_while_it_connects_is_not_sent() {
-    let front = Front::start();
-    let mut client = Client::open(front.listen);
-    // Each probe ends its connection, so that the write needs one of its own.
-    front.primary.closes.store(true, Ordering::Release);
-    while client.ask("order", "good", 1000) != value() {}
-    front.primary.closes.store(false, Ordering::Release);
+    let front = Front::without_probes();
     let (open, gate) = channel();
     *front.primary.gate.lock().expect("no panic") = Some(gate);
-    let seen = front.primary.seen.lock().expect("no panic").len();
-    // What is idle is dropped with the new start that the list tells of.
-    let started = host(&front.primary, "p", "SERVING").replace("{", r#"{"born_ms":1000,"#);
-    front.lines.send(format!(r#"{{"seq":5,"hosts":[{started}]}}"#)).expect("a watch");
-    let older = host(&front.primary, "p", "DRAINING");
-    front.lines.send(format!(r#"{{"seq":3,"hosts":[{older}]}}"#)).expect("a watch");
-    let until = Instant::now() + LIMIT;
-    loop {
-        client.send(&statement("order", "good", 1000));
-        if front.knocks.recv_timeout(Duration::from_millis(50)).is_ok() {
-            break;
-        }
-        assert!(client.got() == value() && Instant::now() < until, "the list of a new start does not arrive");
-    }
-    let seen = seen.max(front.primary.seen.lock().expect("no panic").len());
-    let mut other = Client::open(front.listen);
-    let draining = host(&front.primary, "p", "DRAINING");
-    let gone = host(&front.replica, "r", "DRAINING");
-    front.lines.send(format!(r#"{{"seq":6,"hosts":[{draining},{gone}]}}"#)).expect("a watch");
-    // A read is pushed back once the front has heard that both drain.
-    while other.ask("read", "good", 60) == value() {
-        assert!(Instant::now() < until, "the drain does not arrive");
-    }
+    let mut client = Client::open(front.listen);
+    client.send(&statement("order", "good", 3000));
+    front.knocks.recv_timeout(LIMIT).expect("its connection is being made");
+    front.list(5, &host(&front.primary, "p", "DRAINING"));
     open.send(()).expect("the store waits");
     let Got::Error(code, _) = client.got() else { panic!("served by a store that drains") };
     assert_eq!(code, "53300", "it never ran");
-    assert_eq!(front.primary.seen.lock().expect("no panic").len(), seen);
+    assert!(front.primary.seen.lock().expect("no panic").is_empty());
+}
+
+#[test]
+fn an_older_list_turns_nothing_back_and_a_new_start_ends_old_connections() {
+    let front = Front::without_probes();
+    let mut client = Client::open(front.listen);
+    assert_eq!(client.ask("order", "good", 3000), value());
+    assert_eq!(client.ask("order", "good", 3000), value());
+    assert_eq!(front.primary.starts.load(Ordering::Acquire), 1, "one connection for both");
+    front.list(5, &host(&front.primary, "p", "SERVING").replace('{', r#"{"born_ms":1000,"#));
+    front.list(3, &host(&front.primary, "p", "DRAINING"));
+    assert_eq!(client.ask("order", "good", 3000), value());
+    assert_eq!(front.primary.starts.load(Ordering::Acquire), 2);
 }
 
 #[test]
@@ -440,19 +461,19 @@
         (good.replace(r#""nInstances":2,"#, ""), "nInstances"),
         (good.replace(r#""aimNs":600000000"#, r#""aimNs":0"#), "classes[0].aimNs"),
     ] {
-        let child = launch(&config, free_port(), free_port());
+        let child = launch(&config, free_address(), free_address());
         let output = child.wait_with_output().expect("it ends");
         let said = String::from_utf8(output.stderr).expect("text");
         assert!(!output.status.success() && said.lines().count() == 1 && said.contains(key), "{key}: {said}");
     }
     let taken = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let output = launch(&good, taken.local_addr().expect("its address"), free_port()).wait_with_output();
+    let output = launch(&good, taken.local_addr().expect("its address"), free_address()).wait_with_output();
     assert!(String::from_utf8(output.expect("it ends").stderr).expect("text").contains("ROUTER_LISTEN"));
 }
 
 #[test]
 fn a_flood_of_idle_clients_costs_those_longest_idle_their_place() {
-    let front = Front::within(100, 192);
+    let front = Front::within(100, 192, SETTINGS);
     let mut clients: Vec<Client> = (0..80).map(|_| Client::open(front.listen)).collect();
     assert_eq!(clients[0].got(), Got::Ended, "the first has been idle longest");
     let last = clients.last_mut().expect("eighty");
@@ -483,7 +504,7 @@
 
 #[test]
 fn buffers_beyond_the_memory_for_them_end_the_sessions_that_fill_them() {
-    let front = Front::within(1024, 1);
+    let front = Front::within(1024, 1, SETTINGS);
     let mut clients: Vec<Client> = (0..5).map(|_| Client::open(front.listen)).collect();
     let mut part = vec![b'Q'];
     part.extend(150_000u32.to_be_bytes());
