Within few descriptors no request is lost: clients beyond the share wait, idle ones are told

Connections dropped where no descriptor was left to turn them away by (start.rs). 2. Connections that stood in the backlog past their time, because the accepting coroutine itself waited for idle clients to go. 3. A request that crossed the silent close of an idle session. Tried and left out: leaving what crosses unread so that its client sees a reset (lost all the same: the client has read the end before). A panic while the list is told to a router made anew is contained like any other.

--- a/front/src/ledger.rs
+++ b/front/src/ledger.rs
@@ -2,7 +2,7 @@
 //! struck out when its entry drops, every buffer is weighed.
 
 use crate::session::Mailbox;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -10,15 +10,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Share {
     Clients,
-    /// Clients accepted only to be told that there is no room.
-    TurnedAway,
+    /// Clients accepted beyond the share, to wait a moment for room or to be told that there is none.
+    Beyond,
     Stores,
     Discovery,
 }
 
 /// The process's own: standard streams, the listener, the event loop's, the signal pipe.
 const SPARE: usize = 24;
-const TURNED_AWAY: usize = 16;
 const DISCOVERY: usize = 4;
 
 #[derive(Default)]
@@ -27,8 +26,8 @@
     /// Of the stores' share, by address.
     by_store: HashMap<SocketAddr, usize>,
     idle: BTreeMap<u64, Arc<Mailbox>>,
-    /// Idle ones that were asked to go and have not gone yet.
-    asked: usize,
+    /// Idle ones that were asked to go and have neither gone yet nor become busy.
+    asked: BTreeSet<u64>,
     serial: u64,
 }
 
@@ -47,8 +46,8 @@
 }
 
 impl Entry {
-    pub fn turns_away(&self) -> bool {
-        self.share == Share::TurnedAway
+    pub fn is_beyond(&self) -> bool {
+        self.share == Share::Beyond
     }
 }
 
@@ -56,9 +55,6 @@
     fn drop(&mut self) {
         let mut entries = self.ledger.lock();
         entries.taken[self.share as usize] -= 1;
-        if self.share == Share::Clients {
-            entries.asked = entries.asked.saturating_sub(1);
-        }
         if let Some(addr) = self.store {
             let left = entries.by_store.get(&addr).map_or(0, |taken| taken - 1);
             if left == 0 {
@@ -92,10 +88,11 @@
 
 impl Ledger {
     pub fn new(descriptors: usize, memory: usize) -> Arc<Ledger> {
-        let rest = descriptors.saturating_sub(SPARE + TURNED_AWAY + DISCOVERY).max(2);
+        let beyond = (descriptors / 16).max(16);
+        let rest = descriptors.saturating_sub(SPARE + beyond + DISCOVERY).max(2);
         // An RPC that is out holds one of both kinds; held ones and idle sessions hold a client's alone.
         let stores = (rest * 2 / 5).max(1);
-        let most = [rest - stores, TURNED_AWAY, stores, DISCOVERY];
+        let most = [rest - stores, beyond, stores, DISCOVERY];
         // A third for clients' buffers and statements; stores' answers, stacks and all else share the rest.
         Arc::new(Ledger { most, most_held: memory / 3, held: AtomicUsize::new(0), entries: Mutex::default() })
     }
@@ -127,27 +124,25 @@
         Some(entry)
     }
 
-    /// One for a client. Where few are left those longest idle are asked to go, so that there is room for the next.
+    /// One for a client. Where few are left those longest idle are asked to go, so that there is room for the next;
+    /// where none is, it stands beyond the share.
     pub fn enter_client(self: &Arc<Ledger>) -> Option<Entry> {
         let most = self.most[Share::Clients as usize];
         let few = most / 16 + 1;
         let mut entries = self.lock();
-        let asked = if entries.taken[Share::Clients as usize] + few > most && entries.asked < few {
-            entries.idle.pop_first()
-        } else {
-            None
-        };
-        entries.asked += usize::from(asked.is_some());
-        drop(entries);
-        if let Some((_, mailbox)) = asked {
-            mailbox.ask_to_close();
+        if entries.taken[Share::Clients as usize] + few > most && entries.asked.len() < few {
+            if let Some((serial, mailbox)) = entries.idle.pop_first() {
+                entries.asked.insert(serial);
+                mailbox.ask_to_close();
+            }
         }
-        self.enter(Share::Clients)
+        drop(entries);
+        self.enter(Share::Clients).or_else(|| self.enter(Share::Beyond))
     }
 
     /// Whether a client that was asked to go has still to.
     pub fn frees_soon(&self) -> bool {
-        self.lock().asked > 0
+        !self.lock().asked.is_empty()
     }
 
     pub fn taken(&self, share: Share) -> usize {
@@ -172,6 +167,8 @@
     }
 
     pub fn busy(&self, serial: u64) {
-        self.lock().idle.remove(&serial);
+        let mut entries = self.lock();
+        entries.idle.remove(&serial);
+        entries.asked.remove(&serial);
     }
 }
--- a/front/src/owner.rs
+++ b/front/src/owner.rs
@@ -63,6 +63,8 @@
     /// The list as it was last told, by host: what a router made anew begins with.
     listed: BTreeMap<String, Host>,
     alarm: Option<Moment>,
+    /// The router has just been made anew and does not know the list.
+    anew: bool,
     state: State,
 }
 
@@ -91,7 +93,7 @@
     ) -> Owner {
         let state = State::new(seed, &facts, outlet.alarms());
         let listed = BTreeMap::new();
-        Owner { facts, seed, zones, most_held, outlet, news, listed, alarm: None, state }
+        Owner { facts, seed, zones, most_held, outlet, news, listed, alarm: None, anew: false, state }
     }
 
     /// Serves for the life of the process. A panic of the decisions drops their state: what was open aborts
@@ -102,18 +104,17 @@
             log!("the router panicked; it starts anew from the list");
             self.seed = self.seed.wrapping_add(1);
             self.state = State::new(self.seed, &self.facts, self.outlet.alarms());
-            self.state.list(
-                true,
-                self.listed.values().cloned().collect(),
-                &self.zones,
-                self.outlet.alarms().now(),
-            );
+            self.anew = true;
+            let _ = self.outlet.owner.send(News::Tick);
         }
     }
 
     fn turn(&mut self) {
         let Ok(first) = self.news.recv() else { return };
         let now = self.outlet.alarms().now();
+        if std::mem::take(&mut self.anew) {
+            self.state.list(true, self.listed.values().cloned().collect(), &self.zones, now);
+        }
         self.state.fire(now);
         let mut next = Some(first);
         while let Some(news) = next {
--- a/front/src/start.rs
+++ b/front/src/start.rs
@@ -3,7 +3,7 @@
 use crate::admit::Terms;
 use crate::clock::{duration, Alarms, Clock};
 use crate::discovery::{Hosts, Watch};
-use crate::ledger::{Entry, Ledger, Share};
+use crate::ledger::{Entry, Ledger};
 use crate::log;
 use crate::owner::{News, Owner};
 use crate::pool::Pool;
@@ -151,12 +151,9 @@
     while !closing.load(Ordering::Acquire) {
         match listener.accept() {
             Ok((stream, _)) => {
-                let Some(entry) = entry(&shared) else {
-                    log!("a client was dropped unheard: no descriptor is left even to turn it away");
-                    continue;
-                };
+                let entry = entry(&shared);
                 let shared = shared.clone();
-                spawn(move || session::run(shared, stream, &entry));
+                spawn(move || session::run(shared, stream, entry));
             }
             Err(why) => {
                 log!("a connection was not accepted: {why}");
@@ -166,16 +163,14 @@
     }
 }
 
-/// A client's entry: it waits for room where that is about to be made, and is turned away where not.
-fn entry(shared: &Shared) -> Option<Entry> {
-    let until = shared.alarms.now() + session::CLOSE_WITHIN;
+/// A client's entry. Dropping the connection would lose what came with it, so where there is no place even
+/// beyond the share the next waits for one who is about to go.
+fn entry(shared: &Shared) -> Entry {
     loop {
         if let Some(entry) = shared.ledger.enter_client() {
-            return Some(entry);
+            return entry;
         }
-        if !shared.ledger.frees_soon() || shared.alarms.now() >= until {
-            return shared.ledger.enter(Share::TurnedAway);
-        }
-        shared.alarms.pause(Span::millis(5));
+        log!("clients wait to be turned away: all descriptors for that are taken");
+        shared.alarms.pause(Span::millis(2));
     }
 }
--- a/hosting/src/facts.rs
+++ b/hosting/src/facts.rs
@@ -116,6 +116,13 @@
     if boot.n_instances == 0 || boot.resolution_ns <= 0 {
         return Err("nInstances and resolutionNs must be above 0".into());
     }
+    for (key, span) in
+        [("dialTimeoutNs", boot.allowed.dial_timeout_ns), ("connIdleNs", boot.allowed.conn_idle_ns)]
+    {
+        if span <= 0 {
+            return Err(format!("allowed.{key}: must be above 0"));
+        }
+    }
     if family.class_read.len() != boot.classes.len() {
         return Err("familyInfo.classRead: not one entry a class".into());
     }
