SIGHUP reads the configuration anew and turns the watch; idle closes say nothing

Ruled out: RPCs answered twice by the owner (a ticket is consumed by its answer).

Changed: launch.rs reads and checks the file, at the start and on SIGHUP, where the file's discovery goes before the variable; Whereto holds the address and a bell that wakes the watch from a read or a pause; handlers stand before the listener; what cannot take effect is named by key. Idle sessions close without a word.

--- a/front/src/clock.rs
+++ b/front/src/clock.rs
@@ -1,5 +1,6 @@
 //! Time: a monotonic clock set by one look at the wall, and alarms that ring from a thread of their own.
 
+use crate::wire::Bell;
 use gingerwick::time::{Moment, Span};
 use std::collections::BTreeMap;
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -86,9 +87,15 @@
 
     /// Holds the calling coroutine for so long.
     pub fn pause(&self, span: Span) {
+        self.pause_unless(span, &Bell::default());
+    }
+
+    /// Holds the calling coroutine for so long, or until the bell rings.
+    pub fn pause_unless(&self, span: Span, bell: &Bell) {
         let (until, this) = (self.now() + span, may::coroutine::current());
+        bell.wakes_parked();
         self.at(until, move || this.unpark());
-        while self.now() < until {
+        while self.now() < until && !bell.is_rung() {
             may::coroutine::park();
         }
     }
--- a/front/src/discovery.rs
+++ b/front/src/discovery.rs
@@ -11,7 +11,7 @@
 use may::sync::mpsc::Sender;
 use serde::Deserialize;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard};
 
 #[derive(Clone, Debug, Deserialize)]
 pub struct Hosts {
@@ -80,8 +80,38 @@
 /// A line that is longer than any list.
 const MOST_LINE: usize = 4 << 20;
 
+/// Where discovery is asked. It may be turned elsewhere at any time, whatever the watch waits for just then.
+pub struct Whereto(Mutex<(SocketAddr, Arc<Bell>)>);
+
+impl Whereto {
+    pub fn new(addr: SocketAddr) -> Whereto {
+        Whereto(Mutex::new((addr, Arc::default())))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, (SocketAddr, Arc<Bell>)> {
+        self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// The address, and the bell that rings once it is another.
+    fn now(&self) -> (SocketAddr, Arc<Bell>) {
+        self.lock().clone()
+    }
+
+    /// False where it is the address already.
+    pub fn turn(&self, addr: SocketAddr) -> bool {
+        let mut now = self.lock();
+        if now.0 == addr {
+            return false;
+        }
+        let (_, bell) = std::mem::replace(&mut *now, (addr, Arc::default()));
+        drop(now);
+        bell.ring();
+        true
+    }
+}
+
 pub struct Watch {
-    pub addr: SocketAddr,
+    pub whereto: Arc<Whereto>,
     pub alarms: Arc<Alarms>,
     pub ledger: Arc<Ledger>,
     pub owner: Sender<News>,
@@ -94,36 +124,40 @@
         let mut pause = PAUSES.0;
         loop {
             let before = self.seq;
-            let why = self.watch().unwrap_or_else(|why| why);
-            if before != self.seq {
+            let (addr, turned) = self.whereto.now();
+            let why = self.watch(addr, &turned).unwrap_or_else(|why| why);
+            if before != self.seq || turned.is_rung() {
                 pause = PAUSES.0;
             }
+            if turned.is_rung() {
+                continue;
+            }
             log!("the watch on discovery ended: {why}");
             let _ = self.owner.send(News::ListFailed);
             let chance = self.rng.below(64) as i64;
-            self.alarms.pause(pause / 64 * (32 + chance));
+            self.alarms.pause_unless(pause / 64 * (32 + chance), &turned);
             pause = (pause * 2).min(PAUSES.1);
         }
     }
 
     /// One watch from its connection to its end; says why it ended.
-    fn watch(&mut self) -> Result<&'static str, &'static str> {
+    fn watch(&mut self, addr: SocketAddr, turned: &Bell) -> Result<&'static str, &'static str> {
         let entry = self.ledger.enter(Share::Discovery).ok_or("no descriptor is free")?;
-        let (now, bell) = (self.alarms.now(), Bell::default());
-        let mut wire = Wire::connect(&self.alarms, &self.addr, now + CONNECT_WITHIN, entry)
-            .map_err(|_| "no connection")?;
+        let now = self.alarms.now();
+        let mut wire =
+            Wire::connect(&self.alarms, &addr, now + CONNECT_WITHIN, entry).map_err(|_| "no connection")?;
         let request = format!(
-            "GET /discovery/hosts?watch=1&after={} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
-            self.seq, self.addr
+            "GET /discovery/hosts?watch=1&after={} HTTP/1.1\r\nHost: {addr}\r\nAccept: application/json\r\n\r\n",
+            self.seq
         );
-        wire.listen_to(now + CONNECT_WITHIN, &bell);
-        wire.write(&[request.as_bytes()], now + CONNECT_WITHIN, &bell)
+        wire.listen_to(now + CONNECT_WITHIN, turned);
+        wire.write(&[request.as_bytes()], now + CONNECT_WITHIN, turned)
             .map_err(|_| "the request was not taken")?;
         let mut stream = Stream::default();
         loop {
             let by = self.alarms.now() + SILENCE;
-            wire.listen_to(by, &bell);
-            wire.read(by, &bell).map_err(|_| "it fell silent or was closed")?;
+            wire.listen_to(by, turned);
+            wire.read(by, turned).map_err(|_| "it fell silent or was closed")?;
             stream.take(&wire.buffer)?;
             wire.buffer.clear();
             while let Some(line) = stream.line() {
--- a/front/src/lib.rs
+++ b/front/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admit;
 pub mod clock;
 pub mod discovery;
+pub mod launch;
 pub mod ledger;
 pub mod log;
 pub mod owner;
--- a/front/src/session.rs
+++ b/front/src/session.rs
@@ -242,10 +242,10 @@
                 if self.last {
                     return true;
                 }
-                // Said aloud, so that a request that crosses the close has its answer: it never ran.
+                // Without a word: one behind the last answer would be a second answer to that RPC. What crosses
+                // the close never ran, and its client sends it again elsewhere.
                 if self.inbox.is_empty() && self.should_close() {
-                    self.end("57P03", "this session was idle and is let go");
-                    continue;
+                    return true;
                 }
                 // A start-up or a query half sent must come to its end.
                 if !self.inbox.has_begun() || !self.inbox.is_empty() {
@@ -441,7 +441,7 @@
             return;
         }
         let asked = self.mailbox.close.load(Ordering::Acquire);
-        let until = self.active + if asked { ROOM_WITHIN / 2 } else { CLOSE_WITHIN };
+        let until = self.shared.alarms.now() + if asked { ROOM_WITHIN / 2 } else { CLOSE_WITHIN };
         self.wake_at(until);
         let mut bytes = [0; 4096];
         while self.shared.alarms.now() < until {
--- a/front/src/start.rs
+++ b/front/src/start.rs
@@ -2,7 +2,8 @@
 
 use crate::admit::Terms;
 use crate::clock::{duration, Alarms, Clock};
-use crate::discovery::{Hosts, Watch};
+use crate::discovery::{Watch, Whereto};
+use crate::launch::{Launch, When};
 use crate::ledger::{Entry, Ledger};
 use crate::log;
 use crate::owner::{News, Owner};
@@ -12,77 +13,21 @@
 use crate::shutdown::Leave;
 use gingerwick::rng::Mwc;
 use gingerwick::time::Span;
-use hosting::facts::{self, BootInfo};
 use may::net::TcpListener;
 use may::sync::mpsc::channel;
-use serde::Deserialize;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 
-/// What ROUTER_CONFIG holds.
-#[derive(Deserialize)]
-struct Launch {
-    #[serde(default)]
-    name: String,
-    #[serde(default)]
-    listen: String,
-    #[serde(default)]
-    discovery: String,
-    seed: String,
-    #[serde(default)]
-    limits: Limits,
-    known: Option<Hosts>,
-    settings: BootInfo,
-}
-
-#[derive(Deserialize)]
-#[serde(default)]
-struct Limits {
-    sockets: usize,
-    memory_mb: usize,
-}
-
-impl Default for Limits {
-    fn default() -> Limits {
-        Limits { sockets: 1024, memory_mb: 192 }
-    }
-}
-
-fn launch() -> Result<Launch, String> {
-    let path = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG: not set")?;
-    let text = std::fs::read(&path).map_err(|why| format!("ROUTER_CONFIG: {path}: {why}"))?;
-    let read: Result<Launch, _> =
-        serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(&text));
-    let mut launch = read.map_err(|why| format!("ROUTER_CONFIG: {why}"))?;
-    let over = [
-        ("ROUTER_NAME", &mut launch.name),
-        ("ROUTER_LISTEN", &mut launch.listen),
-        ("ROUTER_DISCOVERY", &mut launch.discovery),
-    ];
-    for (variable, field) in over {
-        if let Ok(value) = std::env::var(variable) {
-            *field = value;
-        }
-    }
-    Ok(launch)
-}
-
-fn address(key: &str, word: &str) -> Result<SocketAddr, String> {
-    word.parse().map_err(|_| format!("{key}: {word:?} is no address with a port"))
-}
-
 /// Runs until the front has left; an error is what hindered the start.
 pub fn run() -> Result<(), String> {
     let clock = Clock::start();
-    let launch = launch()?;
-    let listen = address("ROUTER_LISTEN", &launch.listen)?;
-    let discovery = address("ROUTER_DISCOVERY", &launch.discovery)?;
-    let seed = u64::from_str_radix(&launch.seed, 16).map_err(|_| "ROUTER_CONFIG: seed: not hex digits")?;
-    let settings = launch.settings;
-    let facts = facts::facts(&settings).map_err(|why| format!("ROUTER_CONFIG: settings.{why}"))?;
+    // Before all else: a signal that comes while the parts are made waits for its turn.
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|why| format!("signals: {why}"))?;
+    let mut launch = launch(When::Start)?;
+    let (listen, seed, facts) = (launch.listen, launch.seed, launch.facts.clone());
+    let settings = &launch.settings;
 
     may::config().set_workers(1).set_pool_capacity(64).set_stack_size(STACK).set_worker_pin(false);
     std::panic::set_hook(Box::new(|panic| log!("{panic}")));
@@ -94,19 +39,20 @@
     let pool = Arc::new(Pool::new(alarms.clone(), ledger.clone(), dial, closed_after));
     let listener = TcpListener::bind(listen).map_err(|why| format!("ROUTER_LISTEN: {listen}: {why}"))?;
 
-    let terms = Terms::new(settings.classes.into_iter().map(|class| class.name).collect(), &facts);
+    let terms = Terms::new(settings.classes.iter().map(|class| class.name.clone()).collect(), &facts);
     let outlet = Outlet { pool: pool.clone(), owner: owner.clone(), probe_within: dial };
     let most_held = settings.allowed.most_held;
-    let decides = Owner::new(facts, seed, settings.azs, most_held, outlet, news);
+    let decides = Owner::new(facts, seed, settings.azs.clone(), most_held, outlet, news);
     let mut seq = 0;
-    if let Some(known) = launch.known {
+    if let Some(known) = launch.known.take() {
         seq = known.seq;
         let _ = owner.send(News::List { whole: true, hosts: known.hosts });
     }
     let started = |why: std::io::Error| format!("no stack for a coroutine: {why}");
     spawn_long_lived(move || decides.run()).map_err(started)?;
+    let whereto = Arc::new(Whereto::new(launch.discovery));
     let watch = Watch {
-        addr: discovery,
+        whereto: whereto.clone(),
         alarms: alarms.clone(),
         ledger: ledger.clone(),
         owner: owner.clone(),
@@ -134,16 +80,39 @@
     spawn(move || accept(listener, Arc::new(shared), &accepting));
     log!("{} serves on {listen}", launch.name);
 
-    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|why| format!("signals: {why}"))?;
-    if signals.forever().next().is_some() {
-        leave.begin(&alarms, move || {
-            closing.store(true, Ordering::Release);
-            // The listener waits for a connection: one of our own lets it see that it is over.
-            let _ = std::net::TcpStream::connect_timeout(&listen, duration(Span::millis(100)));
-        });
+    let mut stop_accepting = Some(move || {
+        closing.store(true, Ordering::Release);
+        // The listener waits for a connection: one of our own lets it see that it is over.
+        let _ = std::net::TcpStream::connect_timeout(&listen, duration(Span::millis(100)));
+    });
+    for signal in signals.forever() {
+        match (signal, stop_accepting.take()) {
+            (SIGHUP, still) => {
+                stop_accepting = still;
+                reload(&launch, &whereto);
+            }
+            (_, Some(stop_accepting)) => leave.begin(&alarms, stop_accepting),
+            (_, None) => {}
+        }
     }
-    loop {
-        std::thread::park();
+    Err("signals: no more of them can be heard".into())
+}
+
+fn launch(when: When) -> Result<Launch, String> {
+    Launch::read(when, |name| std::env::var(name).ok())
+}
+
+/// SIGHUP: the file is read anew. What can't be taken from it changes nothing.
+fn reload(started: &Launch, whereto: &Whereto) {
+    match launch(When::Reload) {
+        Ok(newer) => {
+            for key in started.differs(&newer) {
+                log!("reload: {key} has changed, it counts from the next start");
+            }
+            let turned = whereto.turn(newer.discovery);
+            log!("reloaded, discovery {} {}", if turned { "is now" } else { "is still" }, newer.discovery);
+        }
+        Err(why) => log!("reload: {why}; all goes on as before"),
     }
 }
 
--- a/front/src/wire.rs
+++ b/front/src/wire.rs
@@ -3,12 +3,13 @@
 use crate::clock::{duration, Alarms};
 use crate::ledger::Entry;
 use gingerwick::time::{Moment, Span};
+use may::coroutine::Coroutine;
 use may::io::{WaitIo, WaitIoWaker};
 use may::net::TcpStream;
 use std::io::{ErrorKind, IoSlice, Read, Write};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 /// So many bytes from one peer without a wait are enough: while there is always more to read, the worker would
 /// serve nobody else.
@@ -28,16 +29,37 @@
 #[derive(Default)]
 pub struct Bell {
     rung: AtomicBool,
-    waker: Mutex<Option<WaitIoWaker>>,
+    sleeper: Mutex<Option<Sleeper>>,
+}
+
+/// Whom the bell wakes.
+enum Sleeper {
+    Socket(WaitIoWaker),
+    Parked(Coroutine),
 }
 
 impl Bell {
+    fn lock(&self) -> MutexGuard<'_, Option<Sleeper>> {
+        self.sleeper.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
     pub fn ring(&self) {
         self.rung.store(true, Ordering::Release);
-        if let Some(waker) = &*self.waker.lock().unwrap_or_else(|poisoned| poisoned.into_inner()) {
-            waker.wakeup();
+        match &*self.lock() {
+            Some(Sleeper::Socket(waker)) => waker.wakeup(),
+            Some(Sleeper::Parked(coroutine)) => coroutine.unpark(),
+            None => {}
         }
     }
+
+    pub fn is_rung(&self) -> bool {
+        self.rung.load(Ordering::Acquire)
+    }
+
+    /// The calling coroutine, which is about to park, hears it.
+    pub fn wakes_parked(&self) {
+        *self.lock() = Some(Sleeper::Parked(may::coroutine::current()));
+    }
 }
 
 pub struct Wire {
@@ -69,12 +91,12 @@
     pub fn listen_to(&self, by: Moment, bell: &Bell) {
         let waker = self.stream.waker();
         self.alarms.at(by, move || waker.wakeup());
-        *bell.waker.lock().unwrap_or_else(|poisoned| poisoned.into_inner()) = Some(self.stream.waker());
+        *bell.lock() = Some(Sleeper::Socket(self.stream.waker()));
     }
 
     /// Until the socket may go on, unless it is to stop.
     fn wait(&self, by: Moment, bell: &Bell) -> Result<(), Stop> {
-        if bell.rung.load(Ordering::Acquire) {
+        if bell.is_rung() {
             return Err(Stop::Rung);
         }
         if self.alarms.now() >= by {
