Stores' answers are read by a strict grammar; a connection is reused once proved free

Changed: relay.rs reads a table of place, tag, length, body and next place, for start-ups and empty queries too; a spoilt answer tells nothing of its store. After an answer an empty query is asked, and only its exact answer, read when the connection is wanted next, frees it. Reports are read whole or not at all.

--- a/front/src/pg.rs
+++ b/front/src/pg.rs
@@ -164,11 +164,33 @@
     std::str::from_utf8(&named[1..]).ok()
 }
 
+/// A whole ErrorResponse or NoticeResponse: named texts with a code among them, and a zero at its very end.
+pub fn is_error(body: &[u8]) -> bool {
+    let Some(fields) = body.strip_suffix(&[0, 0]) else { return false };
+    let sound = |field: &[u8]| !field.is_empty() && std::str::from_utf8(field).is_ok();
+    let code = field(body, b'C').unwrap_or_default();
+    let coded =
+        code.len() == 5 && code.bytes().all(|byte| byte.is_ascii_uppercase() || byte.is_ascii_digit());
+    coded && fields.split(|&byte| byte == 0).all(sound)
+}
+
+/// One text of printable characters with its closing zero.
+pub fn is_text(body: &[u8]) -> bool {
+    let printable = |text: &[u8]| text.iter().all(|byte| byte.is_ascii_graphic() || *byte == b' ');
+    body.strip_suffix(&[0]).is_some_and(|text| !text.is_empty() && printable(text))
+}
+
 /// The name and the value of a ParameterStatus.
 pub fn parameter(body: &[u8]) -> Option<(&str, &str)> {
-    let mut words = body.split(|&byte| byte == 0);
-    let (name, value) = (words.next()?, words.next()?);
-    Some((std::str::from_utf8(name).ok()?, std::str::from_utf8(value).ok()?))
+    let (name, value) = std::str::from_utf8(body.strip_suffix(&[0])?).ok()?.split_once('\0')?;
+    (!name.is_empty() && !value.contains('\0')).then_some((name, value))
+}
+
+/// A RowDescription of one column: its count, a name, and eighteen bytes of numbers.
+pub fn describes_one_column(body: &[u8]) -> bool {
+    let Some(column) = body.strip_prefix(&[0, 1]) else { return false };
+    let name = column.iter().position(|&byte| byte == 0);
+    name.is_some_and(|end| column.len() == end + 1 + 18 && std::str::from_utf8(&column[..end]).is_ok())
 }
 
 /// The only column of a DataRow, where it has just one that is not null.
--- a/front/src/pool.rs
+++ b/front/src/pool.rs
@@ -1,9 +1,14 @@
 //! Connections to stores: reused first, the one used last before the others, opened only where none is free.
+//!
+//! A store may send more behind an answer than belongs to it, or close the connection right after. So an answered
+//! connection is asked an empty query, which the store answers at once and without effect, and is reused only
+//! once exactly that has come: what was left over of the last answer would come before it.
 
 use crate::clock::Alarms;
 use crate::ledger::Ledger;
 use crate::log;
 use crate::pg;
+use crate::relay::Reply;
 use crate::wire::{Bell, Stop, Wire};
 use gingerwick::iface::Outcome;
 use gingerwick::time::{Moment, Span};
@@ -15,6 +20,35 @@
 struct Idle {
     wire: Wire,
     since: Moment,
+    /// What has come of the answer to the empty query; none once it was right.
+    proof: Option<Reply>,
+}
+
+enum Use {
+    Free,
+    NotYet,
+    Never,
+}
+
+impl Idle {
+    /// Reads what has come without waiting for more.
+    fn look(&mut self, now: Moment, pool: &Pool) -> Use {
+        let age = now - self.since;
+        if age >= pool.idle_for || !self.wire.read_now() {
+            return Use::Never;
+        }
+        let Some(proof) = &mut self.proof else {
+            return if self.wire.buffer.is_empty() { Use::Free } else { Use::Never };
+        };
+        match proof.read(&self.wire.buffer) {
+            None if age < pool.dial => Use::NotYet,
+            Some(Outcome::Ok) if proof.frees(&self.wire.buffer) => {
+                (self.wire.buffer, self.proof) = (Vec::new(), None);
+                Use::Free
+            }
+            _ => Use::Never,
+        }
+    }
 }
 
 pub struct Pool {
@@ -37,13 +71,16 @@
     }
 
     pub fn reuse(&self, addr: &SocketAddr) -> Option<Wire> {
-        let now = self.alarms.now();
-        loop {
-            let Idle { wire, since } = self.lock().get_mut(addr)?.pop()?;
-            if now - since < self.idle_for && wire.is_quiet() {
-                return Some(wire);
+        let (now, mut idle) = (self.alarms.now(), self.lock());
+        let all = idle.get_mut(addr)?;
+        for nth in (0..all.len()).rev() {
+            match all[nth].look(now, self) {
+                Use::Free => return Some(all.remove(nth).wire),
+                Use::NotYet => {}
+                Use::Never => drop(all.remove(nth)),
             }
         }
+        None
     }
 
     /// Opens a connection and brings its start-up through.
@@ -71,39 +108,43 @@
             Stop::Broken => Outcome::Unreachable,
         };
         wire.write(&[&pg::start_up()], until, bell).map_err(fault)?;
-        let mut at = 0;
+        let mut reply = Reply::to_start_up();
         loop {
-            match pg::frame(&wire.buffer, at, pg::MOST_VALUE) {
-                Ok(None) => wire.read(until, bell).map_err(fault)?,
-                Ok(Some(frame)) => {
-                    let body = &wire.buffer[frame.body.clone()];
-                    match frame.tag {
-                        b'Z' => break,
-                        b'E' if pg::field(body, b'C') == Some("53300") => return Err(Outcome::Full),
-                        b'E' => return Err(Outcome::Unreachable),
-                        b'R' if body != [0; 4] => return Err(Outcome::Unreachable),
-                        _ => {}
-                    }
-                    at = frame.body.end;
-                }
-                Err(_) => return Err(Outcome::Unreachable),
+            match reply.read(&wire.buffer) {
+                None => wire.read(until, bell).map_err(fault)?,
+                Some(Outcome::Ok) if reply.frees(&wire.buffer) => break,
+                Some(Outcome::Full) => return Err(Outcome::Full),
+                Some(_) => return Err(Outcome::Unreachable),
             }
         }
         wire.buffer.clear();
         Ok(wire)
     }
 
-    /// Takes back a connection on which all that was asked has been answered.
-    pub fn keep(&self, addr: SocketAddr, mut wire: Wire) {
+    /// Takes back a connection on which nothing was asked.
+    pub fn keep(&self, addr: SocketAddr, wire: Wire) {
+        self.put(addr, wire, None);
+    }
+
+    /// Takes back a connection whose answer has come to its end.
+    pub fn release(&self, addr: SocketAddr, mut wire: Wire) {
         wire.buffer = Vec::new();
-        self.lock().entry(addr).or_default().push(Idle { wire, since: self.alarms.now() });
+        let mut ask = Vec::new();
+        pg::query(&mut ask, "");
+        if wire.write_now(&ask) {
+            self.put(addr, wire, Some(Reply::to_empty_query()));
+        }
+    }
+
+    fn put(&self, addr: SocketAddr, wire: Wire, proof: Option<Reply>) {
+        self.lock().entry(addr).or_default().push(Idle { wire, since: self.alarms.now(), proof });
     }
 
     /// Drops what has been idle too long.
     pub fn sweep(&self) {
         let now = self.alarms.now();
         self.lock().retain(|_, idle| {
-            idle.retain(|one| now - one.since < self.idle_for && one.wire.is_quiet());
+            idle.retain_mut(|one| !matches!(one.look(now, self), Use::Never));
             !idle.is_empty()
         });
     }
--- a/front/src/relay.rs
+++ b/front/src/relay.rs
@@ -1,68 +1,148 @@
-//! What a store's answer to a call-out means, read from its messages whole before any of it goes on.
+//! What a store's answer means, read from its messages whole before any of it goes on. Any store may lie: what
+//! does not stand just where the grammar has it spoils the answer, however it goes on.
 
 use crate::clock;
 use crate::pg;
 use gingerwick::iface::{Outcome, Role, Told};
 
+/// How far an answer has come, and so what may come next.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Place {
+    /// Behind a start-up message.
+    Greeting,
+    Greeted,
+    /// Behind a query.
+    #[default]
+    Asked,
+    Described,
+    Row,
+    Complete,
+    Failed,
+    /// Behind an empty query.
+    Hushed,
+    Done,
+    Spoilt,
+}
+
+/// One row: here a message with this tag, at most so long and with a body that fits, leads there.
+type Rule = (Place, u8, usize, fn(&[u8]) -> bool, Place);
+
+const SHORT: usize = 1 << 10;
+
+const GRAMMAR: &[Rule] = &[
+    (Place::Greeting, b'R', 8, |body| body == [0; 4], Place::Greeted),
+    (Place::Greeting, b'E', SHORT, pg::is_error, Place::Failed),
+    (Place::Greeted, b'K', 12, |body| body.len() == 8, Place::Greeted),
+    (Place::Greeted, b'Z', 5, |body| body == b"I", Place::Done),
+    (Place::Greeted, b'E', SHORT, pg::is_error, Place::Failed),
+    (Place::Asked, b'T', SHORT, pg::describes_one_column, Place::Described),
+    (Place::Asked, b'E', SHORT, pg::is_error, Place::Failed),
+    (Place::Described, b'D', pg::MOST_VALUE, |body| pg::only_column(body).is_some(), Place::Row),
+    (Place::Described, b'E', SHORT, pg::is_error, Place::Failed),
+    (Place::Row, b'C', SHORT, pg::is_text, Place::Complete),
+    (Place::Row, b'E', SHORT, pg::is_error, Place::Failed),
+    (Place::Complete, b'Z', 5, |body| body == b"I", Place::Done),
+    (Place::Failed, b'Z', 5, |body| body == b"I", Place::Done),
+    (Place::Hushed, b'I', 4, <[u8]>::is_empty, Place::Complete),
+];
+
+/// Parameters and notices may stand anywhere before the end, but not without one: so many bytes in all.
+const MOST_ASIDE: usize = 8 << 10;
+
 /// An answer as far as it has come.
 #[derive(Debug, Default)]
 pub struct Reply {
+    place: Place,
     /// The next message in the connection's buffer.
     at: usize,
     /// RowDescription, DataRow and CommandComplete, as they came.
     pub value: Vec<u8>,
-    rows: u32,
-    complete: bool,
+    aside: usize,
     error: Option<Outcome>,
     pub note: Told,
     pub report: Told,
-    /// ReadyForQuery has come: the connection is free again.
-    pub ready: bool,
 }
 
 impl Reply {
-    /// Reads on; the outcome once it is known. A fault of the store's speech may have run.
+    pub fn to_start_up() -> Reply {
+        Reply { place: Place::Greeting, ..Reply::default() }
+    }
+
+    pub fn to_empty_query() -> Reply {
+        Reply { place: Place::Hushed, ..Reply::default() }
+    }
+
+    /// Reads on in all that has come; the outcome once it is known.
     pub fn read(&mut self, buffer: &[u8]) -> Option<Outcome> {
-        loop {
-            let frame = match pg::frame(buffer, self.at, pg::MOST_VALUE) {
-                Ok(Some(frame)) => frame,
-                Ok(None) => return None,
-                Err(_) => return Some(Outcome::Errored),
-            };
-            let (start, body) = (self.at, &buffer[frame.body.clone()]);
-            self.at = frame.body.end;
-            match frame.tag {
-                b'T' | b'D' | b'C' => {
-                    self.rows += u32::from(frame.tag == b'D');
-                    self.complete |= frame.tag == b'C';
-                    if self.value.len() + (self.at - start) > 2 * pg::MOST_VALUE {
-                        return Some(Outcome::Errored);
+        while !matches!(self.place, Place::Done | Place::Spoilt) {
+            let &tag = buffer.get(self.at)?;
+            let aside = matches!(tag, b'S' | b'N');
+            let rule = GRAMMAR.iter().find(|rule| rule.0 == self.place && rule.1 == tag);
+            let most = if aside { MOST_ASIDE - self.aside } else { rule.map_or(0, |rule| rule.2) };
+            let start = self.at;
+            let next = match pg::frame(buffer, start, most) {
+                Ok(None) if most > 0 => return None,
+                Ok(Some(frame)) => {
+                    self.at = frame.body.end;
+                    let body = &buffer[frame.body];
+                    if aside {
+                        self.aside += self.at - start;
+                        self.aside(tag, body)
+                    } else {
+                        rule.filter(|rule| rule.3(body)).map(|rule| rule.4)
                     }
-                    self.value.extend_from_slice(&buffer[start..self.at]);
                 }
-                b'E' => self.error = Some(of_code(pg::field(body, b'C').unwrap_or_default())),
-                b'S' => self.parameter(body),
-                b'Z' => {
-                    self.ready = true;
-                    return Some(self.outcome(Outcome::Errored));
-                }
-                _ => {}
+                _ => None,
+            };
+            if tag == b'E' && next.is_some() {
+                // Behind the head of a value even a "never ran" is no proof.
+                let code = pg::field(&buffer[start + 5..self.at], b'C').unwrap_or_default();
+                let early = self.place != Place::Described && self.place != Place::Row;
+                self.error = Some(if early { of_code(code) } else { Outcome::Errored });
+            } else if matches!(tag, b'T' | b'D' | b'C') {
+                self.value.extend_from_slice(&buffer[start..self.at]);
             }
+            self.place = next.unwrap_or(Place::Spoilt);
         }
+        Some(self.outcome(Outcome::Errored))
+    }
+
+    /// What stands beside an answer, and may stand there at any point of it.
+    fn aside(&mut self, tag: u8, body: &[u8]) -> Option<Place> {
+        match (tag, pg::parameter(body)) {
+            (b'N', _) => return pg::is_error(body).then_some(self.place),
+            (_, Some(("recovery", "off"))) => self.note.role = Some(Role::Primary),
+            (_, Some(("recovery", "on"))) => self.note.role = Some(Role::Replica),
+            (_, Some(("lsn_ms", ms))) => self.note.position = number(ms).and_then(clock::from_unix_ms),
+            (_, Some(("health", fields))) => self.report = report(fields),
+            (_, named) => return named.map(|_| self.place),
+        }
+        Some(self.place)
     }
 
     /// What it comes to where nothing more will be read; `cut` where it had not said enough. A fatal error or a
     /// whole value counts, whatever became of the connection behind it.
     pub fn outcome(&self, cut: Outcome) -> Outcome {
-        match self.error {
-            Some(outcome) => outcome,
-            None if self.whole() => Outcome::Ok,
-            None => cut,
+        match (self.place, self.error) {
+            (Place::Spoilt, _) => Outcome::Errored,
+            (_, Some(outcome)) => outcome,
+            (Place::Complete | Place::Done, None) => Outcome::Ok,
+            _ => cut,
         }
     }
 
-    fn whole(&self) -> bool {
-        self.rows == 1 && self.complete
+    /// Whether the connection is free again: the answer is at its end, and nothing stands behind it.
+    pub fn frees(&self, buffer: &[u8]) -> bool {
+        self.place == Place::Done && self.at == buffer.len()
+    }
+
+    /// What the answer said of its store beside the value; a spoilt one has said nothing.
+    pub fn told(&self) -> (Told, Told) {
+        if self.place == Place::Spoilt {
+            Default::default()
+        } else {
+            (self.note, self.report)
+        }
     }
 
     /// The only column of the only row.
@@ -76,16 +156,6 @@
         }
         None
     }
-
-    fn parameter(&mut self, body: &[u8]) {
-        match pg::parameter(body) {
-            Some(("recovery", "off")) => self.note.role = Some(Role::Primary),
-            Some(("recovery", "on")) => self.note.role = Some(Role::Replica),
-            Some(("lsn_ms", ms)) => self.note.position = ms.parse().ok().and_then(clock::from_unix_ms),
-            Some(("health", fields)) => self.report = report(fields),
-            _ => {}
-        }
-    }
 }
 
 /// The border between what never ran and what may have.
@@ -97,17 +167,29 @@
     }
 }
 
-/// A load report, `name=value` pairs: `x0` is the position, `x1` 1 from a primary, `util` the busy part.
+/// Digits with at most one point among them: no sign, no exponent, no `nan` or `inf`.
+fn number(word: &str) -> Option<f64> {
+    let plain = word.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    word.parse().ok().filter(|_| plain)
+}
+
+/// A load report, `name=value` pairs: `x0` is the position, `x1` 1 from a primary, `util` the busy part. One that
+/// can't be read in any part tells nothing at all.
 pub fn report(fields: &str) -> Told {
-    let mut told = Told::default();
-    for (name, value) in fields.split(',').filter_map(|pair| pair.split_once('=')) {
-        let Ok(value) = value.trim().parse::<f64>() else { continue };
-        match name.trim() {
-            "x0" => told.position = clock::from_unix_s(value),
-            "x1" => told.role = Some(if value == 1.0 { Role::Primary } else { Role::Replica }),
-            "util" | "load_share" => told.load = Some(value),
-            _ => {}
+    let read = |fields: &str| {
+        let mut told = Told::default();
+        for pair in fields.split(',') {
+            let (name, value) = pair.split_once('=')?;
+            match (name.trim(), number(value.trim())?) {
+                ("x0", value) => told.position = Some(clock::from_unix_s(value)?),
+                ("x1", 1.0) => told.role = Some(Role::Primary),
+                ("x1", 0.0) => told.role = Some(Role::Replica),
+                ("x1", _) => return None,
+                ("util" | "load_share", value) => told.load = Some(value),
+                _ => {}
+            }
         }
-    }
-    told
+        Some(told)
+    };
+    read(fields).unwrap_or_default()
 }
--- a/front/src/send.rs
+++ b/front/src/send.rs
@@ -63,37 +63,43 @@
     let CallOut { rpc, number, store, sent, .. } = job;
     let end = End { outcome: Outcome::Broken, ..End::moot(rpc, number, store, sent) };
     let mut pending = Pending { owner, end: Some(end) };
-    let (outcome, reply) = attempt(pool, &pending.owner, &job);
+    let (outcome, reply, free) = attempt(pool, &pending.owner, &job);
     if let Some(end) = &mut pending.end {
-        (end.outcome, end.note, end.report, end.value) = (outcome, reply.note, reply.report, reply.value);
+        (end.note, end.report) = reply.told();
+        (end.outcome, end.value) = (outcome, reply.value);
+    }
+    drop(pending);
+    if let Some(wire) = free {
+        pool.release(job.addr, wire);
     }
 }
 
-fn attempt(pool: &Pool, owner: &Sender<News>, job: &CallOut) -> (Outcome, Reply) {
+/// The outcome, the answer as far as it came, and the connection where it may be used again.
+fn attempt(pool: &Pool, owner: &Sender<News>, job: &CallOut) -> (Outcome, Reply, Option<Wire>) {
     let CallOut { addr, by, bell, query, .. } = job;
     loop {
         let reused = pool.reuse(addr);
         let again = reused.is_some();
         let mut wire = match reused.map_or_else(|| pool.open(addr, *by, bell), Ok) {
             Ok(wire) => wire,
-            Err(outcome) => return (outcome, Reply::default()),
+            Err(outcome) => return (outcome, Reply::default(), None),
         };
         wire.listen_to(*by, bell);
         // Connecting took its time: what held when this was decided may hold no more.
         if !confirmed(owner, job) {
             pool.keep(*addr, wire);
-            return (Outcome::Moot, Reply::default());
+            return (Outcome::Moot, Reply::default(), None);
         }
         let patience = ((*by - pool.alarms.now()).0 / 1_000_000).max(1).to_string();
         let (head, tail) = (&query.body[..query.patience.start], &query.body[query.patience.end..]);
         let length = (4 + head.len() + patience.len() + tail.len()) as u32;
         let parts: [&[u8]; 5] = [b"Q", &length.to_be_bytes(), head, patience.as_bytes(), tail];
         match wire.write(&parts, *by, bell) {
-            Ok(()) => return answer(pool, wire, job),
+            Ok(()) => return answer(wire, *by, bell),
             // Closed by the store while it was idle here: nothing of this has run.
             Err(Stop::Broken) if again => {}
-            Err(Stop::Broken) => return (Outcome::Unreachable, Reply::default()),
-            Err(Stop::Late | Stop::Rung) => return (Outcome::Moot, Reply::default()),
+            Err(Stop::Broken) => return (Outcome::Unreachable, Reply::default(), None),
+            Err(Stop::Late | Stop::Rung) => return (Outcome::Moot, Reply::default(), None),
         }
     }
 }
@@ -104,19 +110,17 @@
     asked.is_ok() && answer.recv().unwrap_or(false)
 }
 
-/// A connection whose answer was not read to its end is closed: late bytes would reach another RPC.
-fn answer(pool: &Pool, mut wire: Wire, job: &CallOut) -> (Outcome, Reply) {
+/// Reads what comes back for what was written whole. Only an answer read to its end, with nothing behind it, gives
+/// the connection back: late bytes would reach another RPC.
+fn answer(mut wire: Wire, by: Moment, bell: &Bell) -> (Outcome, Reply, Option<Wire>) {
     let mut reply = Reply::default();
     loop {
         if let Some(outcome) = reply.read(&wire.buffer) {
-            if reply.ready {
-                pool.keep(job.addr, wire);
-            }
-            return (outcome, reply);
+            let free = reply.frees(&wire.buffer).then_some(wire);
+            return (outcome, reply, free);
         }
-        match wire.read(job.by, &job.bell) {
-            Ok(()) => {}
-            Err(stop) => return (reply.outcome(cut_by(stop)), reply),
+        if let Err(stop) = wire.read(by, bell) {
+            return (reply.outcome(cut_by(stop)), reply, None);
         }
     }
 }
@@ -171,21 +175,13 @@
             Err(Stop::Broken) if again => continue,
             Err(_) => return (Outcome::Unreachable, Told::default()),
         }
-        let mut reply = Reply::default();
-        loop {
-            if let Some(outcome) = reply.read(&wire.buffer) {
-                let text = reply.column().and_then(|column| std::str::from_utf8(column).ok());
-                let told = text.map(report).unwrap_or_default();
-                if reply.ready {
-                    pool.keep(addr, wire);
-                }
-                return (outcome, told);
-            }
-            match wire.read(by, bell) {
-                Ok(()) => {}
-                Err(stop) => return (reply.outcome(cut_by(stop)), Told::default()),
-            }
+        let (outcome, reply, free) = answer(wire, by, bell);
+        let text = reply.column().and_then(|column| std::str::from_utf8(column).ok());
+        let told = text.filter(|_| outcome == Outcome::Ok).map(report).unwrap_or_default();
+        if let Some(wire) = free {
+            pool.release(addr, wire);
         }
+        return (outcome, told);
     }
 }
 
--- a/front/src/wire.rs
+++ b/front/src/wire.rs
@@ -16,6 +16,9 @@
 pub const BURST: usize = 128 << 10;
 pub const BREATH: Span = Span::millis(1);
 
+/// What may come on a connection that nobody uses.
+const MOST_IDLE: usize = 4 << 10;
+
 /// Why a read or a write did not come about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stop {
@@ -154,9 +157,24 @@
         Ok(())
     }
 
-    /// Whether an idle connection is open still, with nothing unread on it.
-    pub fn is_quiet(&self) -> bool {
-        let heard = self.stream.inner().read(&mut [0]);
-        self.buffer.is_empty() && heard.is_err_and(|why| why.kind() == ErrorKind::WouldBlock)
+    /// Appends what has come to the buffer of an idle connection without waiting; false where it has ended, or more
+    /// has come than can belong there.
+    pub fn read_now(&mut self) -> bool {
+        let mut bytes = [0; 512];
+        while self.buffer.len() <= MOST_IDLE {
+            match self.stream.inner().read(&mut bytes) {
+                Ok(0) => return false,
+                Ok(n) => self.buffer.extend_from_slice(&bytes[..n]),
+                Err(why) if why.kind() == ErrorKind::WouldBlock => return true,
+                Err(why) if why.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return false,
+            }
+        }
+        false
+    }
+
+    /// Writes a few bytes without waiting; false where they did not leave.
+    pub fn write_now(&mut self, bytes: &[u8]) -> bool {
+        self.stream.inner().write(bytes).is_ok_and(|written| written == bytes.len())
     }
 }
--- a/front/tests/loopback.rs
+++ b/front/tests/loopback.rs
@@ -73,8 +73,12 @@
         stream.write_all(&out).ok()?;
         while let Some((b'Q', body)) = next(&mut stream) {
             let text = String::from_utf8(body).expect("text").trim_end_matches('\0').to_string();
+            if text.is_empty() {
+                stream.write_all(b"I\0\0\0\x04Z\0\0\0\x05I").ok()?;
+                continue;
+            }
             let unix = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
-            let value = if text == "SHOW health" {
+            let mut value = if text == "SHOW health" {
                 let role = u8::from(self.primary);
                 format!("x0={:.3},x1={role},load_share=0.1", unix.as_secs_f64()).into_bytes()
             } else {
@@ -88,7 +92,11 @@
                 "reset" => return None,
                 "full" => pg::error(&mut out, "ERROR", "53300", "full", None),
                 "error" => pg::error(&mut out, "ERROR", "XX000", "broken", None),
+                "spoilt" => out.extend([b'T', 127, 255, 255, 255]),
                 _ => {
+                    if key == "twice" {
+                        value.push(2);
+                    }
                     if key == "slow" {
                         self.knocked.send(()).ok()?;
                         thread::sleep(Duration::from_millis(700));
@@ -106,6 +114,11 @@
             message(&mut out, b'S', if self.primary { b"recovery\0off\0" } else { b"recovery\0on\0" });
             message(&mut out, b'Z', b"I");
             stream.write_all(&out).ok()?;
+            if key == "twice" {
+                // What another RPC on this connection would take for its own value.
+                thread::sleep(Duration::from_millis(20));
+                stream.write_all(&out).ok()?;
+            }
         }
         Some(())
     }
@@ -420,6 +433,21 @@
     assert_eq!(front.primary.starts.load(Ordering::Acquire), 2);
 }
 
+#[test]
+fn a_second_copy_behind_an_answer_reaches_nobody_and_a_spoilt_one_is_told_at_once() {
+    let front = Front::without_probes();
+    let mut client = Client::open(front.listen);
+    for _ in 0..3 {
+        assert_eq!(client.ask("order", "twice", 3000), Got::Value(vec![0, 255, b'\n', 7, 2]));
+        assert_eq!(client.ask("order", "good", 3000), value(), "its own");
+        thread::sleep(Duration::from_millis(30));
+    }
+    assert!(front.primary.starts.load(Ordering::Acquire) >= 3, "what had more behind it is closed");
+    let began = Instant::now();
+    assert_eq!(client.ask("order", "spoilt", 5000), error("58000"), "it may have run");
+    assert!(began.elapsed() < Duration::from_secs(2), "told by its head, not by its end");
+}
+
 #[test]
 fn sigterm_answers_what_is_out_takes_what_still_comes_and_ends_soon() {
     let mut front = Front::start();
--- a/front/tests/messages.rs
+++ b/front/tests/messages.rs
@@ -20,6 +20,28 @@
     [&[tag], &length[..], body].concat()
 }
 
+/// A good answer with this value: what is passed on of it, and all of it.
+fn answer_of(value: &[u8]) -> (Vec<u8>, Vec<u8>) {
+    let row = [&[0, 1], &(value.len() as u32).to_be_bytes()[..], value].concat();
+    let passed = [message(b'T', HEADS), message(b'D', &row), message(b'C', b"SELECT 1\0")].concat();
+    let rest =
+        [message(b'S', b"recovery\0on\0"), message(b'S', b"lsn_ms\x001767225600123\0"), message(b'Z', b"I")];
+    let bytes = [&passed[..], &rest.concat()].concat();
+    (passed, bytes)
+}
+
+const HEADS: &[u8] = b"\0\x01content\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01";
+
+/// The tags of whole messages and nothing else.
+fn tags(bytes: &[u8]) -> String {
+    let (mut tags, mut at) = (String::new(), 0);
+    while let Ok(Some(frame)) = pg::frame(bytes, at, pg::MOST_VALUE) {
+        tags.push(frame.tag as char);
+        at = frame.body.end;
+    }
+    tags + if at == bytes.len() { "" } else { "?" }
+}
+
 fn all(parts: &[&[u8]]) -> Vec<Item> {
     let mut inbox = TakeIn::default();
     let mut items = Vec::new();
@@ -92,31 +114,61 @@
     fn a_store_s_answer_means_the_same_however_it_is_split(
         value in prop::collection::vec(any::<u8>(), 0..5000),
         cuts in prop::collection::vec(1usize..400, 0..30),
+        surplus in prop::collection::vec(any::<u8>(), 0..9),
     ) {
-        let row = [&[0, 1], &(value.len() as u32).to_be_bytes()[..], &value].concat();
-        let passed = [message(b'T', b"\0\x01content\0"), message(b'D', &row), message(b'C', b"SELECT 1\0")].concat();
-        let rest = [
-            message(b'S', b"recovery\0on\0"),
-            message(b'S', b"lsn_ms\x001767225600123\0"),
-            message(b'Z', b"I"),
-        ];
-        let bytes = [&passed[..], &rest.concat()].concat();
-        let (mut reply, mut end) = (Reply::default(), 0);
-        for cut in cuts {
-            end = (end + cut).min(bytes.len());
+        let (passed, bytes) = answer_of(&value);
+        let (mut reply, mut end, mut known) = (Reply::default(), 0, false);
+        for cut in cuts.into_iter().chain([usize::MAX]) {
+            end = cut.saturating_add(end).min(bytes.len());
             let outcome = reply.read(&bytes[..end]);
-            prop_assert_eq!(outcome.is_some(), end == bytes.len());
-            if outcome.is_some() {
+            known = outcome.is_some();
+            prop_assert_eq!(known, end == bytes.len());
+            if known {
+                prop_assert_eq!(outcome, Some(Outcome::Ok));
                 break;
             }
         }
-        if !reply.ready {
-            prop_assert_eq!(reply.read(&bytes), Some(Outcome::Ok));
-        }
+        prop_assert!(known && reply.frees(&bytes));
+        prop_assert_eq!(reply.frees(&[&bytes[..], &surplus].concat()), surplus.is_empty());
         prop_assert_eq!(&reply.value, &passed, "passed on unchanged");
         prop_assert_eq!(reply.column(), Some(&value[..]));
-        prop_assert_eq!(reply.note.role, Some(Role::Replica));
-        prop_assert_eq!(reply.note.position, Some(Moment(1_767_225_600_123_000_000)));
+        let (note, _) = reply.told();
+        prop_assert_eq!(note.role, Some(Role::Replica));
+        prop_assert_eq!(note.position, Some(Moment(1_767_225_600_123_000_000)));
+    }
+
+    #[test]
+    fn a_spoilt_answer_is_never_taken_for_a_value(
+        value in prop::collection::vec(any::<u8>(), 0..300),
+        spoils in prop::collection::vec((0usize..400, 0usize..4, any::<u8>()), 1..4),
+        cuts in prop::collection::vec(1usize..40, 0..30),
+    ) {
+        let (_, mut bytes) = answer_of(&value);
+        for (at, how, byte) in spoils {
+            let at = at % (bytes.len() + 1);
+            match how {
+                0 => bytes.truncate(at),
+                1 => bytes.insert(at, byte),
+                2 if at < bytes.len() => bytes[at] = byte,
+                _ => drop(bytes.drain(at..(at + usize::from(byte)).min(bytes.len()))),
+            }
+        }
+        let (mut reply, mut end, mut outcome) = (Reply::default(), 0, None);
+        for cut in cuts.into_iter().chain([usize::MAX]) {
+            end = cut.saturating_add(end).min(bytes.len());
+            outcome = reply.read(&bytes[..end]);
+            if outcome.is_some() {
+                break;
+            }
+        }
+        let mut whole = Reply::default();
+        prop_assert_eq!(whole.read(&bytes[..end]), outcome, "however it is split");
+        if reply.outcome(Outcome::Broken) == Outcome::Ok {
+            prop_assert!(reply.column().is_some() && tags(&reply.value) == "TDC", "one row of one column, whole");
+        }
+        if outcome == Some(Outcome::Errored) && !reply.frees(&bytes) {
+            prop_assert!(reply.told().0.position.is_none(), "a spoilt answer has told nothing");
+        }
     }
 
     #[test]
@@ -269,9 +321,9 @@
 #[test]
 fn each_row_of_the_outcome_table_is_one_outcome() {
     let answer = |messages: &[Vec<u8>]| {
-        let mut reply = Reply::default();
-        let outcome = reply.read(&messages.concat());
-        (outcome.unwrap_or_else(|| reply.outcome(Outcome::Broken)), reply.ready)
+        let (mut reply, bytes) = (Reply::default(), messages.concat());
+        let outcome = reply.read(&bytes);
+        (outcome.unwrap_or_else(|| reply.outcome(Outcome::Broken)), reply.frees(&bytes))
     };
     let error = |code: &str| {
         let mut out = Vec::new();
@@ -280,18 +332,44 @@
     };
     let ready = message(b'Z', b"I");
     let (row, complete) = (message(b'D', &[0, 1, 0, 0, 0, 1, 7]), message(b'C', b"SELECT 1\0"));
-    let heads = message(b'T', b"\0\x01content\0");
-    let value = [heads.clone(), row.clone(), complete.clone()];
-    assert_eq!(answer(&[&value[..], std::slice::from_ref(&ready)].concat()), (Outcome::Ok, true));
-    assert_eq!(answer(&value), (Outcome::Ok, false), "whole, though its connection broke behind it");
-    assert_eq!(answer(&[heads.clone(), row.clone()]), (Outcome::Broken, false), "not whole");
-    assert_eq!(answer(&[]), (Outcome::Broken, false));
-    assert_eq!(answer(&[heads.clone(), complete.clone(), ready.clone()]), (Outcome::Errored, true), "no row");
-    assert_eq!(
-        answer(&[heads, row.clone(), row, complete, ready.clone()]),
-        (Outcome::Errored, true),
-        "two rows"
-    );
+    let heads = message(b'T', HEADS);
+    let note = message(b'S', b"recovery\0on\0");
+    for (messages, outcome, frees, why) in [
+        (vec![&heads, &row, &complete, &ready], Outcome::Ok, true, "a value"),
+        (vec![&note, &heads, &row, &note, &complete, &ready], Outcome::Ok, true, "parameters beside it"),
+        (vec![&heads, &row, &complete], Outcome::Ok, false, "whole, though its connection broke behind it"),
+        (vec![&heads, &row, &complete, &ready, &ready], Outcome::Ok, false, "more than belongs to it"),
+        (vec![&heads, &row], Outcome::Broken, false, "not whole"),
+        (vec![], Outcome::Broken, false, "nothing"),
+        (vec![&heads, &complete, &ready], Outcome::Errored, false, "no row"),
+        (vec![&heads, &row, &row, &complete, &ready], Outcome::Errored, false, "two rows"),
+        (vec![&row, &complete, &ready], Outcome::Errored, false, "a row without its description"),
+        (vec![&heads, &row, &complete, &row], Outcome::Errored, false, "a row behind the end"),
+        (vec![&heads, &row, &error("53300"), &ready], Outcome::Errored, true, "turned away behind a row"),
+        (vec![&message(b'T', &HEADS[..9]), &row], Outcome::Errored, false, "half a description"),
+        (vec![&heads, &message(b'D', &[0, 1, 0, 0, 0, 2, 7])], Outcome::Errored, false, "a column cut short"),
+        (
+            vec![&heads, &message(b'D', &[0, 2, 0, 0, 0, 1, 7])],
+            Outcome::Errored,
+            false,
+            "two columns told of",
+        ),
+        (vec![&heads, &message(b'D', &[0, 1, 255, 255, 255, 255])], Outcome::Errored, false, "no value"),
+        (
+            vec![&heads, &message(b'D', &vec![7; pg::MOST_VALUE])],
+            Outcome::Errored,
+            false,
+            "too long, told by its head",
+        ),
+        (vec![&message(b'A', b"x\0")], Outcome::Errored, false, "a tag that stands nowhere"),
+        (vec![&message(b'E', b"SERROR\0C53300\0")], Outcome::Errored, false, "an error without its end"),
+        (vec![&message(b'E', b"SERROR\0\0")], Outcome::Errored, false, "an error without a code"),
+        (vec![&message(b'S', &vec![b'x'; 9000])], Outcome::Errored, false, "parameters without end"),
+        (vec![&ready], Outcome::Errored, false, "an end with nothing before it"),
+    ] {
+        let messages: Vec<Vec<u8>> = messages.into_iter().cloned().collect();
+        assert_eq!(answer(&messages), (outcome, frees), "{why}");
+    }
     for (code, outcome) in [
         ("25006", Outcome::Lagged),
         ("72000", Outcome::Lagged),
@@ -314,8 +392,14 @@
     for none in [f64::NAN, f64::INFINITY, -1.0, 0.0, 1e300] {
         assert_eq!((from_unix_ms(none), from_unix_s(none)), (None, None));
     }
-    let told = report("x1=0,util=0.61,new=7,broken");
+    let told = report("x1=0,util=0.61,new=7");
     assert_eq!((told.role, told.load, told.position), (Some(Role::Replica), Some(0.61), None));
+    for unread in
+        ["x1=0,util=0.61,broken", "x1=2", "x0=nan,x1=1", "x0=-5", "util=inf", "x0=1e9,x1=1", "x1=+1", ""]
+    {
+        let told = report(unread);
+        assert!((told.position, told.role, told.load) == (None, None, None), "{unread} is no report at all");
+    }
 }
 
 #[test]
