No room widens at a full store; another zone counts one more; no faith in times to come

A told position ahead of our clock was cut to now, which made a lagging replica fresh and its claim to be primary the latest. The give-up at half looked at call_outs, also where none had reached a store.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -57,22 +57,11 @@
 
 /// What the start facts come to.
 struct Charter {
+    facts: Facts,
     methods: Vec<Terms>,
     /// Methods in the order in which held RPCs are tried: writes and current reads first.
     order: Vec<MethodIx>,
-    zone: usize,
-    lagging: Lagging,
-    marks_carried: bool,
     ask_again: Option<Span>,
-    max_call_outs: u32,
-    may_withdraw: bool,
-    may_probe: bool,
-    max_come_back: Option<Span>,
-    cold_from: f64,
-    cold_for: Span,
-    cold_window: Span,
-    cold_multiple: f64,
-    gone_stays_open: bool,
     /// From the deadline back: the answer must be in the client's hands before it.
     margin: Span,
     /// How often held RPCs, overdue probes and rests are looked at when nothing else happens.
@@ -108,6 +97,8 @@
     mark: Option<Moment>,
     session: Option<u64>,
     call_outs: u32,
+    /// One of them has reached a store, run or not.
+    reached: bool,
     out: Option<CallOut>,
     ran_from: Option<Moment>,
     refusals: u32,
@@ -183,7 +174,9 @@
 const PULSE: u64 = 0;
 /// What a store may hold of all fronts' call-outs before it has shown how much suits it.
 const FIRST_ROOM: f64 = 16.0;
+/// The parts of a store's cores over which a primary helps no reads out, and over which no room is widened.
 const BUSY: f64 = 0.7;
+const FULL: f64 = 0.9;
 
 impl Charter {
     fn new(facts: &Facts) -> Charter {
@@ -205,21 +198,10 @@
             Terms { need, repeat_for, harmless, soft, late_share, stalls }
         };
         Charter {
+            facts: facts.clone(),
             methods: facts.methods.iter().map(terms).collect(),
             order,
-            zone: facts.zone,
-            lagging: facts.lagging,
-            marks_carried: facts.marks_carried,
             ask_again: facts.ask_within.map(|span| span / 2),
-            max_call_outs: facts.max_call_outs,
-            may_withdraw: facts.may_withdraw,
-            may_probe: facts.may_probe,
-            max_come_back: facts.max_come_back,
-            cold_from: facts.cold_from,
-            cold_for: facts.cold_for,
-            cold_window: facts.fall_window,
-            cold_multiple: facts.fall_multiple,
-            gone_stays_open: facts.gone_stays_open,
             margin,
             pulse: (soft / 8).max(facts.tick),
             pressing: soft,
@@ -285,7 +267,7 @@
         self.now = now;
         let Some(rpc) = self.rpcs.get(&id) else { return false };
         let ours = rpc.out.as_ref().is_some_and(|out| out.number == call_out);
-        let checked = self.charter.lagging != Lagging::AnswersAnyway;
+        let checked = self.charter.facts.lagging != Lagging::AnswersAnyway;
         let fresh = checked || self.stores[ix].position >= self.needed(rpc);
         let reads = self.charter.methods[rpc.method].need != Need::Write;
         ours && self.stores[ix].open && (self.groups[rpc.group].primary == Some(ix) || (reads && fresh))
@@ -301,7 +283,7 @@
     }
 
     fn list(&mut self, whole: bool, entries: Vec<Entry>) {
-        let stays = self.charter.gone_stays_open;
+        let stays = self.charter.facts.gone_stays_open;
         self.stores.iter_mut().filter(|_| whole).for_each(|store| store.open &= stays);
         // A standing watch needs no renewal; one that was lost unseen does.
         self.ask_at = self.charter.ask_again.map(|span| self.now + span * 4);
@@ -341,6 +323,8 @@
     fn learn(&mut self, ix: StoreIx, told: Told, answer: bool) -> Option<GroupIx> {
         let now = self.now;
         let store = self.stores.get_mut(ix)?;
+        // What speaks of a time to come proves nothing, least of all freshness.
+        let told = if told.position > Some(now + self.charter.margin) { Told::default() } else { told };
         if let Some(position) = told.position {
             store.position = store.position.max(Some(position.min(now)));
             store.told = now;
@@ -385,11 +369,11 @@
 
     fn usable(&self, ix: StoreIx, method: MethodIx) -> bool {
         let store = &self.stores[ix];
-        let blind = !self.charter.may_probe;
+        let blind = !self.charter.facts.may_probe;
         let sound = store.failures == 0 || (store.in_flight == 0 && (blind || store.answered > store.failed));
         let up = store.open && (blind || store.answered > Moment::DAWN) && store.rest_until <= self.now;
         // Long work that a heavy tail may stretch is kept from a cold store.
-        let burst = self.charter.cold_multiple * self.charter.cold_window.secs() / 4.0;
+        let burst = self.charter.facts.fall_multiple * self.charter.facts.fall_window.secs() / 4.0;
         let light = self.warmth(store).is_none_or(|part| self.usual[method] <= part * burst);
         up && sound && light
     }
@@ -406,19 +390,20 @@
         let Some(part) = self.warmth(store) else { return f64::INFINITY };
         let warm = || self.stores.iter().filter(|s| s.open && self.warmth(s).is_none());
         let done = warm().map(|s| self.faded(s.done, s.done_at)).sum::<f64>() / warm().count().max(1) as f64;
-        let rate = (done / self.charter.cold_window.secs() / 3.0).max(self.charter.our_share / 2.0);
-        part * self.charter.cold_multiple * rate
+        let rate = (done / self.charter.facts.fall_window.secs() / 3.0).max(self.charter.our_share / 2.0);
+        part * self.charter.facts.fall_multiple * rate
     }
 
     fn warmth(&self, store: &Store) -> Option<f64> {
         let age = self.now - store.started?;
-        let part = self.charter.cold_from
-            + (1.0 - self.charter.cold_from) * age.secs() / self.charter.cold_for.secs().max(1e-9);
-        (age < self.charter.cold_for).then_some(part)
+        let part = self.charter.facts.cold_from
+            + (1.0 - self.charter.facts.cold_from) * age.secs()
+                / self.charter.facts.cold_for.secs().max(1e-9);
+        (age < self.charter.facts.cold_for).then_some(part)
     }
 
     fn faded(&self, work: f64, at: Moment) -> f64 {
-        work * (-(self.now - at).secs() / self.charter.cold_window.secs().max(1e-9)).exp()
+        work * (-(self.now - at).secs() / self.charter.facts.fall_window.secs().max(1e-9)).exp()
     }
 
     // What becomes of an RPC.
@@ -433,7 +418,7 @@
         };
         let mark = match terms.need {
             Need::Current => Some(self.now),
-            Need::Session if self.charter.marks_carried => new.last_write.map(|ago| self.now - ago),
+            Need::Session if self.charter.facts.marks_carried => new.last_write.map(|ago| self.now - ago),
             Need::Session => session.and_then(|key| self.sessions.get(&key).copied()),
             _ => None,
         };
@@ -482,8 +467,8 @@
         let barred = rpc.ran_from.is_some_and(|ran| self.now >= ran + terms.repeat_for);
         // A client that has waited half of its time for nothing had better ask elsewhere.
         let half = rpc.arrived + (rpc.answer_by - rpc.arrived) / 2;
-        let in_vain = self.now + fair >= rpc.worth_by || (rpc.call_outs == 0 && self.now >= half);
-        if barred || in_vain || rpc.call_outs >= self.charter.max_call_outs {
+        let in_vain = self.now + fair >= rpc.worth_by || (!rpc.reached && self.now >= half);
+        if barred || in_vain || rpc.call_outs >= self.charter.facts.max_call_outs {
             return Some(Input::Hopeless);
         }
         let primary = self.groups[rpc.group].primary.filter(|&ix| self.usable(ix, rpc.method));
@@ -500,8 +485,7 @@
         // Departure: where every replica that would do is crowded, the primary helps out within its room,
         // unless it lately said that it is busy. Half of its room stays free for writes and current reads.
         let most = if current { part } else { 0.5 * part };
-        let recent = self.now - self.charter.stale_after * 4;
-        let busy = |ix: StoreIx| self.stores[ix].load.is_some_and(|(load, at)| at > recent && load > BUSY);
+        let busy = |ix: StoreIx| self.stores[ix].busy(self.now - self.charter.stale_after * 4, BUSY);
         primary.filter(|&ix| self.has_room(ix, most) && (current || !busy(ix))).map(Input::Placed)
     }
 
@@ -535,7 +519,7 @@
         };
         let (fresh, half) = (|ix: &StoreIx| needed.is_none() || position(ix) >= needed, terms.soft / 2);
         let hopes = terms.need != Need::Current && self.now - rpc.arrived < half;
-        match self.charter.lagging {
+        match self.charter.facts.lagging {
             _ if replicas.iter().any(fresh) => replicas.retain(fresh),
             // Its hold is worth trying only where the lag it last told of could be made up within it.
             Lagging::Holds(patience) if rpc.refusals == 0 => replicas.retain(|ix| near(ix, patience)),
@@ -549,10 +533,11 @@
         Some(replicas)
     }
 
-    /// The fewest of our call-outs in flight; ties by own zone, then chance.
+    /// The fewest of our call-outs in flight, one more counted for another zone; ties by own zone, then chance.
     fn fewest(&mut self, among: &[StoreIx]) -> Option<StoreIx> {
-        let (stores, zone, rng) = (&self.stores, self.charter.zone, &mut self.rng);
-        let rank = |ix: &StoreIx| (stores[*ix].in_flight, stores[*ix].zone != zone, rng.below(1 << 16));
+        let (stores, zone, rng) = (&self.stores, self.charter.facts.zone, &mut self.rng);
+        let away = |ix: &StoreIx| stores[*ix].zone != zone;
+        let rank = |ix: &StoreIx| (stores[*ix].in_flight + u32::from(away(ix)), away(ix), rng.below(1 << 16));
         among.iter().copied().min_by_key(rank)
     }
 
@@ -584,12 +569,12 @@
         let may_have_run = rpc.ran_from.is_some() || rpc.out.is_some();
         if self.charter.methods[rpc.method].harmless || !may_have_run {
             let left = (rpc.answer_by - self.now).max(Span::ZERO);
-            let come_back = self.charter.max_come_back.map(|most| left.min(most));
+            let come_back = self.charter.facts.max_come_back.map(|most| left.min(most));
             actions.push(Action::PushBack { rpc: id, come_back });
         } else {
             actions.push(Action::Abort { rpc: id });
         }
-        if let Some(out) = rpc.out.as_ref().filter(|_| self.charter.may_withdraw) {
+        if let Some(out) = rpc.out.as_ref().filter(|_| self.charter.facts.may_withdraw) {
             actions.push(Action::Withdraw { rpc: id, call_out: out.number });
         }
         None
@@ -604,11 +589,12 @@
         let done = done + if outcome == Outcome::Ok { work } else { 0.0 };
         let Some(store) = self.stores.get_mut(ix) else { return };
         (store.in_flight, store.done, store.done_at) = (store.in_flight.saturating_sub(1), done, now);
+        let widens = pressed && !store.busy(now - self.charter.stale_after * 4, FULL);
         let late = outcome == Outcome::TimedOut || (outcome == Outcome::Ok && elapsed >= timely);
         match outcome {
             Outcome::Ok | Outcome::Lagged => {
                 (store.answered, store.failures) = (now, 0);
-                store.room += if pressed && !late { (1.0 / store.room).min(store.room / 4.0) } else { 0.0 };
+                store.room += if widens && !late { (1.0 / store.room).min(store.room / 4.0) } else { 0.0 };
             }
             // Slow is not silent: only a store that has answered nothing since this was sent has failed.
             Outcome::TimedOut if store.answered >= sent => {}
@@ -631,7 +617,8 @@
         if outcome == Outcome::Ok {
             let usual = &mut self.usual[rpc.method];
             *usual *= if elapsed.secs() > *usual { 1.02 } else { 0.95 };
-            let wrote = self.charter.methods[rpc.method].need == Need::Write && !self.charter.marks_carried;
+            let wrote =
+                self.charter.methods[rpc.method].need == Need::Write && !self.charter.facts.marks_carried;
             if let (true, Some(key), Some(at)) = (wrote, rpc.session, end.note.position) {
                 let mark = self.sessions.entry(key).or_insert(at);
                 *mark = at.max(*mark);
@@ -639,6 +626,7 @@
         } else {
             rpc.refusals += u32::from(outcome == Outcome::Lagged);
             rpc.shunned = Some(ix);
+            rpc.reached |= !matches!(outcome, Outcome::Moot | Outcome::Unreachable);
             if !outcome.proves_it_never_ran() && rpc.ran_from.is_none() {
                 rpc.ran_from = out.map(|out| out.sent);
             }
@@ -682,7 +670,7 @@
     /// fronts times stores would cost more than it. A group with RPCs held may ask one in four beats more.
     fn sound_out(&mut self, ix: GroupIx, actions: &mut Vec<Action>) {
         let (now, stale, pace) = (self.now, self.charter.stale_after, self.charter.pulse * 2);
-        while self.charter.may_probe && self.groups[ix].credit >= 1.0 {
+        while self.charter.facts.may_probe && self.groups[ix].credit >= 1.0 {
             let group = &self.groups[ix];
             let waiting = !group.held.iter().all(BTreeSet::is_empty);
             let lost = !group.primary.is_some_and(|ix| self.stores[ix].failures == 0 && self.stores[ix].open);
@@ -712,6 +700,11 @@
         f64::from(self.in_flight) < room.max(1.0) && (room >= 1.0 || self.owed(room, now) <= 0.0)
     }
 
+    /// Whether it has said since then that more of its cores than this are in use.
+    fn busy(&self, since: Moment, most: f64) -> bool {
+        self.load.is_some_and(|(load, at)| at > since && load > most)
+    }
+
     /// What is left of our work here where `room` of it is done a second.
     fn owed(&self, room: f64, now: Moment) -> f64 {
         (self.owing - room * (now - self.sent).secs()).max(0.0)
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -158,8 +158,11 @@
         if outcome == Outcome::Ok {
             report.position = Some(position);
             report.role = Some(if primary { Role::Primary } else { Role::Replica });
-            self.told[store] = self.told[store].max(Some(position));
-            self.excused[store] |= primary;
+            // What speaks of a time to come proves nothing.
+            if position <= self.now + TICK * 2 {
+                self.told[store] = self.told[store].max(Some(position));
+                self.excused[store] |= primary;
+            }
         }
         self.probes.retain(|&ix| ix != store);
         self.give(Event::Probed { store, outcome, elapsed: TICK, report });
