A cold store of few fronts has room by the work that may lie there; one bad answer rests none

From 15 s on all four stores of a group had started anew at 0.35 of their capacity: 0.1 to 0.45 of their cores in use, never more than one of our call-outs at each, 20 reads and 15 writes held (cold_room came to 0.44, a rate). Checked: work that lies at a store is bounded by the call-outs out, and what is done meanwhile is no load, so a closed loop can't push it over; that needs few fronts.

Changed: fail() on an error or a broken connection only when no good answer came since the last; cold_room counts call-outs where our share of a third of (multiple - 1) x window x one core holds at least one, else a rate as before.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -372,9 +372,7 @@
         let blind = !self.charter.facts.may_probe;
         let sound = store.failures == 0 || (store.in_flight == 0 && (blind || store.answered > store.failed));
         let up = store.open && (blind || store.answered > Moment::DAWN) && store.rest_until <= self.now;
-        // Long work that a heavy tail may stretch is kept from a cold store.
-        let burst = self.charter.facts.fall_multiple * self.charter.facts.fall_window.secs() / 4.0;
-        let light = self.warmth(store).is_none_or(|part| self.usual[method] <= part * burst);
+        let light = self.warmth(store).is_none_or(|part| self.is_light(self.usual[method], part));
         up && sound && light
     }
 
@@ -383,23 +381,32 @@
         store.takes_more(part, self.cold_room(store), self.now)
     }
 
-    /// The room of a store that has just started: what it surely has of its full capacity, times our own work
-    /// done at the mean warm store, a sum over fronts that no store's capacity falls under; two thirds of the
-    /// multiple are left to chance. Part of a core is taken for granted, so that it can show itself.
+    /// The room of a store that has just started. Where fronts are few: a third of what may lie at one core of it
+    /// beside all that is done meanwhile. Else a rate: what it surely has of its full capacity, times our work
+    /// done at the mean warm store; two thirds of the multiple are left to chance, part of a core is for granted.
     fn cold_room(&self, store: &Store) -> f64 {
         let Some(part) = self.warmth(store) else { return f64::INFINITY };
+        let Facts { fall_multiple: multiple, fall_window, .. } = self.charter.facts;
+        let light =
+            self.usual.iter().copied().filter(|usual| self.is_light(*usual, part)).fold(1e-3, f64::max);
+        let beside = part * (multiple - 1.0) * fall_window.secs() * self.charter.our_share / light / 3.0;
+        if beside >= 1.0 {
+            return beside;
+        }
         let warm = || self.stores.iter().filter(|s| s.open && self.warmth(s).is_none());
         let done = warm().map(|s| self.faded(s.done, s.done_at)).sum::<f64>() / warm().count().max(1) as f64;
-        let rate = (done / self.charter.facts.fall_window.secs() / 3.0).max(self.charter.our_share / 2.0);
-        part * self.charter.facts.fall_multiple * rate
+        part * multiple * (done / fall_window.secs() / 3.0).max(self.charter.our_share / 2.0)
+    }
+
+    /// Work that a heavy tail may stretch is kept from a cold store where it is long.
+    fn is_light(&self, usual: f64, part: f64) -> bool {
+        usual <= part * self.charter.facts.fall_multiple * self.charter.facts.fall_window.secs() / 4.0
     }
 
     fn warmth(&self, store: &Store) -> Option<f64> {
+        let Facts { cold_from, cold_for, .. } = self.charter.facts;
         let age = self.now - store.started?;
-        let part = self.charter.facts.cold_from
-            + (1.0 - self.charter.facts.cold_from) * age.secs()
-                / self.charter.facts.cold_for.secs().max(1e-9);
-        (age < self.charter.facts.cold_for).then_some(part)
+        (age < cold_for).then(|| cold_from + (1.0 - cold_from) * age.secs() / cold_for.secs().max(1e-9))
     }
 
     fn faded(&self, work: f64, at: Moment) -> f64 {
@@ -599,6 +606,8 @@
             // Slow is not silent: only a store that has answered nothing since this was sent has failed.
             Outcome::TimedOut if store.answered >= sent => {}
             Outcome::Withdrawn | Outcome::Moot => {}
+            // A bad answer among good ones rests nobody; the next one in a row does.
+            Outcome::Errored | Outcome::Broken if store.answered > store.failed => store.failed = now,
             _ => self.fail(ix),
         }
         // Where rooms are under one, each store answers too seldom: what one replica shows must do for all.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -161,6 +161,7 @@
     bench.pass(Span::millis(1000));
     bench.probed(0, Outcome::Ok, bench.now, true);
     let tokened = bench.arrive(TOKENED, 0, 1.0);
+    assert_eq!(ended(&mut bench, tokened, Outcome::Errored, None), Some(0), "one bad answer rests nobody");
     assert_eq!(ended(&mut bench, tokened, Outcome::Errored, None), None, "its only primary rests");
     bench.pass(MEMORY);
     assert_eq!(bench.answers[&tokened], "aborted", "past its group's memory");
@@ -197,6 +198,21 @@
     assert!(cold <= 8, "{cold} call-outs in its first second, when all may send it 0.4 of a core a second");
 }
 
+#[test]
+fn a_cold_store_of_few_fronts_takes_some_call_outs_side_by_side() {
+    for (fronts, least, most) in [(2, 2, 8), (100, 0, 1)] {
+        let mut bench = Bench::one_of(fronts, Lagging::AnswersAnyway, 1, 1);
+        bench.started = vec![Some(bench.now - Span::millis(8000)); 3];
+        (0..3).for_each(|store| bench.list(store, Standing::Open));
+        (0..60).for_each(|_| _ = bench.arrive(WRITE, 0, 1.0));
+        let out = bench.live.values().filter(|live| live.out.is_some()).count();
+        assert!(
+            (least..=most).contains(&out),
+            "{out} at the primary that has just started, of {fronts} fronts"
+        );
+    }
+}
+
 #[test]
 fn probes_follow_the_front_s_own_traffic() {
     let mut bench = Bench::ready(Lagging::AnswersAnyway, 20, 1);
