--- a/front/src/admit.rs
+++ b/front/src/admit.rs
@@ -6,6 +6,7 @@
 use gingerwick::time::{Moment, Span};
 use std::collections::HashMap;
 use std::ops::Range;
+use std::sync::Arc;
 
 /// What the start facts say about RPCs at the door.
 pub struct Terms {
@@ -28,6 +29,8 @@
 
 #[derive(Debug)]
 pub struct Admission {
+    /// Names it among the open ones of all clients.
+    pub id: Arc<str>,
     pub method: MethodIx,
     pub cluster: i64,
     pub session: Option<u64>,
@@ -42,12 +45,18 @@
 
 pub fn admit(terms: &Terms, now: Moment, head: &Head) -> Result<Admission, (&'static str, &'static str)> {
     let &(method, keyed) = terms.methods.get(head.class).ok_or(("42704", "c names no known class"))?;
-    let after = head.after_ms.filter(|ms| (1..9_000_000_000_000).contains(ms));
+    // Passed over, a position out of range would make a session's read one without a bound.
+    let after = match head.after_ms.unwrap_or(0) {
+        0 => None,
+        ms @ 1..9_000_000_000_000 => Some(now - Moment(ms * 1_000_000)),
+        _ => return Err(("22008", "after is out of range")),
+    };
     Ok(Admission {
+        id: head.id.into(),
         method,
         cluster: head.cluster,
         session: head.key.filter(|_| keyed).map(session),
-        last_write: after.map(|ms| now - Moment(ms * 1_000_000)),
+        last_write: after,
         deadline: now + Span::millis(head.patience_ms.min(LONGEST_MS)),
         repeat: head.repeat,
         patience: head.patience.clone(),
--- a/front/src/ledger.rs
+++ b/front/src/ledger.rs
@@ -2,6 +2,7 @@
 //! struck out when its entry drops, every buffer is weighed.
 
 use crate::session::Mailbox;
+use gingerwick::time::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -10,30 +11,72 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Share {
     Clients,
-    /// Clients accepted beyond the share, to wait a moment for room or to be told that there is none.
-    Beyond,
     Stores,
     Discovery,
 }
 
+/// Who goes first where descriptors run short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rank {
+    /// Is being let go already, and is only given time to read what it was told.
+    Leaving,
+    /// Has not asked for anything yet.
+    Silent,
+    /// All that it asked for has been answered.
+    Idle,
+}
+
+impl Rank {
+    /// How long it is let be: who has just connected is about to ask, who has just been answered may ask again.
+    fn grace(self) -> Span {
+        match self {
+            Rank::Leaving => Span::ZERO,
+            Rank::Silent => Span::millis(100),
+            Rank::Idle => Span::millis(2_000),
+        }
+    }
+}
+
 /// The process's own: standard streams, the listener, the event loop's, the signal pipe.
 const SPARE: usize = 24;
 const DISCOVERY: usize = 4;
 
+struct Guest {
+    since: Moment,
+    mailbox: Arc<Mailbox>,
+}
+
 #[derive(Default)]
 struct Entries {
-    taken: [usize; 4],
+    taken: [usize; 3],
     /// Of the stores' share, by address.
     by_store: HashMap<SocketAddr, usize>,
-    idle: BTreeMap<u64, Arc<Mailbox>>,
-    /// Idle ones that were asked to go and have neither gone yet nor become busy.
+    /// Clients with nothing to do, those who would go first in front.
+    idle: BTreeMap<(Rank, u64), Guest>,
+    /// Those that were asked to go and have neither gone yet nor become busy.
     asked: BTreeSet<u64>,
     serial: u64,
 }
 
+impl Entries {
+    /// Asks the first of those ranks to go that has not been asked and was let be for long enough.
+    fn ask(&mut self, now: Moment, ranks: impl Fn(Rank) -> bool) {
+        let goes = |((rank, serial), guest): (&(Rank, u64), &Guest)| {
+            let may = ranks(*rank) && now - guest.since >= rank.grace() && !self.asked.contains(serial);
+            may.then(|| (*serial, guest.mailbox.clone()))
+        };
+        if let Some((serial, mailbox)) = self.idle.iter().find_map(goes) {
+            self.asked.insert(serial);
+            mailbox.ask_to_close();
+        }
+    }
+}
+
 pub struct Ledger {
-    most: [usize; 4],
-    most_held: usize,
+    most: [usize; 3],
+    /// Clients accepted beyond the share: each for one that was asked to go, or to be told that there is no room.
+    beyond: usize,
+    memory: usize,
     held: AtomicUsize,
     entries: Mutex<Entries>,
 }
@@ -46,8 +89,13 @@
 }
 
 impl Entry {
-    pub fn is_beyond(&self) -> bool {
-        self.share == Share::Beyond
+    pub fn weight(&self) -> Weight {
+        self.ledger.weight()
+    }
+
+    /// Whether buffers weigh more than half of the memory.
+    pub fn is_full(&self) -> bool {
+        self.ledger.held.load(Ordering::Relaxed) > self.ledger.memory / 2
     }
 }
 
@@ -92,9 +140,9 @@
         let rest = descriptors.saturating_sub(SPARE + beyond + DISCOVERY).max(2);
         // An RPC that is out holds one of both kinds; held ones and idle sessions hold a client's alone.
         let stores = (rest * 2 / 5).max(1);
-        let most = [rest - stores, beyond, stores, DISCOVERY];
-        // A third for clients' buffers and statements; stores' answers, stacks and all else share the rest.
-        Arc::new(Ledger { most, most_held: memory / 3, held: AtomicUsize::new(0), entries: Mutex::default() })
+        let most = [rest - stores, stores, DISCOVERY];
+        let (held, entries) = Default::default();
+        Arc::new(Ledger { most, beyond, memory, held, entries })
     }
 
     fn lock(&self) -> MutexGuard<'_, Entries> {
@@ -124,25 +172,26 @@
         Some(entry)
     }
 
-    /// One for a client. Where few are left those longest idle are asked to go, so that there is room for the next;
-    /// where none is, it stands beyond the share.
-    pub fn enter_client(self: &Arc<Ledger>) -> Option<Entry> {
+    /// One for a client, and whether it may stay. Where few are left, those who have least to lose are asked to go,
+    /// one for each that comes; where nobody is, it is let in beyond the share to be told so.
+    pub fn enter_client(self: &Arc<Ledger>, now: Moment) -> Option<(Entry, bool)> {
         let most = self.most[Share::Clients as usize];
-        let few = most / 16 + 1;
         let mut entries = self.lock();
-        if entries.taken[Share::Clients as usize] + few > most && entries.asked.len() < few {
-            if let Some((serial, mailbox)) = entries.idle.pop_first() {
-                entries.asked.insert(serial);
-                mailbox.ask_to_close();
-            }
+        let taken = entries.taken[Share::Clients as usize];
+        if taken + most / 16 < most {
+            entries.taken[Share::Clients as usize] += 1;
+            return Some((Entry { ledger: self.clone(), share: Share::Clients, store: None }, true));
         }
-        drop(entries);
-        self.enter(Share::Clients).or_else(|| self.enter(Share::Beyond))
-    }
-
-    /// Whether a client that was asked to go has still to.
-    pub fn frees_soon(&self) -> bool {
-        !self.lock().asked.is_empty()
+        // Who is being let go is told to hurry; that alone makes no room, its place is given away already.
+        entries.ask(now, |rank| rank == Rank::Leaving);
+        if taken >= most + self.beyond {
+            return None;
+        }
+        entries.ask(now, |rank| rank != Rank::Leaving);
+        let goes = |key: &&(Rank, u64)| key.0 == Rank::Leaving || entries.asked.contains(&key.1);
+        let stays = taken < most + entries.idle.keys().filter(goes).count();
+        entries.taken[Share::Clients as usize] += 1;
+        Some((Entry { ledger: self.clone(), share: Share::Clients, store: None }, stays))
     }
 
     pub fn taken(&self, share: Share) -> usize {
@@ -153,22 +202,23 @@
         Weight { ledger: self.clone(), bytes: 0 }
     }
 
+    /// Whether buffers weigh more than a third of the memory: stacks and all else share the rest.
     pub fn is_heavy(&self) -> bool {
-        self.held.load(Ordering::Relaxed) > self.most_held
+        self.held.load(Ordering::Relaxed) > self.memory / 3
     }
 
-    /// A session has nothing to do; the number strikes it out again.
-    pub fn idle(&self, mailbox: &Arc<Mailbox>) -> u64 {
+    /// A session has nothing to do; what is returned strikes it out again.
+    pub fn idle(&self, rank: Rank, since: Moment, mailbox: &Arc<Mailbox>) -> (Rank, u64) {
         let mut entries = self.lock();
         entries.serial += 1;
-        let serial = entries.serial;
-        entries.idle.insert(serial, mailbox.clone());
-        serial
+        let key = (rank, entries.serial);
+        entries.idle.insert(key, Guest { since, mailbox: mailbox.clone() });
+        key
     }
 
-    pub fn busy(&self, serial: u64) {
+    pub fn busy(&self, key: (Rank, u64)) {
         let mut entries = self.lock();
-        entries.idle.remove(&serial);
-        entries.asked.remove(&serial);
+        entries.idle.remove(&key);
+        entries.asked.remove(&key.1);
     }
 }
--- a/front/src/owner.rs
+++ b/front/src/owner.rs
@@ -14,7 +14,7 @@
 use hosting::book::Book;
 use hosting::doors::Doors;
 use may::sync::mpsc::{Receiver, Sender};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::Arc;
@@ -48,6 +48,8 @@
 
 /// What the book keeps of an RPC.
 struct Live {
+    id: Arc<str>,
+    resort: Moment,
     ticket: Option<Ticket>,
     query: Arc<Query>,
     out: Option<(u32, Arc<Bell>)>,
@@ -72,6 +74,8 @@
 struct State {
     router: Router,
     book: Book<Live>,
+    /// Of the RPCs in the book.
+    ids: HashSet<Arc<str>>,
     stores: Doors<String>,
     dials: Vec<Option<SocketAddr>>,
     started: Vec<Option<Moment>>,
@@ -138,7 +142,7 @@
         match news {
             News::Arrived(admission, query, ticket) => {
                 if state.book.len() >= self.most_held {
-                    return ticket.answer(Answer::PushBack(None));
+                    return ticket.answer(Answer::PushBack(self.facts.max_come_back));
                 }
                 state.arrive(now, admission, query, ticket, self.facts.tick);
             }
@@ -146,7 +150,7 @@
                 if let Some(ticket) = state.book.get_mut(rpc).and_then(|live| live.ticket.take()) {
                     ticket.void();
                     state.tell(now, Event::Gone { rpc });
-                    state.book.close(rpc);
+                    state.close(rpc);
                 }
             }
             News::Confirm { rpc, call_out, store, reply } => {
@@ -234,6 +238,7 @@
         State {
             router,
             book: Book::default(),
+            ids: HashSet::new(),
             stores: Doors::default(),
             dials: Vec::new(),
             started: Vec::new(),
@@ -273,9 +278,14 @@
             return ticket.answer(Answer::Refused("42704", "cluster names no listed group"));
         };
         let rpc = ticket.rpc;
-        let Admission { method, session, last_write, deadline, repeat, .. } = new;
-        self.book.enter(rpc, Live { ticket: Some(ticket), query: Arc::new(query), out: None });
-        self.resorts.insert((deadline - tick, rpc));
+        let Admission { id, method, session, last_write, deadline, repeat, .. } = new;
+        // A store would take the second for a copy of the first.
+        if !self.ids.insert(id.clone()) {
+            return ticket.answer(Answer::Refused("42710", "id is that of an open query"));
+        }
+        let resort = deadline - tick;
+        self.book.enter(rpc, Live { id, resort, ticket: Some(ticket), query: Arc::new(query), out: None });
+        self.resorts.insert((resort, rpc));
         let arrival = Arrival { rpc, method, group, session, last_write, deadline, repeat };
         self.tell(now, Event::Arrived(arrival));
     }
@@ -292,14 +302,28 @@
         let elapsed = now - sent;
         let event = End { rpc, call_out: number, store, outcome, elapsed, closed, note, report };
         self.tell(now, Event::Ended(event));
-        self.book.returned(rpc, closed);
+        let page = self.book.returned(rpc, closed);
+        self.strike(rpc, page);
     }
 
     fn answer(&mut self, rpc: RpcId, answer: Answer) {
         if let Some(ticket) = self.book.get_mut(rpc).and_then(|live| live.ticket.take()) {
             ticket.answer(answer);
         }
-        self.book.close(rpc);
+        self.close(rpc);
+    }
+
+    fn close(&mut self, rpc: RpcId) {
+        let page = self.book.close(rpc);
+        self.strike(rpc, page);
+    }
+
+    /// Nothing more can come of an RPC: what was kept of it is given back.
+    fn strike(&mut self, rpc: RpcId, page: Option<Live>) {
+        if let Some(live) = page {
+            self.ids.remove(&live.id);
+            self.resorts.remove(&(live.resort, rpc));
+        }
     }
 
     /// Tells the list; returns the addresses to which connections made before are of no more use.
--- a/front/src/pg.rs
+++ b/front/src/pg.rs
@@ -5,11 +5,13 @@
 
 use std::ops::Range;
 
-/// A statement with a value of 64 KiB in hex digits, and room for the rest.
-pub const MOST_QUERY: usize = 160 << 10;
-/// A value of 64 KiB with its row's head.
-pub const MOST_VALUE: usize = 72 << 10;
+/// Values are said to take 64 KiB, and were met with six times as many: room for more than that, in hex digits where
+/// it comes in a statement. What all of them may take together is the ledger's.
+pub const MOST_QUERY: usize = 1 << 20;
+pub const MOST_VALUE: usize = 4 << 20;
 const MOST_STARTUP: usize = 10_000;
+/// The longest id that is kept for as long as its query is open.
+const MOST_ID: usize = 64;
 
 pub const VERSION_3: u32 = 196_608;
 const CANCEL: u32 = 80_877_102;
@@ -200,9 +202,22 @@
     (body[..2] == [0, 1] && value.len() == length as usize).then_some(value)
 }
 
+/// The only column of the row among whole messages.
+pub fn only_row(messages: &[u8]) -> Option<&[u8]> {
+    let mut at = 0;
+    loop {
+        let frame = frame(messages, at, MOST_VALUE).ok()??;
+        if frame.tag == b'D' {
+            return only_column(&messages[frame.body]);
+        }
+        at = frame.body.end;
+    }
+}
+
 /// What the comment at the head of a statement says.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Head<'a> {
+    pub id: &'a str,
     pub class: &'a str,
     pub cluster: i64,
     pub patience_ms: i64,
@@ -260,24 +275,33 @@
     let inner = open + 2;
     let close = inner + text[inner..].find("*/").ok_or("comment without an end")?;
     let mut head = Head { cluster: -1, ..Head::default() };
-    let mut at = inner;
+    let (mut at, mut seen) = (inner, Vec::new());
     for pair in text[inner..close].split(',') {
         let (name, value) = pair.split_once('=').ok_or("comment holds more than names and values")?;
         let (name, start) = (name.trim(), at + pair.len() - value.len());
         let value = value.trim_end();
+        if seen.contains(&name) {
+            return Err("comment holds a name twice");
+        }
+        seen.push(name);
         match name {
+            "id" => head.id = value,
             "c" => head.class = value,
-            "cluster" => head.cluster = value.parse().map_err(|_| "cluster is no number")?,
+            "cluster" => head.cluster = digits(value).ok_or("cluster is no number")?,
             "d" => {
-                head.patience_ms = value.parse().map_err(|_| "d is no number")?;
+                head.patience_ms = digits(value).ok_or("d is no number")?;
                 head.patience = start..start + value.len();
             }
-            "after" => head.after_ms = Some(value.parse().map_err(|_| "after is no number")?),
+            "after" => head.after_ms = Some(digits(value).ok_or("after is no number")?),
+            "r" if value != "0" && value != "1" => return Err("r is neither 0 nor 1"),
             "r" => head.repeat = value == "1",
             _ => {}
         }
         at += pair.len() + 1;
     }
+    if !(1..=MOST_ID).contains(&head.id.len()) || !head.id.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err("comment without a fit id");
+    }
     if head.class.is_empty() {
         return Err("comment without c");
     }
@@ -287,3 +311,8 @@
     head.key = text[close..].split('\'').nth(1);
     Ok(head)
 }
+
+/// A number in plain digits: no sign, and none that doesn't fit.
+fn digits(word: &str) -> Option<i64> {
+    word.parse().ok().filter(|_| word.bytes().all(|byte| byte.is_ascii_digit()))
+}
--- a/front/src/pool.rs
+++ b/front/src/pool.rs
@@ -43,7 +43,7 @@
         match proof.read(&self.wire.buffer) {
             None if age < pool.dial => Use::NotYet,
             Some(Outcome::Ok) if proof.frees(&self.wire.buffer) => {
-                (self.wire.buffer, self.proof) = (Vec::new(), None);
+                (_, self.proof) = (self.wire.take_buffer(), None);
                 Use::Free
             }
             _ => Use::Never,
@@ -117,7 +117,7 @@
                 Some(_) => return Err(Outcome::Unreachable),
             }
         }
-        wire.buffer.clear();
+        wire.take_buffer();
         Ok(wire)
     }
 
@@ -128,7 +128,6 @@
 
     /// Takes back a connection whose answer has come to its end.
     pub fn release(&self, addr: SocketAddr, mut wire: Wire) {
-        wire.buffer = Vec::new();
         let mut ask = Vec::new();
         pg::query(&mut ask, "");
         if wire.write_now(&ask) {
--- a/front/src/relay.rs
+++ b/front/src/relay.rs
@@ -4,6 +4,7 @@
 use crate::clock;
 use crate::pg;
 use gingerwick::iface::{Outcome, Role, Told};
+use std::ops::Range;
 
 /// How far an answer has come, and so what may come next.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -55,8 +56,8 @@
     place: Place,
     /// The next message in the connection's buffer.
     at: usize,
-    /// RowDescription, DataRow and CommandComplete, as they came.
-    pub value: Vec<u8>,
+    /// Where RowDescription, DataRow and CommandComplete stand.
+    parts: [Range<usize>; 3],
     aside: usize,
     error: Option<Outcome>,
     pub note: Told,
@@ -99,8 +100,8 @@
                 let code = pg::field(&buffer[start + 5..self.at], b'C').unwrap_or_default();
                 let early = self.place != Place::Described && self.place != Place::Row;
                 self.error = Some(if early { of_code(code) } else { Outcome::Errored });
-            } else if matches!(tag, b'T' | b'D' | b'C') {
-                self.value.extend_from_slice(&buffer[start..self.at]);
+            } else if let Some(part) = b"TDC".iter().position(|&part| part == tag) {
+                self.parts[part] = start..self.at;
             }
             self.place = next.unwrap_or(Place::Spoilt);
         }
@@ -145,16 +146,15 @@
         }
     }
 
-    /// The only column of the only row.
-    pub fn column(&self) -> Option<&[u8]> {
-        let mut at = 0;
-        while let Ok(Some(frame)) = pg::frame(&self.value, at, pg::MOST_VALUE) {
-            if frame.tag == b'D' {
-                return pg::only_column(&self.value[frame.body]);
-            }
-            at = frame.body.end;
+    /// What is passed on: its three messages as they came, in the buffer itself where nothing stands between them.
+    pub fn value(&self, mut buffer: Vec<u8>) -> Vec<u8> {
+        let [heads, row, end] = self.parts.clone();
+        if heads.end != row.start || row.end != end.start {
+            return [&buffer[heads], &buffer[row], &buffer[end]].concat();
         }
-        None
+        buffer.truncate(end.end);
+        buffer.drain(..heads.start);
+        buffer
     }
 }
 
--- a/front/src/send.rs
+++ b/front/src/send.rs
@@ -63,32 +63,46 @@
     let CallOut { rpc, number, store, sent, .. } = job;
     let end = End { outcome: Outcome::Broken, ..End::moot(rpc, number, store, sent) };
     let mut pending = Pending { owner, end: Some(end) };
-    let (outcome, reply, free) = attempt(pool, &pending.owner, &job);
+    let sent = attempt(pool, &pending.owner, &job);
     if let Some(end) = &mut pending.end {
-        (end.note, end.report) = reply.told();
-        (end.outcome, end.value) = (outcome, reply.value);
+        (end.outcome, end.value) = (sent.outcome, sent.value);
+        (end.note, end.report) = (sent.note, sent.report);
     }
     drop(pending);
-    if let Some(wire) = free {
+    if let Some(wire) = sent.free {
         pool.release(job.addr, wire);
     }
 }
 
-/// The outcome, the answer as far as it came, and the connection where it may be used again.
-fn attempt(pool: &Pool, owner: &Sender<News>, job: &CallOut) -> (Outcome, Reply, Option<Wire>) {
+/// What came of one sending, and the connection where it may be used again.
+struct Sent {
+    outcome: Outcome,
+    value: Vec<u8>,
+    note: Told,
+    report: Told,
+    free: Option<Wire>,
+}
+
+impl Sent {
+    fn unsent(outcome: Outcome) -> Sent {
+        Sent { outcome, value: Vec::new(), note: Told::default(), report: Told::default(), free: None }
+    }
+}
+
+fn attempt(pool: &Pool, owner: &Sender<News>, job: &CallOut) -> Sent {
     let CallOut { addr, by, bell, query, .. } = job;
     loop {
         let reused = pool.reuse(addr);
         let again = reused.is_some();
         let mut wire = match reused.map_or_else(|| pool.open(addr, *by, bell), Ok) {
             Ok(wire) => wire,
-            Err(outcome) => return (outcome, Reply::default(), None),
+            Err(outcome) => return Sent::unsent(outcome),
         };
         wire.listen_to(*by, bell);
         // Connecting took its time: what held when this was decided may hold no more.
         if !confirmed(owner, job) {
             pool.keep(*addr, wire);
-            return (Outcome::Moot, Reply::default(), None);
+            return Sent::unsent(Outcome::Moot);
         }
         let patience = ((*by - pool.alarms.now()).0 / 1_000_000).max(1).to_string();
         let (head, tail) = (&query.body[..query.patience.start], &query.body[query.patience.end..]);
@@ -98,8 +112,8 @@
             Ok(()) => return answer(wire, *by, bell),
             // Closed by the store while it was idle here: nothing of this has run.
             Err(Stop::Broken) if again => {}
-            Err(Stop::Broken) => return (Outcome::Unreachable, Reply::default(), None),
-            Err(Stop::Late | Stop::Rung) => return (Outcome::Moot, Reply::default(), None),
+            Err(Stop::Broken) => return Sent::unsent(Outcome::Unreachable),
+            Err(Stop::Late | Stop::Rung) => return Sent::unsent(Outcome::Moot),
         }
     }
 }
@@ -112,17 +126,21 @@
 
 /// Reads what comes back for what was written whole. Only an answer read to its end, with nothing behind it, gives
 /// the connection back: late bytes would reach another RPC.
-fn answer(mut wire: Wire, by: Moment, bell: &Bell) -> (Outcome, Reply, Option<Wire>) {
+fn answer(mut wire: Wire, by: Moment, bell: &Bell) -> Sent {
     let mut reply = Reply::default();
-    loop {
+    let outcome = loop {
         if let Some(outcome) = reply.read(&wire.buffer) {
-            let free = reply.frees(&wire.buffer).then_some(wire);
-            return (outcome, reply, free);
+            break outcome;
         }
         if let Err(stop) = wire.read(by, bell) {
-            return (reply.outcome(cut_by(stop)), reply, None);
+            break reply.outcome(cut_by(stop));
         }
-    }
+    };
+    let frees = reply.frees(&wire.buffer);
+    let buffer = wire.take_buffer();
+    let value = if outcome == Outcome::Ok { reply.value(buffer) } else { Vec::new() };
+    let (note, report) = reply.told();
+    Sent { outcome, value, note, report, free: frees.then_some(wire) }
 }
 
 /// It was written whole, so it may have run.
@@ -175,13 +193,13 @@
             Err(Stop::Broken) if again => continue,
             Err(_) => return (Outcome::Unreachable, Told::default()),
         }
-        let (outcome, reply, free) = answer(wire, by, bell);
-        let text = reply.column().and_then(|column| std::str::from_utf8(column).ok());
-        let told = text.filter(|_| outcome == Outcome::Ok).map(report).unwrap_or_default();
-        if let Some(wire) = free {
+        let sent = answer(wire, by, bell);
+        let text = pg::only_row(&sent.value).and_then(|column| std::str::from_utf8(column).ok());
+        let told = text.map(report).unwrap_or_default();
+        if let Some(wire) = sent.free {
             pool.release(addr, wire);
         }
-        return (outcome, told);
+        return (sent.outcome, told);
     }
 }
 
--- a/front/src/session.rs
+++ b/front/src/session.rs
@@ -3,13 +3,13 @@
 
 use crate::admit::{self, Query};
 use crate::clock::Alarms;
-use crate::ledger::{Entry, Ledger, Share, Weight};
+use crate::ledger::{Entry, Ledger, Rank, Weight};
 use crate::log;
 use crate::owner::News;
 use crate::pg::{self, Statement};
 use crate::shutdown::Leave;
 use crate::take_in::{Item, TakeIn};
-use crate::wire::{BREATH, BURST};
+use crate::wire::{BREATH, BURST, LIGHT};
 use gingerwick::iface::RpcId;
 use gingerwick::time::{Moment, Span};
 use may::io::{WaitIo, WaitIoWaker};
@@ -24,14 +24,13 @@
 
 /// Queries of one client answered side by side; what it sends beyond them stays unread.
 const MOST_PENDING: usize = 64;
-const WHOLE_WITHIN: Span = Span::millis(10_000);
-const WRITE_WITHIN: Span = Span::millis(10_000);
-/// So long after its last byte a client may not have read it yet.
+/// So long a client may owe: its start-up and first query from when it connects, the rest of a message from when it
+/// began it, the reading of its answers.
+const OWED_WITHIN: Span = Span::millis(2_500);
+/// So long after its last byte a client may not have read it yet, and so much of what it goes on sending is read
+/// meanwhile.
 const CLOSE_WITHIN: Span = Span::millis(500);
-/// So long a client beyond the share waits for one that idles to go: what it asked for waits with it.
-const ROOM_WITHIN: Span = Span::millis(100);
-/// Buffers of a session that are too small to be let go for.
-const LIGHT: usize = 16 << 10;
+const CLOSE_READS: usize = 256 << 10;
 
 /// What a client gets for an RPC.
 #[derive(Debug, PartialEq, Eq)]
@@ -109,6 +108,8 @@
     pub ledger: Arc<Ledger>,
     pub owner: Sender<News>,
     pub terms: admit::Terms,
+    /// How long who is turned away for want of memory had better stay away, where that may be said.
+    pub come_back: Option<Span>,
     pub leave: Arc<Leave>,
     pub rpcs: AtomicU64,
     pub number: AtomicU64,
@@ -132,8 +133,11 @@
     /// Nothing more is taken in; what is pending is still answered.
     last: bool,
     served: bool,
-    idle: Option<u64>,
-    active: Moment,
+    /// Has asked for something, if only for an empty answer.
+    asked: bool,
+    /// Since when the client has owed what must come next.
+    owes: Option<Moment>,
+    idle: Option<(Rank, u64)>,
     weight: Weight,
 }
 
@@ -143,12 +147,12 @@
     Gone,
 }
 
-/// Runs a client's session from its first byte to its close.
-pub fn run(shared: Arc<Shared>, stream: TcpStream, entry: Entry) {
+/// Runs a client's session from its first byte to its close; one that may not stay is told so.
+pub fn run(shared: Arc<Shared>, stream: TcpStream, _entry: Entry, stays: bool) {
     let _ = stream.set_nodelay(true);
     let mailbox = Mailbox::new(stream.waker());
     let _member = shared.leave.join(&mailbox);
-    let (weight, active) = (shared.ledger.weight(), shared.alarms.now());
+    let (weight, connected) = (shared.ledger.weight(), shared.alarms.now());
     let mut session = Session {
         shared,
         stream,
@@ -159,12 +163,13 @@
         left: 0,
         last: false,
         served: false,
+        asked: false,
+        owes: Some(connected),
         idle: None,
-        active,
         weight,
     };
-    let entry = if entry.is_beyond() { session.find_room(entry) } else { entry };
-    if entry.is_beyond() {
+    session.wake_at(connected + OWED_WITHIN);
+    if !stays {
         session.end("53300", "no descriptor is free");
     }
     let served = catch_unwind(AssertUnwindSafe(|| session.serve()));
@@ -186,18 +191,6 @@
 }
 
 impl Session {
-    /// Waits a moment for room that idle clients are about to make.
-    fn find_room(&mut self, beyond: Entry) -> Entry {
-        let until = self.active + ROOM_WITHIN;
-        while self.shared.ledger.frees_soon() && self.shared.alarms.now() < until {
-            self.shared.alarms.pause(Span::millis(2));
-            if let Some(entry) = self.shared.ledger.enter(Share::Clients) {
-                return entry;
-            }
-        }
-        beyond
-    }
-
     /// True where the client should be let go gently, false where the connection is dead.
     fn serve(&mut self) -> bool {
         let (mut stalled, mut burst): (Option<Moment>, usize) = (None, 0);
@@ -210,9 +203,9 @@
                 _ if !blocked => stalled = None,
                 None => {
                     stalled = Some(now);
-                    self.wake_at(now + WRITE_WITHIN);
+                    self.wake_at(now + OWED_WITHIN);
                 }
-                Some(since) if now >= since + WRITE_WITHIN => return false,
+                Some(since) if now >= since + OWED_WITHIN => return false,
                 Some(_) => {}
             }
             if self.too_heavy() {
@@ -220,10 +213,12 @@
                     log!("a client that does not read was let go: the memory for buffers is used up");
                     return false;
                 }
-                self.end("53200", "the memory for buffers is used up");
-                continue;
+                if self.inbox.weight() > LIGHT {
+                    self.end("53200", "the memory for buffers is used up");
+                    continue;
+                }
             }
-            if self.slots.len() < MOST_PENDING && self.outbox.len() < MOST_PENDING {
+            if self.takes_more() && !self.last {
                 match self.read() {
                     Heard::Bytes(many) => {
                         self.stir();
@@ -238,22 +233,16 @@
                     Heard::Nothing => {}
                 }
             }
+            if self.overdue(now) {
+                self.end("08P01", "what was begun did not come to its end in time");
+                continue;
+            }
             if self.slots.is_empty() && self.outbox.is_empty() {
-                if self.last {
-                    return true;
-                }
                 // Without a word: one behind the last answer would be a second answer to that RPC. What crosses
                 // the close never ran, and its client sends it again elsewhere.
-                if self.inbox.is_empty() && self.should_close() {
+                if self.last || (self.inbox.is_empty() && self.should_close()) {
                     return true;
                 }
-                // A start-up or a query half sent must come to its end.
-                if !self.inbox.has_begun() || !self.inbox.is_empty() {
-                    if now >= self.active + WHOLE_WITHIN {
-                        return false;
-                    }
-                    self.wake_at(self.active + WHOLE_WITHIN);
-                }
                 self.rest();
             }
             burst = 0;
@@ -261,6 +250,21 @@
         }
     }
 
+    fn takes_more(&self) -> bool {
+        self.slots.len() < MOST_PENDING && self.outbox.len() < MOST_PENDING
+    }
+
+    /// Whether the client has owed its next message, or the rest of one, for too long.
+    fn overdue(&mut self, now: Moment) -> bool {
+        let owes = !self.last && self.takes_more() && !(self.asked && self.inbox.is_empty());
+        if owes && self.owes.is_none() {
+            self.owes = Some(now);
+            self.wake_at(now + OWED_WITHIN);
+        }
+        self.owes = self.owes.filter(|_| owes);
+        self.owes.is_some_and(|since| now >= since + OWED_WITHIN)
+    }
+
     fn should_close(&self) -> bool {
         self.mailbox.close.load(Ordering::Acquire) || (self.served && self.shared.leave.begun())
     }
@@ -282,7 +286,8 @@
     /// Nothing to do: buffers are given back, and the ledger may ask for the descriptor.
     fn rest(&mut self) {
         if self.idle.is_none() {
-            self.idle = Some(self.shared.ledger.idle(&self.mailbox));
+            let rank = if self.asked { Rank::Idle } else { Rank::Silent };
+            self.idle = Some(self.shared.ledger.idle(rank, self.shared.alarms.now(), &self.mailbox));
         }
         self.inbox.rest();
         self.outbox = VecDeque::new();
@@ -301,7 +306,6 @@
             match self.stream.inner().read(&mut bytes) {
                 Ok(0) => return Heard::Gone,
                 Ok(n) => {
-                    self.active = self.shared.alarms.now();
                     self.inbox.feed(&bytes[..n]);
                     return Heard::Bytes(n);
                 }
@@ -322,7 +326,10 @@
                     let number = self.shared.number.fetch_add(1, Ordering::Relaxed) as u32;
                     self.say(|out| pg::greeting(out, minor, number));
                 }
-                Some(Item::Query(body)) => self.query(body),
+                Some(Item::Query(body)) => {
+                    (self.asked, self.owes) = (true, None);
+                    self.query(body);
+                }
                 Some(Item::Sync) => self.say(pg::ready),
                 Some(Item::Unsupported { alone }) => self.say(|out| {
                     pg::error(out, "ERROR", "0A000", "only simple queries are taken", None);
@@ -349,7 +356,7 @@
             Err((code, why)) => return self.reply(|out| pg::error(out, "ERROR", code, why, None)),
         };
         if self.shared.ledger.is_heavy() {
-            return self.slots.push_back(Slot::Ready(encode(Answer::PushBack(None))));
+            return self.slots.push_back(Slot::Ready(encode(Answer::PushBack(self.shared.come_back))));
         }
         let rpc = self.shared.rpcs.fetch_add(1, Ordering::Relaxed);
         self.slots.push_back(Slot::Open(rpc));
@@ -374,20 +381,21 @@
         });
     }
 
-    /// A fatal error: what is pending is answered before it, and nothing is taken in after it.
+    /// A fatal error, and nothing is taken in after it. What is pending aborts, or an RPC that takes its time would
+    /// hold the error back.
     fn end(&mut self, code: &str, why: &str) {
-        self.say(|out| pg::error(out, "FATAL", code, why, None));
-        self.last = true;
-    }
-
-    /// A fault of ours: all that is pending aborts, as far as the client still takes it.
-    fn after_panic(&mut self) -> bool {
         for slot in &mut self.slots {
             if let Slot::Open(rpc) = slot {
                 let _ = self.shared.owner.send(News::Gone { rpc: *rpc });
                 *slot = Slot::Ready(encode(Answer::Abort));
             }
         }
+        self.say(|out| pg::error(out, "FATAL", code, why, None));
+        self.last = true;
+    }
+
+    /// A fault of ours: all that is pending aborts, as far as the client still takes it.
+    fn after_panic(&mut self) -> bool {
         self.end("XX000", "internal fault");
         self.collect();
         matches!(self.flush(), Ok(false))
@@ -418,10 +426,7 @@
                 .collect();
             match self.stream.inner().write_vectored(&slices) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(n) => {
-                    self.left += n;
-                    self.active = self.shared.alarms.now();
-                }
+                Ok(n) => self.left += n,
                 Err(why) if why.kind() == ErrorKind::WouldBlock => return Ok(true),
                 Err(why) if why.kind() == ErrorKind::Interrupted => {}
                 Err(why) => return Err(why),
@@ -435,19 +440,22 @@
     }
 
     /// Ends sending and reads to the client's end: a close with bytes unread would be a reset, which takes with it
-    /// an answer that the client has not read yet.
+    /// an answer that the client has not read yet. A client that goes on sending gets no more than its share.
     fn close_gently(&mut self) {
         if self.stream.shutdown(Shutdown::Write).is_err() {
             return;
         }
-        let asked = self.mailbox.close.load(Ordering::Acquire);
-        let until = self.shared.alarms.now() + if asked { ROOM_WITHIN / 2 } else { CLOSE_WITHIN };
+        self.stir();
+        let now = self.shared.alarms.now();
+        let (until, asked) = (now + CLOSE_WITHIN, self.mailbox.close.swap(false, Ordering::AcqRel));
+        let until = if asked { until - CLOSE_WITHIN * 9 / 10 } else { until };
+        self.idle = Some(self.shared.ledger.idle(Rank::Leaving, now, &self.mailbox));
         self.wake_at(until);
-        let mut bytes = [0; 4096];
-        while self.shared.alarms.now() < until {
+        let (mut bytes, mut most) = ([0; 4096], CLOSE_READS);
+        while most > 0 && self.shared.alarms.now() < until && !self.mailbox.close.load(Ordering::Acquire) {
             match self.stream.inner().read(&mut bytes) {
                 Ok(0) => return,
-                Ok(_) => {}
+                Ok(many) => most = most.saturating_sub(many),
                 Err(why) if why.kind() == ErrorKind::WouldBlock => {
                     self.stream.wait_io();
                 }
--- a/front/src/start.rs
+++ b/front/src/start.rs
@@ -11,6 +11,7 @@
 use crate::send::{spawn, spawn_long_lived, Outlet, STACK};
 use crate::session::{self, Shared};
 use crate::shutdown::Leave;
+use crate::wire::BREATH;
 use gingerwick::rng::Mwc;
 use gingerwick::time::Span;
 use may::net::TcpListener;
@@ -41,6 +42,7 @@
 
     let terms = Terms::new(settings.classes.iter().map(|class| class.name.clone()).collect(), &facts);
     let outlet = Outlet { pool: pool.clone(), owner: owner.clone(), probe_within: dial };
+    let come_back = facts.max_come_back;
     let most_held = settings.allowed.most_held;
     let decides = Owner::new(facts, seed, settings.azs.clone(), most_held, outlet, news);
     let mut seq = 0;
@@ -71,6 +73,7 @@
         ledger,
         owner,
         terms,
+        come_back,
         leave: leave.clone(),
         rpcs: AtomicU64::new(0),
         number: AtomicU64::new(1),
@@ -116,27 +119,35 @@
     }
 }
 
+/// So many accepted in a row are enough: in a flood the worker would serve nobody else.
+const ROW: usize = 8;
+
 fn accept(listener: TcpListener, shared: Arc<Shared>, closing: &AtomicBool) {
+    let mut row = 0;
     while !closing.load(Ordering::Acquire) {
         match listener.accept() {
             Ok((stream, _)) => {
-                let entry = entry(&shared);
+                let (entry, stays) = entry(&shared);
                 let shared = shared.clone();
-                spawn(move || session::run(shared, stream, entry));
+                spawn(move || session::run(shared, stream, entry, stays));
             }
             Err(why) => {
                 log!("a connection was not accepted: {why}");
                 shared.alarms.pause(Span::millis(50));
             }
         }
+        row = (row + 1) % ROW;
+        if row == 0 {
+            shared.alarms.pause(BREATH);
+        }
     }
 }
 
 /// A client's entry. Dropping the connection would lose what came with it, so where there is no place even
 /// beyond the share the next waits for one who is about to go.
-fn entry(shared: &Shared) -> Entry {
+fn entry(shared: &Shared) -> (Entry, bool) {
     loop {
-        if let Some(entry) = shared.ledger.enter_client() {
+        if let Some(entry) = shared.ledger.enter_client(shared.alarms.now()) {
             return entry;
         }
         log!("clients wait to be turned away: all descriptors for that are taken");
--- a/front/src/wire.rs
+++ b/front/src/wire.rs
@@ -1,7 +1,8 @@
 //! A connection that the front opened: its one owner reads and writes it, each with an end in time.
 
 use crate::clock::{duration, Alarms};
-use crate::ledger::Entry;
+use crate::ledger::{Entry, Weight};
+use crate::log;
 use gingerwick::time::{Moment, Span};
 use may::coroutine::Coroutine;
 use may::io::{WaitIo, WaitIoWaker};
@@ -13,8 +14,12 @@
 
 /// So many bytes from one peer without a wait are enough: while there is always more to read, the worker would
 /// serve nobody else.
-pub const BURST: usize = 128 << 10;
+pub const BURST: usize = 256 << 10;
 pub const BREATH: Span = Span::millis(1);
+/// Read at once at most.
+const WINDOW: usize = 64 << 10;
+/// Buffers smaller than this are let be when memory runs short.
+pub const LIGHT: usize = 16 << 10;
 
 /// What may come on a connection that nobody uses.
 const MOST_IDLE: usize = 4 << 10;
@@ -69,9 +74,10 @@
     stream: TcpStream,
     alarms: Arc<Alarms>,
     pub buffer: Vec<u8>,
+    weight: Weight,
     /// Read since it last waited.
     burst: usize,
-    _entry: Entry,
+    entry: Entry,
 }
 
 impl Wire {
@@ -87,7 +93,8 @@
         }
         let stream = TcpStream::connect_timeout(addr, duration(left))?;
         stream.set_nodelay(true)?;
-        Ok(Wire { stream, alarms: alarms.clone(), buffer: Vec::new(), burst: 0, _entry: entry })
+        let weight = entry.weight();
+        Ok(Wire { stream, alarms: alarms.clone(), buffer: Vec::new(), weight, burst: 0, entry })
     }
 
     /// Makes `by` and `bell` heard by the reads and writes that follow.
@@ -111,29 +118,40 @@
 
     /// Appends to the buffer what comes next.
     pub fn read(&mut self, by: Moment, bell: &Bell) -> Result<(), Stop> {
-        let mut bytes = [0; 4096];
         loop {
-            match self.stream.inner().read(&mut bytes) {
-                Ok(0) => return Err(Stop::Broken),
-                Ok(n) => {
-                    self.buffer.extend_from_slice(&bytes[..n]);
-                    self.burst += n;
-                    if self.burst >= BURST {
-                        self.burst = 0;
-                        self.alarms.pause(BREATH);
-                    }
-                    return Ok(());
-                }
+            let before = self.buffer.len();
+            let heard = self.stream.inner().take(WINDOW as u64).read_to_end(&mut self.buffer);
+            let many = self.buffer.len() - before;
+            match heard {
+                _ if many > 0 => {}
+                Ok(_) => return Err(Stop::Broken),
                 Err(why) if why.kind() == ErrorKind::WouldBlock => {
                     self.burst = 0;
                     self.wait(by, bell)?;
+                    continue;
                 }
-                Err(why) if why.kind() == ErrorKind::Interrupted => {}
                 Err(_) => return Err(Stop::Broken),
             }
+            self.weight.set(self.buffer.len());
+            if self.buffer.len() > LIGHT && self.entry.is_full() {
+                log!("a long answer was not read to its end: the memory for buffers is used up");
+                return Err(Stop::Broken);
+            }
+            self.burst += many;
+            if self.burst >= BURST {
+                self.burst = 0;
+                self.alarms.pause(BREATH);
+            }
+            return Ok(());
         }
     }
 
+    /// Gives away what was read; it is weighed where it goes.
+    pub fn take_buffer(&mut self) -> Vec<u8> {
+        self.weight.set(0);
+        std::mem::take(&mut self.buffer)
+    }
+
     /// Writes all parts. An error means that the last byte never left.
     pub fn write(&mut self, parts: &[&[u8]], by: Moment, bell: &Bell) -> Result<(), Stop> {
         let total: usize = parts.iter().map(|part| part.len()).sum();
--- a/front/tests/loopback.rs
+++ b/front/tests/loopback.rs
@@ -94,8 +94,10 @@
                 "error" => pg::error(&mut out, "ERROR", "XX000", "broken", None),
                 "spoilt" => out.extend([b'T', 127, 255, 255, 255]),
                 _ => {
-                    if key == "twice" {
-                        value.push(2);
+                    match key.as_str() {
+                        "twice" => value.push(2),
+                        "long" => value = vec![9; 400_000],
+                        _ => {}
                     }
                     if key == "slow" {
                         self.knocked.send(()).ok()?;
@@ -332,7 +334,9 @@
 }
 
 fn statement(class: &str, key: &str, d: u32) -> String {
-    format!("/* id=1f,c={class},d={d},cluster=3 */ SELECT content FROM kv WHERE name = '{key}'")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let id = NEXT.fetch_add(1, Ordering::AcqRel);
+    format!("/* id={id:08x},c={class},d={d},cluster=3 */ SELECT content FROM kv WHERE name = '{key}'")
 }
 
 fn value() -> Got {
@@ -347,16 +351,14 @@
 fn an_rpc_is_served_pushed_back_or_aborted() {
     let front = Front::start();
     let mut client = Client::open(front.listen);
-    assert_eq!(client.ask("order", "good", 3000), value());
+    let asked = statement("order", "good", 3000);
+    client.send(&asked);
+    assert_eq!(client.got(), value());
     assert_eq!(client.ask("read", "good", 1500), value());
     let seen = front.primary.seen.lock().expect("no panic").remove(0);
     let sent = seen.replace(",d=", "|").replace(",cluster", "|");
     let [head, patience, tail] = sent.split('|').collect::<Vec<_>>()[..] else { panic!("{seen}") };
-    assert_eq!(
-        [head, tail].concat(),
-        statement("order", "good", 0).replace(",d=0,cluster", ""),
-        "only d changes"
-    );
+    assert_eq!([head, tail].concat(), asked.replace(",d=3000,cluster", ""), "only d changes");
     assert!((1..=3000).contains(&patience.parse().expect("a number")), "{patience}");
 
     let Got::Error(code, Some(wait)) = client.ask("order", "full", 400) else { panic!("no pushback") };
@@ -540,14 +542,25 @@
 }
 
 #[test]
-fn a_flood_of_idle_clients_costs_those_longest_idle_their_place() {
+fn a_flood_costs_silent_clients_their_place_then_those_longest_idle_and_nobody_who_waits() {
     let front = Front::within(100, 192, SETTINGS);
-    let mut clients: Vec<Client> = (0..80).map(|_| Client::open(front.listen)).collect();
-    assert_eq!(clients[0].got(), Got::Ended, "the first has been idle longest");
-    let last = clients.last_mut().expect("eighty");
+    let mut first = Client::open(front.listen);
+    let silent: Vec<TcpStream> =
+        (0..45).map(|_| TcpStream::connect(front.listen).expect("the listener goes on")).collect();
+    thread::sleep(Duration::from_millis(150));
+    let mut clients: Vec<Client> = (0..30).map(|_| Client::open(front.listen)).collect();
+    for mut stream in silent {
+        stream.set_read_timeout(Some(Duration::from_secs(3))).expect("a time-out");
+        let _ = stream.read_to_end(&mut Vec::new()).expect("an error or a close within three seconds");
+    }
+    assert_eq!(first.ask("read", "good", 1500), value(), "who has asked keeps its place as long as that");
+    thread::sleep(Duration::from_millis(2100));
+    clients.extend((0..20).map(|_| Client::open(front.listen)));
+    assert_eq!(clients[0].got(), Got::Ended, "of the others, the first has been idle longest");
+    let last = clients.last_mut().expect("fifty");
     while last.ask("order", "good", 1000) != value() {}
     // Those with an RPC out are let be, and what comes on top of them is told so.
-    clients.drain(..60).for_each(drop);
+    clients.drain(..30).for_each(drop);
     for client in &mut clients {
         client.send(&statement("order", "silent", 5000));
     }
@@ -570,6 +583,61 @@
     assert_eq!(Client::open(front.listen).ask("read", "good", 1500), value(), "and room comes back");
 }
 
+#[test]
+fn whoever_owes_a_message_or_lies_has_an_error_or_a_close_within_three_seconds() {
+    let front = Front::start();
+    let mut usual = Client::open(front.listen);
+    let query = |text: &str| {
+        let mut out = pg::start_up();
+        pg::query(&mut out, text);
+        out
+    };
+    let half = query(&statement("order", "good", 60_000));
+    let mut behind = query(&statement("order", "silent", 60_000));
+    behind.extend([b'Q', 255, 255, 255, 255]);
+    let mut huge = pg::start_up();
+    huge.extend([b'Q', 3, 147, 135, 4]);
+    huge.resize(8 << 20, b'a');
+    let streams = [
+        Vec::new(),
+        pg::start_up()[..7].to_vec(),
+        pg::start_up(),
+        half[..half.len() - 1].to_vec(),
+        b"GET / HTTP/1.1\r\n\r\n".to_vec(),
+        behind,
+        huge,
+    ];
+    let began = Instant::now();
+    let streams = streams.map(|bytes| {
+        let mut stream = TcpStream::connect(front.listen).expect("the listener goes on");
+        stream.set_read_timeout(Some(LIMIT)).expect("a time-out");
+        // The last is reset while it still sends, or is told first: both are answers.
+        let _ = stream.write_all(&bytes);
+        stream
+    });
+    for (nth, mut stream) in streams.into_iter().enumerate() {
+        let mut said = Vec::new();
+        let _ = stream.read_to_end(&mut said);
+        assert!(began.elapsed() < Duration::from_secs(3), "the {nth}th is still here");
+        assert!(!said.windows(8).any(|part| part == b"SELECT 1"), "the {nth}th was served");
+    }
+    let mut dribble = TcpStream::connect(front.listen).expect("the listener goes on");
+    let began = Instant::now();
+    while dribble.write_all(b"\0").is_ok() {
+        assert!(began.elapsed() < Duration::from_secs(4), "byte after byte keeps it");
+        thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(usual.ask("read", "good", 1500), value());
+}
+
+#[test]
+fn long_values_go_out_whole() {
+    let front = Front::start();
+    let mut client = Client::open(front.listen);
+    let Got::Value(value) = client.ask("read", "long", 1500) else { panic!("not served") };
+    assert!(value.len() == 400_000 && value.iter().all(|byte| *byte == 9));
+}
+
 #[test]
 fn buffers_beyond_the_memory_for_them_end_the_sessions_that_fill_them() {
     let front = Front::within(1024, 1, SETTINGS);
--- a/front/tests/messages.rs
+++ b/front/tests/messages.rs
@@ -130,8 +130,8 @@
         }
         prop_assert!(known && reply.frees(&bytes));
         prop_assert_eq!(reply.frees(&[&bytes[..], &surplus].concat()), surplus.is_empty());
-        prop_assert_eq!(&reply.value, &passed, "passed on unchanged");
-        prop_assert_eq!(reply.column(), Some(&value[..]));
+        prop_assert_eq!(&reply.value(bytes.clone()), &passed, "passed on unchanged");
+        prop_assert_eq!(pg::only_row(&passed), Some(&value[..]));
         let (note, _) = reply.told();
         prop_assert_eq!(note.role, Some(Role::Replica));
         prop_assert_eq!(note.position, Some(Moment(1_767_225_600_123_000_000)));
@@ -164,7 +164,8 @@
         let mut whole = Reply::default();
         prop_assert_eq!(whole.read(&bytes[..end]), outcome, "however it is split");
         if reply.outcome(Outcome::Broken) == Outcome::Ok {
-            prop_assert!(reply.column().is_some() && tags(&reply.value) == "TDC", "one row of one column, whole");
+            let passed = reply.value(bytes.clone());
+            prop_assert!(pg::only_row(&passed).is_some() && tags(&passed) == "TDC", "one row of one column, whole");
         }
         if outcome == Some(Outcome::Errored) && !reply.frees(&bytes) {
             prop_assert!(reply.told().0.position.is_none(), "a spoilt answer has told nothing");
@@ -175,13 +176,13 @@
     fn each_descriptor_and_each_byte_is_given_back_once(steps in prop::collection::vec((0usize..5, any::<u16>()), 1..200)) {
         let ledger = Ledger::new(64, 3 << 10);
         let (mut entries, mut weights) = (Vec::new(), Vec::new());
-        let shares = [Share::Clients, Share::Beyond, Share::Stores, Share::Discovery];
+        let shares = [Share::Clients, Share::Stores, Share::Discovery];
         for (step, how) in steps {
             let addr = std::net::SocketAddr::from(([127, 0, 0, 1], how % 3));
             match step {
-                0 => entries.extend(ledger.enter_store(addr).map(|entry| (2, entry))),
-                1 => entries.extend(ledger.enter_client().map(|entry| (usize::from(entry.is_beyond()), entry))),
-                2 => entries.extend(ledger.enter(Share::Discovery).map(|entry| (3, entry))),
+                0 => entries.extend(ledger.enter_store(addr).map(|entry| (1, entry))),
+                1 => entries.extend(ledger.enter_client(Moment(0)).map(|(entry, _)| (0, entry))),
+                2 => entries.extend(ledger.enter(Share::Discovery).map(|entry| (2, entry))),
                 3 if !entries.is_empty() => {
                     let (_, entry) = entries.swap_remove(usize::from(how) % entries.len());
                     drop(entry);
@@ -195,7 +196,7 @@
                     weights.pop();
                 }
             }
-            let mut counts = [0; 4];
+            let mut counts = [0; 3];
             entries.iter().for_each(|(share, _)| counts[*share] += 1);
             prop_assert_eq!(shares.map(|share| ledger.taken(share)), counts);
             prop_assert!(counts.iter().sum::<usize>() < 64, "some stay spare");
@@ -203,7 +204,7 @@
             prop_assert_eq!(ledger.is_heavy(), held > 1 << 10);
         }
         drop((entries, weights));
-        prop_assert_eq!(shares.map(|share| ledger.taken(share)), [0; 4]);
+        prop_assert_eq!(shares.map(|share| ledger.taken(share)), [0; 3]);
         prop_assert!(!ledger.is_heavy());
     }
 
@@ -284,7 +285,8 @@
 fn the_head_is_read_and_says_where_its_patience_stands() {
     let body = [GET.as_bytes(), b"\0"].concat();
     let Statement::Kv(head) = pg::statement(&body) else { panic!("a statement of the page's form") };
-    assert_eq!((head.class, head.cluster, head.patience_ms, head.repeat), ("basket", 2, 480, true));
+    assert_eq!((head.id, head.class, head.cluster), ("9b1f03aa5c7e2d41", "basket", 2));
+    assert_eq!((head.patience_ms, head.repeat), (480, true));
     assert_eq!((head.after_ms, head.key), (Some(1_767_225_600_123), Some("7f3a9c21e0b4d655")));
     assert_eq!(&body[head.patience], b"480");
 }
@@ -293,11 +295,18 @@
 fn what_cannot_be_taken_is_refused_by_a_fitting_code() {
     for (text, code) in [
         ("SELECT 1", "42601"),
-        ("/* c=a,d=1 SELECT", "42601"),
-        ("/* c=a,cluster=2 */ SELECT", "42601"),
-        ("/* c=a,d=0,cluster=2 */ SELECT", "42601"),
-        ("/* c=a,d=x,cluster=2 */ SELECT", "42601"),
+        ("/* id=1,c=a,d=1 SELECT", "42601"),
+        ("/* id=1,c=a,cluster=2 */ SELECT", "42601"),
+        ("/* id=1,c=a,d=0,cluster=2 */ SELECT", "42601"),
+        ("/* id=1,c=a,d=x,cluster=2 */ SELECT", "42601"),
         ("/* nonsense */ SELECT", "42601"),
+        ("/* c=a,d=1,cluster=2 */ SELECT", "42601"),
+        ("/* id=,c=a,d=1,cluster=2 */ SELECT", "42601"),
+        ("/* id=1,id=2,c=a,d=1,cluster=2 */ SELECT", "42601"),
+        ("/* id=1,c=a,d=+1,cluster=2 */ SELECT", "42601"),
+        ("/* id=1,c=a,d=99999999999999999999,cluster=2 */ SELECT", "42601"),
+        ("/* id=1,c=a,d=1,cluster=2,after=-1 */ SELECT", "42601"),
+        ("/* id=1,c=a,d=1,cluster=2,r=2 */ SELECT", "42601"),
         ("a\0b", "08P01"),
     ] {
         let body = [text.as_bytes(), b"\0"].concat();
--- a/front/tests/owner.rs
+++ b/front/tests/owner.rs
@@ -58,10 +58,15 @@
 
 impl Rig {
     fn arrive(&self, rpc: u64, d: i64) {
+        self.arrive_as(rpc, &rpc.to_string(), d);
+    }
+
+    fn arrive_as(&self, rpc: u64, id: &str, d: i64) {
         let deadline = self.alarms.now() + Span::millis(d);
         let (session, last_write, repeat) = (None, None, false);
+        let (id, patience) = (id.into(), 0..0);
         let admission =
-            Admission { method: 0, cluster: 3, session, last_write, deadline, repeat, patience: 0..0 };
+            Admission { id, method: 0, cluster: 3, session, last_write, deadline, repeat, patience };
         let query = Query { body: vec![0], patience: 0..0, weight: self.ledger.weight() };
         let ticket = Ticket::new(rpc, self.mailbox.clone());
         self.owner.send(News::Arrived(admission, query, ticket)).expect("an owner");
@@ -100,10 +105,15 @@
     let silent = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let rig = rig(&silent, 2);
     (1..=3).for_each(|rpc| rig.arrive(rpc, 60_000));
-    assert_eq!(rig.answers(1), [(3, Answer::PushBack(None))]);
+    let full = Answer::PushBack(Some(Span::millis(2000)));
+    assert_eq!(
+        rig.answers(1),
+        [(3, Answer::PushBack(Some(Span::millis(2000))))],
+        "and told when to come back"
+    );
     (1..=2).for_each(|rpc| rig.owner.send(News::Gone { rpc }).expect("an owner"));
     // Their pages are struck out once their call-outs have ended, which the silent store takes a second for.
-    let (until, full) = (Instant::now() + Duration::from_secs(10), Answer::PushBack(None));
+    let until = Instant::now() + Duration::from_secs(10);
     for rpc in 4.. {
         rig.arrive(rpc, 200);
         let [(answered, answer)] = &rig.answers(1)[..] else { panic!("one answer") };
@@ -114,3 +124,24 @@
         assert!(Instant::now() < until, "no room comes back");
     }
 }
+
+#[test]
+fn an_id_is_taken_once_until_nothing_more_can_come_of_its_rpc() {
+    let silent = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let rig = rig(&silent, 100);
+    rig.arrive_as(1, "same", 60_000);
+    rig.arrive_as(2, "same", 60_000);
+    let [(2, Answer::Refused("42710", _))] = rig.answers(1)[..] else { panic!("not the second alone") };
+    rig.owner.send(News::Gone { rpc: 1 }).expect("an owner");
+    // Its call-out still waits for the silent store, a second at most: until that has ended the id is not free.
+    let until = Instant::now() + Duration::from_secs(10);
+    for rpc in 4.. {
+        rig.arrive_as(rpc, "same", 400);
+        let [(answered, answer)] = &rig.answers(1)[..] else { panic!("one answer") };
+        assert_eq!(*answered, rpc);
+        if !matches!(answer, Answer::Refused("42710", _)) {
+            break;
+        }
+        assert!(Instant::now() < until, "an id is kept for good");
+    }
+}
