The front's shared words stand below their users: no circle of imports is left

Need: owner, send, session, pool, discovery, clock, ledger and wire imported each other in one circle, since the words they share stood in the files of the coroutines that use them, so no part could be taken out and nothing built on one. Change: bell, mailbox (answers, tickets), hosts (the list as worded), news (what comes to the owner, call-outs and their ends) and tasks (starting coroutines) are files of their own. No behaviour changes.

--- a/front/src/clock.rs
+++ b/front/src/clock.rs
@@ -1,6 +1,6 @@
 //! Time: a monotonic clock set by one look at the wall, and alarms that ring from a thread of their own.
 
-use crate::wire::Bell;
+use crate::bell::Bell;
 use gingerwick::time::{Moment, Span};
 use std::collections::BTreeMap;
 use std::panic::{catch_unwind, AssertUnwindSafe};
--- a/front/src/discovery.rs
+++ b/front/src/discovery.rs
@@ -1,77 +1,18 @@
 //! Discovery: the list as it was known at the start, then a watch that is taken up again whenever it ends.
 
-use crate::clock::{self, Alarms};
+use crate::bell::Bell;
+use crate::clock::Alarms;
+use crate::hosts::Hosts;
 use crate::ledger::{Ledger, Share};
 use crate::log;
-use crate::owner::News;
-use crate::wire::{Bell, Wire};
-use gingerwick::iface::Standing;
+use crate::news::News;
+use crate::wire::Wire;
 use gingerwick::rng::Mwc;
-use gingerwick::time::{Moment, Span};
+use gingerwick::time::Span;
 use may::sync::mpsc::Sender;
-use serde::Deserialize;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
-#[derive(Clone, Debug, Deserialize)]
-pub struct Hosts {
-    #[serde(default)]
-    pub seq: i64,
-    #[serde(default)]
-    pub whole: bool,
-    #[serde(default)]
-    pub hosts: Vec<Host>,
-}
-
-#[derive(Clone, Debug, Deserialize)]
-pub struct Host {
-    pub host: String,
-    #[serde(default)]
-    pub dial: String,
-    #[serde(default)]
-    pub site: String,
-    #[serde(default)]
-    pub block: i64,
-    pub health: Health,
-    #[serde(default)]
-    pub born_ms: f64,
-    #[serde(default)]
-    pub recovery: String,
-}
-
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
-#[serde(rename_all = "UPPERCASE")]
-pub enum Health {
-    Serving,
-    Draining,
-    Deleted,
-    /// A word that is not known: nothing new is sent there.
-    #[serde(other)]
-    Unknown,
-}
-
-impl Host {
-    pub fn standing(&self) -> Standing {
-        match self.health {
-            Health::Serving => Standing::Open,
-            Health::Draining | Health::Unknown => Standing::Draining,
-            Health::Deleted => Standing::Gone,
-        }
-    }
-
-    pub fn dial(&self) -> Option<SocketAddr> {
-        self.dial.parse().ok()
-    }
-
-    pub fn is_primary(&self) -> bool {
-        self.recovery == "off"
-    }
-
-    pub fn started(&self) -> Option<Moment> {
-        clock::from_unix_ms(self.born_ms)
-    }
-}
-
 /// An empty line comes every two seconds where nothing changes; what was to be told counts as told after six.
 const SILENCE: Span = Span::millis(4_500);
 const CONNECT_WITHIN: Span = Span::millis(1_000);
--- /dev/null
+++ b/front/src/hosts.rs
@@ -0,0 +1,66 @@
+//! The list of stores as discovery words it.
+
+use crate::clock;
+use gingerwick::iface::Standing;
+use gingerwick::time::Moment;
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Hosts {
+    #[serde(default)]
+    pub seq: i64,
+    #[serde(default)]
+    pub whole: bool,
+    #[serde(default)]
+    pub hosts: Vec<Host>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Host {
+    pub host: String,
+    #[serde(default)]
+    pub dial: String,
+    #[serde(default)]
+    pub site: String,
+    #[serde(default)]
+    pub block: i64,
+    pub health: Health,
+    #[serde(default)]
+    pub born_ms: f64,
+    #[serde(default)]
+    pub recovery: String,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum Health {
+    Serving,
+    Draining,
+    Deleted,
+    /// A word that is not known: nothing new is sent there.
+    #[serde(other)]
+    Unknown,
+}
+
+impl Host {
+    pub fn standing(&self) -> Standing {
+        match self.health {
+            Health::Serving => Standing::Open,
+            Health::Draining | Health::Unknown => Standing::Draining,
+            Health::Deleted => Standing::Gone,
+        }
+    }
+
+    pub fn dial(&self) -> Option<SocketAddr> {
+        self.dial.parse().ok()
+    }
+
+    pub fn is_primary(&self) -> bool {
+        self.recovery == "off"
+    }
+
+    pub fn started(&self) -> Option<Moment> {
+        clock::from_unix_ms(self.born_ms)
+    }
+}
--- a/front/src/launch.rs
+++ b/front/src/launch.rs
@@ -1,6 +1,6 @@
 //! The configuration file: read, checked and given defaults here, at the start and again on SIGHUP.
 
-use crate::discovery::Hosts;
+use crate::hosts::Hosts;
 use gingerwick::iface::Facts;
 use hosting::facts::{self, BootInfo};
 use serde::Deserialize;
--- a/front/src/ledger.rs
+++ b/front/src/ledger.rs
@@ -1,7 +1,7 @@
 //! The ledger of descriptors and of the memory in buffers: every socket is entered before it is opened and
 //! struck out when its entry drops, every buffer is weighed.
 
-use crate::session::Mailbox;
+use crate::mailbox::Mailbox;
 use gingerwick::time::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
--- a/front/src/lib.rs
+++ b/front/src/lib.rs
@@ -4,11 +4,15 @@
 //! has it routed and keeps it in the book, [`send`] sends its call-outs, [`relay`] reads their answers.
 
 pub mod admit;
+pub mod bell;
 pub mod clock;
 pub mod discovery;
+pub mod hosts;
 pub mod launch;
 pub mod ledger;
 pub mod log;
+pub mod mailbox;
+pub mod news;
 pub mod owner;
 pub mod pg;
 pub mod pool;
@@ -18,4 +22,5 @@
 pub mod shutdown;
 pub mod start;
 pub mod take_in;
+pub mod tasks;
 pub mod wire;
--- /dev/null
+++ b/front/src/news.rs
@@ -0,0 +1,70 @@
+//! What comes to the router's owner, and the call-outs it has made: the words that all coroutines share.
+
+use crate::admit::{Admission, Query};
+use crate::bell::Bell;
+use crate::hosts::Host;
+use crate::mailbox::Ticket;
+use gingerwick::iface::{Outcome, RpcId, StoreIx, Told};
+use gingerwick::time::{Moment, Span};
+use may::sync::mpsc::Sender;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+pub enum News {
+    Arrived(Admission, Query, Ticket),
+    Gone {
+        rpc: RpcId,
+    },
+    /// Asked right before a call-out is written.
+    Confirm {
+        rpc: RpcId,
+        call_out: u32,
+        store: StoreIx,
+        reply: Sender<bool>,
+    },
+    Ended(End),
+    Probed {
+        store: StoreIx,
+        outcome: Outcome,
+        elapsed: Span,
+        report: Told,
+    },
+    List {
+        whole: bool,
+        hosts: Vec<Host>,
+    },
+    ListFailed,
+    Tick,
+}
+
+pub struct CallOut {
+    pub rpc: RpcId,
+    pub number: u32,
+    pub store: StoreIx,
+    pub addr: SocketAddr,
+    pub sent: Moment,
+    /// The front waits for its outcome until then.
+    pub by: Moment,
+    pub query: Arc<Query>,
+    pub bell: Arc<Bell>,
+}
+
+/// What became of a call-out.
+pub struct End {
+    pub rpc: RpcId,
+    pub number: u32,
+    pub store: StoreIx,
+    pub sent: Moment,
+    pub outcome: Outcome,
+    pub note: Told,
+    pub report: Told,
+    pub value: Vec<u8>,
+}
+
+impl End {
+    /// A call-out that never left.
+    pub fn moot(rpc: RpcId, number: u32, store: StoreIx, sent: Moment) -> End {
+        let (note, report) = (Told::default(), Told::default());
+        End { rpc, number, store, sent, outcome: Outcome::Moot, note, report, value: Vec::new() }
+    }
+}
--- a/front/src/owner.rs
+++ b/front/src/owner.rs
@@ -2,50 +2,24 @@
 //! comes to it by channel, is handled in batches under one clock reading, and goes out as messages.
 
 use crate::admit::{Admission, Query};
+use crate::bell::Bell;
 use crate::clock::Alarms;
-use crate::discovery::Host;
+use crate::hosts::Host;
 use crate::log;
-use crate::send::{self, CallOut, Outlet};
-use crate::session::{Answer, Ticket};
-use crate::wire::Bell;
+use crate::mailbox::{Answer, Ticket};
+use crate::news::{self, CallOut, News};
+use crate::send::Outlet;
 use gingerwick::choice::Router;
-use gingerwick::iface::{Action, Arrival, End, Entry, Event, Facts, Outcome, RpcId, Standing, StoreIx, Told};
+use gingerwick::iface::{Action, Arrival, End, Entry, Event, Facts, Outcome, RpcId, Standing, Told};
 use gingerwick::time::{Moment, Span};
 use hosting::book::Book;
 use hosting::doors::Doors;
-use may::sync::mpsc::{Receiver, Sender};
+use may::sync::mpsc::Receiver;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::Arc;
 
-pub enum News {
-    Arrived(Admission, Query, Ticket),
-    Gone {
-        rpc: RpcId,
-    },
-    /// Asked right before a call-out is written.
-    Confirm {
-        rpc: RpcId,
-        call_out: u32,
-        store: StoreIx,
-        reply: Sender<bool>,
-    },
-    Ended(send::End),
-    Probed {
-        store: StoreIx,
-        outcome: Outcome,
-        elapsed: Span,
-        report: Told,
-    },
-    List {
-        whole: bool,
-        hosts: Vec<Host>,
-    },
-    ListFailed,
-    Tick,
-}
-
 /// What the book keeps of an RPC.
 struct Live {
     id: Arc<str>,
@@ -192,7 +166,7 @@
                     live.out = Some((number, bell.clone()));
                     let query = live.query.clone();
                     let Some(addr) = state.dials[store] else {
-                        ends.push(send::End::moot(rpc, number, store, now));
+                        ends.push(news::End::moot(rpc, number, store, now));
                         continue;
                     };
                     let by = now + time_out;
@@ -290,8 +264,8 @@
         self.tell(now, Event::Arrived(arrival));
     }
 
-    fn ended(&mut self, now: Moment, end: send::End) {
-        let send::End { rpc, number, store, sent, outcome, note, report, value } = end;
+    fn ended(&mut self, now: Moment, end: news::End) {
+        let news::End { rpc, number, store, sent, outcome, note, report, value } = end;
         let Some(live) = self.book.get_mut(rpc) else { return };
         if outcome == Outcome::Ok {
             if let Some(ticket) = live.ticket.take() {
--- a/front/src/pool.rs
+++ b/front/src/pool.rs
@@ -4,12 +4,13 @@
 //! connection is asked an empty query, which the store answers at once and without effect, and is reused only
 //! once exactly that has come: what was left over of the last answer would come before it.
 
+use crate::bell::Bell;
 use crate::clock::Alarms;
 use crate::ledger::Ledger;
 use crate::log;
 use crate::pg;
 use crate::relay::Reply;
-use crate::wire::{Bell, Stop, Wire};
+use crate::wire::{Stop, Wire};
 use gingerwick::iface::Outcome;
 use gingerwick::time::{Moment, Span};
 use std::collections::{BTreeSet, HashMap};
--- a/front/src/send.rs
+++ b/front/src/send.rs
@@ -1,50 +1,19 @@
 //! Call-outs and probes: one coroutine each, from the connection it takes to the outcome it reports.
 
-use crate::admit::Query;
+use crate::bell::Bell;
 use crate::clock::Alarms;
-use crate::owner::News;
+use crate::news::{CallOut, End, News};
 use crate::pg;
 use crate::pool::Pool;
 use crate::relay::{report, Reply};
-use crate::wire::{Bell, Stop, Wire};
-use gingerwick::iface::{Outcome, RpcId, StoreIx, Told};
+use crate::tasks::spawn;
+use crate::wire::{Stop, Wire};
+use gingerwick::iface::{Outcome, StoreIx, Told};
 use gingerwick::time::{Moment, Span};
 use may::sync::mpsc::{channel, Sender};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-pub struct CallOut {
-    pub rpc: RpcId,
-    pub number: u32,
-    pub store: StoreIx,
-    pub addr: SocketAddr,
-    pub sent: Moment,
-    /// The front waits for its outcome until then.
-    pub by: Moment,
-    pub query: Arc<Query>,
-    pub bell: Arc<Bell>,
-}
-
-/// What became of a call-out.
-pub struct End {
-    pub rpc: RpcId,
-    pub number: u32,
-    pub store: StoreIx,
-    pub sent: Moment,
-    pub outcome: Outcome,
-    pub note: Told,
-    pub report: Told,
-    pub value: Vec<u8>,
-}
-
-impl End {
-    /// A call-out that never left.
-    pub fn moot(rpc: RpcId, number: u32, store: StoreIx, sent: Moment) -> End {
-        let (note, report) = (Told::default(), Told::default());
-        End { rpc, number, store, sent, outcome: Outcome::Moot, note, report, value: Vec::new() }
-    }
-}
-
 /// Ends a call-out exactly once: one that is dropped by a panic may have run.
 struct Pending {
     owner: Sender<News>,
@@ -203,22 +172,6 @@
     }
 }
 
-/// Stacks in words of eight bytes; docs/design.md has what was measured.
-pub const STACK: usize = 8 << 10;
-const LONG_LIVED_STACK: usize = 32 << 10;
-
-/// Starts a coroutine for one connection or one call-out.
-pub fn spawn(task: impl FnOnce() + Send + 'static) {
-    // SAFETY: no thread-local state is held across a switch, and the stack is sized by measurement.
-    unsafe { may::coroutine::spawn(task) };
-}
-
-/// Starts one of the few that live as long as the process: the decisions and the list's parser go deeper.
-pub fn spawn_long_lived(task: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
-    // SAFETY: as above.
-    unsafe { may::coroutine::Builder::new().stack_size(LONG_LIVED_STACK).spawn(task) }.map(drop)
-}
-
 /// What starts call-outs and probes.
 #[derive(Clone)]
 pub struct Outlet {
--- a/front/src/session.rs
+++ b/front/src/session.rs
@@ -5,22 +5,23 @@
 use crate::clock::Alarms;
 use crate::ledger::{Entry, Ledger, Rank, Weight};
 use crate::log;
-use crate::owner::News;
+use crate::mailbox::{Answer, Mailbox, Ticket};
+use crate::news::News;
 use crate::pg::{self, Statement};
 use crate::shutdown::Leave;
 use crate::take_in::{Item, TakeIn};
 use crate::wire::{BREATH, BURST, LIGHT};
 use gingerwick::iface::RpcId;
 use gingerwick::time::{Moment, Span};
-use may::io::{WaitIo, WaitIoWaker};
+use may::io::WaitIo;
 use may::net::TcpStream;
 use may::sync::mpsc::Sender;
 use std::collections::VecDeque;
 use std::io::{ErrorKind, IoSlice, Read, Write};
 use std::net::Shutdown;
 use std::panic::{catch_unwind, AssertUnwindSafe};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 
 /// Queries of one client answered side by side; what it sends beyond them stays unread.
 const MOST_PENDING: usize = 64;
@@ -32,76 +33,6 @@
 const CLOSE_WITHIN: Span = Span::millis(500);
 const CLOSE_READS: usize = 256 << 10;
 
-/// What a client gets for an RPC.
-#[derive(Debug, PartialEq, Eq)]
-pub enum Answer {
-    /// RowDescription, DataRow and CommandComplete as the store gave them.
-    Value(Vec<u8>),
-    PushBack(Option<Span>),
-    Abort,
-    Refused(&'static str, &'static str),
-}
-
-/// Where answers for a session are left; the only part of it that others hold.
-pub struct Mailbox {
-    answers: Mutex<Vec<(RpcId, Answer)>>,
-    close: AtomicBool,
-    waker: WaitIoWaker,
-}
-
-impl Mailbox {
-    pub fn new(waker: WaitIoWaker) -> Arc<Mailbox> {
-        Arc::new(Mailbox { answers: Mutex::default(), close: AtomicBool::new(false), waker })
-    }
-
-    /// The answers that have come since it was last asked.
-    pub fn collect(&self) -> Vec<(RpcId, Answer)> {
-        std::mem::take(&mut *self.answers.lock().unwrap_or_else(|poisoned| poisoned.into_inner()))
-    }
-
-    fn post(&self, rpc: RpcId, answer: Answer) {
-        self.answers.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).push((rpc, answer));
-        self.waker.wakeup();
-    }
-
-    pub fn ask_to_close(&self) {
-        self.close.store(true, Ordering::Release);
-        self.waker.wakeup();
-    }
-}
-
-/// The duty to answer an RPC. Dropped unanswered, by a panic or a lost channel, it aborts.
-pub struct Ticket {
-    pub rpc: RpcId,
-    mailbox: Option<Arc<Mailbox>>,
-}
-
-impl Ticket {
-    pub fn new(rpc: RpcId, mailbox: Arc<Mailbox>) -> Ticket {
-        Ticket { rpc, mailbox: Some(mailbox) }
-    }
-
-    pub fn answer(mut self, answer: Answer) {
-        if let Some(mailbox) = self.mailbox.take() {
-            mailbox.post(self.rpc, answer);
-        }
-    }
-
-    /// Its client is gone: nothing is owed.
-    pub fn void(mut self) {
-        self.mailbox = None;
-    }
-}
-
-impl Drop for Ticket {
-    fn drop(&mut self) {
-        if let Some(mailbox) = self.mailbox.take() {
-            log!("RPC {} was dropped unanswered, aborted", self.rpc);
-            mailbox.post(self.rpc, Answer::Abort);
-        }
-    }
-}
-
 /// What all sessions share.
 pub struct Shared {
     pub alarms: Arc<Alarms>,
@@ -266,7 +197,7 @@
     }
 
     fn should_close(&self) -> bool {
-        self.mailbox.close.load(Ordering::Acquire) || (self.served && self.shared.leave.begun())
+        self.mailbox.should_close() || (self.served && self.shared.leave.begun())
     }
 
     fn wake_at(&self, at: Moment) {
@@ -447,12 +378,12 @@
         }
         self.stir();
         let now = self.shared.alarms.now();
-        let (until, asked) = (now + CLOSE_WITHIN, self.mailbox.close.swap(false, Ordering::AcqRel));
+        let (until, asked) = (now + CLOSE_WITHIN, self.mailbox.take_close());
         let until = if asked { until - CLOSE_WITHIN * 9 / 10 } else { until };
         self.idle = Some(self.shared.ledger.idle(Rank::Leaving, now, &self.mailbox));
         self.wake_at(until);
         let (mut bytes, mut most) = ([0; 4096], CLOSE_READS);
-        while most > 0 && self.shared.alarms.now() < until && !self.mailbox.close.load(Ordering::Acquire) {
+        while most > 0 && self.shared.alarms.now() < until && !self.mailbox.should_close() {
             match self.stream.inner().read(&mut bytes) {
                 Ok(0) => return,
                 Ok(many) => most = most.saturating_sub(many),
--- a/front/src/shutdown.rs
+++ b/front/src/shutdown.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::Alarms;
 use crate::log;
-use crate::session::Mailbox;
+use crate::mailbox::Mailbox;
 use gingerwick::time::Span;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/front/src/wire.rs
+++ b/front/src/wire.rs
@@ -1,16 +1,15 @@
 //! A connection that the front opened: its one owner reads and writes it, each with an end in time.
 
+use crate::bell::Bell;
 use crate::clock::{duration, Alarms};
 use crate::ledger::{Entry, Weight};
 use crate::log;
 use gingerwick::time::{Moment, Span};
-use may::coroutine::Coroutine;
-use may::io::{WaitIo, WaitIoWaker};
+use may::io::WaitIo;
 use may::net::TcpStream;
 use std::io::{ErrorKind, IoSlice, Read, Write};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::Arc;
 
 /// So many bytes from one peer without a wait are enough: while there is always more to read, the worker would
 /// serve nobody else.
@@ -33,43 +32,6 @@
     Rung,
 }
 
-/// By which the owner calls a call-out off: it never touches the call-out's socket itself.
-#[derive(Default)]
-pub struct Bell {
-    rung: AtomicBool,
-    sleeper: Mutex<Option<Sleeper>>,
-}
-
-/// Whom the bell wakes.
-enum Sleeper {
-    Socket(WaitIoWaker),
-    Parked(Coroutine),
-}
-
-impl Bell {
-    fn lock(&self) -> MutexGuard<'_, Option<Sleeper>> {
-        self.sleeper.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-    }
-
-    pub fn ring(&self) {
-        self.rung.store(true, Ordering::Release);
-        match &*self.lock() {
-            Some(Sleeper::Socket(waker)) => waker.wakeup(),
-            Some(Sleeper::Parked(coroutine)) => coroutine.unpark(),
-            None => {}
-        }
-    }
-
-    pub fn is_rung(&self) -> bool {
-        self.rung.load(Ordering::Acquire)
-    }
-
-    /// The calling coroutine, which is about to park, hears it.
-    pub fn wakes_parked(&self) {
-        *self.lock() = Some(Sleeper::Parked(may::coroutine::current()));
-    }
-}
-
 pub struct Wire {
     stream: TcpStream,
     alarms: Arc<Alarms>,
@@ -101,7 +63,7 @@
     pub fn listen_to(&self, by: Moment, bell: &Bell) {
         let waker = self.stream.waker();
         self.alarms.at(by, move || waker.wakeup());
-        *bell.lock() = Some(Sleeper::Socket(self.stream.waker()));
+        bell.wakes(self.stream.waker());
     }
 
     /// Until the socket may go on, unless it is to stop.
--- a/front/tests/messages.rs
+++ b/front/tests/messages.rs
@@ -1,7 +1,8 @@
 //! The message code, the outcome table, the ledger and discovery's stream, without a socket.
 
 use front::clock::{from_unix_ms, from_unix_s};
-use front::discovery::{Host, Hosts, Stream};
+use front::discovery::Stream;
+use front::hosts::{Host, Hosts};
 use front::ledger::{Ledger, Share};
 use front::pg::{self, Statement};
 use front::relay::{report, Reply};
--- a/front/tests/owner.rs
+++ b/front/tests/owner.rs
@@ -2,12 +2,14 @@
 
 use front::admit::{Admission, Query};
 use front::clock::{Alarms, Clock};
-use front::discovery::{Health, Host};
+use front::hosts::{Health, Host};
 use front::ledger::Ledger;
-use front::owner::{News, Owner};
+use front::mailbox::{Answer, Mailbox, Ticket};
+use front::news::News;
+use front::owner::Owner;
 use front::pool::Pool;
-use front::send::{spawn, Outlet};
-use front::session::{Answer, Mailbox, Ticket};
+use front::send::Outlet;
+use front::tasks::spawn;
 use gingerwick::time::Span;
 use hosting::facts::{facts, BootInfo};
 use may::io::WaitIo;
