--- /dev/null
+++ b/conf/src/settings.rs
@@ -0,0 +1,160 @@
+//! The keywords, their values and what holds where they are missing.
+
+use crate::line::{split, Fault};
+use std::path::PathBuf;
+use std::time::Duration;
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Format {
+    #[default]
+    Text,
+    Json,
+}
+
+/// How a store says who it is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Identity {
+    /// It can't.
+    #[default]
+    None,
+    /// By PostgreSQL's own functions, see `docs/recovery.md`.
+    Postgres,
+}
+
+/// All settings. Each is off or at its default where no line names it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Where the list is kept over a restart; none: it is not.
+    pub state_dir: Option<PathBuf>,
+    /// Between two saves of the list, at least: 100 ms to an hour.
+    pub save_gap: Duration,
+    pub store_identity: Identity,
+    pub log_format: Format,
+    /// What of the log is written: `error`, `warn`, `info`, `debug`.
+    pub log_level: String,
+    /// Lines of the log that wait for the writer: 4 kB to 16 MB of them.
+    pub log_buffer: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            state_dir: None,
+            save_gap: Duration::from_secs(1),
+            store_identity: Identity::default(),
+            log_format: Format::default(),
+            log_level: "info".to_string(),
+            log_buffer: 64 << 10,
+        }
+    }
+}
+
+/// A keyword and how its one value is taken.
+type Keyword = (&'static str, fn(&mut Settings, &str) -> Result<(), String>);
+
+const KEYWORDS: &[Keyword] = &[
+    ("state-dir", |settings, word| {
+        let path = PathBuf::from(word);
+        if !path.is_absolute() {
+            return Err(format!("{word:?} is not an absolute path"));
+        }
+        settings.state_dir = Some(path);
+        Ok(())
+    }),
+    ("save-gap", |settings, word| {
+        let gap = humantime::parse_duration(word).map_err(|why| format!("{word:?}: {why}"))?;
+        if !(Duration::from_millis(100)..=Duration::from_secs(3600)).contains(&gap) {
+            return Err(format!("{word:?} is not between 100ms and 1h"));
+        }
+        settings.save_gap = gap;
+        Ok(())
+    }),
+    ("store-identity", |settings, word| {
+        settings.store_identity =
+            one_of(word, &[("none", Identity::None), ("postgres", Identity::Postgres)])?;
+        Ok(())
+    }),
+    ("log-format", |settings, word| {
+        settings.log_format = one_of(word, &[("text", Format::Text), ("json", Format::Json)])?;
+        Ok(())
+    }),
+    ("log-level", |settings, word| {
+        let levels = ["error", "warn", "info", "debug"].map(|level| (level, level));
+        settings.log_level = one_of(word, &levels)?.to_string();
+        Ok(())
+    }),
+    ("log-buffer", |settings, word| {
+        let size: bytesize::ByteSize = word.parse().map_err(|why| format!("{word:?}: {why}"))?;
+        if !(4_000..=16_000_000).contains(&size.as_u64()) {
+            return Err(format!("{word:?} is not between 4kB and 16MB"));
+        }
+        settings.log_buffer = size.as_u64() as usize;
+        Ok(())
+    }),
+];
+
+fn one_of<T: Copy>(word: &str, known: &[(&str, T)]) -> Result<T, String> {
+    let found = known.iter().find(|(name, _)| *name == word);
+    let names: Vec<&str> = known.iter().map(|(name, _)| *name).collect();
+    found.map(|(_, value)| *value).ok_or_else(|| format!("{word:?} is none of {}", names.join(", ")))
+}
+
+/// Reads the whole text; where anything is wrong, says all of it.
+pub fn parse(text: &str) -> Result<Settings, Vec<Fault>> {
+    let (mut settings, mut faults, mut seen) = (Settings::default(), Vec::new(), Vec::new());
+    for (nth, text) in text.lines().enumerate() {
+        let line = nth + 1;
+        let fault = |keyword: &str, why: String| Fault { line, keyword: keyword.to_string(), why };
+        let words = match split(text) {
+            Ok(words) => words,
+            Err(why) => {
+                faults.push(fault("", why.to_string()));
+                continue;
+            }
+        };
+        let Some((keyword, values)) = words.split_first() else { continue };
+        let Some((name, take)) = KEYWORDS.iter().find(|known| known.0 == keyword) else {
+            faults.push(fault(keyword, unknown(keyword)));
+            continue;
+        };
+        if let Some((_, before)) = seen.iter().find(|(other, _)| other == name) {
+            faults.push(fault(name, format!("stands on line {before} already")));
+            continue;
+        }
+        seen.push((*name, line));
+        let taken = match values {
+            [word] => take(&mut settings, word),
+            _ => Err(format!("takes one value, not {}", values.len())),
+        };
+        if let Err(why) = taken {
+            faults.push(fault(name, why));
+        }
+    }
+    if faults.is_empty() {
+        Ok(settings)
+    } else {
+        Err(faults)
+    }
+}
+
+fn unknown(keyword: &str) -> String {
+    let near = KEYWORDS.iter().map(|known| (strsim::damerau_levenshtein(known.0, keyword), known.0)).min();
+    match near {
+        Some((apart, name)) if apart <= 3 => format!("is no keyword; is {name} meant?"),
+        _ => "is no keyword".to_string(),
+    }
+}
+
+impl Settings {
+    /// The keywords in which a newer file differs and which only a start can take up.
+    pub fn differs(&self, newer: &Settings) -> Vec<&'static str> {
+        let mut apart = Vec::new();
+        let mut note = |name, differs: bool| apart.extend(differs.then_some(name));
+        note("state-dir", self.state_dir != newer.state_dir);
+        note("store-identity", self.store_identity != newer.store_identity);
+        note("log-format", self.log_format != newer.log_format);
+        note("log-level", self.log_level != newer.log_level);
+        note("log-buffer", self.log_buffer != newer.log_buffer);
+        apart
+    }
+}
--- a/front/src/discovery.rs
+++ b/front/src/discovery.rs
@@ -3,6 +3,7 @@
 use crate::bell::Bell;
 use crate::clock::Alarms;
 use crate::hosts::Hosts;
+use crate::keeper::Keeper;
 use crate::ledger::{Ledger, Share};
 use crate::log;
 use crate::news::News;
@@ -10,6 +11,7 @@
 use gingerwick::rng::Mwc;
 use gingerwick::time::Span;
 use may::sync::mpsc::Sender;
+use recovery::lives::{Lives, Offer, Verdict};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -56,7 +58,10 @@
     pub alarms: Arc<Alarms>,
     pub ledger: Arc<Ledger>,
     pub owner: Sender<News>,
-    pub seq: i64,
+    pub lives: Lives,
+    /// Nothing that discovery said since this start is known: the whole list is fetched before it is watched.
+    pub anew: bool,
+    pub keeper: Option<Arc<Keeper>>,
     pub rng: Mwc,
 }
 
@@ -64,16 +69,16 @@
     pub fn run(mut self) {
         let mut pause = PAUSES.0;
         loop {
-            let before = self.seq;
+            let before = self.lives.seq();
             let (addr, turned) = self.whereto.now();
             let why = self.watch(addr, &turned).unwrap_or_else(|why| why);
-            if before != self.seq || turned.is_rung() {
+            if before != self.lives.seq() || turned.is_rung() {
                 pause = PAUSES.0;
             }
             if turned.is_rung() {
                 continue;
             }
-            log!("the watch on discovery ended: {why}");
+            log!(WARN; "the watch on discovery ended: {why}");
             let _ = self.owner.send(News::ListFailed);
             let chance = self.rng.below(64) as i64;
             self.alarms.pause_unless(pause / 64 * (32 + chance), &turned);
@@ -87,9 +92,10 @@
         let now = self.alarms.now();
         let mut wire =
             Wire::connect(&self.alarms, &addr, now + CONNECT_WITHIN, entry).map_err(|_| "no connection")?;
+        // A list from before this start may stem from another life of discovery: changes since it prove nothing.
+        let what = if self.anew { String::new() } else { format!("?watch=1&after={}", self.lives.seq()) };
         let request = format!(
-            "GET /discovery/hosts?watch=1&after={} HTTP/1.1\r\nHost: {addr}\r\nAccept: application/json\r\n\r\n",
-            self.seq
+            "GET /discovery/hosts{what} HTTP/1.1\r\nHost: {addr}\r\nAccept: application/json\r\n\r\n"
         );
         wire.listen_to(now + CONNECT_WITHIN, turned);
         wire.write(&[request.as_bytes()], now + CONNECT_WITHIN, turned)
@@ -112,20 +118,33 @@
 
     fn line(&mut self, line: &[u8]) -> Result<(), &'static str> {
         if line.trim_ascii().is_empty() {
+            if let Some(keeper) = self.keeper.as_ref().filter(|_| !self.anew) {
+                keeper.confirmed();
+            }
             return Ok(());
         }
+        let before = self.lives.seq();
         let hosts: Hosts = match serde_json::from_slice(line) {
             Ok(hosts) => hosts,
             Err(why) => {
-                log!("a line of discovery can't be read: {why}");
+                log!(WARN; "a line of discovery can't be read: {why}");
                 return Err("a line could not be read");
             }
         };
-        // A list older than ours must not turn it back.
-        if hosts.seq < self.seq || (hosts.seq == self.seq && !hosts.whole) {
-            return Ok(());
+        let offer = Offer { seq: hosts.seq, whole: hosts.whole, empty: hosts.hosts.is_empty() };
+        match self.lives.offer(self.alarms.now(), offer) {
+            Verdict::Take => {}
+            Verdict::Pass if offer.whole && offer.empty => return Err("its list is empty, ours stays"),
+            Verdict::Pass => return Ok(()),
+            Verdict::Suspect => return Err("its list is older than ours"),
+        }
+        if self.lives.seq() < before {
+            log!(INFO; "discovery has begun anew: its list, version {}, takes the place of {before}", offer.seq);
+        }
+        self.anew &= !offer.whole;
+        if let Some(keeper) = &self.keeper {
+            keeper.list(offer.seq, offer.whole, &hosts.hosts);
         }
-        self.seq = hosts.seq;
         let _ = self.owner.send(News::List { whole: hosts.whole, hosts: hosts.hosts });
         Ok(())
     }
--- a/front/src/hosts.rs
+++ b/front/src/hosts.rs
@@ -3,6 +3,7 @@
 use crate::clock;
 use gingerwick::iface::Standing;
 use gingerwick::time::Moment;
+use keep::KeptStore;
 use serde::Deserialize;
 use std::net::SocketAddr;
 
@@ -43,6 +44,51 @@
     Unknown,
 }
 
+impl Health {
+    fn word(self) -> &'static str {
+        match self {
+            Health::Serving => "SERVING",
+            Health::Draining => "DRAINING",
+            Health::Deleted => "DELETED",
+            Health::Unknown => "UNKNOWN",
+        }
+    }
+
+    fn of(word: &str) -> Health {
+        let all = [Health::Serving, Health::Draining, Health::Deleted];
+        all.into_iter().find(|health| health.word() == word).unwrap_or(Health::Unknown)
+    }
+}
+
+impl From<&Host> for KeptStore {
+    fn from(host: &Host) -> KeptStore {
+        KeptStore {
+            host: host.host.clone(),
+            dial: host.dial.clone(),
+            site: host.site.clone(),
+            block: host.block,
+            health: host.health.word().to_string(),
+            born_ms: host.born_ms,
+            recovery: host.recovery.clone(),
+            said: None,
+        }
+    }
+}
+
+impl From<&KeptStore> for Host {
+    fn from(kept: &KeptStore) -> Host {
+        Host {
+            host: kept.host.clone(),
+            dial: kept.dial.clone(),
+            site: kept.site.clone(),
+            block: kept.block,
+            health: Health::of(&kept.health),
+            born_ms: kept.born_ms,
+            recovery: kept.recovery.clone(),
+        }
+    }
+}
+
 impl Host {
     pub fn standing(&self) -> Standing {
         match self.health {
--- a/front/src/ledger.rs
+++ b/front/src/ledger.rs
@@ -194,6 +194,10 @@
         Some((Entry { ledger: self.clone(), share: Share::Clients, store: None }, stays))
     }
 
+    pub fn most(&self, share: Share) -> usize {
+        self.most[share as usize]
+    }
+
     pub fn taken(&self, share: Share) -> usize {
         self.lock().taken[share as usize]
     }
--- a/front/src/lib.rs
+++ b/front/src/lib.rs
@@ -6,13 +6,16 @@
 pub mod admit;
 pub mod bell;
 pub mod clock;
+pub mod command;
 pub mod discovery;
 pub mod hosts;
+pub mod keeper;
 pub mod launch;
 pub mod ledger;
 pub mod log;
 pub mod mailbox;
 pub mod news;
+pub mod operators;
 pub mod owner;
 pub mod pg;
 pub mod pool;
--- a/front/src/mailbox.rs
+++ b/front/src/mailbox.rs
@@ -80,7 +80,7 @@
 impl Drop for Ticket {
     fn drop(&mut self) {
         if let Some(mailbox) = self.mailbox.take() {
-            log!("RPC {} was dropped unanswered, aborted", self.rpc);
+            log!(WARN, rpc = self.rpc; "RPC {} was dropped unanswered, aborted", self.rpc);
             mailbox.post(self.rpc, Answer::Abort);
         }
     }
--- a/front/src/main.rs
+++ b/front/src/main.rs
@@ -1,13 +1,7 @@
-//! `gingerwick`, the daemon.
+//! `gingerwick`, the daemon and its command line.
 
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    match front::start::run() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(why) => {
-            eprintln!("gingerwick: {why}");
-            ExitCode::FAILURE
-        }
-    }
+    front::command::run().into()
 }
--- a/front/src/news.rs
+++ b/front/src/news.rs
@@ -4,8 +4,10 @@
 use crate::bell::Bell;
 use crate::hosts::Host;
 use crate::mailbox::Ticket;
+use crate::pool::NoWire;
 use gingerwick::iface::{Outcome, RpcId, StoreIx, Told};
 use gingerwick::time::{Moment, Span};
+use keep::Kept;
 use may::sync::mpsc::Sender;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -34,9 +36,26 @@
         hosts: Vec<Host>,
     },
     ListFailed,
+    /// A list kept from before this start, with the version that discovery gave it.
+    Kept(Kept),
+    /// Answer to a question of recovery's.
+    Asked {
+        store: StoreIx,
+        asked: Moment,
+        answer: Result<Heard, NoWire>,
+    },
     Tick,
 }
 
+/// What a store said when it was asked.
+#[derive(Clone, Debug)]
+pub struct Heard {
+    pub outcome: Outcome,
+    pub told: Told,
+    /// Its name and timeline as it worded them, where it was asked for them.
+    pub name: Option<String>,
+}
+
 pub struct CallOut {
     pub rpc: RpcId,
     pub number: u32,
--- a/front/src/owner.rs
+++ b/front/src/owner.rs
@@ -5,16 +5,23 @@
 use crate::bell::Bell;
 use crate::clock::Alarms;
 use crate::hosts::Host;
+use crate::keeper::Keeper;
 use crate::log;
 use crate::mailbox::{Answer, Ticket};
-use crate::news::{self, CallOut, News};
+use crate::news::{self, CallOut, Heard, News};
+use crate::pool::NoWire;
 use crate::send::Outlet;
 use gingerwick::choice::Router;
-use gingerwick::iface::{Action, Arrival, End, Entry, Event, Facts, Outcome, RpcId, Standing, Told};
+use gingerwick::iface::{Action, Arrival, End, Entry, Event, Facts, Outcome, RpcId, Standing, StoreIx, Told};
 use gingerwick::time::{Moment, Span};
 use hosting::book::Book;
 use hosting::doors::Doors;
+use keep::Kept;
 use may::sync::mpsc::Receiver;
+use recovery::proof::Floor;
+use recovery::regain::{Action as Task, Event as Regained, Failure, Identity, Member, Regain};
+use recovery::store::{Store, Word};
+use recovery::trust::Times;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -41,9 +48,22 @@
     alarm: Option<Moment>,
     /// The router has just been made anew and does not know the list.
     anew: bool,
+    /// The router that panicked had a list that discovery stood by.
+    vouched: bool,
+    recovers: Option<Recovers>,
     state: State,
 }
 
+/// How recovery is set up, where the list is kept over a restart.
+pub struct Recovers {
+    /// Those of the list at hand; none where its age is not known.
+    pub times: Option<Times>,
+    /// Stores can say who they are.
+    pub who: bool,
+    pub most_out: usize,
+    pub keeper: Option<Arc<Keeper>>,
+}
+
 /// What is lost with a router that panicked.
 struct State {
     router: Router,
@@ -58,6 +78,11 @@
     /// The last resort of each RPC: past its own last moment, before its client's.
     resorts: BTreeSet<(Moment, RpcId)>,
     actions: Vec<Action>,
+    regain: Option<Regain>,
+    /// What recovery wants done.
+    tasks: Vec<Task>,
+    /// The list's own words on stores that recovery has not opened yet.
+    waiting: BTreeMap<StoreIx, Host>,
 }
 
 impl Owner {
@@ -68,10 +93,11 @@
         most_held: usize,
         outlet: Outlet,
         news: Receiver<News>,
+        recovers: Option<Recovers>,
     ) -> Owner {
-        let state = State::new(seed, &facts, outlet.alarms());
-        let listed = BTreeMap::new();
-        Owner { facts, seed, zones, most_held, outlet, news, listed, alarm: None, anew: false, state }
+        let state = State::new(seed, &facts, outlet.alarms(), recovers.as_ref());
+        let (listed, alarm, anew, vouched) = (BTreeMap::new(), None, false, false);
+        Owner { facts, seed, zones, most_held, outlet, news, listed, alarm, anew, vouched, recovers, state }
     }
 
     /// Serves for the life of the process. A panic of the decisions drops their state: what was open aborts
@@ -79,9 +105,11 @@
     pub fn run(mut self) {
         loop {
             let Err(_) = catch_unwind(AssertUnwindSafe(|| self.turn())) else { continue };
-            log!("the router panicked; it starts anew from the list");
+            log!(WARN; "the router panicked; it starts anew from the list");
             self.seed = self.seed.wrapping_add(1);
-            self.state = State::new(self.seed, &self.facts, self.outlet.alarms());
+            let vouched = self.state.regain.as_ref().is_some_and(Regain::is_vouched);
+            self.state = State::new(self.seed, &self.facts, self.outlet.alarms(), self.recovers.as_ref());
+            self.vouched = vouched;
             self.anew = true;
             let _ = self.outlet.owner.send(News::Tick);
         }
@@ -91,7 +119,12 @@
         let Ok(first) = self.news.recv() else { return };
         let now = self.outlet.alarms().now();
         if std::mem::take(&mut self.anew) {
-            self.state.list(true, self.listed.values().cloned().collect(), &self.zones, now);
+            let hosts = self.listed.values().cloned().collect();
+            if self.recovers.is_some() && !self.vouched {
+                self.state.kept(hosts, Vec::new(), now);
+            } else {
+                self.state.list(true, hosts, &self.zones, now);
+            }
         }
         self.state.fire(now);
         let mut next = Some(first);
@@ -101,7 +134,8 @@
         }
         self.act(now);
         let due = self.state.timers.first().map(|timer| timer.0);
-        let due = due.into_iter().chain(self.state.resorts.first().map(|resort| resort.0)).min();
+        let due = due.into_iter().chain(self.state.resorts.first().map(|resort| resort.0));
+        let due = due.chain(self.state.regain.as_ref().and_then(|regain| regain.due(now))).min();
         if let Some(due) = due.filter(|due| self.alarm.is_none_or(|set| *due < set || set <= now)) {
             self.alarm = Some(due);
             let owner = self.outlet.owner.clone();
@@ -118,7 +152,8 @@
                 if state.book.len() >= self.most_held {
                     return ticket.answer(Answer::PushBack(self.facts.max_come_back));
                 }
-                state.arrive(now, admission, query, ticket, self.facts.tick);
+                let come_back = self.facts.max_come_back;
+                state.arrive(now, admission, query, ticket, self.facts.tick, come_back);
             }
             News::Gone { rpc } => {
                 if let Some(ticket) = state.book.get_mut(rpc).and_then(|live| live.ticket.take()) {
@@ -131,11 +166,26 @@
                 let holds = state.book.is_open(rpc) && state.router.confirms(now, rpc, call_out, store);
                 let _ = reply.send(holds);
             }
-            News::Ended(end) => state.ended(now, end),
+            News::Ended(end) => {
+                let (store, asked, note) = (end.store, end.sent, end.note);
+                state.ended(now, end);
+                self.overhear(now, store, asked, note);
+            }
             News::Probed { store, outcome, elapsed, report } => {
                 state.tell(now, Event::Probed { store, outcome, elapsed, report });
+                self.overhear(now, store, now - elapsed, report);
             }
+            News::Kept(kept) => {
+                let floors = floors(&kept);
+                let hosts: Vec<Host> = kept.stores.iter().map(Host::from).collect();
+                self.listed = hosts.iter().map(|host| (host.host.clone(), host.clone())).collect();
+                state.kept(hosts, floors, now);
+            }
+            News::Asked { store, asked, answer } => self.asked(now, store, asked, answer),
             News::List { whole, hosts } => {
+                state.hear_list(whole, &hosts, now);
+                self.work_off(now);
+                let state = &mut self.state;
                 if whole {
                     self.listed.clear();
                 }
@@ -149,7 +199,87 @@
                 self.outlet.pool.keep_only(&dials);
             }
             News::ListFailed => state.tell(now, Event::ListFailed),
-            News::Tick => {}
+            News::Tick => state.recover(now, Regained::Tick),
+        }
+        self.work_off(now);
+    }
+
+    fn asked(&mut self, now: Moment, store: StoreIx, asked: Moment, answer: Result<Heard, NoWire>) {
+        let state = &mut self.state;
+        let who = self.recovers.as_ref().is_some_and(|recovers| recovers.who);
+        let failed = |why| Regained::Failed { store, why };
+        let (event, outcome, told) = match answer {
+            Ok(Heard { outcome: Outcome::Ok, told, name }) => {
+                let (identity, timeline) = identify(who, name.as_deref(), state.stores.name(store));
+                let word = Word::of(told, timeline);
+                (Regained::Answered { store, asked, identity, word }, Outcome::Ok, told)
+            }
+            // Its own word that it has no room, is starting or does not know the question: it runs, and said nothing.
+            Ok(Heard { outcome, .. }) => (failed(Failure::Silent), outcome, Told::default()),
+            Err(NoWire { refused: true, outcome }) => (failed(Failure::Refused), outcome, Told::default()),
+            Err(NoWire { outcome: outcome @ (Outcome::Moot | Outcome::Full), .. }) => {
+                (failed(Failure::Unasked), outcome, Told::default())
+            }
+            Err(NoWire { outcome, .. }) => (failed(Failure::Silent), outcome, Told::default()),
+        };
+        state.recover(now, event);
+        self.work_off(now);
+        let state = &mut self.state;
+        // An answer that another store gave is no probe of this one.
+        let heard = state.regain.as_ref().and_then(|regain| regain.store(store)).is_some_and(Store::is_heard);
+        if heard && outcome == Outcome::Ok {
+            let elapsed = now - asked;
+            state.tell(now, Event::Probed { store, outcome, elapsed, report: told });
+            self.note(store);
+        }
+    }
+
+    /// What came with an answer to the decisions is recovery's too.
+    fn overhear(&mut self, now: Moment, store: StoreIx, asked: Moment, told: Told) {
+        if told.role.is_some() && self.state.regain.is_some() {
+            self.state.recover(now, Regained::Overheard { store, asked, told });
+            self.note(store);
+        }
+    }
+
+    fn note(&self, store: StoreIx) {
+        let keeper = self.recovers.as_ref().and_then(|recovers| recovers.keeper.as_ref());
+        let word = self.state.regain.as_ref().and_then(|regain| regain.store(store)).map(|store| store.word);
+        if let (Some(keeper), Some(word)) = (keeper, word) {
+            keeper.heard(self.state.stores.name(store), word);
+        }
+    }
+
+    /// Does what recovery wants done, in its order.
+    fn work_off(&mut self, now: Moment) {
+        let who = self.recovers.as_ref().is_some_and(|recovers| recovers.who);
+        for task in std::mem::take(&mut self.state.tasks) {
+            let state = &mut self.state;
+            match task {
+                Task::Ask { store } => match state.dials[store] {
+                    Some(addr) => self.outlet.ask(store, addr, who),
+                    None => state.recover(now, Regained::Failed { store, why: Failure::Silent }),
+                },
+                Task::Admit { store } => {
+                    if let Some(host) = state.waiting.remove(&store) {
+                        // It may have started only just now: nobody has seen it before.
+                        let entry =
+                            Entry { started: Some(now), presumed: true, ..state.entry(&host, &self.zones) };
+                        let entries = vec![Entry { primary: false, ..entry }];
+                        state.tell(now, Event::List { whole: false, entries });
+                    }
+                }
+                Task::Shut { store } => {
+                    let name = state.stores.name(store);
+                    if let Some(host) = self.listed.get(name) {
+                        let entry = Entry { standing: Standing::Draining, ..state.entry(host, &self.zones) };
+                        state.waiting.insert(store, host.clone());
+                        state.tell(now, Event::List { whole: false, entries: vec![entry] });
+                        state.dials[store].into_iter().for_each(|addr| self.outlet.pool.forget(&addr));
+                    }
+                }
+                Task::Clear { group, clearance } => state.tell(now, Event::Cleared { group, clearance }),
+            }
         }
     }
 
@@ -193,7 +323,7 @@
                 },
                 // The watch is kept up by itself.
                 Action::Watch | Action::FetchList => {}
-                Action::Remark(words) => log!("the router remarks: {words}"),
+                Action::Remark(words) => log!(INFO; "the router remarks: {words}"),
             }
         }
         for end in ends {
@@ -206,7 +336,8 @@
 }
 
 impl State {
-    fn new(seed: u64, facts: &Facts, alarms: &Alarms) -> State {
+    fn new(seed: u64, facts: &Facts, alarms: &Alarms, recovers: Option<&Recovers>) -> State {
+        let regain = |how: &Recovers| Regain::new(how.times, facts.may_probe, how.most_out);
         let mut actions = Vec::new();
         let router = Router::new(seed, facts, alarms.now(), &mut actions);
         State {
@@ -220,6 +351,9 @@
             timers: BTreeSet::new(),
             resorts: BTreeSet::new(),
             actions,
+            regain: recovers.map(regain),
+            tasks: Vec::new(),
+            waiting: BTreeMap::new(),
         }
     }
 
@@ -240,14 +374,87 @@
                 _ => false,
             };
             if self.book.is_open(rpc) && !self.actions.iter().any(answered) {
-                log!("RPC {rpc} was still open at its last resort, aborted");
+                log!(WARN, rpc = rpc; "RPC {rpc} was still open at its last resort, aborted");
                 self.answer(rpc, Answer::Abort);
                 self.tell(now, Event::Gone { rpc });
             }
         }
     }
 
-    fn arrive(&mut self, now: Moment, new: Admission, query: Query, ticket: Ticket, tick: Span) {
+    fn recover(&mut self, now: Moment, event: Regained) {
+        if let Some(regain) = &mut self.regain {
+            regain.handle(now, event, &mut self.tasks);
+        }
+    }
+
+    /// Takes up a list from before this start: its stores get their numbers, and recovery decides from when on the
+    /// decisions may know of them.
+    fn kept(&mut self, hosts: Vec<Host>, floors: Vec<(i64, Floor)>, now: Moment) {
+        let mut members = Vec::with_capacity(hosts.len());
+        for host in hosts {
+            let member = self.number(&host);
+            members.push(member);
+            self.waiting.insert(member.store, host);
+        }
+        let floors = floors.into_iter().map(|(block, floor)| (self.groups.enter(block), floor)).collect();
+        self.recover(now, Regained::Kept { members, floors });
+    }
+
+    /// What discovery's list means to recovery, before the decisions are told of it.
+    fn hear_list(&mut self, whole: bool, hosts: &[Host], now: Moment) {
+        if self.regain.is_none() || (whole && hosts.is_empty()) {
+            return;
+        }
+        let (mut members, mut gone) = (Vec::with_capacity(hosts.len()), Vec::new());
+        for host in hosts {
+            let member = self.number(host);
+            if host.standing() == Standing::Gone {
+                gone.push(member.store);
+            } else {
+                members.push(member);
+                self.waiting.remove(&member.store);
+            }
+        }
+        self.recover(now, Regained::Listed { whole, members, gone });
+    }
+
+    /// A store's number, and where it is.
+    fn number(&mut self, host: &Host) -> Member {
+        let store = self.stores.enter(host.host.clone());
+        if self.dials.len() <= store {
+            self.dials.resize(store + 1, None);
+            self.started.resize(store + 1, None);
+        }
+        self.dials[store] = host.dial();
+        Member { store, group: self.groups.enter(host.block) }
+    }
+
+    /// The list's word on a store.
+    fn entry(&mut self, host: &Host, zones: &[String]) -> Entry {
+        Entry {
+            store: self.stores.enter(host.host.clone()),
+            group: self.groups.enter(host.block),
+            zone: zones.iter().position(|zone| *zone == host.site).unwrap_or(zones.len()),
+            standing: host.standing(),
+            primary: host.is_primary(),
+            started: host.started(),
+            presumed: false,
+        }
+    }
+
+    fn arrive(
+        &mut self,
+        now: Moment,
+        new: Admission,
+        query: Query,
+        ticket: Ticket,
+        tick: Span,
+        come_back: Option<Span>,
+    ) {
+        if self.groups.is_empty() {
+            // No list has come yet: which groups there are is not known.
+            return ticket.answer(Answer::PushBack(come_back));
+        }
         let Some(group) = self.groups.find(&new.cluster) else {
             return ticket.answer(Answer::Refused("42704", "cluster names no listed group"));
         };
@@ -260,6 +467,7 @@
         let resort = deadline - tick;
         self.book.enter(rpc, Live { id, resort, ticket: Some(ticket), query: Arc::new(query), out: None });
         self.resorts.insert((resort, rpc));
+        self.recover(now, Regained::Wanted { group });
         let arrival = Arrival { rpc, method, group, session, last_write, deadline, repeat };
         self.tell(now, Event::Arrived(arrival));
     }
@@ -304,26 +512,39 @@
     fn list(&mut self, whole: bool, hosts: Vec<Host>, zones: &[String], now: Moment) -> Vec<SocketAddr> {
         let (mut entries, mut stale) = (Vec::with_capacity(hosts.len()), Vec::new());
         for host in hosts {
-            let store = self.stores.enter(host.host.clone());
-            if self.dials.len() <= store {
-                self.dials.resize(store + 1, None);
-                self.started.resize(store + 1, None);
-            }
-            self.dials[store] = host.dial();
+            let store = self.number(&host).store;
             if host.standing() != Standing::Open || self.started[store] != host.started() {
                 stale.extend(host.dial());
             }
             self.started[store] = host.started();
-            entries.push(Entry {
-                store,
-                group: self.groups.enter(host.block),
-                zone: zones.iter().position(|zone| *zone == host.site).unwrap_or(zones.len()),
-                standing: host.standing(),
-                primary: host.is_primary(),
-                started: host.started(),
-            });
+            entries.push(self.entry(&host, zones));
         }
         self.tell(now, Event::List { whole, entries });
         stale
     }
 }
+
+/// What a store says of itself, its name and its timeline, beside the name that the list gives it.
+fn identify(who: bool, said: Option<&str>, name: &str) -> (Identity, Option<u32>) {
+    let Some(said) = said.filter(|_| who) else { return (Identity::Untold, None) };
+    match said.rsplit_once(',') {
+        Some((its, timeline)) if its == name => (Identity::Right, timeline.parse().ok()),
+        _ => (Identity::Wrong, None),
+    }
+}
+
+/// The least that a group's true primary must have, by what its members said before this start.
+fn floors(kept: &Kept) -> Vec<(i64, Floor)> {
+    let mut floors: BTreeMap<i64, Floor> = BTreeMap::new();
+    for store in &kept.stores {
+        let floor = floors.entry(store.block).or_default();
+        let Some(said) = store.said else { continue };
+        let position = said.position_ms.map(|ms| Moment(ms.saturating_mul(1_000_000)));
+        if said.timeline > floor.timeline {
+            (floor.timeline, floor.position) = (said.timeline, position);
+        } else if said.timeline == floor.timeline {
+            floor.position = floor.position.max(position);
+        }
+    }
+    floors.into_iter().collect()
+}
--- a/front/src/pool.rs
+++ b/front/src/pool.rs
@@ -52,6 +52,20 @@
     }
 }
 
+/// Why no connection was opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NoWire {
+    pub outcome: Outcome,
+    /// The store's machine itself says that nothing listens there.
+    pub refused: bool,
+}
+
+impl From<Outcome> for NoWire {
+    fn from(outcome: Outcome) -> NoWire {
+        NoWire { outcome, refused: false }
+    }
+}
+
 pub struct Pool {
     pub alarms: Arc<Alarms>,
     ledger: Arc<Ledger>,
@@ -85,22 +99,22 @@
     }
 
     /// Opens a connection and brings its start-up through.
-    pub fn open(&self, addr: &SocketAddr, by: Moment, bell: &Bell) -> Result<Wire, Outcome> {
+    pub fn open(&self, addr: &SocketAddr, by: Moment, bell: &Bell) -> Result<Wire, NoWire> {
         let dialled = self.alarms.now() + self.dial;
         let entry = self.ledger.enter_store(*addr).or_else(|| {
             self.drop_oldest();
             self.ledger.enter_store(*addr)
         });
         let entry = entry.ok_or_else(|| {
-            log!("no connection to {addr}: the descriptors for stores are used up");
+            log!(WARN; "no connection to {addr}: the descriptors for stores are used up");
             Outcome::Moot
         })?;
         // What runs out of its own time is no word on the store.
         let late = if by < dialled { Outcome::Moot } else { Outcome::Unreachable };
         let until = by.min(dialled);
         let mut wire = Wire::connect(&self.alarms, addr, until, entry).map_err(|why| match why.kind() {
-            ErrorKind::TimedOut => late,
-            _ => Outcome::Unreachable,
+            ErrorKind::TimedOut => NoWire::from(late),
+            kind => NoWire { outcome: Outcome::Unreachable, refused: kind == ErrorKind::ConnectionRefused },
         })?;
         wire.listen_to(until, bell);
         let fault = |stop| match stop {
@@ -114,8 +128,8 @@
             match reply.read(&wire.buffer) {
                 None => wire.read(until, bell).map_err(fault)?,
                 Some(Outcome::Ok) if reply.frees(&wire.buffer) => break,
-                Some(Outcome::Full) => return Err(Outcome::Full),
-                Some(_) => return Err(Outcome::Unreachable),
+                Some(Outcome::Full) => return Err(Outcome::Full.into()),
+                Some(_) => return Err(Outcome::Unreachable.into()),
             }
         }
         wire.take_buffer();
--- a/front/src/send.rs
+++ b/front/src/send.rs
@@ -2,9 +2,9 @@
 
 use crate::bell::Bell;
 use crate::clock::Alarms;
-use crate::news::{CallOut, End, News};
+use crate::news::{CallOut, End, Heard, News};
 use crate::pg;
-use crate::pool::Pool;
+use crate::pool::{NoWire, Pool};
 use crate::relay::{report, Reply};
 use crate::tasks::spawn;
 use crate::wire::{Stop, Wire};
@@ -65,7 +65,7 @@
         let again = reused.is_some();
         let mut wire = match reused.map_or_else(|| pool.open(addr, *by, bell), Ok) {
             Ok(wire) => wire,
-            Err(outcome) => return Sent::unsent(outcome),
+            Err(why) => return Sent::unsent(why.outcome),
         };
         wire.listen_to(*by, bell);
         // Connecting took its time: what held when this was decided may hold no more.
@@ -126,7 +126,8 @@
     let mut sounding =
         Sounding { owner, store, told: Told::default(), outcome: Outcome::Broken, elapsed: within };
     let sent = pool.alarms.now();
-    (sounding.outcome, sounding.told) = sound(pool, addr, sent + within, &Bell::default());
+    (sounding.outcome, sounding.told) =
+        health(pool, addr, sent + within).unwrap_or_else(|why| (why.outcome, Told::default()));
     sounding.elapsed = pool.alarms.now() - sent;
 }
 
@@ -146,29 +147,70 @@
     }
 }
 
-fn sound(pool: &Pool, addr: SocketAddr, by: Moment, bell: &Bell) -> (Outcome, Told) {
+/// Asks one statement, on a connection at hand or a new one; its one column.
+fn sound(
+    pool: &Pool,
+    addr: SocketAddr,
+    words: &str,
+    by: Moment,
+    bell: &Bell,
+) -> Result<(Outcome, Vec<u8>), NoWire> {
     loop {
         let reused = pool.reuse(&addr);
         let again = reused.is_some();
-        let mut wire = match reused.map_or_else(|| pool.open(&addr, by, bell), Ok) {
-            Ok(wire) => wire,
-            Err(outcome) => return (outcome, Told::default()),
-        };
+        let mut wire = reused.map_or_else(|| pool.open(&addr, by, bell), Ok)?;
         wire.listen_to(by, bell);
         let mut query = Vec::new();
-        pg::query(&mut query, "SHOW health");
+        pg::query(&mut query, words);
         match wire.write(&[&query], by, bell) {
             Ok(()) => {}
             Err(Stop::Broken) if again => continue,
-            Err(_) => return (Outcome::Unreachable, Told::default()),
+            Err(_) => return Err(Outcome::Unreachable.into()),
         }
         let sent = answer(wire, by, bell);
-        let text = pg::only_row(&sent.value).and_then(|column| std::str::from_utf8(column).ok());
-        let told = text.map(report).unwrap_or_default();
         if let Some(wire) = sent.free {
             pool.release(addr, wire);
         }
-        return (sent.outcome, told);
+        return Ok((sent.outcome, pg::only_row(&sent.value).unwrap_or_default().to_vec()));
+    }
+}
+
+/// Asks for the report.
+fn health(pool: &Pool, addr: SocketAddr, by: Moment) -> Result<(Outcome, Told), NoWire> {
+    let (outcome, column) = sound(pool, addr, "SHOW health", by, &Bell::default())?;
+    Ok((outcome, std::str::from_utf8(&column).map(report).unwrap_or_default()))
+}
+
+/// Who the store is and how often its log was taken over, by PostgreSQL's own functions.
+const WHO: &str =
+    "SELECT concat_ws(',', current_setting('cluster_name'), timeline_id) FROM pg_control_checkpoint()";
+
+/// Asks a store what recovery wants to know of it.
+pub fn ask(pool: &Pool, owner: Sender<News>, store: StoreIx, addr: SocketAddr, within: Span, who: bool) {
+    let asked = pool.alarms.now();
+    let mut asking = Asking { owner, store, asked, answer: Err(NoWire::from(Outcome::Broken)) };
+    let by = asked + within;
+    let name = if who { sound(pool, addr, WHO, by, &Bell::default()).map(Some) } else { Ok(None) };
+    asking.answer = name.and_then(|name| {
+        let (outcome, told) = health(pool, addr, by)?;
+        // What can't be read is no name, and so nobody's.
+        let name = name.map(|(_, column)| String::from_utf8(column).unwrap_or_default());
+        Ok(Heard { outcome, told, name })
+    });
+}
+
+/// Ends a question exactly once, however the coroutine ends.
+struct Asking {
+    owner: Sender<News>,
+    store: StoreIx,
+    asked: Moment,
+    answer: Result<Heard, NoWire>,
+}
+
+impl Drop for Asking {
+    fn drop(&mut self) {
+        let answer = std::mem::replace(&mut self.answer, Err(NoWire::from(Outcome::Broken)));
+        let _ = self.owner.send(News::Asked { store: self.store, asked: self.asked, answer });
     }
 }
 
@@ -194,4 +236,9 @@
         let Outlet { pool, owner, probe_within } = self.clone();
         spawn(move || probe(&pool, owner, store, addr, probe_within));
     }
+
+    pub fn ask(&self, store: StoreIx, addr: SocketAddr, who: bool) {
+        let Outlet { pool, owner, probe_within } = self.clone();
+        spawn(move || ask(&pool, owner, store, addr, probe_within, who));
+    }
 }
--- a/front/src/session.rs
+++ b/front/src/session.rs
@@ -141,7 +141,7 @@
             }
             if self.too_heavy() {
                 if blocked {
-                    log!("a client that does not read was let go: the memory for buffers is used up");
+                    log!(WARN; "a client that does not read was let go: the memory for buffers is used up");
                     return false;
                 }
                 if self.inbox.weight() > LIGHT {
--- a/front/src/shutdown.rs
+++ b/front/src/shutdown.rs
@@ -63,7 +63,7 @@
 
     /// Called once, from the thread that waits for signals.
     pub fn begin(self: &Arc<Leave>, alarms: &Alarms, stop_accepting: impl FnOnce() + Send + 'static) {
-        log!("leaving as asked, {} sessions open", self.lock().sessions.len());
+        log!(INFO; "leaving as asked, {} sessions open", self.lock().sessions.len());
         self.begun.store(true, Ordering::Release);
         self.ask_all();
         let leave = self.clone();
@@ -78,7 +78,7 @@
 
     fn end_if_empty(&self, members: &Members) {
         if members.closed && members.sessions.is_empty() {
-            log!("left, nothing open");
+            log!(INFO; "left, nothing open");
             log::flush();
             std::process::exit(0);
         }
--- a/front/src/start.rs
+++ b/front/src/start.rs
@@ -2,57 +2,94 @@
 
 use crate::admit::Terms;
 use crate::clock::{duration, Alarms, Clock};
+use crate::command::{self, exit, Fault};
 use crate::discovery::{Watch, Whereto};
+use crate::keeper::Keeper;
 use crate::launch::{Launch, When};
-use crate::ledger::{Entry, Ledger};
+use crate::ledger::{Entry, Ledger, Share};
 use crate::log;
 use crate::news::News;
-use crate::owner::Owner;
+use crate::operators::{self, Conf};
+use crate::owner::{Owner, Recovers};
 use crate::pool::Pool;
 use crate::send::Outlet;
 use crate::session::{self, Shared};
 use crate::shutdown::Leave;
 use crate::tasks::{spawn, spawn_long_lived, STACK};
 use crate::wire::BREATH;
+use conf::{Identity, Settings};
 use gingerwick::rng::Mwc;
 use gingerwick::time::Span;
+use keep::{Dir, Kept, KeptStore};
 use may::net::TcpListener;
 use may::sync::mpsc::channel;
+use recovery::lives::Lives;
+use recovery::trust::Times;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Runs until the front has left; an error is what hindered the start.
-pub fn run() -> Result<(), String> {
+pub fn run(conf: Conf) -> Result<(), Fault> {
     let clock = Clock::start();
     // Before all else: a signal that comes while the parts are made waits for its turn.
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|why| format!("signals: {why}"))?;
-    let mut launch = launch(When::Start)?;
+    let signals = Signals::new([SIGTERM, SIGINT, SIGHUP]);
+    let mut signals = signals.map_err(|why| (exit::OS, vec![format!("signals: {why}")]))?;
+    let (launch, settings) = (launch(When::Start), operators::read(conf.as_deref()));
+    let (mut launch, operators) = match (launch, settings) {
+        (Ok(launch), Ok(settings)) => (launch, settings),
+        (launch, settings) => {
+            let faults = launch.err().into_iter().chain(settings.err()).flatten();
+            return Err((exit::CONFIG, faults.collect()));
+        }
+    };
+    log::start(&operators::style(&operators));
     let (listen, seed, facts) = (launch.listen, launch.seed, launch.facts.clone());
     let settings = &launch.settings;
 
     may::config().set_workers(1).set_pool_capacity(64).set_stack_size(STACK).set_worker_pin(false);
-    std::panic::set_hook(Box::new(|panic| log!("{panic}")));
+    std::panic::set_hook(Box::new(|panic| log!(WARN; "{panic}")));
     let alarms = Arc::new(Alarms::start(clock));
     let ledger = Ledger::new(launch.limits.sockets, launch.limits.memory_mb << 20);
     let (owner, news) = channel();
     let dial = Span(settings.allowed.dial_timeout_ns);
     let closed_after = Span(settings.allowed.conn_idle_ns);
     let pool = Arc::new(Pool::new(alarms.clone(), ledger.clone(), dial, closed_after));
-    let listener = TcpListener::bind(listen).map_err(|why| format!("ROUTER_LISTEN: {listen}: {why}"))?;
+    let listener = TcpListener::bind(listen)
+        .map_err(|why| (exit::OS, vec![format!("ROUTER_LISTEN: {listen}: {why}")]))?;
 
     let terms = Terms::new(settings.classes.iter().map(|class| class.name.clone()).collect(), &facts);
     let outlet = Outlet { pool: pool.clone(), owner: owner.clone(), probe_within: dial };
     let come_back = facts.max_come_back;
     let most_held = settings.allowed.most_held;
-    let decides = Owner::new(facts, seed, settings.azs.clone(), most_held, outlet, news);
-    let mut seq = 0;
-    if let Some(known) = launch.known.take() {
-        seq = known.seq;
-        let _ = owner.send(News::List { whole: true, hosts: known.hosts });
-    }
-    let started = |why: std::io::Error| format!("no stack for a coroutine: {why}");
+    let state = operators.state_dir.as_deref().map(|dir| State::take_up(dir, clock, &operators, &mut launch));
+    let keeper = state.as_ref().and_then(|state| state.keeper.clone());
+    let recovers = state.as_ref().map(|state| Recovers {
+        times: state.kept.as_ref().and_then(|(_, times)| *times),
+        who: operators.store_identity == Identity::Postgres,
+        most_out: ledger.most(Share::Stores) / 2,
+        keeper: keeper.clone(),
+    });
+    let decides = Owner::new(facts, seed, launch.settings.azs.clone(), most_held, outlet, news, recovers);
+    let anew = state.is_some();
+    let lives = match state.and_then(|state| state.kept) {
+        Some((kept, _)) => {
+            let seq = kept.seq;
+            let _ = owner.send(News::Kept(kept));
+            Lives::new(seq, true)
+        }
+        None => match launch.known.take() {
+            Some(known) => {
+                let _ = owner.send(News::List { whole: true, hosts: known.hosts });
+                Lives::new(known.seq, false)
+            }
+            None => Lives::new(0, false),
+        },
+    };
+    let started = |why: std::io::Error| (exit::OS, vec![format!("no stack for a coroutine: {why}")]);
     spawn_long_lived(move || decides.run()).map_err(started)?;
     let whereto = Arc::new(Whereto::new(launch.discovery));
     let watch = Watch {
@@ -60,7 +97,9 @@
         alarms: alarms.clone(),
         ledger: ledger.clone(),
         owner: owner.clone(),
-        seq,
+        lives,
+        anew,
+        keeper: keeper.clone(),
         rng: Mwc::new(seed),
     };
     spawn_long_lived(move || watch.run()).map_err(started)?;
@@ -83,7 +122,7 @@
     let closing = Arc::new(AtomicBool::new(false));
     let accepting = closing.clone();
     spawn(move || accept(listener, Arc::new(shared), &accepting));
-    log!("{} serves on {listen}", launch.name);
+    log!(INFO; "{} serves on {listen}", launch.name);
 
     let mut stop_accepting = Some(move || {
         closing.store(true, Ordering::Release);
@@ -94,30 +133,104 @@
         match (signal, stop_accepting.take()) {
             (SIGHUP, still) => {
                 stop_accepting = still;
-                reload(&launch, &whereto);
+                reload(&launch, &whereto, &operators, conf.as_deref(), keeper.as_deref());
+            }
+            (_, Some(stop_accepting)) => {
+                if let Some(keeper) = &keeper {
+                    keeper.finish(FINISH_WITHIN);
+                }
+                leave.begin(&alarms, stop_accepting);
             }
-            (_, Some(stop_accepting)) => leave.begin(&alarms, stop_accepting),
             (_, None) => {}
         }
     }
-    Err("signals: no more of them can be heard".into())
+    Err((exit::OS, vec!["signals: no more of them can be heard".into()]))
+}
+
+/// A save on leaving may take so long at most: nobody is answered later for it.
+const FINISH_WITHIN: Duration = Duration::from_millis(50);
+
+/// What was found of earlier lives, and who writes on.
+struct State {
+    kept: Option<(Kept, Option<Times>)>,
+    keeper: Option<Arc<Keeper>>,
 }
 
-fn launch(when: When) -> Result<Launch, String> {
+impl State {
+    /// Reads what is kept and takes the directory. Whatever is wrong with it costs one line, and service goes on.
+    fn take_up(path: &Path, clock: Clock, operators: &Settings, launch: &mut Launch) -> State {
+        let (dir, loaded) = match Dir::open(path) {
+            Ok((dir, loaded)) => (Some(dir), loaded),
+            Err(why) => {
+                log!(WARN; "the list is not kept: {why}; service goes on");
+                (None, Dir::read(path))
+            }
+        };
+        for fault in &loaded.faults {
+            log!(WARN; "not believed: {fault}");
+        }
+        let kept = loaded.kept.map(|(kept, _)| kept);
+        let keeper = dir.and_then(|dir| {
+            let keeper = Keeper::start(clock, dir, kept.as_ref(), operators.save_gap);
+            keeper.map_err(|why| log!(WARN; "the list is not kept: no thread: {why}; service goes on")).ok()
+        });
+        // The later version wins; of the start facts' list no age is known.
+        let known = launch.known.take().filter(|known| !known.hosts.is_empty());
+        let kept = match (kept, known) {
+            (Some(kept), known) if known.as_ref().is_none_or(|known| known.seq <= kept.seq) => {
+                let times = command::times(&kept);
+                log!(
+                    INFO;
+                    "starts from the list kept in {}, version {}, {:.0} s old",
+                    path.display(), kept.seq, (clock.now() - times.confirmed).secs()
+                );
+                Some((kept, Some(times)))
+            }
+            (_, Some(known)) => {
+                let stores = known.hosts.iter().map(KeptStore::from).collect();
+                Some((Kept { seq: known.seq, stores, ..Kept::default() }, None))
+            }
+            _ => None,
+        };
+        State { kept, keeper }
+    }
+}
+
+fn launch(when: When) -> Result<Launch, Vec<String>> {
     Launch::read(when, |name| std::env::var(name).ok())
 }
 
-/// SIGHUP: the file is read anew. What can't be taken from it changes nothing.
-fn reload(started: &Launch, whereto: &Whereto) {
+/// SIGHUP: both files are read anew. What can't be taken from one changes nothing of what it sets.
+fn reload(
+    started: &Launch,
+    whereto: &Whereto,
+    operators: &Settings,
+    conf: Option<&Path>,
+    keeper: Option<&Keeper>,
+) {
     match launch(When::Reload) {
         Ok(newer) => {
             for key in started.differs(&newer) {
-                log!("reload: {key} has changed, it counts from the next start");
+                log!(INFO; "reload: {key} has changed, it counts from the next start");
             }
             let turned = whereto.turn(newer.discovery);
-            log!("reloaded, discovery {} {}", if turned { "is now" } else { "is still" }, newer.discovery);
+            log!(INFO; "reloaded, discovery {} {}", if turned { "is now" } else { "is still" }, newer.discovery);
+        }
+        Err(why) => log!(WARN; "reload: {}; all goes on as before", why.join("; ")),
+    }
+    if conf.is_none() {
+        return;
+    }
+    match operators::read(conf) {
+        Ok(newer) => {
+            for keyword in operators.differs(&newer) {
+                log!(INFO; "reload: {keyword} has changed, it counts from the next start");
+            }
+            if let Some(keeper) = keeper {
+                keeper.set_gap(newer.save_gap);
+            }
         }
-        Err(why) => log!("reload: {why}; all goes on as before"),
+        Err(why) => log!(WARN; "reload: {}; all goes on as before", why.join("; ")),
     }
 }
 
@@ -134,7 +247,7 @@
                 spawn(move || session::run(shared, stream, entry, stays));
             }
             Err(why) => {
-                log!("a connection was not accepted: {why}");
+                log!(WARN; "a connection was not accepted: {why}");
                 shared.alarms.pause(Span::millis(50));
             }
         }
@@ -152,7 +265,7 @@
         if let Some(entry) = shared.ledger.enter_client(shared.alarms.now()) {
             return entry;
         }
-        log!("clients wait to be turned away: all descriptors for that are taken");
+        log!(WARN; "clients wait to be turned away: all descriptors for that are taken");
         shared.alarms.pause(Span::millis(2));
     }
 }
--- a/front/src/wire.rs
+++ b/front/src/wire.rs
@@ -96,7 +96,7 @@
             }
             self.weight.set(self.buffer.len());
             if self.buffer.len() > LIGHT && self.entry.is_full() {
-                log!("a long answer was not read to its end: the memory for buffers is used up");
+                log!(WARN; "a long answer was not read to its end: the memory for buffers is used up");
                 return Err(Stop::Broken);
             }
             self.burst += many;
--- a/hosting/src/doors.rs
+++ b/hosting/src/doors.rs
@@ -33,6 +33,10 @@
         self.index.get(id).copied()
     }
 
+    pub fn is_empty(&self) -> bool {
+        self.names.is_empty()
+    }
+
     pub fn name(&self, ix: usize) -> &K {
         &self.names[ix]
     }
--- a/simhost/src/host.rs
+++ b/simhost/src/host.rs
@@ -220,6 +220,7 @@
                 },
                 primary: record.is_primary == 1.0,
                 started: (record.launched_ns > 0).then_some(Moment(record.launched_ns)),
+                presumed: false,
             });
         }
         entries
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -123,6 +123,7 @@
     zone: usize,
     open: bool,
     started: Option<Moment>,
+    presumed: bool,
     position: Option<Moment>,
     /// When its position was last told, whatever it said.
     told: Moment,
@@ -153,6 +154,7 @@
     members: Vec<StoreIx>,
     held: Vec<BTreeSet<RpcId>>,
     primary: Option<StoreIx>,
+    clearance: Clearance,
     /// Probes that its own RPCs have paid for.
     credit: f64,
 }
@@ -228,6 +230,12 @@
         self.now = now;
         match event {
             Event::List { whole, entries } => self.list(whole, entries),
+            Event::Cleared { group, clearance } => {
+                self.know_group(group);
+                self.groups[group].clearance = clearance;
+                self.find_primary(group);
+                self.retry_held(Some(group), actions);
+            }
             // Many fronts asking again in step would fail together again.
             Event::ListFailed => {
                 let chance = self.rng.below(16) as i64;
@@ -300,6 +308,9 @@
             }
             let kept = entry.standing == Standing::Gone && store.open && stays;
             store.open = kept || entry.standing == Standing::Open;
+            // A start that was only presumed gives way to the list's word.
+            store.started = store.started.filter(|_| !store.presumed);
+            store.presumed = entry.presumed;
             if entry.started > store.started {
                 // Each front's first call-out to a cold store comes at a time of its own.
                 let owing = self.rng.below(64) as f64 / 256.0 * self.charter.pressing.secs();
@@ -350,7 +361,8 @@
     }
 
     fn find_primary(&mut self, group: GroupIx) {
-        let claim = |&ix: &StoreIx| Some((self.stores[ix].claims?, ix));
+        let cleared = |ix: StoreIx| self.groups[group].clears(ix);
+        let claim = |&ix: &StoreIx| Some((self.stores[ix].claims.filter(|_| cleared(ix))?, ix));
         let latest = self.groups[group].members.iter().filter_map(claim).max();
         self.groups[group].primary = latest.map(|(_, ix)| ix);
     }
@@ -373,7 +385,9 @@
         let sound = store.failures == 0 || (store.in_flight == 0 && (blind || store.answered > store.failed));
         let up = store.open && (blind || store.answered > Moment::DAWN) && store.rest_until <= self.now;
         let light = self.warmth(store).is_none_or(|part| self.is_light(self.usual[method], part));
-        up && sound && light
+        // Who claims to be primary and was not cleared may stand on a log of its own: no position of it counts.
+        let apart = store.claims.is_some() && !self.groups[store.group].clears(ix);
+        up && sound && light && !apart
     }
 
     fn has_room(&self, ix: StoreIx, part: f64) -> bool {
@@ -702,6 +716,16 @@
     }
 }
 
+impl Group {
+    fn clears(&self, ix: StoreIx) -> bool {
+        match self.clearance {
+            Clearance::Free => true,
+            Clearance::Barred => false,
+            Clearance::Only(one) => one == ix,
+        }
+    }
+}
+
 impl Store {
     /// Whether a part of its room, or of `most`, lets it take another call-out of ours.
     fn takes_more(&self, part: f64, most: f64, now: Moment) -> bool {
--- a/src/iface.rs
+++ b/src/iface.rs
@@ -100,6 +100,8 @@
     pub primary: bool,
     /// When its process last started, where that is not long past.
     pub started: Option<Moment>,
+    /// `started` is the latest it can be, since nobody could be asked; a later word of the list goes before it.
+    pub presumed: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -117,6 +119,19 @@
     pub load: Option<f64>,
 }
 
+/// Which member of a group the decisions may take for its primary. A host that starts from a list of unknown worth
+/// holds it back until one has proved itself; without such a host it is always `Free`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Clearance {
+    /// Whoever has the latest claim.
+    #[default]
+    Free,
+    /// Nobody.
+    Barred,
+    /// This one alone, as long as it claims to be.
+    Only(StoreIx),
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
     Ok,
@@ -178,6 +193,11 @@
         whole: bool,
         entries: Vec<Entry>,
     },
+    /// Who may be taken for a group's primary from now on.
+    Cleared {
+        group: GroupIx,
+        clearance: Clearance,
+    },
     /// A call to the list failed, or its watch broke off.
     ListFailed,
     Arrived(Arrival),
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -126,7 +126,15 @@
 
     pub fn entry(&self, store: StoreIx, standing: Standing) -> Entry {
         let (group, primary) = (self.group_of[store], store.is_multiple_of(3));
-        Entry { store, group, zone: store % 2, standing, primary, started: self.started[store] }
+        Entry {
+            store,
+            group,
+            zone: store % 2,
+            standing,
+            primary,
+            started: self.started[store],
+            presumed: false,
+        }
     }
 
     pub fn list(&mut self, store: StoreIx, standing: Standing) {
