Stand-ins, drawn starts without discovery and their tests; old and new words make no proof

Change: standins/ has stores with logs in branches, discovery with lives and outages, a client that audits every answer and plans drawn from a seed; recovery counts what a member said for two seconds only, asks first where an RPC waits, and begins no more questions in 20 ms than may be out at a time (10,000 refused stores kept a core busy).

--- /dev/null
+++ b/conf/tests/lines.rs
@@ -0,0 +1,65 @@
+//! The operators' file: words, units, faults with their lines, and whatever text comes.
+
+use conf::{parse, split, Format, Identity};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::path::PathBuf;
+use std::time::Duration;
+
+#[test]
+fn keywords_take_their_values_and_all_else_stays_off() {
+    let text = "# kept over a restart\n\nstate-dir \"/var/lib/ginger wick\" # quoted\nsave-gap 250ms\n\
+        store-identity postgres\nlog-format json\nlog-level warn\nlog-buffer 1MB\n";
+    let settings = parse(text).expect("all fit");
+    assert_eq!(settings.state_dir, Some(PathBuf::from("/var/lib/ginger wick")));
+    assert_eq!(settings.save_gap, Duration::from_millis(250));
+    assert_eq!((settings.store_identity, settings.log_format), (Identity::Postgres, Format::Json));
+    assert_eq!(settings.log_buffer, 1_000_000);
+    let none = parse("").expect("an empty file is one");
+    assert_eq!((none.state_dir, none.store_identity), (None, Identity::None));
+}
+
+#[test]
+fn all_faults_are_said_at_once_with_their_lines() {
+    let text = "state-dri /var\nsave-gap 5ms\nstate-dir here\nsave-gap 1s\nlog-format\nfrobnicate 1\n\
+        log-buffer \"12\nlog-level loud\n";
+    let faults = parse(text).expect_err("much is wrong");
+    let said: Vec<String> = faults.iter().map(|fault| fault.to_string()).collect();
+    for (words, nth) in [
+        ("1: state-dri: is no keyword; is state-dir meant?", 0),
+        ("2: save-gap: \"5ms\" is not between 100ms and 1h", 1),
+        ("3: state-dir: \"here\" is not an absolute path", 2),
+        ("4: save-gap: stands on line 2 already", 3),
+        ("5: log-format: takes one value, not 0", 4),
+        ("6: frobnicate: is no keyword", 5),
+        ("7: a quote is not closed", 6),
+        ("8: log-level: \"loud\" is none of error, warn, info, debug", 7),
+    ] {
+        assert_eq!(said.get(nth).map(String::as_str), Some(words));
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        rng_seed: RngSeed::Fixed(20_26),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn any_text_is_settings_or_faults_on_lines_that_it_has(text in "(\\PC|[\"#\\\\ \n]|state-dir |save-gap ){0,200}") {
+        if let Err(faults) = parse(&text) {
+            let lines = text.lines().count();
+            prop_assert!(!faults.is_empty());
+            prop_assert!(faults.iter().all(|fault| (1..=lines).contains(&fault.line)));
+        }
+    }
+
+    #[test]
+    fn quoting_any_words_gives_them_back(words in prop::collection::vec("[^\n]{0,20}", 0..6)) {
+        let quote = |word: &String| format!("\"{}\"", word.replace('\\', "\\\\").replace('"', "\\\""));
+        let line: Vec<String> = words.iter().map(quote).collect();
+        prop_assert_eq!(split(&line.join(" ")), Ok(words));
+    }
+}
--- a/front/src/owner.rs
+++ b/front/src/owner.rs
@@ -30,6 +30,7 @@
 /// What the book keeps of an RPC.
 struct Live {
     id: Arc<str>,
+    cluster: i64,
     resort: Moment,
     ticket: Option<Ticket>,
     query: Arc<Query>,
@@ -459,13 +460,16 @@
             return ticket.answer(Answer::Refused("42704", "cluster names no listed group"));
         };
         let rpc = ticket.rpc;
-        let Admission { id, method, session, last_write, deadline, repeat, .. } = new;
+        let Admission { id, method, cluster, session, last_write, deadline, repeat, .. } = new;
         // A store would take the second for a copy of the first.
         if !self.ids.insert(id.clone()) {
             return ticket.answer(Answer::Refused("42710", "id is that of an open query"));
         }
         let resort = deadline - tick;
-        self.book.enter(rpc, Live { id, resort, ticket: Some(ticket), query: Arc::new(query), out: None });
+        self.book.enter(
+            rpc,
+            Live { id, cluster, resort, ticket: Some(ticket), query: Arc::new(query), out: None },
+        );
         self.resorts.insert((resort, rpc));
         self.recover(now, Regained::Wanted { group });
         let arrival = Arrival { rpc, method, group, session, last_write, deadline, repeat };
@@ -482,6 +486,11 @@
         }
         let closed = live.ticket.is_none();
         let elapsed = now - sent;
+        if tracing::enabled!(tracing::Level::DEBUG) {
+            let group = live.cluster;
+            let (store, took_us) = (self.stores.name(store), elapsed.0 / 1_000);
+            tracing::debug!(rpc, id = %live.id, call_out = number, %store, group, ?outcome, took_us, "call-out ended");
+        }
         let event = End { rpc, call_out: number, store, outcome, elapsed, closed, note, report };
         self.tell(now, Event::Ended(event));
         let page = self.book.returned(rpc, closed);
--- a/keep/src/lib.rs
+++ b/keep/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A generation is one file, written whole beside the others, synced, and renamed into place; the one before stays
 //! until the next has done so. A file counts only if its first line, its length and its checksum fit: it is never
-//! half believed. `docs/kept-list.md` weighs this against embedded stores.
+//! half believed. `docs/recovery.md` weighs this against embedded stores.
 
 mod dir;
 mod file;
--- /dev/null
+++ b/keep/tests/crashes.rs
@@ -0,0 +1,165 @@
+//! A save that ends at any point, files that were never whole, directories that can't be used.
+
+use keep::{decode, encode, Dir, Fault, Kept, KeptStore, Unfit, FORMAT};
+use std::io::{BufRead, BufReader, Write};
+use std::path::Path;
+use std::process::{Command, Stdio};
+
+fn list(stores: usize, seq: i64) -> Kept {
+    let store = |nth| KeptStore {
+        host: format!("s-{nth}"),
+        dial: "127.0.0.1:6543".into(),
+        block: 3,
+        health: "SERVING".into(),
+        ..KeptStore::default()
+    };
+    Kept { seq, stores: (0..stores).map(store).collect(), ..Kept::default() }
+}
+
+fn generation(path: &Path) -> Option<u64> {
+    Dir::read(path).kept.map(|(kept, _)| kept.generation)
+}
+
+#[test]
+fn every_prefix_of_a_save_leaves_the_generation_before() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path();
+    let (mut dir, loaded) = Dir::open(path).expect("it opens");
+    assert!(loaded.kept.is_none() && loaded.faults.is_empty());
+    dir.save(&mut list(3, 1)).expect("saved");
+    let first = std::fs::read(path.join("list")).expect("there");
+    dir.save(&mut list(3, 2)).expect("saved");
+    let second = std::fs::read(path.join("list")).expect("there");
+    assert_eq!(std::fs::read(path.join("list.before")).expect("there"), first);
+    drop(dir);
+
+    // Killed while the new file was written, at each byte; the earlier ones are in place.
+    let third = encode(&Kept { generation: 3, ..list(3, 3) }).expect("bytes");
+    for many in 0..third.len() {
+        std::fs::write(path.join("list.new"), &third[..many]).expect("written");
+        let loaded = Dir::read(path);
+        assert_eq!(loaded.kept.map(|(kept, _)| kept.generation), Some(2), "{many} bytes");
+        assert!(loaded.faults.is_empty(), "a save cut off is no fault: {:?}", loaded.faults);
+    }
+    // Written whole, and killed before, between and after the renames.
+    std::fs::write(path.join("list.new"), &third).expect("written");
+    assert_eq!(generation(path), Some(3));
+    std::fs::rename(path.join("list"), path.join("list.before")).expect("renamed");
+    assert_eq!(generation(path), Some(3));
+    std::fs::rename(path.join("list.new"), path.join("list")).expect("renamed");
+    assert_eq!(generation(path), Some(3));
+
+    // The disk tore the file in place itself: the one before counts, at every length.
+    for many in 0..third.len() {
+        std::fs::write(path.join("list"), &third[..many]).expect("written");
+        assert_eq!(generation(path), Some(2), "{many} bytes");
+    }
+    // What is torn does not push the whole one out with the next save.
+    let (mut dir, loaded) = Dir::open(path).expect("it opens");
+    assert_eq!(loaded.faults.len(), 1);
+    std::fs::write(path.join("list.new"), b"gingerwick-l").expect("written");
+    assert_eq!(std::fs::read(path.join("list.before")).expect("there"), second);
+    dir.save(&mut list(3, 4)).expect("saved");
+    assert_eq!(generation(path), Some(3));
+    assert_eq!(std::fs::read(path.join("list.before")).expect("there"), second);
+}
+
+#[test]
+fn each_flipped_bit_is_seen_and_foreign_and_newer_files_are_named() {
+    let whole = encode(&list(2, 7)).expect("bytes");
+    assert_eq!(decode(&whole).expect("whole").seq, 7);
+    for at in 0..whole.len() {
+        for bit in 0..8 {
+            let mut bytes = whole.clone();
+            bytes[at] ^= 1 << bit;
+            if let Ok(kept) = decode(&bytes) {
+                // A checksum in capital letters is the same one.
+                assert_eq!(kept, decode(&whole).expect("whole"), "byte {at}, bit {bit}");
+            }
+        }
+    }
+    assert_eq!(decode(b"SQLite format 3\0"), Err(Unfit::Foreign));
+    assert_eq!(decode(b"{}"), Err(Unfit::Foreign));
+    assert_eq!(decode(b""), Err(Unfit::Torn));
+    let newer = String::from_utf8(whole.clone()).expect("text").replacen(" 1 ", " 2 ", 1);
+    assert_eq!(decode(newer.as_bytes()), Err(Unfit::Newer(FORMAT + 1)));
+    assert!(matches!(decode(&vec![b'g'; 17 << 20]), Err(Unfit::TooLarge(_))));
+    assert!(matches!(encode(&list(400_000, 1)), Err(Unfit::TooLarge(_))));
+}
+
+#[test]
+fn a_directory_that_cannot_be_used_says_so_and_can_still_be_read() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path();
+    assert!(matches!(Dir::open(&path.join("missing")), Err(Fault::Io(..))));
+    let (mut dir, _) = Dir::open(path).expect("it opens");
+    dir.save(&mut list(1, 1)).expect("saved");
+    assert!(matches!(Dir::open(path), Err(Fault::Taken(_))), "a second front");
+    assert_eq!(generation(path), Some(1));
+    // The way is barred: whoever the tests run as, no file can be made where a folder stands.
+    std::fs::create_dir(path.join("list.new")).expect("made");
+    assert!(matches!(dir.save(&mut list(1, 2)), Err(Fault::Io(..))));
+    assert_eq!(generation(path), Some(1));
+    std::fs::remove_dir(path.join("list.new")).expect("gone");
+    dir.save(&mut list(1, 3)).expect("saved again");
+    assert_eq!(generation(path), Some(2));
+    // A device that is full is every Linux machine's own.
+    #[cfg(target_os = "linux")]
+    {
+        std::fs::write(path.join("list.new"), b"").expect("made");
+        std::fs::remove_file(path.join("list.new")).expect("gone");
+        std::os::unix::fs::symlink("/dev/full", path.join("list.new")).expect("linked");
+        let fault = dir.save(&mut list(1, 4)).expect_err("no room");
+        assert!(fault.to_string().contains("can't be written"), "{fault}");
+        assert_eq!(generation(path), Some(2));
+    }
+}
+
+/// Not a test of its own: the process that the next one kills.
+#[test]
+#[ignore = "saves until it is killed"]
+fn saves_until_it_is_killed() {
+    let Ok(path) = std::env::var("KEEP_TEST_DIR") else { return };
+    let (mut dir, loaded) = Dir::open(Path::new(&path)).expect("it opens");
+    assert!(loaded.faults.is_empty(), "{:?}", loaded.faults);
+    let mut out = std::io::stderr();
+    for seq in 0..100_000 {
+        let mut kept = list(200, seq);
+        dir.save(&mut kept).expect("saved");
+        let _ = writeln!(out, "saved {}", kept.generation);
+    }
+}
+
+#[test]
+fn killed_in_the_middle_of_saves_it_keeps_all_that_it_said_it_had() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let program = std::env::current_exe().expect("its path");
+    let mut last = 0;
+    for round in 0..25u64 {
+        let mut child = Command::new(&program)
+            .args(["--ignored", "--exact", "saves_until_it_is_killed", "--nocapture"])
+            .env("KEEP_TEST_DIR", folder.path())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("it starts");
+        let mut lines = BufReader::new(child.stderr.take().expect("its words")).lines();
+        // Its last word before it is killed, after more and more of them.
+        let mut word = |lines: &mut dyn Iterator<Item = std::io::Result<String>>| {
+            let said = lines.next()?.ok()?;
+            last = said.strip_prefix("saved ").and_then(|number| number.parse().ok()).unwrap_or(last);
+            Some(())
+        };
+        for _ in 0..=round % 7 {
+            word(&mut lines);
+        }
+        child.kill().expect("killed");
+        while word(&mut lines).is_some() {}
+        child.wait().expect("ended");
+        let loaded = Dir::read(folder.path());
+        let (kept, _) = loaded.kept.expect("a whole one");
+        assert!(loaded.faults.is_empty(), "{:?}", loaded.faults);
+        assert!(kept.generation >= last && kept.generation <= last + 1, "{} of {last}", kept.generation);
+        assert_eq!(kept.stores.len(), 200);
+    }
+}
--- a/recovery/src/proof.rs
+++ b/recovery/src/proof.rs
@@ -8,7 +8,7 @@
 use crate::store::{Standing, Store};
 use crate::trust::Step;
 use gingerwick::iface::{Role, StoreIx};
-use gingerwick::time::Moment;
+use gingerwick::time::{Moment, Span};
 
 /// What was known of a group before this start: no true primary has less.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -28,8 +28,20 @@
     Proven(StoreIx),
 }
 
+/// What a member has said, or refused, counts for a proof for so long: pieces from before and after a takeover must not
+/// add up to one. Against a claim it counts for good.
+pub const COUNTS_FOR: Span = Span::millis(2_000);
+
 /// Judges a group. `vouched`: discovery has given the list of members since this start.
-pub fn judge(members: &[StoreIx], stores: &[Store], floor: Floor, step: &Step, vouched: bool) -> Verdict {
+pub fn judge(
+    members: &[StoreIx],
+    stores: &[Store],
+    floor: Floor,
+    step: &Step,
+    vouched: bool,
+    now: Moment,
+) -> Verdict {
+    let since = now - COUNTS_FOR;
     let heard: Vec<StoreIx> = members.iter().copied().filter(|&ix| stores[ix].is_heard()).collect();
     let stands = |&ix: &StoreIx| {
         let claimant = &stores[ix];
@@ -45,9 +57,10 @@
     };
     let open = |ix: &&StoreIx| stores[**ix].standing != Standing::Gone;
     let all_tried = members.iter().filter(open).all(|&ix| stores[ix].tried);
-    let often = stores[one].claims >= step.rounds || vouched;
-    let proved =
-        vouched || is_followed(one, members, stores) || (step.accounted && accounted(members, stores));
+    let often = stores[one].ended >= since && (stores[one].claims >= step.rounds || vouched);
+    let proved = vouched
+        || is_followed(one, members, stores, since)
+        || (step.accounted && accounted(members, stores, since));
     if all_tried && often && proved {
         Verdict::Proven(one)
     } else {
@@ -76,12 +89,13 @@
 
 /// Whether most members, itself among them, are on its timeline and have passed what it told after this start: that
 /// part of the log can't have come from anywhere else.
-fn is_followed(one: StoreIx, members: &[StoreIx], stores: &[Store]) -> bool {
+fn is_followed(one: StoreIx, members: &[StoreIx], stores: &[Store], since: Moment) -> bool {
     let claimant = &stores[one];
     let follows = |&&ix: &&StoreIx| {
         let member = &stores[ix];
         ix == one
             || (member.is_heard()
+                && member.ended >= since
                 && member.word.role == Some(Role::Replica)
                 && member.word.timeline.is_some()
                 && member.word.timeline == claimant.word.timeline
@@ -94,8 +108,10 @@
 
 /// Whether every member has been heard, or has a machine which says that nothing listens there. Silence is no account:
 /// who is cut off from us may have become primary.
-fn accounted(members: &[StoreIx], stores: &[Store]) -> bool {
-    let known =
-        |&ix: &StoreIx| matches!(stores[ix].standing, Standing::Heard | Standing::Refused | Standing::Gone);
+fn accounted(members: &[StoreIx], stores: &[Store], since: Moment) -> bool {
+    let known = |&ix: &StoreIx| match stores[ix].standing {
+        Standing::Heard | Standing::Refused => stores[ix].ended >= since,
+        standing => standing == Standing::Gone,
+    };
     members.iter().all(known)
 }
--- a/recovery/src/regain.rs
+++ b/recovery/src/regain.rs
@@ -13,8 +13,11 @@
 const AGAIN: (Span, Span) = (Span::millis(40), Span::millis(1_000));
 /// Between two questions in a group whose primary is proved, while discovery is silent or another still claims it.
 const WATCH: Span = Span::millis(2_000);
-/// After a question that failed: the first pause and the longest.
-const AFTER_FAILURE: (Span, Span) = (Span::millis(100), Span::millis(3_000));
+/// After a question that failed: the first pause and the longest, where an RPC waits for the group and where none does.
+const AFTER_FAILURE: [(Span, Span); 2] =
+    [(Span::millis(100), Span::millis(3_000)), (Span::millis(100), Span::millis(20_000))];
+/// As many questions as may be out at a time begin in so long at most: refusals come back at once.
+const BEAT: Span = Span::millis(20);
 
 /// A kept or listed store as the host numbers it.
 #[derive(Clone, Copy, Debug)]
@@ -112,9 +115,11 @@
 pub struct Regain {
     stores: Vec<Store>,
     groups: Vec<Group>,
-    /// Questions to be put, by when.
-    due: BTreeSet<(Moment, StoreIx)>,
+    /// Questions to be put, by when: those for which an RPC waits, then the others.
+    due: [BTreeSet<(Moment, StoreIx)>; 2],
     out: usize,
+    /// Since when, and how many questions were begun since then.
+    begun: (Moment, usize),
     times: Option<Times>,
     /// The latest position told since this start.
     shown: Option<Moment>,
@@ -130,7 +135,8 @@
     pub fn new(times: Option<Times>, may_ask: bool, most_out: usize) -> Regain {
         let (stores, groups, due) = Default::default();
         let most_out = most_out.max(1);
-        Regain { stores, groups, due, out: 0, times, shown: None, vouched: false, may_ask, most_out }
+        let begun = Default::default();
+        Regain { stores, groups, due, out: 0, begun, times, shown: None, vouched: false, may_ask, most_out }
     }
 
     pub fn step(&self, now: Moment) -> &'static Step {
@@ -156,8 +162,11 @@
 
     /// When it wants a `Tick` next.
     pub fn due(&self, now: Moment) -> Option<Moment> {
-        let room = self.out < self.wave(now);
-        self.due.first().map(|first| first.0).filter(|_| room)
+        let wave = self.wave(now);
+        let first = self.due.iter().filter_map(|due| due.first()).map(|first| first.0).min();
+        let (since, begun) = self.begun;
+        let beat = if begun < wave { Moment::DAWN } else { since + BEAT };
+        first.filter(|_| self.out < wave).map(|first| first.max(beat))
     }
 
     fn wave(&self, now: Moment) -> usize {
@@ -264,7 +273,7 @@
             return;
         }
         let store = &mut self.stores[ix];
-        (store.tried, store.failures) = (true, 0);
+        (store.tried, store.ended, store.failures) = (true, now, 0);
         let input = match identity {
             Identity::Right => Input::Answered,
             Identity::Wrong => Input::Another,
@@ -286,7 +295,9 @@
             return;
         }
         let store = &mut self.stores[ix];
-        store.tried |= why != Failure::Unasked;
+        if why != Failure::Unasked {
+            (store.tried, store.ended) = (true, now);
+        }
         store.failures = store.failures.saturating_add(1);
         match why {
             Failure::Refused => self.input(now, ix, Input::Refusal, actions),
@@ -307,13 +318,15 @@
 
     fn wanted(&mut self, now: Moment, group: GroupIx) {
         let Some(known) = self.groups.get_mut(group) else { return };
-        if std::mem::replace(&mut known.wanted, true) {
+        let proved = matches!(known.standing, group::Standing::Confirmed(_) | group::Standing::Settled);
+        if proved || std::mem::replace(&mut known.wanted, true) {
             return;
         }
-        // What waits is asked for first: earlier than all that is merely due.
         for ix in known.members.clone() {
-            if self.stores[ix].standing == Standing::Unheard && !self.stores[ix].out {
-                self.plan(ix, now - AGAIN.1);
+            if let Some(due) = self.unplan(ix) {
+                // Who has not been asked yet is so at once.
+                let first = self.stores[ix].standing == Standing::Unheard;
+                self.plan(ix, if first { due.min(now) } else { due });
             }
         }
     }
@@ -335,9 +348,7 @@
             }
         }
         if next == Standing::Gone {
-            if let Some(due) = store.due.take() {
-                self.due.remove(&(due, ix));
-            }
+            self.unplan(ix);
         }
     }
 
@@ -346,7 +357,7 @@
         let Group { members, floor, .. } = &self.groups[ix];
         // Discovery's word is later than all that was kept.
         let floor = if self.vouched { Floor { position: None, ..*floor } } else { *floor };
-        let verdict = judge(members, &self.stores, floor, step, self.vouched);
+        let verdict = judge(members, &self.stores, floor, step, self.vouched, now);
         let claims = members.iter().filter(|&&ix| self.stores[ix].claims_it()).count();
         self.settle(ix, GroupInput::Judged(verdict), actions);
         if self.vouched && !self.may_ask {
@@ -360,14 +371,13 @@
         let group = &mut self.groups[ix];
         let (next, effect) = group::next(group.standing, input);
         group.standing = next;
+        group.wanted &= !matches!(next, group::Standing::Confirmed(_) | group::Standing::Settled);
         if effect == GroupEffect::Tell {
             actions.push(Action::Clear { group: ix, clearance: group::clearance(next) });
         }
         if next == group::Standing::Settled {
             for ix in group.members.clone() {
-                if let Some(due) = self.stores[ix].due.take() {
-                    self.due.remove(&(due, ix));
-                }
+                self.unplan(ix);
             }
         }
     }
@@ -383,7 +393,7 @@
             Span(first.0.saturating_mul(1 << times.min(16))).min(longest)
         };
         let pause = match group.standing {
-            _ if store.failures > 0 => doubled(AFTER_FAILURE, store.failures - 1),
+            _ if store.failures > 0 => doubled(AFTER_FAILURE[usize::from(!group.wanted)], store.failures - 1),
             group::Standing::Confirmed(_) => WATCH,
             _ => {
                 group.rounds = group.rounds.saturating_add(1);
@@ -395,26 +405,37 @@
     }
 
     fn plan(&mut self, ix: StoreIx, at: Moment) {
+        self.unplan(ix);
         let store = &mut self.stores[ix];
-        if let Some(before) = store.due.replace(at) {
-            self.due.remove(&(before, ix));
-        }
-        self.due.insert((at, ix));
+        store.due = Some(at);
+        self.due[usize::from(!self.groups[store.group].wanted)].insert((at, ix));
+    }
+
+    fn unplan(&mut self, ix: StoreIx) -> Option<Moment> {
+        let due = self.stores[ix].due.take()?;
+        self.due.iter_mut().for_each(|all| {
+            all.remove(&(due, ix));
+        });
+        Some(due)
     }
 
     /// Puts the questions that are due, as many at a time as the step of age allows.
     fn ask(&mut self, now: Moment, actions: &mut Vec<Action>) {
         if !self.may_ask {
-            return self.due.clear();
+            return self.due.iter_mut().for_each(BTreeSet::clear);
         }
         let wave = self.wave(now);
-        while self.out < wave {
-            let Some(&(at, ix)) = self.due.first().filter(|first| first.0 <= now) else { return };
-            self.due.remove(&(at, ix));
+        if now >= self.begun.0 + BEAT {
+            self.begun = (now, 0);
+        }
+        while self.out < wave && self.begun.1 < wave {
+            let ready = self.due.iter().filter_map(|due| due.first()).find(|first| first.0 <= now);
+            let Some(&(_, ix)) = ready else { return };
+            self.unplan(ix);
             let store = &mut self.stores[ix];
-            store.due = None;
             if !std::mem::replace(&mut store.out, true) {
                 self.out += 1;
+                self.begun.1 += 1;
                 actions.push(Action::Ask { store: ix });
             }
         }
--- a/recovery/src/store.rs
+++ b/recovery/src/store.rs
@@ -113,8 +113,9 @@
     /// When the question was put whose answer is `word`, and when that came.
     pub asked: Moment,
     pub told: Moment,
-    /// One question at least has come to its end.
+    /// One question at least has come to its end, the last one then.
     pub tried: bool,
+    pub ended: Moment,
     pub out: bool,
     /// Questions in a row that failed.
     pub failures: u32,
--- /dev/null
+++ b/standins/src/store.rs
@@ -0,0 +1,143 @@
+//! A store on a socket of its own: it answers as the world says that it stands, and enters what it runs.
+
+use crate::message::{self, error, parameter, ready, row};
+use crate::world::{unix_ms, Reach, Run, StoreIx, World};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+/// A listening store. Dropping it ends the listener; connections end with the first statement after that.
+pub struct Served {
+    pub addr: SocketAddr,
+    over: Arc<AtomicBool>,
+}
+
+impl Drop for Served {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::Release);
+        let _ = TcpStream::connect_timeout(&self.addr, Duration::from_millis(100));
+    }
+}
+
+/// An address that nobody listens on: taken for a moment and given back.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+    listener.local_addr().expect("a bound listener has an address")
+}
+
+pub fn serve(world: &Arc<World>, ix: StoreIx) -> Served {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+    let addr = listener.local_addr().expect("a bound listener has an address");
+    let (over, world) = (Arc::new(AtomicBool::new(false)), world.clone());
+    let served = Served { addr, over: over.clone() };
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            if over.load(Ordering::Acquire) {
+                return;
+            }
+            let (world, over) = (world.clone(), over.clone());
+            thread::spawn(move || {
+                let _ = stream.set_nodelay(true);
+                session(&world, ix, stream, &over)
+            });
+        }
+    });
+    served
+}
+
+fn session(world: &World, ix: StoreIx, mut stream: TcpStream, over: &AtomicBool) -> Option<()> {
+    message::start_up(&mut stream)?;
+    if world.lock().machines[ix].reach == Reach::Silent {
+        // Open for as long as the other side holds it, without a word.
+        let _ = message::next(&mut stream);
+        return None;
+    }
+    let mut out = Vec::new();
+    message::message(&mut out, b'R', &[0; 4]);
+    ready(&mut out);
+    stream.write_all(&out).ok()?;
+    while let Some((b'Q', body)) = message::next(&mut stream) {
+        if over.load(Ordering::Acquire) {
+            return None;
+        }
+        let text = String::from_utf8_lossy(&body).trim_end_matches('\0').to_string();
+        let mut out = Vec::new();
+        match text.as_str() {
+            "" => message::message(&mut out, b'I', b""),
+            "SHOW health" => health(world, ix, &mut out),
+            who if who.contains("pg_control_checkpoint") => identity(world, ix, &mut out),
+            _ => statement(world, ix, &text, &mut out)?,
+        }
+        ready(&mut out);
+        stream.write_all(&out).ok()?;
+    }
+    None
+}
+
+fn health(world: &World, ix: StoreIx, out: &mut Vec<u8>) {
+    let truth = world.lock();
+    let position = truth.position(ix, unix_ms()) as f64 / 1e3;
+    let primary = u8::from(truth.machines[ix].primary);
+    row(out, format!("x0={position:.3},x1={primary},load_share=0.1").as_bytes());
+}
+
+fn identity(world: &World, ix: StoreIx, out: &mut Vec<u8>) {
+    let truth = world.lock();
+    let machine = &truth.machines[ix];
+    if machine.says_who {
+        row(out, format!("{},{}", machine.name, machine.timeline).as_bytes());
+    } else {
+        error(out, "42501");
+    }
+}
+
+/// A value in a statement's comment.
+fn word<'a>(text: &'a str, name: &str) -> Option<&'a str> {
+    let comment = text.strip_prefix("/*")?.split("*/").next()?;
+    comment.split(',').find_map(|pair| pair.trim().strip_prefix(name)?.strip_prefix('=')).map(str::trim)
+}
+
+fn statement(world: &World, ix: StoreIx, text: &str, out: &mut Vec<u8>) -> Option<()> {
+    let id = word(text, "id")?.to_string();
+    let group: i64 = word(text, "cluster")?.parse().ok()?;
+    let (write, now) = (text.contains("INSERT"), unix_ms());
+    {
+        let mut truth = world.lock();
+        truth.offer(ix, now, &world.cold);
+        let machine = &truth.machines[ix];
+        let (primary, since) = (machine.primary, machine.draining_since);
+        if let Some(since) = since {
+            if now > since + world.grace_ms {
+                truth.counts.drained += 1;
+                let name = truth.machines[ix].name.clone();
+                truth.say(format!("{name} got {id} {} ms after its drain", now - since));
+            }
+        }
+        if write && !primary {
+            error(out, "25006");
+            parameter(out, "recovery", "on");
+            return Some(());
+        }
+        if write {
+            if !truth.is_true_primary(ix, group) {
+                truth.counts.astray += 1;
+                let name = truth.machines[ix].name.clone();
+                truth.say(format!("{name} ran the write {id} of group {group}, whose primary it is not"));
+            }
+            truth.runs.entry(id.clone()).or_default().push(Run { store: ix, at_ms: now });
+        }
+    }
+    thread::sleep(Duration::from_millis(world.cold.work_ms as u64));
+    let truth = world.lock();
+    let machine = &truth.machines[ix];
+    let (at, true_to) = (truth.position(ix, now), truth.true_to(ix, now));
+    // A store of another group has nothing of what is asked here.
+    let true_to = if machine.group == group { true_to } else { 0 };
+    row(out, format!("{id} {true_to} {}", machine.name).as_bytes());
+    parameter(out, "recovery", if machine.primary { "off" } else { "on" });
+    parameter(out, "lsn_ms", &at.to_string());
+    Some(())
+}
