--- a/recovery/tests/rules.rs
+++ b/recovery/tests/rules.rs
@@ -145,6 +145,46 @@
     assert_eq!(rig.clearance(0), Clearance::Only(0), "one of two replicas has passed what it told");
 }
 
+#[test]
+fn who_follows_another_log_is_no_follower() {
+    let mut rig = Rig::new(1, 2 * DAY);
+    for _ in 0..6 {
+        rig.answer(0, primary(rig.now, 2));
+        // It follows a former primary that goes on, and so stands ahead of most that is true.
+        rig.answer(1, replica(rig.now + 5, 1));
+        rig.fail(2, Failure::Silent);
+        assert_eq!(rig.clearance(0), Clearance::Barred);
+    }
+    rig.answer(1, replica(rig.now, 2));
+    rig.answer(0, primary(rig.now, 2));
+    assert_eq!(rig.clearance(0), Clearance::Only(0));
+}
+
+#[test]
+fn the_older_the_list_the_more_often_a_primary_must_have_said_so() {
+    for (age, rounds) in [(5_000, 1), (600_000, 2), (DAY / 2, 2), (2 * DAY, 3)] {
+        let mut rig = Rig::new(1, age);
+        rig.fail(2, Failure::Silent);
+        for round in 1..=rounds {
+            assert_eq!(rig.clearance(0), Clearance::Barred, "{age} ms old, before answer {round}");
+            rig.answer(0, primary(rig.now, 1));
+            rig.answer(1, replica(rig.now, 1));
+        }
+        assert_eq!(rig.clearance(0), Clearance::Only(0), "{age} ms old");
+    }
+}
+
+#[test]
+fn discovery_vouches_for_members_and_each_is_asked_all_the_same() {
+    let mut rig = Rig::new(1, 2 * DAY);
+    rig.vouch(0..3);
+    rig.answer(0, primary(rig.now, 1));
+    rig.fail(1, Failure::Silent);
+    assert_eq!(rig.clearance(0), Clearance::Barred, "the third has not been asked yet, and may claim it too");
+    rig.fail(2, Failure::Silent);
+    assert_eq!(rig.clearance(0), Clearance::Free);
+}
+
 #[test]
 fn a_former_primary_that_goes_on_is_disproved_by_a_later_timeline() {
     for age in [5_000, DAY * 2] {
--- a/standins/src/bin/starts.rs
+++ b/standins/src/bin/starts.rs
@@ -2,7 +2,7 @@
 
 use clap::{Parser, ValueEnum};
 use standins::client::Audit;
-use standins::starts::{play, Build, Plan, Played, Times};
+use standins::starts::{play, rate, Build, Plan, Played, Times};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
@@ -15,6 +15,8 @@
     Faults,
     /// No fault; how long the first read and the first write take, by the list's age
     Ages,
+    /// Answers a second with the list kept and not kept, in turn
+    Rate,
 }
 
 /// Starts with discovery down and a list that may no longer be true.
@@ -45,6 +47,7 @@
     match line.what {
         What::Faults => faults(&line),
         What::Ages => ages(&line),
+        What::Rate => rates(&line),
     }
 }
 
@@ -137,3 +140,23 @@
         }
     }
 }
+
+fn rates(line: &Line) {
+    let (mut kept, mut plain) = (Vec::new(), Vec::new());
+    for nth in 0..line.seeds {
+        for keeps in [nth % 2 == 0, nth % 2 == 1] {
+            let many = rate(&line.daemon, keeps, 16, Duration::from_secs(3)).expect("it can be played");
+            if keeps { &mut kept } else { &mut plain }.push(many);
+        }
+    }
+    let median = |all: &mut Vec<f64>| {
+        all.sort_by(f64::total_cmp);
+        all[all.len() / 2]
+    };
+    let (kept, plain) = (median(&mut kept), median(&mut plain));
+    println!(
+        "reads answered a second, median of {} pairs: kept {kept:.0}, not {plain:.0}, ratio {:.3}",
+        line.seeds,
+        kept / plain
+    );
+}
--- a/standins/src/starts.rs
+++ b/standins/src/starts.rs
@@ -364,6 +364,61 @@
     Ok(played)
 }
 
+/// Answers a second with discovery up and a new version of the list every 100 ms, clients asking one after the other.
+pub fn rate(program: &Path, keeps: bool, clients: usize, lasting: Duration) -> std::io::Result<f64> {
+    let (plan, folder) = (Plan::calm(1, 5), tempfile::tempdir()?);
+    let stage = set(&plan);
+    let discovery = Discovery::start(Mode::Up, SEQ, stage.now_true.clone());
+    let facts =
+        format!(r#"{{"seed":"1","limits":{{"sockets":512,"memory_mb":64}},"settings":{}}}"#, settings());
+    let state = folder.path().join("state");
+    std::fs::create_dir(&state)?;
+    let conf = format!("state-dir {}\nstore-identity postgres\nsave-gap 100ms\n", state.display());
+    let listen = free_address();
+    let start = Start {
+        program,
+        facts: &facts,
+        conf: keeps.then_some(conf.as_str()),
+        folder: folder.path(),
+        listen,
+        discovery: discovery.addr,
+    };
+    let daemon = Daemon::start(&start)?;
+    let (warm, over) = (Instant::now() + Duration::from_millis(1_500), Arc::new(AtomicBool::new(false)));
+    let asking: Vec<_> = (0..clients)
+        .map(|nth| {
+            let (over, groups) = (over.clone(), stage.groups.clone());
+            thread::spawn(move || {
+                let (mut ok, mut serial) = (0usize, 0usize);
+                while !over.load(Ordering::Acquire) {
+                    let Ok(mut client) = Client::open(&listen) else { continue };
+                    while !over.load(Ordering::Acquire) {
+                        serial += 1;
+                        let id = format!("{nth:04x}{serial:012x}");
+                        let record = client.ask(&id, groups[serial % groups.len()], Kind::Read, 400);
+                        match record.answer {
+                            Answer::Value(_) => ok += usize::from(Instant::now() > warm),
+                            Answer::None => break,
+                            _ => thread::sleep(Duration::from_millis(2)),
+                        }
+                    }
+                }
+                ok
+            })
+        })
+        .collect();
+    let mut seq = SEQ;
+    while Instant::now() < warm + lasting {
+        thread::sleep(Duration::from_millis(100));
+        seq += 1;
+        discovery.tell(seq, stage.now_true.clone());
+    }
+    over.store(true, Ordering::Release);
+    let ok: usize = asking.into_iter().filter_map(|asking| asking.join().ok()).sum();
+    daemon.kill();
+    Ok(ok as f64 / lasting.as_secs_f64())
+}
+
 fn come_back(plan: &Plan, discovery: &Discovery, stage: &Stage) {
     let first = |mode: Mode| {
         discovery.turn(mode);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -33,7 +33,7 @@
     fn rules_hold_after_every_step(
         seed in any::<u64>(),
         lagging in 0..3usize,
-        steps in prop::collection::vec((0..12u8, any::<u16>(), any::<u8>()), 1..400),
+        steps in prop::collection::vec((0..13u8, any::<u16>(), any::<u8>()), 1..400),
     ) {
         let mut bench = Bench::ready(LAGGING[lagging], 2, seed);
         for (kind, pick, how) in steps {
@@ -70,6 +70,10 @@
                     bench.list(store, standing);
                 }
                 10 => bench.give(Event::ListFailed),
+                11 => {
+                    let only = Clearance::Only(pick % 2 * 3 + how % 3);
+                    bench.clear(pick % 2, [Clearance::Free, Clearance::Barred, only][how % 7 % 3]);
+                }
                 _ => bench.pass(Span::millis(how as i64)),
             }
         }
@@ -99,6 +103,55 @@
     assert_eq!(bench.live[&late].out.map(|out| out.1), Some(0), "half of its time is spent: the primary");
 }
 
+#[test]
+fn nobody_is_primary_of_a_barred_group_and_what_claims_it_uncleared_is_used_for_nothing() {
+    let mut bench = Bench::ready(Lagging::AnswersAnyway, 1, 1);
+    bench.clear(0, Clearance::Barred);
+    let write = bench.arrive(WRITE, 0, 1.0);
+    assert!(bench.live[&write].out.is_none(), "held");
+    // A former primary and its successor both claim it; the former one's position is the later.
+    bench.probed(1, Outcome::Ok, bench.now - Span::millis(50), true);
+    bench.probed(0, Outcome::Ok, bench.now, true);
+    bench.clear(0, Clearance::Only(1));
+    assert_eq!(bench.live[&write].out.map(|out| out.1), Some(1));
+    for _ in 0..6 {
+        let read = bench.arrive(BOUNDED, 0, 1.0);
+        assert_ne!(bench.live[&read].out.map(|out| out.1), Some(0), "it may stand on a log of its own");
+    }
+    bench.clear(0, Clearance::Free);
+    let write = bench.arrive(WRITE, 0, 1.0);
+    assert_eq!(bench.live[&write].out.map(|out| out.1), Some(0), "the ordinary rule: the latest claim");
+}
+
+#[test]
+fn a_presumed_start_gives_way_to_the_lists_word() {
+    let mut bench = Bench::one_of(2, Lagging::AnswersAnyway, 1, 1);
+    let out = |bench: &mut Bench| {
+        let reads: Vec<RpcId> = (0..12).map(|_| bench.arrive(ANY, 0, 1.0)).collect();
+        let out =
+            reads.iter().filter(|rpc| bench.live.get(rpc).is_some_and(|live| live.out.is_some())).count();
+        for rpc in reads {
+            bench.end(rpc, Outcome::Ok, None);
+            if bench.live.remove(&rpc).is_some() {
+                bench.give(Event::Gone { rpc });
+            }
+        }
+        out
+    };
+    let warm = out(&mut bench);
+    let entries = |bench: &Bench, presumed: bool| {
+        let started = presumed.then_some(bench.now);
+        (0..3).map(|store| Entry { started, presumed, ..bench.entry(store, Standing::Open) }).collect()
+    };
+    let presumed = entries(&bench, true);
+    bench.give(Event::List { whole: true, entries: presumed });
+    let cold = out(&mut bench);
+    let known = entries(&bench, false);
+    bench.give(Event::List { whole: true, entries: known });
+    assert!(cold < warm, "{cold} of {warm}");
+    assert!(out(&mut bench) >= warm, "warm again, and its room has widened since");
+}
+
 #[test]
 fn a_replica_of_another_zone_is_taken_once_the_own_one_has_more_in_flight() {
     let mut bench = Bench::ready(Lagging::AnswersAnyway, 1, 1);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -39,6 +39,8 @@
     pub excused: Vec<bool>,
     pub started: Vec<Option<Moment>>,
     pub sent_cold: Vec<Vec<Moment>>,
+    /// By group: who may be taken for its primary.
+    pub cleared: Vec<Clearance>,
     pub answers: BTreeMap<RpcId, &'static str>,
     pub sent: Vec<(RpcId, StoreIx)>,
     /// How busy the next stores probed say they are.
@@ -110,6 +112,7 @@
             excused: vec![false; stores],
             started: vec![None; stores],
             sent_cold: vec![Vec::new(); stores],
+            cleared: vec![Clearance::Free; groups],
             answers: BTreeMap::new(),
             sent: Vec::new(),
             load: None,
@@ -143,6 +146,11 @@
         self.give(Event::List { whole: false, entries });
     }
 
+    pub fn clear(&mut self, group: GroupIx, clearance: Clearance) {
+        self.cleared[group] = clearance;
+        self.give(Event::Cleared { group, clearance });
+    }
+
     pub fn arrive(&mut self, method: MethodIx, group: GroupIx, share: f64) -> RpcId {
         let deadline = self.now + self.facts.methods[method].deadline.times(share);
         let rpc = self.next;
@@ -251,6 +259,14 @@
         assert!(live.out.is_none(), "two call-outs out at once");
         assert!(live.call_outs < self.facts.max_call_outs, "too many call-outs");
         assert_eq!(self.group_of[store], live.group, "sent outside its group");
+        let writes = method.need == Need::Write;
+        match self.cleared[live.group] {
+            Clearance::Barred => assert!(!writes, "a write to a group without a cleared primary"),
+            Clearance::Only(one) => {
+                assert!(!writes || store == one, "a write to another than the cleared one")
+            }
+            Clearance::Free => {}
+        }
         assert!(self.open[store], "sent to a store that drains or is gone");
         assert!(time_out > Span::ZERO && self.now + time_out < live.deadline, "no time, or too much");
         match (live.ran_from, method.effect) {
