--- a/front/src/discovery.rs
+++ b/front/src/discovery.rs
@@ -80,6 +80,11 @@
             }
             log!(WARN; "the watch on discovery ended: {why}");
             let _ = self.owner.send(News::ListFailed);
+            let now = self.alarms.now();
+            if let Some(again) = self.lives.look_again().filter(|again| *again > now) {
+                self.alarms.pause_unless(again - now, &turned);
+                continue;
+            }
             let chance = self.rng.below(64) as i64;
             self.alarms.pause_unless(pause / 64 * (32 + chance), &turned);
             pause = (pause * 2).min(PAUSES.1);
--- a/recovery/src/lives.rs
+++ b/recovery/src/lives.rs
@@ -57,6 +57,11 @@
         self.seq
     }
 
+    /// When to look again at a list that may be of another life; no sooner, it would not count, and no later.
+    pub fn look_again(&self) -> Option<Moment> {
+        self.suspect.map(|(_, at)| at + APART)
+    }
+
     fn repeats(&self, offer: &Offer, now: Moment) -> bool {
         self.suspect.is_some_and(|(seq, at)| offer.seq >= seq && now >= at + APART)
     }
--- a/recovery/tests/rules.rs
+++ b/recovery/tests/rules.rs
@@ -373,6 +373,7 @@
     assert_eq!(lives.offer(at(100), whole(5)), Verdict::Suspect);
     assert_eq!(lives.offer(at(200), whole(42)), Verdict::Take);
     assert_eq!(lives.offer(at(9_000), whole(5)), Verdict::Suspect);
+    assert_eq!(lives.look_again(), Some(at(9_000) + APART));
     assert_eq!(lives.offer(at(9_100), whole(5)), Verdict::Suspect, "too soon");
     assert_eq!(lives.offer(at(9_200), Offer { whole: false, ..whole(6) }), Verdict::Pass);
     assert_eq!(lives.offer(at(9_000) + APART, whole(4)), Verdict::Suspect, "older than what it showed");
