--- a/conf/src/settings.rs
+++ b/conf/src/settings.rs
@@ -29,6 +29,10 @@
     /// Between two saves of the list, at least: 100 ms to an hour.
     pub save_gap: Duration,
     pub store_identity: Identity,
+    /// The keys that seal what clients carry of their sessions; none: nothing is carried.
+    pub session_keys: Option<PathBuf>,
+    /// How long a token counts from its issue: 1 s to 30 days.
+    pub session_lasts: Duration,
     pub log_format: Format,
     /// What of the log is written: `error`, `warn`, `info`, `debug`.
     pub log_level: String,
@@ -42,6 +46,8 @@
             state_dir: None,
             save_gap: Duration::from_secs(1),
             store_identity: Identity::default(),
+            session_keys: None,
+            session_lasts: Duration::from_secs(3600),
             log_format: Format::default(),
             log_level: "info".to_string(),
             log_buffer: 64 << 10,
@@ -74,6 +80,22 @@
             one_of(word, &[("none", Identity::None), ("postgres", Identity::Postgres)])?;
         Ok(())
     }),
+    ("session-keys", |settings, word| {
+        let path = PathBuf::from(word);
+        if !path.is_absolute() {
+            return Err(format!("{word:?} is not an absolute path"));
+        }
+        settings.session_keys = Some(path);
+        Ok(())
+    }),
+    ("session-lasts", |settings, word| {
+        let lasts = humantime::parse_duration(word).map_err(|why| format!("{word:?}: {why}"))?;
+        if !(Duration::from_secs(1)..=Duration::from_secs(30 * 86_400)).contains(&lasts) {
+            return Err(format!("{word:?} is not between 1s and 30days"));
+        }
+        settings.session_lasts = lasts;
+        Ok(())
+    }),
     ("log-format", |settings, word| {
         settings.log_format = one_of(word, &[("text", Format::Text), ("json", Format::Json)])?;
         Ok(())
@@ -152,6 +174,8 @@
         let mut note = |name, differs: bool| apart.extend(differs.then_some(name));
         note("state-dir", self.state_dir != newer.state_dir);
         note("store-identity", self.store_identity != newer.store_identity);
+        note("session-keys", self.session_keys != newer.session_keys);
+        note("session-lasts", self.session_lasts != newer.session_lasts);
         note("log-format", self.log_format != newer.log_format);
         note("log-level", self.log_level != newer.log_level);
         note("log-buffer", self.log_buffer != newer.log_buffer);
--- a/front/src/admit.rs
+++ b/front/src/admit.rs
@@ -4,6 +4,7 @@
 use crate::pg::Head;
 use gingerwick::iface::{Facts, MethodIx, Need};
 use gingerwick::time::{Moment, Span};
+use sessions::marks::Mark;
 use std::collections::HashMap;
 use std::ops::Range;
 use std::sync::Arc;
@@ -35,6 +36,8 @@
     pub cluster: i64,
     pub session: Option<u64>,
     pub last_write: Option<Span>,
+    /// What its session has seen of the group, where it carries that.
+    pub mark: Option<Mark>,
     pub deadline: Moment,
     pub repeat: bool,
     pub patience: Range<usize>,
@@ -57,6 +60,7 @@
         cluster: head.cluster,
         session: head.key.filter(|_| keyed).map(session),
         last_write: after,
+        mark: None,
         deadline: now + Span::millis(head.patience_ms.min(LONGEST_MS)),
         repeat: head.repeat,
         patience: head.patience.clone(),
--- a/front/src/command.rs
+++ b/front/src/command.rs
@@ -1,5 +1,6 @@
 //! The command line. `gingerwick` alone serves.
 
+use crate::carry;
 use crate::launch::{Launch, When};
 use crate::operators;
 use crate::start;
@@ -107,6 +108,9 @@
             Err(why) => faults.push(format!("state-dir: {}: {why}", dir.display())),
         }
     }
+    if let Some(path) = settings.as_ref().ok().and_then(|settings| settings.session_keys.as_ref()) {
+        faults.extend(carry::read_keys(path).err().map(|why| format!("session-keys: {why}")));
+    }
     faults.extend(settings.err().into_iter().flatten());
     if faults.is_empty() {
         say("all fit")
--- a/front/src/discovery.rs
+++ b/front/src/discovery.rs
@@ -20,6 +20,8 @@
 const CONNECT_WITHIN: Span = Span::millis(1_000);
 /// The shortest and the longest pause before the watch is taken up again; chance spreads each.
 const PAUSES: (Span, Span) = (Span::millis(50), Span::millis(2_000));
+/// The longest while nothing that discovery said since this start is known: all else waits for its first word.
+const LONGEST_ANEW: Span = Span::millis(500);
 /// A line that is longer than any list.
 const MOST_LINE: usize = 4 << 20;
 
@@ -87,7 +89,7 @@
             }
             let chance = self.rng.below(64) as i64;
             self.alarms.pause_unless(pause / 64 * (32 + chance), &turned);
-            pause = (pause * 2).min(PAUSES.1);
+            pause = (pause * 2).min(if self.anew { LONGEST_ANEW } else { PAUSES.1 });
         }
     }
 
--- a/front/src/lib.rs
+++ b/front/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admit;
 pub mod bell;
+pub mod carry;
 pub mod clock;
 pub mod command;
 pub mod discovery;
--- a/front/src/mailbox.rs
+++ b/front/src/mailbox.rs
@@ -4,14 +4,25 @@
 use gingerwick::iface::RpcId;
 use gingerwick::time::Span;
 use may::io::WaitIoWaker;
+use sessions::marks::Mark;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 
+/// What an answer shows its session.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Seen {
+    pub mark: Option<Mark>,
+    /// It also shows that what the session saw before is lost, which the next RPC is told.
+    pub lost: bool,
+}
+
 /// What a client gets for an RPC.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Answer {
     /// RowDescription, DataRow and CommandComplete as the store gave them.
-    Value(Vec<u8>),
+    Value(Vec<u8>, Seen),
+    /// What its session saw of the group is lost: it did not run.
+    Lost,
     PushBack(Option<Span>),
     Abort,
     Refused(&'static str, &'static str),
--- a/front/src/news.rs
+++ b/front/src/news.rs
@@ -9,6 +9,7 @@
 use gingerwick::time::{Moment, Span};
 use keep::Kept;
 use may::sync::mpsc::Sender;
+use sessions::epochs::Epoch;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -77,6 +78,7 @@
     pub outcome: Outcome,
     pub note: Told,
     pub report: Told,
+    pub epoch: Option<Epoch>,
     pub value: Vec<u8>,
 }
 
@@ -84,6 +86,6 @@
     /// A call-out that never left.
     pub fn moot(rpc: RpcId, number: u32, store: StoreIx, sent: Moment) -> End {
         let (note, report) = (Told::default(), Told::default());
-        End { rpc, number, store, sent, outcome: Outcome::Moot, note, report, value: Vec::new() }
+        End { rpc, number, store, sent, outcome: Outcome::Moot, note, report, epoch: None, value: Vec::new() }
     }
 }
--- a/front/src/owner.rs
+++ b/front/src/owner.rs
@@ -7,12 +7,14 @@
 use crate::hosts::Host;
 use crate::keeper::Keeper;
 use crate::log;
-use crate::mailbox::{Answer, Ticket};
+use crate::mailbox::{Answer, Seen, Ticket};
 use crate::news::{self, CallOut, Heard, News};
 use crate::pool::NoWire;
 use crate::send::Outlet;
 use gingerwick::choice::Router;
-use gingerwick::iface::{Action, Arrival, End, Entry, Event, Facts, Outcome, RpcId, Standing, StoreIx, Told};
+use gingerwick::iface::{
+    Action, Arrival, End, Entry, Event, Facts, Need, Outcome, RpcId, Standing, StoreIx, Told,
+};
 use gingerwick::time::{Moment, Span};
 use hosting::book::Book;
 use hosting::doors::Doors;
@@ -22,6 +24,8 @@
 use recovery::regain::{Action as Task, Event as Regained, Failure, Identity, Member, Regain};
 use recovery::store::{Store, Word};
 use recovery::trust::Times;
+use sessions::epochs::{Epoch, Epochs, Verdict};
+use sessions::marks::Mark;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -31,6 +35,9 @@
 struct Live {
     id: Arc<str>,
     cluster: i64,
+    /// What its session has seen, and whether the RPC is a read, which must show that much.
+    mark: Option<Mark>,
+    reads: bool,
     resort: Moment,
     ticket: Option<Ticket>,
     query: Arc<Query>,
@@ -80,6 +87,8 @@
     resorts: BTreeSet<(Moment, RpcId)>,
     actions: Vec<Action>,
     regain: Option<Regain>,
+    /// What is known of the groups' logs.
+    epochs: Epochs,
     /// What recovery wants done.
     tasks: Vec<Task>,
     /// The list's own words on stores that recovery has not opened yet.
@@ -153,8 +162,7 @@
                 if state.book.len() >= self.most_held {
                     return ticket.answer(Answer::PushBack(self.facts.max_come_back));
                 }
-                let come_back = self.facts.max_come_back;
-                state.arrive(now, admission, query, ticket, self.facts.tick, come_back);
+                state.arrive(now, admission, query, ticket, &self.facts);
             }
             News::Gone { rpc } => {
                 if let Some(ticket) = state.book.get_mut(rpc).and_then(|live| live.ticket.take()) {
@@ -169,7 +177,7 @@
             }
             News::Ended(end) => {
                 let (store, asked, note) = (end.store, end.sent, end.note);
-                state.ended(now, end);
+                state.ended(now, end, self.facts.max_come_back);
                 self.overhear(now, store, asked, note);
             }
             News::Probed { store, outcome, elapsed, report } => {
@@ -328,7 +336,7 @@
             }
         }
         for end in ends {
-            state.ended(now, end);
+            state.ended(now, end, self.facts.max_come_back);
         }
         if !state.actions.is_empty() {
             self.act(now);
@@ -353,6 +361,7 @@
             resorts: BTreeSet::new(),
             actions,
             regain: recovers.map(regain),
+            epochs: Epochs::default(),
             tasks: Vec::new(),
             waiting: BTreeMap::new(),
         }
@@ -443,15 +452,9 @@
         }
     }
 
-    fn arrive(
-        &mut self,
-        now: Moment,
-        new: Admission,
-        query: Query,
-        ticket: Ticket,
-        tick: Span,
-        come_back: Option<Span>,
-    ) {
+    fn arrive(&mut self, now: Moment, new: Admission, query: Query, ticket: Ticket, facts: &Facts) {
+        let (tick, come_back) = (facts.tick, facts.max_come_back);
+        let reads = facts.methods.get(new.method).is_some_and(|method| method.need != Need::Write);
         if self.groups.is_empty() {
             // No list has come yet: which groups there are is not known.
             return ticket.answer(Answer::PushBack(come_back));
@@ -460,7 +463,12 @@
             return ticket.answer(Answer::Refused("42704", "cluster names no listed group"));
         };
         let rpc = ticket.rpc;
-        let Admission { id, method, cluster, session, last_write, deadline, repeat, .. } = new;
+        let Admission { id, method, cluster, session, last_write, mark, deadline, repeat, .. } = new;
+        let seen = match mark.map(|mark| self.epochs.judge(cluster, mark)) {
+            Some(Verdict::Lost) => return ticket.answer(Answer::Lost),
+            Some(Verdict::Stands(position) | Verdict::Ahead(position)) => Some(position),
+            None => None,
+        };
         // A store would take the second for a copy of the first.
         if !self.ids.insert(id.clone()) {
             return ticket.answer(Answer::Refused("42710", "id is that of an open query"));
@@ -468,20 +476,32 @@
         let resort = deadline - tick;
         self.book.enter(
             rpc,
-            Live { id, cluster, resort, ticket: Some(ticket), query: Arc::new(query), out: None },
+            Live {
+                id,
+                cluster,
+                mark,
+                reads,
+                resort,
+                ticket: Some(ticket),
+                query: Arc::new(query),
+                out: None,
+            },
         );
         self.resorts.insert((resort, rpc));
         self.recover(now, Regained::Wanted { group });
-        let arrival = Arrival { rpc, method, group, session, last_write, deadline, repeat };
+        let arrival = Arrival { rpc, method, group, session, last_write, seen, deadline, repeat };
         self.tell(now, Event::Arrived(arrival));
     }
 
-    fn ended(&mut self, now: Moment, end: news::End) {
-        let news::End { rpc, number, store, sent, outcome, note, report, value } = end;
+    fn ended(&mut self, now: Moment, end: news::End, come_back: Option<Span>) {
+        let news::End { rpc, number, store, sent, outcome, note, report, epoch, value } = end;
         let Some(live) = self.book.get_mut(rpc) else { return };
         if outcome == Outcome::Ok {
+            if let Some(epoch) = epoch {
+                self.epochs.learn(live.cluster, epoch);
+            }
             if let Some(ticket) = live.ticket.take() {
-                ticket.answer(Answer::Value(value));
+                ticket.answer(shown(&self.epochs, live, value, &note, epoch, now, come_back));
             }
         }
         let closed = live.ticket.is_none();
@@ -533,6 +553,30 @@
     }
 }
 
+/// What a client gets for a good answer. A read whose session has seen more than this store's log shows is not given
+/// it: what the store that really answered says of itself goes before all that was believed of it.
+fn shown(
+    epochs: &Epochs,
+    live: &Live,
+    value: Vec<u8>,
+    note: &Told,
+    epoch: Option<Epoch>,
+    now: Moment,
+    come_back: Option<Span>,
+) -> Answer {
+    let lost = live.mark.is_some_and(|mark| epochs.judge(live.cluster, mark) == Verdict::Lost);
+    let shows = live.mark.is_none_or(|mark| epochs.shows(live.cluster, mark, epoch, note.position));
+    if live.reads && lost {
+        return Answer::Lost;
+    }
+    if live.reads && !shows {
+        return Answer::PushBack(come_back);
+    }
+    // What a store does not say it may have seen up to this moment.
+    let (epoch, position) = (epoch.map_or(0, |epoch| epoch.number), note.position.unwrap_or(now));
+    Answer::Value(value, Seen { mark: Some(Mark { epoch, position }), lost })
+}
+
 /// What a store says of itself, its name and its timeline, beside the name that the list gives it.
 fn identify(who: bool, said: Option<&str>, name: &str) -> (Identity, Option<u32>) {
     let Some(said) = said.filter(|_| who) else { return (Identity::Untold, None) };
--- a/front/src/pg.rs
+++ b/front/src/pg.rs
@@ -75,6 +75,39 @@
     Ok(Some((kind, length)))
 }
 
+/// What a start-up message says that matters here.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Hello {
+    /// User and database: who a session's token is given to.
+    pub audience: String,
+    /// `gingerwick.session`: empty or `new` to begin a session, a token to go on with one.
+    pub session: Option<String>,
+}
+
+/// Reads the names and values of a start-up message; what is no pair of texts says nothing.
+pub fn hello(body: &[u8]) -> Hello {
+    let (mut hello, mut user, mut database) = (Hello::default(), String::new(), String::new());
+    let mut texts = body.split(|&byte| byte == 0).map(|text| std::str::from_utf8(text).unwrap_or_default());
+    while let (Some(name), Some(value)) = (texts.next().filter(|name| !name.is_empty()), texts.next()) {
+        match name {
+            "user" => user = value.to_string(),
+            "database" => database = value.to_string(),
+            SESSION => hello.session = Some(value.to_string()),
+            _ => {}
+        }
+    }
+    hello.audience = format!("{}:{user}/{database}", user.len());
+    hello
+}
+
+/// A ParameterStatus.
+pub fn status(out: &mut Vec<u8>, name: &str, value: &str) {
+    put(out, b'S', |out| {
+        text(out, name);
+        text(out, value);
+    });
+}
+
 /// Appends a message: its tag, its length, and what `body` appends.
 fn put(out: &mut Vec<u8>, tag: u8, body: impl FnOnce(&mut Vec<u8>)) {
     out.push(tag);
@@ -94,8 +127,11 @@
     put(out, b'Z', |out| out.push(b'I'));
 }
 
+/// The parameter by which a client is given its session's token.
+pub const SESSION: &str = "gingerwick.session";
+
 /// What a client is told when its session begins.
-pub fn greeting(out: &mut Vec<u8>, minor: u16, number: u32) {
+pub fn greeting(out: &mut Vec<u8>, minor: u16, number: u32, session: Option<&str>) {
     if minor > 0 {
         put(out, b'v', |out| out.extend_from_slice(&[0; 8]));
     }
@@ -108,10 +144,10 @@
         ("integer_datetimes", "on"),
         ("standard_conforming_strings", "on"),
     ] {
-        put(out, b'S', |out| {
-            text(out, name);
-            text(out, value);
-        });
+        status(out, name, value);
+    }
+    if let Some(token) = session {
+        status(out, SESSION, token);
     }
     // A number to cancel by is part of the greeting; cancels are closed unread.
     put(out, b'K', |out| {
--- a/front/src/relay.rs
+++ b/front/src/relay.rs
@@ -4,6 +4,7 @@
 use crate::clock;
 use crate::pg;
 use gingerwick::iface::{Outcome, Role, Told};
+use sessions::epochs::Epoch;
 use std::ops::Range;
 
 /// How far an answer has come, and so what may come next.
@@ -62,6 +63,8 @@
     error: Option<Outcome>,
     pub note: Told,
     pub report: Told,
+    /// The epoch of the log that it was answered from.
+    pub epoch: Option<Epoch>,
 }
 
 impl Reply {
@@ -116,6 +119,7 @@
             (_, Some(("recovery", "on"))) => self.note.role = Some(Role::Replica),
             (_, Some(("lsn_ms", ms))) => self.note.position = number(ms).and_then(clock::from_unix_ms),
             (_, Some(("health", fields))) => self.report = report(fields),
+            (_, Some(("epoch", word))) => self.epoch = epoch(word),
             (_, named) => return named.map(|_| self.place),
         }
         Some(self.place)
@@ -146,6 +150,11 @@
         }
     }
 
+    /// The epoch that it told, unless it was spoilt.
+    pub fn told_epoch(&self) -> Option<Epoch> {
+        self.epoch.filter(|_| self.place != Place::Spoilt)
+    }
+
     /// What is passed on: its three messages as they came, in the buffer itself where nothing stands between them.
     pub fn value(&self, mut buffer: Vec<u8>) -> Vec<u8> {
         let [heads, row, end] = self.parts.clone();
@@ -173,6 +182,20 @@
     word.parse().ok().filter(|_| plain)
 }
 
+/// An epoch, `3@1790000000123`: its number and the position at which it began, in Unix milliseconds; `3` alone where
+/// that is not known.
+fn epoch(word: &str) -> Option<Epoch> {
+    let (number_word, began) =
+        word.split_once('@').map_or((word, None), |(number, began)| (number, Some(began)));
+    let began = match began {
+        Some(ms) => Some(number(ms).and_then(clock::from_unix_ms)?),
+        None => None,
+    };
+    let number =
+        number_word.parse().ok().filter(|_| number_word.bytes().all(|byte| byte.is_ascii_digit()))?;
+    Some(Epoch { number, began })
+}
+
 /// A load report, `name=value` pairs: `x0` is the position, `x1` 1 from a primary, `util` the busy part. One that
 /// can't be read in any part tells nothing at all.
 pub fn report(fields: &str) -> Told {
--- a/front/src/send.rs
+++ b/front/src/send.rs
@@ -11,6 +11,7 @@
 use gingerwick::iface::{Outcome, StoreIx, Told};
 use gingerwick::time::{Moment, Span};
 use may::sync::mpsc::{channel, Sender};
+use sessions::epochs::Epoch;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -35,7 +36,7 @@
     let sent = attempt(pool, &pending.owner, &job);
     if let Some(end) = &mut pending.end {
         (end.outcome, end.value) = (sent.outcome, sent.value);
-        (end.note, end.report) = (sent.note, sent.report);
+        (end.note, end.report, end.epoch) = (sent.note, sent.report, sent.epoch);
     }
     drop(pending);
     if let Some(wire) = sent.free {
@@ -49,12 +50,14 @@
     value: Vec<u8>,
     note: Told,
     report: Told,
+    epoch: Option<Epoch>,
     free: Option<Wire>,
 }
 
 impl Sent {
     fn unsent(outcome: Outcome) -> Sent {
-        Sent { outcome, value: Vec::new(), note: Told::default(), report: Told::default(), free: None }
+        let (note, report) = Default::default();
+        Sent { outcome, value: Vec::new(), note, report, epoch: None, free: None }
     }
 }
 
@@ -109,7 +112,7 @@
     let buffer = wire.take_buffer();
     let value = if outcome == Outcome::Ok { reply.value(buffer) } else { Vec::new() };
     let (note, report) = reply.told();
-    Sent { outcome, value, note, report, free: frees.then_some(wire) }
+    Sent { outcome, value, note, report, epoch: reply.told_epoch(), free: frees.then_some(wire) }
 }
 
 /// It was written whole, so it may have run.
--- a/front/src/session.rs
+++ b/front/src/session.rs
@@ -2,12 +2,13 @@
 //! answers in the order of its queries. It goes on reading while RPCs are out, so a client that leaves is seen.
 
 use crate::admit::{self, Query};
+use crate::carry::{Carried, Carry};
 use crate::clock::Alarms;
 use crate::ledger::{Entry, Ledger, Rank, Weight};
 use crate::log;
 use crate::mailbox::{Answer, Mailbox, Ticket};
 use crate::news::News;
-use crate::pg::{self, Statement};
+use crate::pg::{self, Hello, Statement};
 use crate::shutdown::Leave;
 use crate::take_in::{Item, TakeIn};
 use crate::wire::{BREATH, BURST, LIGHT};
@@ -16,6 +17,7 @@
 use may::io::WaitIo;
 use may::net::TcpStream;
 use may::sync::mpsc::Sender;
+use sessions::marks::Block;
 use std::collections::VecDeque;
 use std::io::{ErrorKind, IoSlice, Read, Write};
 use std::net::Shutdown;
@@ -42,12 +44,14 @@
     /// How long who is turned away for want of memory had better stay away, where that may be said.
     pub come_back: Option<Span>,
     pub leave: Arc<Leave>,
+    /// Where sessions are carried by their clients.
+    pub carry: Option<Arc<Carry>>,
     pub rpcs: AtomicU64,
     pub number: AtomicU64,
 }
 
 enum Slot {
-    Open(RpcId),
+    Open(RpcId, Block),
     Ready(Vec<u8>),
 }
 
@@ -70,6 +74,8 @@
     owes: Option<Moment>,
     idle: Option<(Rank, u64)>,
     weight: Weight,
+    /// What its client carries, where it asked for that.
+    carried: Option<Carried>,
 }
 
 enum Heard {
@@ -98,6 +104,7 @@
         owes: Some(connected),
         idle: None,
         weight,
+        carried: None,
     };
     session.wake_at(connected + OWED_WITHIN);
     if !stays {
@@ -114,7 +121,7 @@
     fn drop(&mut self) {
         self.stir();
         for slot in &self.slots {
-            if let Slot::Open(rpc) = slot {
+            if let Slot::Open(rpc, _) = slot {
                 let _ = self.shared.owner.send(News::Gone { rpc: *rpc });
             }
         }
@@ -253,10 +260,7 @@
             match self.inbox.next_item() {
                 None => return,
                 Some(Item::Encrypt) => self.slots.push_back(Slot::Ready(vec![b'N'])),
-                Some(Item::Greet { minor }) => {
-                    let number = self.shared.number.fetch_add(1, Ordering::Relaxed) as u32;
-                    self.say(|out| pg::greeting(out, minor, number));
-                }
+                Some(Item::Greet { minor, hello }) => self.greet(minor, hello),
                 Some(Item::Query(body)) => {
                     (self.asked, self.owes) = (true, None);
                     self.query(body);
@@ -274,6 +278,25 @@
         }
     }
 
+    /// Begins or takes up what the client carries, where it asked for that and it is given here.
+    fn greet(&mut self, minor: u16, hello: Hello) {
+        let now = self.shared.alarms.now();
+        let carry = self.shared.carry.clone();
+        let token = match (carry, hello.session) {
+            (Some(carry), Some(word)) => match carry.begin(now, &word, &hello.audience) {
+                Ok(carried) => {
+                    let token = carry.token(now, &carried);
+                    self.carried = Some(carried);
+                    token
+                }
+                Err(why) => return self.end(why.code(), &format!("the session's token is not taken: {why}")),
+            },
+            _ => None,
+        };
+        let number = self.shared.number.fetch_add(1, Ordering::Relaxed) as u32;
+        self.say(|out| pg::greeting(out, minor, number, token.as_deref()));
+    }
+
     fn query(&mut self, body: Vec<u8>) {
         let terms = &self.shared.terms;
         let head = match pg::statement(&body) {
@@ -282,15 +305,18 @@
             Statement::Refused(code, why) => Err((code, why)),
             Statement::Kv(head) => admit::admit(terms, self.shared.alarms.now(), &head),
         };
-        let admission = match head {
+        let mut admission = match head {
             Ok(admission) => admission,
             Err((code, why)) => return self.reply(|out| pg::error(out, "ERROR", code, why, None)),
         };
         if self.shared.ledger.is_heavy() {
-            return self.slots.push_back(Slot::Ready(encode(Answer::PushBack(self.shared.come_back))));
+            return self.slots.push_back(Slot::Ready(encode(Answer::PushBack(self.shared.come_back), None)));
+        }
+        if let (Some(carry), Some(carried)) = (&self.shared.carry, &mut self.carried) {
+            admission.mark = carry.mark(self.shared.alarms.now(), carried, admission.cluster);
         }
         let rpc = self.shared.rpcs.fetch_add(1, Ordering::Relaxed);
-        self.slots.push_back(Slot::Open(rpc));
+        self.slots.push_back(Slot::Open(rpc, admission.cluster));
         let mut weight = self.shared.ledger.weight();
         weight.set(body.len());
         let query = Query { body, patience: admission.patience.clone(), weight };
@@ -316,9 +342,9 @@
     /// hold the error back.
     fn end(&mut self, code: &str, why: &str) {
         for slot in &mut self.slots {
-            if let Slot::Open(rpc) = slot {
+            if let Slot::Open(rpc, _) = slot {
                 let _ = self.shared.owner.send(News::Gone { rpc: *rpc });
-                *slot = Slot::Ready(encode(Answer::Abort));
+                *slot = Slot::Ready(encode(Answer::Abort, None));
             }
         }
         self.say(|out| pg::error(out, "FATAL", code, why, None));
@@ -334,10 +360,17 @@
 
     /// Puts answers that have come in their places and moves those whose turn it is to the outbox.
     fn collect(&mut self) {
+        let now = self.shared.alarms.now();
         for (rpc, answer) in self.mailbox.collect() {
-            if let Some(slot) = self.slots.iter_mut().find(|slot| matches!(slot, Slot::Open(r) if *r == rpc))
-            {
-                *slot = Slot::Ready(encode(answer));
+            let mine = |slot: &&mut Slot| matches!(slot, Slot::Open(open, _) if *open == rpc);
+            if let Some(slot) = self.slots.iter_mut().find(mine) {
+                let group = if let Slot::Open(_, group) = slot { *group } else { continue };
+                // In the order in which answers come: a token may show more than its answer, never less.
+                let token = match (&self.shared.carry, &mut self.carried) {
+                    (Some(carry), Some(carried)) => carry.answered(now, carried, group, &answer),
+                    _ => None,
+                };
+                *slot = Slot::Ready(encode(answer, token.as_deref()));
                 self.served = true;
             }
         }
@@ -397,10 +430,15 @@
     }
 }
 
-fn encode(answer: Answer) -> Vec<u8> {
+fn encode(answer: Answer, token: Option<&str>) -> Vec<u8> {
     let mut out = Vec::new();
     match answer {
-        Answer::Value(value) => out = value,
+        Answer::Value(value, _) => out = value,
+        Answer::Lost => {
+            let why =
+                "what this session saw of the group is lost, by a switch of its primary; it did not run";
+            pg::error(&mut out, "ERROR", "ZG001", why, None);
+        }
         Answer::PushBack(come_back) => {
             let wait = come_back.map(|span| (span.0 / 1_000_000).max(0).to_string());
             pg::error(
@@ -414,6 +452,9 @@
         Answer::Abort => pg::error(&mut out, "ERROR", "58000", "aborted: it may have run", None),
         Answer::Refused(code, why) => pg::error(&mut out, "ERROR", code, why, None),
     }
+    if let Some(token) = token {
+        pg::status(&mut out, pg::SESSION, token);
+    }
     pg::ready(&mut out);
     out
 }
--- a/front/src/start.rs
+++ b/front/src/start.rs
@@ -1,6 +1,7 @@
 //! Start-up: what the front is told is read and checked, its parts are made and put to work.
 
 use crate::admit::Terms;
+use crate::carry::{self, Carry};
 use crate::clock::{duration, Alarms, Clock};
 use crate::command::{self, exit, Fault};
 use crate::discovery::{Watch, Whereto};
@@ -46,6 +47,8 @@
             return Err((exit::CONFIG, faults.collect()));
         }
     };
+    let keys = operators.session_keys.as_deref().map(carry::read_keys).transpose();
+    let keys = keys.map_err(|why| (exit::CONFIG, vec![format!("session-keys: {why}")]))?;
     log::start(&operators::style(&operators));
     let (listen, seed, facts) = (launch.listen, launch.seed, launch.facts.clone());
     let settings = &launch.settings;
@@ -109,6 +112,8 @@
         pool.sweep();
     });
     let leave = Arc::new(Leave::default());
+    let lasts = Span(operators.session_lasts.as_nanos() as i64);
+    let carry = keys.map(|keys| Arc::new(Carry::new(keys, lasts, name_seed())));
     let shared = Shared {
         alarms: alarms.clone(),
         ledger,
@@ -116,6 +121,7 @@
         terms,
         come_back,
         leave: leave.clone(),
+        carry: carry.clone(),
         rpcs: AtomicU64::new(0),
         number: AtomicU64::new(1),
     };
@@ -133,7 +139,7 @@
         match (signal, stop_accepting.take()) {
             (SIGHUP, still) => {
                 stop_accepting = still;
-                reload(&launch, &whereto, &operators, conf.as_deref(), keeper.as_deref());
+                reload(&launch, &whereto, &operators, conf.as_deref(), keeper.as_deref(), carry.as_deref());
             }
             (_, Some(stop_accepting)) => {
                 if let Some(keeper) = &keeper {
@@ -150,6 +156,12 @@
 /// A save on leaving may take so long at most: nobody is answered later for it.
 const FINISH_WITHIN: Duration = Duration::from_millis(50);
 
+/// Sessions' names must differ between starts, fronts and operators' seeds: this one is the system's own chance.
+fn name_seed() -> u64 {
+    use std::hash::{BuildHasher, Hasher};
+    std::hash::RandomState::new().build_hasher().finish()
+}
+
 /// What was found of earlier lives, and who writes on.
 struct State {
     kept: Option<(Kept, Option<Times>)>,
@@ -207,6 +219,7 @@
     operators: &Settings,
     conf: Option<&Path>,
     keeper: Option<&Keeper>,
+    carry: Option<&Carry>,
 ) {
     match launch(When::Reload) {
         Ok(newer) => {
@@ -229,6 +242,12 @@
             if let Some(keeper) = keeper {
                 keeper.set_gap(newer.save_gap);
             }
+            if let (Some(carry), Some(path)) = (carry, &operators.session_keys) {
+                match carry::read_keys(path) {
+                    Ok(keys) => carry.set_keys(keys),
+                    Err(why) => log!(WARN; "reload: session-keys: {why}; all goes on as before"),
+                }
+            }
         }
         Err(why) => log!(WARN; "reload: {}; all goes on as before", why.join("; ")),
     }
--- a/front/src/take_in.rs
+++ b/front/src/take_in.rs
@@ -1,6 +1,6 @@
 //! Taking in: a client's bytes, split anywhere, become whole messages in their order. No socket stands here.
 
-use crate::pg::{self, Bad, Opening};
+use crate::pg::{self, Bad, Hello, Opening};
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Item {
@@ -8,6 +8,7 @@
     Encrypt,
     Greet {
         minor: u16,
+        hello: Hello,
     },
     Cancel,
     /// A simple query's body.
@@ -86,7 +87,7 @@
             }
             Opening::Start { minor } => {
                 self.phase = Phase::Serving;
-                Item::Greet { minor }
+                Item::Greet { minor, hello: pg::hello(&self.bytes[self.at - used + 8..self.at]) }
             }
         }))
     }
--- a/front/tests/messages.rs
+++ b/front/tests/messages.rs
@@ -4,7 +4,7 @@
 use front::discovery::Stream;
 use front::hosts::{Host, Hosts};
 use front::ledger::{Ledger, Share};
-use front::pg::{self, Statement};
+use front::pg::{self, Hello, Statement};
 use front::relay::{report, Reply};
 use front::take_in::{Item, TakeIn};
 use gingerwick::iface::{Outcome, Role, Standing};
@@ -318,14 +318,17 @@
     assert_eq!(pg::statement(b"reset all\0"), Statement::Vain("RESET"));
     let long = [pg::start_up(), message(b'Q', &vec![b'a'; pg::MOST_QUERY])].concat();
     let too_long = Item::Unfit { code: "54000", why: "message too long" };
-    assert_eq!(all(&[&long[..200]]), [Item::Greet { minor: 0 }, too_long], "told by its head alone");
+    assert_eq!(all(&[&long[..200]]), [greeted(), too_long], "told by its head alone");
+    let opened = b"\0\0\0\x3c\0\x03\0\0user\0ann\0gingerwick.session\0new\0database\0x\0odd\0yes\0\0";
+    let hello = Hello { audience: "3:ann/x".into(), session: Some("new".into()) };
+    assert_eq!(all(&[opened]), [Item::Greet { minor: 0, hello }]);
     let version_2 = [0, 0, 0, 8, 0, 2, 0, 0];
     assert!(matches!(all(&[&version_2])[..], [Item::Unfit { code: "0A000", .. }]));
     assert_eq!(all(&[&[0, 0, 0, 16, 4, 210, 22, 46, 0, 0, 0, 1, 0, 0, 0, 0]]), [Item::Cancel]);
     let extended =
         [pg::start_up(), message(b'P', b"\0\0\0\0"), message(b'E', b"\0\0\0\0\0"), message(b'S', b"")];
     let unsupported = Item::Unsupported { alone: false };
-    assert_eq!(all(&[&extended.concat()]), [Item::Greet { minor: 0 }, unsupported, Item::Sync]);
+    assert_eq!(all(&[&extended.concat()]), [greeted(), unsupported, Item::Sync]);
 }
 
 #[test]
@@ -423,3 +426,8 @@
     assert_eq!(told(t), (Standing::Draining, false, None), "a word not known gets nothing new");
     assert!((hosts.seq, hosts.whole) == (43, false) && s.dial().is_some() && t.dial().is_none());
 }
+
+/// What the start-up message of `pg::start_up` is taken in as.
+fn greeted() -> Item {
+    Item::Greet { minor: 0, hello: Hello { audience: "7:backend/store".into(), session: None } }
+}
--- a/front/tests/owner.rs
+++ b/front/tests/owner.rs
@@ -66,9 +66,9 @@
     fn arrive_as(&self, rpc: u64, id: &str, d: i64) {
         let deadline = self.alarms.now() + Span::millis(d);
         let (session, last_write, repeat) = (None, None, false);
-        let (id, patience) = (id.into(), 0..0);
+        let (id, patience, mark) = (id.into(), 0..0, None);
         let admission =
-            Admission { id, method: 0, cluster: 3, session, last_write, deadline, repeat, patience };
+            Admission { id, method: 0, cluster: 3, session, last_write, mark, deadline, repeat, patience };
         let query = Query { body: vec![0], patience: 0..0, weight: self.ledger.weight() };
         let ticket = Ticket::new(rpc, self.mailbox.clone());
         self.owner.send(News::Arrived(admission, query, ticket)).expect("an owner");
--- a/sessions/src/kept.rs
+++ b/sessions/src/kept.rs
@@ -6,6 +6,9 @@
 use gingerwick::time::{Moment, Span};
 use std::collections::{BTreeSet, HashMap};
 
+/// Sessions that a front remembers at most, some 200 bytes each.
+pub const MOST_KEPT: usize = 20_000;
+
 struct Row {
     marks: Marks,
     used: Moment,
--- a/sessions/tests/guarantees.rs
+++ b/sessions/tests/guarantees.rs
@@ -84,6 +84,10 @@
     assert!(epochs.shows(1, seen, of(4), Some(at(750))), "not at the fork yet: common to both");
     assert!(!epochs.shows(1, seen, of(4), Some(at(900))), "it went on by itself");
     assert!(!epochs.shows(1, mark(5, 900), of(4), Some(at(950))));
+    assert!(
+        !epochs.shows(2, mark(5, 900), of(4), Some(at(950))),
+        "where no fork is known, by its number alone"
+    );
     assert!(!epochs.shows(1, seen, of(5), Some(at(699))), "behind what was seen");
     assert!(epochs.shows(1, seen, None, Some(at(700))), "a store that says no epoch");
 }
@@ -107,6 +111,12 @@
     for cut in 0..text.len() {
         assert!(both.open(&text[..cut], "desk/bookings", NOW).is_err(), "cut at {cut}");
     }
+    let between = Token { marks: Marks::default(), ..carried };
+    let mut between = between;
+    between.marks.see(3, Mark { epoch: 1, position: Moment(1_500_000) });
+    let text = both.seal(&between, "a/b").expect("sealed");
+    let opened = both.open(&text, "a/b", NOW).expect("it opens");
+    assert!(opened.marks.of(3) >= between.marks.of(3), "rounded up: never less than was seen");
     println!("a token with marks of 2 groups has {} characters", text.len());
 }
 
--- a/simhost/src/host.rs
+++ b/simhost/src/host.rs
@@ -133,6 +133,7 @@
             group: host.groups.enter(new.db_no),
             session,
             last_write,
+            seen: None,
             deadline: Moment(new.drop_dead_ns),
             repeat: new.repeat,
         });
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -93,8 +93,10 @@
     /// After this an answer earns nothing.
     worth_by: Moment,
     answer_by: Moment,
-    /// The position that a current or session read asks for.
+    /// The position that a read asks for whatever the time: a current one's arrival, what its session wrote or saw.
     mark: Option<Moment>,
+    /// Its session has seen something: no store checks that by itself.
+    carries: bool,
     session: Option<u64>,
     call_outs: u32,
     /// One of them has reached a store, run or not.
@@ -168,12 +170,17 @@
     stores: Vec<Store>,
     groups: Vec<Group>,
     sessions: BTreeMap<u64, Moment>,
+    by_mark: BTreeSet<(Moment, u64)>,
+    /// The latest of the marks that were given up: every session that has none is taken to have this one.
+    forgotten: Option<Moment>,
     /// What each method's quicker answers take: small steps hold about three in ten under it.
     usual: Vec<f64>,
     ask_at: Option<Moment>,
 }
 
 const PULSE: u64 = 0;
+/// Sessions whose marks are kept at most.
+const MOST_SESSIONS: usize = 1 << 16;
 /// What a store may hold of all fronts' call-outs before it has shown how much suits it.
 const FIRST_ROOM: f64 = 16.0;
 /// The parts of a store's cores over which a primary helps no reads out, and over which no room is widened.
@@ -219,9 +226,10 @@
         actions.push(Action::Remind { tag: PULSE, at: now + charter.pulse });
         let ask_at = charter.ask_again.map(|_| now);
         let usual = charter.methods.iter().map(|m| m.soft.secs() / 4.0).collect();
-        let (rpcs, stores, groups, sessions) = Default::default();
-        let rng = Mwc::new(seed);
-        let mut router = Router { charter, rng, now, rpcs, stores, groups, sessions, usual, ask_at };
+        let (rpcs, stores, groups, sessions, by_mark) = Default::default();
+        let (rng, forgotten) = (Mwc::new(seed), None);
+        let mut router =
+            Router { charter, rng, now, rpcs, stores, groups, sessions, by_mark, forgotten, usual, ask_at };
         router.ask(actions);
         router
     }
@@ -276,11 +284,16 @@
         let Some(rpc) = self.rpcs.get(&id) else { return false };
         let ours = rpc.out.as_ref().is_some_and(|out| out.number == call_out);
         let checked = self.charter.facts.lagging != Lagging::AnswersAnyway;
-        let fresh = checked || self.stores[ix].position >= self.needed(rpc);
+        let fresh = (checked && !rpc.carries) || self.stores[ix].position >= self.needed(rpc);
         let reads = self.charter.methods[rpc.method].need != Need::Write;
         ours && self.stores[ix].open && (self.groups[rpc.group].primary == Some(ix) || (reads && fresh))
     }
 
+    /// Sessions whose marks are kept.
+    pub fn remembered(&self) -> usize {
+        self.sessions.len()
+    }
+
     // What is believed of stores.
 
     fn ask(&mut self, actions: &mut Vec<Action>) {
@@ -440,13 +453,24 @@
         let mark = match terms.need {
             Need::Current => Some(self.now),
             Need::Session if self.charter.facts.marks_carried => new.last_write.map(|ago| self.now - ago),
-            Need::Session => session.and_then(|key| self.sessions.get(&key).copied()),
+            Need::Session => session.and_then(|key| self.sessions.get(&key).copied()).max(self.forgotten),
             _ => None,
         };
+        let (mark, carries) = (mark.max(new.seen), new.seen.is_some());
         let worth_by = if terms.late_share > 0.0 { answer_by } else { answer_by.min(self.now + terms.soft) };
         let (arrived, repeat) = (self.now, new.repeat && terms.late_share == 0.0);
-        let rpc =
-            Rpc { method, group, arrived, worth_by, answer_by, mark, session, repeat, ..Rpc::default() };
+        let rpc = Rpc {
+            method,
+            group,
+            arrived,
+            worth_by,
+            answer_by,
+            mark,
+            carries,
+            session,
+            repeat,
+            ..Rpc::default()
+        };
         self.rpcs.insert(id, rpc);
         let moments = [(id * 2 + 1, arrived + (answer_by - arrived) / 2), (id * 2 + 2, answer_by)];
         actions.extend(moments.map(|(tag, at)| Action::Remind { tag, at }));
@@ -513,7 +537,7 @@
     /// The position that a read asks for now.
     fn needed(&self, rpc: &Rpc) -> Option<Moment> {
         match self.charter.methods[rpc.method].need {
-            Need::Bounded(bound) => Some(self.now - bound),
+            Need::Bounded(bound) => Some(self.now - bound).max(rpc.mark),
             _ => rpc.mark,
         }
     }
@@ -526,7 +550,7 @@
         let position = |ix: &StoreIx| self.stores[*ix].position;
         // Departure: a read without a bound that may take longer than others' bounds keeps to the half of the
         // replicas most behind: long reads on all would let none apply its log.
-        if terms.stalls && !replicas.is_empty() {
+        if terms.stalls && !rpc.carries && !replicas.is_empty() {
             replicas.sort_by_key(position);
             replicas.truncate(replicas.len().div_ceil(2));
             return replicas.iter().find(|&&ix| self.has_room(ix, part)).map(|&ix| vec![ix]);
@@ -542,6 +566,8 @@
         let hopes = terms.need != Need::Current && self.now - rpc.arrived < half;
         match self.charter.facts.lagging {
             _ if replicas.iter().any(fresh) => replicas.retain(fresh),
+            _ if rpc.carries && hopes && replicas.iter().any(|ix| near(ix, half)) => return None,
+            _ if rpc.carries => replicas.clear(),
             // Its hold is worth trying only where the lag it last told of could be made up within it.
             Lagging::Holds(patience) if rpc.refusals == 0 => replicas.retain(|ix| near(ix, patience)),
             Lagging::Refuses if rpc.refusals == 0 && terms.need != Need::Current => {
@@ -643,8 +669,11 @@
             let wrote =
                 self.charter.methods[rpc.method].need == Need::Write && !self.charter.facts.marks_carried;
             if let (true, Some(key), Some(at)) = (wrote, rpc.session, end.note.position) {
-                let mark = self.sessions.entry(key).or_insert(at);
-                *mark = at.max(*mark);
+                let before = self.sessions.insert(key, at);
+                let at = at.max(before.unwrap_or(at));
+                before.map(|before| self.by_mark.remove(&(before, key)));
+                self.sessions.insert(key, at);
+                self.by_mark.insert((at, key));
             }
         } else {
             rpc.refusals += u32::from(outcome == Outcome::Lagged);
@@ -681,6 +710,7 @@
     fn beat(&mut self, actions: &mut Vec<Action>) {
         actions.push(Action::Remind { tag: PULSE, at: self.now + self.charter.pulse });
         self.ask(actions);
+        self.forget_marks();
         for group in 0..self.groups.len() {
             self.retry_held(Some(group), actions);
             let Group { credit, held, .. } = &mut self.groups[group];
@@ -689,6 +719,20 @@
         }
     }
 
+    /// Marks that every open store has reached bind nobody, and those beyond what there is room for bind all alike.
+    fn forget_marks(&mut self) {
+        let reached =
+            self.stores.iter().filter(|store| store.open).map(|store| store.position).min().flatten();
+        while let Some(&(mark, key)) = self.by_mark.first() {
+            if reached < Some(mark) && self.sessions.len() <= MOST_SESSIONS {
+                return;
+            }
+            self.by_mark.pop_first();
+            self.sessions.remove(&key);
+            self.forgotten = self.forgotten.max(Some(mark));
+        }
+    }
+
     /// Probes are paid for by the RPCs of their group, so that all fronts' together follow the traffic:
     /// fronts times stores would cost more than it. A group with RPCs held may ask one in four beats more.
     fn sound_out(&mut self, ix: GroupIx, actions: &mut Vec<Action>) {
--- a/src/iface.rs
+++ b/src/iface.rs
@@ -165,6 +165,8 @@
     pub session: Option<u64>,
     /// How long before the arrival its session's last write was committed, where that is carried.
     pub last_write: Option<Span>,
+    /// What its session has seen: a read must show this much, whatever its method.
+    pub seen: Option<Moment>,
     /// When the client gives this try up.
     pub deadline: Moment,
     pub repeat: bool,
--- a/standins/src/client.rs
+++ b/standins/src/client.rs
@@ -42,34 +42,76 @@
 
 pub struct Client {
     stream: TcpStream,
+    /// The token of its session as it was last given.
+    pub token: Option<String>,
+    /// Why its start was refused: SQLSTATE.
+    pub refused: Option<String>,
 }
 
 impl Client {
     pub fn open(addr: &SocketAddr) -> std::io::Result<Client> {
+        Client::with_session(addr, "backend", None)
+    }
+
+    /// Asks for a session, `new` or one that a token carries. A start that is refused leaves a client that says why.
+    pub fn with_session(addr: &SocketAddr, user: &str, session: Option<&str>) -> std::io::Result<Client> {
         let mut stream = TcpStream::connect_timeout(addr, Duration::from_secs(1))?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(Duration::from_secs(5)))?;
-        let words = b"\0\x03\0\0user\0backend\0database\0store\0\0";
+        let mut words = b"\0\x03\0\0".to_vec();
+        let session = session.map(|word| ["gingerwick.session", word]);
+        for word in ["user", user, "database", "store"].into_iter().chain(session.into_iter().flatten()) {
+            words.extend(word.as_bytes());
+            words.push(0);
+        }
+        words.push(0);
         stream.write_all(&(words.len() as u32 + 4).to_be_bytes())?;
-        stream.write_all(words)?;
-        let mut client = Client { stream };
-        while client.next().ok_or(std::io::ErrorKind::UnexpectedEof)?.0 != b'Z' {}
-        Ok(client)
+        stream.write_all(&words)?;
+        let mut client = Client { stream, token: None, refused: None };
+        loop {
+            let (tag, body) = client.next().ok_or(std::io::ErrorKind::UnexpectedEof)?;
+            match tag {
+                b'Z' => return Ok(client),
+                b'E' => {
+                    client.refused = field(&body, b'C');
+                    return Ok(client);
+                }
+                _ => client.note(tag, &body),
+            }
+        }
+    }
+
+    /// Keeps the token that a ParameterStatus gives.
+    fn note(&mut self, tag: u8, body: &[u8]) {
+        let text = String::from_utf8_lossy(body);
+        let mut words = text.split('\0');
+        if tag == b'S' && words.next() == Some("gingerwick.session") {
+            self.token = words.next().map(str::to_string);
+        }
     }
 
     fn next(&mut self) -> Option<(u8, Vec<u8>)> {
         message::next(&mut self.stream)
     }
 
-    pub fn ask(&mut self, id: &str, group: i64, kind: Kind, patience_ms: i64) -> Record {
-        let (method, rest) = match kind {
-            Kind::Read => ("read", "SELECT content FROM kv WHERE name = '00000000000000aa'"),
-            Kind::Write => (
-                "order",
-                "INSERT INTO kv (name, content) VALUES ('00000000000000aa', '\\x01') RETURNING content",
-            ),
+    /// Asks many at once on the one connection; answers come in the order of the questions.
+    pub fn burst(&mut self, ids: &[String], group: i64, kind: Kind, patience_ms: i64) -> Vec<Record> {
+        let mut out = Vec::new();
+        ids.iter().for_each(|id| {
+            message::message(&mut out, b'Q', statement(id, group, kind, patience_ms).as_bytes())
+        });
+        let sent_ms = unix_ms();
+        let sent = self.stream.write_all(&out).is_ok();
+        let one = |id: &String| {
+            let (answer, more) = if sent { self.answer() } else { (Answer::None, false) };
+            let (id, answered_ms) = (id.clone(), unix_ms());
+            Record { id, group, kind, sent_ms, answered_ms, patience_ms, answer, more }
         };
-        let text = format!("/* id={id},c={method},d={patience_ms},cluster={group} */ {rest}\0");
+        ids.iter().map(one).collect()
+    }
+
+    pub fn ask(&mut self, id: &str, group: i64, kind: Kind, patience_ms: i64) -> Record {
+        let text = statement(id, group, kind, patience_ms);
         let mut out = Vec::new();
         message::message(&mut out, b'Q', text.as_bytes());
         let sent_ms = unix_ms();
@@ -100,13 +142,23 @@
                     answers += 1;
                 }
                 b'Z' => return (answer, answers > 1),
-                _ => {}
+                _ => self.note(tag, &body),
             }
         }
         (Answer::None, answers > 1)
     }
 }
 
+fn statement(id: &str, group: i64, kind: Kind, patience_ms: i64) -> String {
+    let (method, rest) = match kind {
+        Kind::Read => ("read", "SELECT content FROM kv WHERE name = '00000000000000aa'"),
+        Kind::Write => {
+            ("order", "INSERT INTO kv (name, content) VALUES ('00000000000000aa', '\\x01') RETURNING content")
+        }
+    };
+    format!("/* id={id},c={method},d={patience_ms},cluster={group} */ {rest}\0")
+}
+
 /// What the five rules come to, each as a count of offences.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Audit {
--- a/standins/src/starts.rs
+++ b/standins/src/starts.rs
@@ -135,7 +135,7 @@
 pub const BOUND_MS: i64 = 800;
 const GRACE_MS: i64 = 250;
 /// As the operators' deployments word it, with a shorter warm-up.
-const COLD: Cold = Cold { from: 0.23, for_ms: 8_000, fall_multiple: 2.5, window_ms: 2_000, work_ms: 8 };
+const COLD: Cold = Cold { from: 0.23, for_ms: 8_000, fall_multiple: 2.5, window_ms: 2_000, work_ms: 4 };
 
 /// Start facts' settings, to which the world's rule on cold stores belongs.
 pub fn settings() -> String {
@@ -462,6 +462,12 @@
             let group = groups[rng.below(groups.len())];
             let id = format!("{nth:04x}{serial:012x}");
             let patience = if kind == Kind::Read { 400 } else { 600 };
+            if rng.below(40) == 0 {
+                // Many at once, as when a page is opened: enough to push a started store over that is believed warm.
+                let ids: Vec<String> = (0..32).map(|nth| format!("{id}b{nth}")).collect();
+                let burst = client.burst(&ids, group, Kind::Read, 400);
+                records.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).extend(burst);
+            }
             let record = client.ask(&id, group, kind, patience);
             let broken = record.answer == Answer::None;
             if matches!(record.answer, Answer::Value(_)) {
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -104,9 +104,9 @@
     let id = word(text, "id")?.to_string();
     let group: i64 = word(text, "cluster")?.parse().ok()?;
     let (write, now) = (text.contains("INSERT"), unix_ms());
-    {
+    let takes = {
         let mut truth = world.lock();
-        truth.offer(ix, now, &world.cold);
+        let takes = truth.offer(ix, now, &world.cold);
         let machine = &truth.machines[ix];
         let (primary, since) = (machine.primary, machine.draining_since);
         if let Some(since) = since {
@@ -129,8 +129,9 @@
             }
             truth.runs.entry(id.clone()).or_default().push(Run { store: ix, at_ms: now });
         }
-    }
-    thread::sleep(Duration::from_millis(world.cold.work_ms as u64));
+        takes
+    };
+    thread::sleep(takes);
     let truth = world.lock();
     let machine = &truth.machines[ix];
     let (at, true_to) = (truth.position(ix, now), truth.true_to(ix, now));
@@ -139,5 +140,8 @@
     row(out, format!("{id} {true_to} {}", machine.name).as_bytes());
     parameter(out, "recovery", if machine.primary { "off" } else { "on" });
     parameter(out, "lsn_ms", &at.to_string());
+    let began = truth.branches[&machine.group][machine.branch].forked_ms;
+    let began = if began > 0 { format!("@{began}") } else { String::new() };
+    parameter(out, "epoch", &format!("{}{began}", machine.timeline));
     Some(())
 }
--- a/standins/src/world.rs
+++ b/standins/src/world.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Mutex, MutexGuard};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 pub fn unix_ms() -> i64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as i64
@@ -86,6 +86,8 @@
     pub runs: HashMap<String, Vec<Run>>,
     /// Offered work of the last window, by store.
     pub work: HashMap<StoreIx, Vec<i64>>,
+    /// When a store's one core will have done all that it has taken, in microseconds of Unix time.
+    busy_until: HashMap<StoreIx, i64>,
     pub counts: Counts,
     /// Words on each broken rule, a few of them.
     pub offences: Vec<String>,
@@ -152,13 +154,18 @@
         (age < cold.for_ms).then(|| cold.from + (1.0 - cold.from) * age as f64 / cold.for_ms as f64)
     }
 
-    /// Offers one statement's work; a started store that gets too much of it falls over.
-    pub fn offer(&mut self, ix: StoreIx, now: i64, cold: &Cold) {
+    /// Offers one statement's work; a started store that gets too much of it falls over. One core does it in turn, and a
+    /// cold one more slowly; returns how long this one takes with all before it.
+    pub fn offer(&mut self, ix: StoreIx, now: i64, cold: &Cold) -> Duration {
         let warmth = self.warmth(ix, now, cold);
+        let takes = (cold.work_ms as f64 * 1e3 / warmth.unwrap_or(1.0)) as i64;
+        let until = self.busy_until.entry(ix).or_default();
+        *until = (*until).max(now * 1_000) + takes;
+        let wait = Duration::from_micros((*until - now * 1_000).max(0) as u64);
         let work = self.work.entry(ix).or_default();
         work.retain(|at| now - at < cold.window_ms);
         work.push(now);
-        let Some(warmth) = warmth else { return };
+        let Some(warmth) = warmth else { return wait };
         let offered = work.len() as f64 * cold.work_ms as f64;
         if offered > warmth * cold.fall_multiple * cold.window_ms as f64 {
             self.counts.fallen += 1;
@@ -169,6 +176,7 @@
                 now - self.machines[ix].started_ms
             ));
         }
+        wait
     }
 
     pub fn say(&mut self, words: String) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use gingerwick::choice::Router;
 use gingerwick::iface::*;
 use gingerwick::time::{Moment, Span};
 use proptest::prelude::*;
@@ -45,6 +46,7 @@
                     // A try may be given up after less than the method's deadline, but for current reads, whose
                     // arrival the checker reads off it.
                     let share = if how % 6 == CURRENT { 1.0 } else { 0.4 + how as f64 / 425.0 };
+                    bench.seen = (pick % 3 == 0).then(|| bench.now - old / 8);
                     bench.arrive(how % 6, pick % 2, share);
                 }
                 4..=6 => {
@@ -152,6 +154,97 @@
     assert!(out(&mut bench) >= warm, "warm again, and its room has widened since");
 }
 
+#[test]
+fn what_a_session_has_seen_binds_every_read_whoever_else_would_check() {
+    for lagging in LAGGING {
+        let mut bench = Bench::ready(lagging, 1, 1);
+        bench.seen = Some(bench.now + Span::millis(50));
+        bench.pass(Span::millis(100));
+        let reads = [ANY, LONG, BOUNDED].map(|method| bench.arrive(method, 0, 1.0));
+        assert!(
+            reads.iter().all(|rpc| bench.live[rpc].out.is_none()),
+            "{lagging:?}: no replica is told to have it"
+        );
+        bench.probed(2, Outcome::Ok, bench.now - Span::millis(40), false);
+        let outs = reads.map(|rpc| bench.live[&rpc].out.map(|out| out.1));
+        assert_eq!(outs, [Some(2); 3], "{lagging:?}");
+    }
+}
+
+/// A router that remembers sessions' writes by itself, with one primary and one replica.
+fn remembering() -> (Router, Moment, Vec<Action>) {
+    let mut facts = facts(Lagging::AnswersAnyway);
+    facts.marks_carried = false;
+    facts.methods[ANY].need = Need::Session;
+    let (now, mut actions) = (Moment(1_000_000_000_000), Vec::new());
+    let mut router = Router::new(1, &facts, now, &mut actions);
+    let entry = |store| Entry {
+        store,
+        group: 0,
+        zone: 0,
+        standing: Standing::Open,
+        primary: store == 0,
+        started: None,
+        presumed: false,
+    };
+    router.handle(now, Event::List { whole: true, entries: vec![entry(0), entry(1)] }, &mut actions);
+    (router, now, actions)
+}
+
+#[test]
+fn marks_of_sessions_that_never_come_back_are_forgotten_and_nobody_is_shown_less_for_it() {
+    let (mut router, start, mut actions) = remembering();
+    let probe = |router: &mut Router, now: Moment, store: StoreIx, at: Moment, actions: &mut Vec<Action>| {
+        let role = Some(if store == 0 { Role::Primary } else { Role::Replica });
+        let report = Told { position: Some(at), role, load: None };
+        router.handle(now, Event::Probed { store, outcome: Outcome::Ok, elapsed: TICK, report }, actions);
+    };
+    let arrive = |router: &mut Router, now: Moment, rpc, method, key, actions: &mut Vec<Action>| {
+        let (session, deadline) = (Some(key), now + Span::millis(2_000));
+        let (last_write, seen, repeat) = (None, None, false);
+        let new = Arrival { rpc, method, group: 0, session, last_write, seen, deadline, repeat };
+        router.handle(now, Event::Arrived(new), actions);
+    };
+    let to = |actions: &[Action], rpc: RpcId| {
+        actions.iter().find_map(|action| match action {
+            Action::Send { rpc: sent, store, .. } if *sent == rpc => Some(*store),
+            _ => None,
+        })
+    };
+    probe(&mut router, start, 0, start, &mut actions);
+    probe(&mut router, start, 1, start, &mut actions);
+    // Far more sessions than are kept write, each once; the replica stands still, so none may be let go for free.
+    let (many, mut now) = (80_000u64, start);
+    for key in 0..many {
+        now = now + Span(10_000);
+        actions.clear();
+        arrive(&mut router, now, key, WRITE, key, &mut actions);
+        if to(&actions, key).is_some() {
+            let note = Told { position: Some(now), role: Some(Role::Primary), load: None };
+            let (call_out, outcome, elapsed, closed, report) =
+                (0, Outcome::Ok, Span(1), true, Told::default());
+            let end = End { rpc: key, call_out, store: 0, outcome, elapsed, closed, note, report };
+            router.handle(now, Event::Ended(end), &mut actions);
+        }
+    }
+    router.handle(now, Event::Timer { tag: 0 }, &mut actions);
+    assert!(router.remembered() <= 1 << 16, "{} are kept", router.remembered());
+    // The first session's mark is gone, and it still is not sent to a replica that has not got there.
+    for (rpc, key) in [(many, 0), (many + 1, many - 1)] {
+        actions.clear();
+        arrive(&mut router, now, rpc, ANY, key, &mut actions);
+        assert_ne!(to(&actions, rpc), Some(1), "session {key}");
+    }
+    // Once every store has got there, no mark is left and none is needed.
+    probe(&mut router, now, 0, now, &mut actions);
+    probe(&mut router, now, 1, now, &mut actions);
+    router.handle(now, Event::Timer { tag: 0 }, &mut actions);
+    assert_eq!(router.remembered(), 0);
+    actions.clear();
+    arrive(&mut router, now, many + 2, ANY, 3, &mut actions);
+    assert_eq!(to(&actions, many + 2), Some(1));
+}
+
 #[test]
 fn a_replica_of_another_zone_is_taken_once_the_own_one_has_more_in_flight() {
     let mut bench = Bench::ready(Lagging::AnswersAnyway, 1, 1);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -22,6 +22,8 @@
     pub out: Option<(u32, StoreIx, Moment)>,
     pub call_outs: u32,
     pub ran_from: Option<Moment>,
+    /// What its session has seen.
+    pub seen: Option<Moment>,
 }
 
 pub struct Bench {
@@ -45,6 +47,8 @@
     pub sent: Vec<(RpcId, StoreIx)>,
     /// How busy the next stores probed say they are.
     pub load: Option<f64>,
+    /// What the next RPCs' session has seen.
+    pub seen: Option<Moment>,
     next: RpcId,
 }
 
@@ -116,6 +120,7 @@
             answers: BTreeMap::new(),
             sent: Vec::new(),
             load: None,
+            seen: None,
             next: 0,
         };
         bench.check(actions);
@@ -155,7 +160,9 @@
         let deadline = self.now + self.facts.methods[method].deadline.times(share);
         let rpc = self.next;
         self.next += 1;
-        self.live.insert(rpc, Live { method, group, deadline, out: None, call_outs: 0, ran_from: None });
+        let seen = self.seen;
+        let live = Live { method, group, deadline, out: None, call_outs: 0, ran_from: None, seen };
+        self.live.insert(rpc, live);
         let (session, last_write) = (Some(7), None);
         self.give(Event::Arrived(Arrival {
             rpc,
@@ -163,6 +170,7 @@
             group,
             session,
             last_write,
+            seen,
             deadline,
             repeat: false,
         }));
@@ -282,6 +290,9 @@
             };
             assert!(needed.is_none() || self.told[store] >= needed, "no proof that it is fresh enough");
         }
+        if !writes && !self.excused[store] {
+            assert!(live.seen.is_none() || self.told[store] >= live.seen, "less than its session has seen");
+        }
         if self.started[store].is_some_and(|at| self.now - at < self.facts.fall_window) {
             self.sent_cold[store].push(self.now);
         }
