Writes are on record before they leave, and a client may ask what became of one

Need: after a restart nobody could say whether a deposit was taken.

Result: on sockets, 14 kills of a front under six writers: every fate told is right against what the store ran, nothing told never runs later under its id.

--- a/conf/src/lib.rs
+++ b/conf/src/lib.rs
@@ -5,4 +5,4 @@
 mod settings;
 
 pub use line::{split, Fault};
-pub use settings::{parse, Format, Identity, Settings};
+pub use settings::{parse, Format, Identity, Journal, Settings};
--- a/conf/src/settings.rs
+++ b/conf/src/settings.rs
@@ -21,6 +21,17 @@
     Postgres,
 }
 
+/// Whether writes are kept on record, and how far a record must have come before a write leaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Journal {
+    #[default]
+    Off,
+    /// With the operating system: survives the process.
+    System,
+    /// On the disk: survives the machine.
+    Disk,
+}
+
 /// All settings. Each is off or at its default where no line names it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -33,6 +44,12 @@
     pub session_keys: Option<PathBuf>,
     /// How long a token counts from its issue: 1 s to 30 days.
     pub session_lasts: Duration,
+    /// Stands in the state directory.
+    pub write_journal: Journal,
+    /// How long a record is kept: a minute to 30 days.
+    pub write_journal_keeps: Duration,
+    /// How many records are kept: 1,000 to 100 million.
+    pub write_journal_most: u64,
     pub log_format: Format,
     /// What of the log is written: `error`, `warn`, `info`, `debug`.
     pub log_level: String,
@@ -48,6 +65,9 @@
             store_identity: Identity::default(),
             session_keys: None,
             session_lasts: Duration::from_secs(3600),
+            write_journal: Journal::default(),
+            write_journal_keeps: Duration::from_secs(3600),
+            write_journal_most: 1_000_000,
             log_format: Format::default(),
             log_level: "info".to_string(),
             log_buffer: 64 << 10,
@@ -96,6 +116,25 @@
         settings.session_lasts = lasts;
         Ok(())
     }),
+    ("write-journal", |settings, word| {
+        let known = [("off", Journal::Off), ("system", Journal::System), ("disk", Journal::Disk)];
+        settings.write_journal = one_of(word, &known)?;
+        Ok(())
+    }),
+    ("write-journal-keeps", |settings, word| {
+        let keeps = humantime::parse_duration(word).map_err(|why| format!("{word:?}: {why}"))?;
+        if !(Duration::from_secs(60)..=Duration::from_secs(30 * 86_400)).contains(&keeps) {
+            return Err(format!("{word:?} is not between 1m and 30days"));
+        }
+        settings.write_journal_keeps = keeps;
+        Ok(())
+    }),
+    ("write-journal-most", |settings, word| {
+        let most = word.parse().ok().filter(|most| (1_000..=100_000_000).contains(most));
+        settings.write_journal_most =
+            most.ok_or_else(|| format!("{word:?} is not between 1000 and 100000000"))?;
+        Ok(())
+    }),
     ("log-format", |settings, word| {
         settings.log_format = one_of(word, &[("text", Format::Text), ("json", Format::Json)])?;
         Ok(())
@@ -176,6 +215,9 @@
         note("store-identity", self.store_identity != newer.store_identity);
         note("session-keys", self.session_keys != newer.session_keys);
         note("session-lasts", self.session_lasts != newer.session_lasts);
+        note("write-journal", self.write_journal != newer.write_journal);
+        note("write-journal-keeps", self.write_journal_keeps != newer.write_journal_keeps);
+        note("write-journal-most", self.write_journal_most != newer.write_journal_most);
         note("log-format", self.log_format != newer.log_format);
         note("log-level", self.log_level != newer.log_level);
         note("log-buffer", self.log_buffer != newer.log_buffer);
--- a/front/src/lib.rs
+++ b/front/src/lib.rs
@@ -29,3 +29,4 @@
 pub mod take_in;
 pub mod tasks;
 pub mod wire;
+pub mod writes;
--- a/front/src/mailbox.rs
+++ b/front/src/mailbox.rs
@@ -7,6 +7,7 @@
 use sessions::marks::Mark;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
+use writes::fate::Fate;
 
 /// What an answer shows its session.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -23,6 +24,8 @@
     Value(Vec<u8>, Seen),
     /// What its session saw of the group is lost: it did not run.
     Lost,
+    /// What became of a write.
+    Fate(Fate),
     PushBack(Option<Span>),
     Abort,
     Refused(&'static str, &'static str),
--- a/front/src/news.rs
+++ b/front/src/news.rs
@@ -12,6 +12,7 @@
 use sessions::epochs::Epoch;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use writes::fate::Origin;
 
 pub enum News {
     Arrived(Admission, Query, Ticket),
@@ -37,6 +38,12 @@
         hosts: Vec<Host>,
     },
     ListFailed,
+    /// A client asks what became of a write.
+    Fate {
+        id: String,
+        origin: Option<Origin>,
+        ticket: Ticket,
+    },
     /// A list kept from before this start, with the version that discovery gave it.
     Kept(Kept),
     /// Answer to a question of recovery's.
@@ -67,6 +74,10 @@
     pub by: Moment,
     pub query: Arc<Query>,
     pub bell: Arc<Bell>,
+    /// Its RPC's id, where it must be on record before it leaves.
+    pub journaled: Option<Arc<str>>,
+    /// An earlier call-out of the RPC is on record.
+    pub again: bool,
 }
 
 /// What became of a call-out.
@@ -80,12 +91,18 @@
     pub report: Told,
     pub epoch: Option<Epoch>,
     pub value: Vec<u8>,
+    /// It was recorded, whether or not it left then.
+    pub recorded: bool,
+    /// Its id is another's in the journal: it must not leave.
+    pub barred: bool,
 }
 
 impl End {
     /// A call-out that never left.
     pub fn moot(rpc: RpcId, number: u32, store: StoreIx, sent: Moment) -> End {
         let (note, report) = (Told::default(), Told::default());
-        End { rpc, number, store, sent, outcome: Outcome::Moot, note, report, epoch: None, value: Vec::new() }
+        let (epoch, value, recorded, barred) = Default::default();
+        let outcome = Outcome::Moot;
+        End { rpc, number, store, sent, outcome, note, report, epoch, value, recorded, barred }
     }
 }
--- a/front/src/owner.rs
+++ b/front/src/owner.rs
@@ -11,9 +11,10 @@
 use crate::news::{self, CallOut, Heard, News};
 use crate::pool::NoWire;
 use crate::send::Outlet;
+use crate::writes::Writes;
 use gingerwick::choice::Router;
 use gingerwick::iface::{
-    Action, Arrival, End, Entry, Event, Facts, Need, Outcome, RpcId, Standing, StoreIx, Told,
+    Action, Arrival, Effect, End, Entry, Event, Facts, Need, Outcome, RpcId, Standing, StoreIx, Told,
 };
 use gingerwick::time::{Moment, Span};
 use hosting::book::Book;
@@ -30,6 +31,7 @@
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::Arc;
+use writes::fate::{Fate, Input};
 
 /// What the book keeps of an RPC.
 struct Live {
@@ -38,6 +40,11 @@
     /// What its session has seen, and whether the RPC is a read, which must show that much.
     mark: Option<Mark>,
     reads: bool,
+    /// It may not run twice, so it is kept on record.
+    journaled: bool,
+    recorded: bool,
+    /// A call-out of it may have run, or has.
+    may_have_run: bool,
     resort: Moment,
     ticket: Option<Ticket>,
     query: Arc<Query>,
@@ -89,6 +96,7 @@
     regain: Option<Regain>,
     /// What is known of the groups' logs.
     epochs: Epochs,
+    writes: Option<Arc<Writes>>,
     /// What recovery wants done.
     tasks: Vec<Task>,
     /// The list's own words on stores that recovery has not opened yet.
@@ -105,7 +113,8 @@
         news: Receiver<News>,
         recovers: Option<Recovers>,
     ) -> Owner {
-        let state = State::new(seed, &facts, outlet.alarms(), recovers.as_ref());
+        let mut state = State::new(seed, &facts, outlet.alarms(), recovers.as_ref());
+        state.writes.clone_from(&outlet.writes);
         let (listed, alarm, anew, vouched) = (BTreeMap::new(), None, false, false);
         Owner { facts, seed, zones, most_held, outlet, news, listed, alarm, anew, vouched, recovers, state }
     }
@@ -119,6 +128,7 @@
             self.seed = self.seed.wrapping_add(1);
             let vouched = self.state.regain.as_ref().is_some_and(Regain::is_vouched);
             self.state = State::new(self.seed, &self.facts, self.outlet.alarms(), self.recovers.as_ref());
+            self.state.writes.clone_from(&self.outlet.writes);
             self.vouched = vouched;
             self.anew = true;
             let _ = self.outlet.owner.send(News::Tick);
@@ -207,6 +217,13 @@
                 let dials: BTreeSet<SocketAddr> = state.dials.iter().flatten().copied().collect();
                 self.outlet.pool.keep_only(&dials);
             }
+            News::Fate { id, origin, ticket } => {
+                let alive = state.ids.contains(id.as_str());
+                match &state.writes {
+                    Some(writes) => writes.ask(id, origin, alive, |fate| ticket.answer(Answer::Fate(fate))),
+                    None => ticket.answer(Answer::Fate(Fate::NotKnown)),
+                }
+            }
             News::ListFailed => state.tell(now, Event::ListFailed),
             News::Tick => state.recover(now, Regained::Tick),
         }
@@ -304,13 +321,25 @@
                     let bell = Arc::new(Bell::default());
                     let Some(live) = state.book.get_mut(rpc) else { continue };
                     live.out = Some((number, bell.clone()));
-                    let query = live.query.clone();
+                    let (query, again) = (live.query.clone(), live.recorded);
+                    let journaled = live.journaled.then(|| live.id.clone());
                     let Some(addr) = state.dials[store] else {
                         ends.push(news::End::moot(rpc, number, store, now));
                         continue;
                     };
                     let by = now + time_out;
-                    self.outlet.send(CallOut { rpc, number, store, addr, sent: now, by, query, bell });
+                    self.outlet.send(CallOut {
+                        rpc,
+                        number,
+                        store,
+                        addr,
+                        sent: now,
+                        by,
+                        query,
+                        bell,
+                        journaled,
+                        again,
+                    });
                 }
                 Action::PushBack { rpc, come_back } => state.answer(rpc, Answer::PushBack(come_back)),
                 Action::Abort { rpc } => state.answer(rpc, Answer::Abort),
@@ -363,6 +392,7 @@
             actions,
             regain: recovers.map(regain),
             epochs: Epochs::default(),
+            writes: None,
             tasks: Vec::new(),
             waiting: BTreeMap::new(),
         }
@@ -455,6 +485,8 @@
 
     fn arrive(&mut self, now: Moment, new: Admission, query: Query, ticket: Ticket, facts: &Facts) {
         let (tick, come_back) = (facts.tick, facts.max_come_back);
+        let effect = facts.methods.get(new.method).map(|method| method.effect);
+        let journaled = self.writes.is_some() && effect != Some(Effect::Idempotent);
         let reads = facts.methods.get(new.method).is_some_and(|method| method.need != Need::Write);
         if self.groups.is_empty() {
             // No list has come yet: which groups there are is not known.
@@ -482,6 +514,9 @@
                 cluster,
                 mark,
                 reads,
+                journaled,
+                recorded: false,
+                may_have_run: false,
                 resort,
                 ticket: Some(ticket),
                 query: Arc::new(query),
@@ -495,8 +530,17 @@
     }
 
     fn ended(&mut self, now: Moment, end: news::End, come_back: Option<Span>) {
-        let news::End { rpc, number, store, sent, outcome, note, report, epoch, value } = end;
+        let news::End { rpc, number, store, sent, outcome, note, report, epoch, value, recorded, barred } =
+            end;
         let Some(live) = self.book.get_mut(rpc) else { return };
+        live.recorded |= recorded;
+        live.may_have_run |= !outcome.proves_it_never_ran();
+        if let (Some(writes), true, Outcome::Ok) = (&self.writes, live.recorded, outcome) {
+            writes.ended(&live.id, Input::Ran(note.position.map(|at| at.0 / 1_000_000)));
+        }
+        if let Some(ticket) = live.ticket.take_if(|_| barred) {
+            ticket.answer(Answer::Refused("42710", "id is that of a write on record: ask for its fate"));
+        }
         if outcome == Outcome::Ok {
             if let Some(epoch) = epoch {
                 self.epochs.learn(live.cluster, epoch);
@@ -534,6 +578,9 @@
     fn strike(&mut self, rpc: RpcId, page: Option<Live>) {
         if let Some(live) = page {
             self.ids.remove(&live.id);
+            if let (Some(writes), true, false) = (&self.writes, live.recorded, live.may_have_run) {
+                writes.ended(&live.id, Input::ProvedNever);
+            }
             self.resorts.remove(&(live.resort, rpc));
         }
     }
--- a/front/src/pg.rs
+++ b/front/src/pg.rs
@@ -130,8 +130,11 @@
 /// The parameter by which a client is given its session's token.
 pub const SESSION: &str = "gingerwick.session";
 
+/// The parameter that says where a client's writes will be on record.
+const ORIGIN: &str = "gingerwick.origin";
+
 /// What a client is told when its session begins.
-pub fn greeting(out: &mut Vec<u8>, minor: u16, number: u32, session: Option<&str>) {
+pub fn greeting(out: &mut Vec<u8>, minor: u16, number: u32, session: Option<&str>, origin: Option<&str>) {
     if minor > 0 {
         put(out, b'v', |out| out.extend_from_slice(&[0; 8]));
     }
@@ -149,6 +152,9 @@
     if let Some(token) = session {
         status(out, SESSION, token);
     }
+    if let Some(origin) = origin {
+        status(out, ORIGIN, origin);
+    }
     // A number to cancel by is part of the greeting; cancels are closed unread.
     put(out, b'K', |out| {
         out.extend_from_slice(&number.to_be_bytes());
@@ -169,6 +175,22 @@
     out
 }
 
+/// A result of one row with one column of text.
+pub fn text_row(out: &mut Vec<u8>, column: &str, value: &str) {
+    put(out, b'T', |out| {
+        out.extend_from_slice(&[0, 1]);
+        text(out, column);
+        // No table, type 25 (text) of any length, as text.
+        out.extend_from_slice(&[0, 0, 0, 0, 0, 0, 0, 0, 0, 25, 255, 255, 255, 255, 255, 255, 0, 0]);
+    });
+    put(out, b'D', |out| {
+        out.extend_from_slice(&[0, 1]);
+        out.extend_from_slice(&(value.len() as u32).to_be_bytes());
+        out.extend_from_slice(value.as_bytes());
+    });
+    complete(out, "SHOW");
+}
+
 pub fn query(out: &mut Vec<u8>, statement: &str) {
     put(out, b'Q', |out| text(out, statement));
 }
@@ -271,6 +293,8 @@
     /// Answered at once by this word; without effect here.
     Vain(&'static str),
     Kv(Head<'a>),
+    /// Asks what became of the write with this id, and says where it was sent.
+    Fate(&'a str, Option<&'a str>),
     /// Why it can't be taken: SQLSTATE and message.
     Refused(&'static str, &'static str),
 }
@@ -297,12 +321,39 @@
             return Vain(word);
         }
     }
+    if let Some(comment) = trimmed.strip_suffix("SHOW gingerwick.fate") {
+        return match fate(comment) {
+            Some((id, at)) => Statement::Fate(id, at),
+            None => Refused("42601", "a fate is asked for by /* fate=ID,at=ORIGIN */ SHOW gingerwick.fate"),
+        };
+    }
     match head(text) {
         Ok(head) => Kv(head),
         Err(why) => Refused("42601", why),
     }
 }
 
+fn fate(comment: &str) -> Option<(&str, Option<&str>)> {
+    let inner = comment.trim().strip_prefix("/*")?.strip_suffix("*/")?;
+    let (mut id, mut at) = (None, None);
+    for pair in inner.split(',') {
+        let (name, value) = pair.split_once('=')?;
+        let place = match name.trim() {
+            "fate" => &mut id,
+            "at" => &mut at,
+            _ => return None,
+        };
+        if place.replace(value.trim()).is_some() {
+            return None;
+        }
+    }
+    Some((id.filter(|id| fits(id))?, at))
+}
+
+fn fits(id: &str) -> bool {
+    (1..=MOST_ID).contains(&id.len()) && id.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
 fn head(text: &str) -> Result<Head<'_>, &'static str> {
     let open = text.find("/*").ok_or("no comment at the head of the statement")?;
     if !text[..open].trim().is_empty() {
@@ -335,7 +386,7 @@
         }
         at += pair.len() + 1;
     }
-    if !(1..=MOST_ID).contains(&head.id.len()) || !head.id.bytes().all(|byte| byte.is_ascii_graphic()) {
+    if !fits(head.id) {
         return Err("comment without a fit id");
     }
     if head.class.is_empty() {
--- a/front/src/send.rs
+++ b/front/src/send.rs
@@ -8,6 +8,7 @@
 use crate::relay::{report, Reply};
 use crate::tasks::spawn;
 use crate::wire::{Stop, Wire};
+use crate::writes::{Word, Writes};
 use gingerwick::iface::{Outcome, StoreIx, Told};
 use gingerwick::time::{Moment, Span};
 use may::sync::mpsc::{channel, Sender};
@@ -29,14 +30,15 @@
     }
 }
 
-pub fn call_out(pool: &Pool, owner: Sender<News>, job: CallOut) {
+pub fn call_out(pool: &Pool, writes: Option<&Writes>, owner: Sender<News>, job: CallOut) {
     let CallOut { rpc, number, store, sent, .. } = job;
     let end = End { outcome: Outcome::Broken, ..End::moot(rpc, number, store, sent) };
     let mut pending = Pending { owner, end: Some(end) };
-    let sent = attempt(pool, &pending.owner, &job);
+    let sent = attempt(pool, writes, &pending.owner, &job);
     if let Some(end) = &mut pending.end {
         (end.outcome, end.value) = (sent.outcome, sent.value);
         (end.note, end.report, end.epoch) = (sent.note, sent.report, sent.epoch);
+        (end.recorded, end.barred) = (sent.recorded, sent.barred);
     }
     drop(pending);
     if let Some(wire) = sent.free {
@@ -52,16 +54,31 @@
     report: Told,
     epoch: Option<Epoch>,
     free: Option<Wire>,
+    recorded: bool,
+    barred: bool,
 }
 
 impl Sent {
     fn unsent(outcome: Outcome) -> Sent {
         let (note, report) = Default::default();
-        Sent { outcome, value: Vec::new(), note, report, epoch: None, free: None }
+        let (epoch, free, recorded, barred) = Default::default();
+        Sent { outcome, value: Vec::new(), note, report, epoch, free, recorded, barred }
     }
 }
 
-fn attempt(pool: &Pool, owner: &Sender<News>, job: &CallOut) -> Sent {
+fn attempt(pool: &Pool, writes: Option<&Writes>, owner: &Sender<News>, job: &CallOut) -> Sent {
+    let mut recorded = false;
+    let sent = leave(pool, writes, owner, job, &mut recorded);
+    Sent { recorded, ..sent }
+}
+
+fn leave(
+    pool: &Pool,
+    writes: Option<&Writes>,
+    owner: &Sender<News>,
+    job: &CallOut,
+    recorded: &mut bool,
+) -> Sent {
     let CallOut { addr, by, bell, query, .. } = job;
     loop {
         let reused = pool.reuse(addr);
@@ -71,6 +88,15 @@
             Err(why) => return Sent::unsent(why.outcome),
         };
         wire.listen_to(*by, bell);
+        // On record first: the word that it may leave must be the last before it does.
+        if let (Some(id), Some(writes), false) = (&job.journaled, writes, *recorded) {
+            let word = writes.may_leave(id, job.again);
+            *recorded = word == Word::Go;
+            if !*recorded {
+                pool.keep(*addr, wire);
+                return Sent { barred: word == Word::Barred, ..Sent::unsent(Outcome::Moot) };
+            }
+        }
         // Connecting took its time: what held when this was decided may hold no more.
         if !confirmed(owner, job) {
             pool.keep(*addr, wire);
@@ -112,7 +138,14 @@
     let buffer = wire.take_buffer();
     let value = if outcome == Outcome::Ok { reply.value(buffer) } else { Vec::new() };
     let (note, report) = reply.told();
-    Sent { outcome, value, note, report, epoch: reply.told_epoch(), free: frees.then_some(wire) }
+    Sent {
+        value,
+        note,
+        report,
+        epoch: reply.told_epoch(),
+        free: frees.then_some(wire),
+        ..Sent::unsent(outcome)
+    }
 }
 
 /// It was written whole, so it may have run.
@@ -223,6 +256,7 @@
     pub pool: Arc<Pool>,
     pub owner: Sender<News>,
     pub probe_within: Span,
+    pub writes: Option<Arc<Writes>>,
 }
 
 impl Outlet {
@@ -231,17 +265,17 @@
     }
 
     pub fn send(&self, job: CallOut) {
-        let Outlet { pool, owner, .. } = self.clone();
-        spawn(move || call_out(&pool, owner, job));
+        let Outlet { pool, owner, writes, .. } = self.clone();
+        spawn(move || call_out(&pool, writes.as_deref(), owner, job));
     }
 
     pub fn probe(&self, store: StoreIx, addr: SocketAddr) {
-        let Outlet { pool, owner, probe_within } = self.clone();
+        let Outlet { pool, owner, probe_within, .. } = self.clone();
         spawn(move || probe(&pool, owner, store, addr, probe_within));
     }
 
     pub fn ask(&self, store: StoreIx, addr: SocketAddr, who: bool) {
-        let Outlet { pool, owner, probe_within } = self.clone();
+        let Outlet { pool, owner, probe_within, .. } = self.clone();
         spawn(move || ask(&pool, owner, store, addr, probe_within, who));
     }
 }
--- a/front/src/session.rs
+++ b/front/src/session.rs
@@ -13,6 +13,7 @@
 use crate::shutdown::Leave;
 use crate::take_in::{Item, TakeIn};
 use crate::wire::{BREATH, BURST, LIGHT};
+use crate::writes::Writes;
 use gingerwick::iface::RpcId;
 use gingerwick::time::{Moment, Span};
 use may::io::WaitIo;
@@ -25,6 +26,7 @@
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
+use writes::fate::{Fate, Origin};
 
 /// Queries of one client answered side by side; what it sends beyond them stays unread.
 const MOST_PENDING: usize = 64;
@@ -47,6 +49,8 @@
     pub leave: Arc<Leave>,
     /// Where sessions are carried by their clients.
     pub carry: Option<Arc<Carry>>,
+    /// Where writes are kept on record.
+    pub writes: Option<Arc<Writes>>,
     pub rpcs: AtomicU64,
     pub number: AtomicU64,
 }
@@ -282,7 +286,7 @@
     /// Begins or takes up what the client carries, where it asked for that and it is given here.
     fn greet(&mut self, minor: u16, hello: Hello) {
         let now = self.shared.alarms.now();
-        let carry = self.shared.carry.clone();
+        let (carry, asked) = (self.shared.carry.clone(), hello.session.is_some());
         let token = match (carry, hello.session) {
             (Some(carry), Some(word)) => match carry.begin(now, &word, &hello.audience) {
                 Ok(carried) => {
@@ -295,12 +299,21 @@
             _ => None,
         };
         let number = self.shared.number.fetch_add(1, Ordering::Relaxed) as u32;
-        self.say(|out| pg::greeting(out, minor, number, token.as_deref()));
+        let origin = self.shared.writes.as_ref().filter(|_| asked).map(|writes| writes.origin());
+        self.say(|out| pg::greeting(out, minor, number, token.as_deref(), origin.as_deref()));
     }
 
     fn query(&mut self, body: Vec<u8>) {
         let terms = &self.shared.terms;
         let head = match pg::statement(&body) {
+            Statement::Fate(id, at) => {
+                let (id, origin) = (id.to_string(), at.and_then(Origin::parse));
+                let rpc = self.shared.rpcs.fetch_add(1, Ordering::Relaxed);
+                self.slots.push_back(Slot::Open(rpc, 0));
+                let ticket = Ticket::new(rpc, self.mailbox.clone());
+                let _ = self.shared.owner.send(News::Fate { id, origin, ticket });
+                return;
+            }
             Statement::Empty => return self.reply(pg::empty),
             Statement::Vain(word) => return self.reply(|out| pg::complete(out, word)),
             Statement::Refused(code, why) => Err((code, why)),
@@ -436,6 +449,21 @@
     let mut out = Vec::new();
     match answer {
         Answer::Value(value, _) => out = value,
+        Answer::Fate(Fate::Ran(commit)) => {
+            let commit = commit.map_or(String::new(), |ms| format!(" {ms}"));
+            pg::text_row(&mut out, "fate", &format!("ran{commit}"));
+        }
+        Answer::Fate(Fate::Never) => pg::text_row(&mut out, "fate", "never"),
+        Answer::Fate(Fate::UnderWay) => pg::text_row(&mut out, "fate", "under way"),
+        Answer::Fate(Fate::NotKnown) => {
+            pg::error(
+                &mut out,
+                "ERROR",
+                "40003",
+                "what became of it is not known here: it may have run",
+                None,
+            );
+        }
         Answer::Lost => {
             let why =
                 "what this session saw of the group is lost, by a switch of its primary; it did not run";
--- a/front/src/start.rs
+++ b/front/src/start.rs
@@ -19,6 +19,7 @@
 use crate::shutdown::Leave;
 use crate::tasks::{spawn, spawn_long_lived, STACK};
 use crate::wire::BREATH;
+use crate::writes::Writes;
 use conf::{Identity, Settings};
 use gingerwick::rng::Mwc;
 use gingerwick::time::Span;
@@ -33,6 +34,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
+use writes::journal::{Bounds, Sync};
 
 /// Runs until the front has left; an error is what hindered the start.
 pub fn run(conf: Conf) -> Result<(), Fault> {
@@ -66,7 +68,9 @@
         .map_err(|why| (exit::OS, vec![format!("ROUTER_LISTEN: {listen}: {why}")]))?;
 
     let terms = Terms::new(settings.classes.iter().map(|class| class.name.clone()).collect(), &facts);
-    let outlet = Outlet { pool: pool.clone(), owner: owner.clone(), probe_within: dial };
+    let writes = journal(&operators)?;
+    let outlet =
+        Outlet { pool: pool.clone(), owner: owner.clone(), probe_within: dial, writes: writes.clone() };
     let come_back = facts.max_come_back;
     let most_held = settings.allowed.most_held;
     let state = operators.state_dir.as_deref().map(|dir| State::take_up(dir, clock, &operators, &mut launch));
@@ -123,6 +127,7 @@
         come_back,
         leave: leave.clone(),
         carry: carry.clone(),
+        writes,
         rpcs: AtomicU64::new(0),
         number: AtomicU64::new(1),
     };
@@ -157,6 +162,21 @@
 /// A save on leaving may take so long at most: nobody is answered later for it.
 const FINISH_WITHIN: Duration = Duration::from_millis(50);
 
+/// The journal of writes, where one is kept. Without it nothing may be promised, so a front that can't have it does not
+/// start.
+fn journal(operators: &Settings) -> Result<Option<Arc<Writes>>, Fault> {
+    let sync = match operators.write_journal {
+        conf::Journal::Off => return Ok(None),
+        conf::Journal::System => Sync::System,
+        conf::Journal::Disk => Sync::Disk,
+    };
+    let fault = |why: String| (exit::CONFIG, vec![format!("write-journal: {why}")]);
+    let dir = operators.state_dir.as_ref().ok_or_else(|| fault("it needs a state-dir".into()))?;
+    let age_ms = operators.write_journal_keeps.as_millis() as i64;
+    let bounds = Bounds { most: operators.write_journal_most, age_ms };
+    Writes::start(&dir.join("writes"), sync, bounds, name_seed()).map(Some).map_err(fault)
+}
+
 /// Sessions' names must differ between starts, fronts and operators' seeds: this one is the system's own
 /// chance.
 fn name_seed() -> u64 {
--- /dev/null
+++ b/front/tests/fates.rs
@@ -0,0 +1,178 @@
+//! What a client is told of a write that it asks about again, through kills of the front that had it.
+
+use gingerwick::rng::Mwc;
+use standins::client::{Answer, Client, Kind};
+use standins::daemon::{Daemon, Start};
+use standins::discovery::{host, Discovery, Mode};
+use standins::starts::settings;
+use standins::store::{free_address, serve, Served};
+use standins::world::{Branch, Cold, Machine, World};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// One primary, which takes a few milliseconds for each write, and two fronts with journals of their own.
+struct Place {
+    folder: tempfile::TempDir,
+    listen: [SocketAddr; 2],
+    discovery: Discovery,
+    world: Arc<World>,
+    _served: Served,
+}
+
+impl Place {
+    fn new(work_ms: i64) -> Place {
+        let cold = Cold { from: 1.0, for_ms: 1, fall_multiple: 9.0, window_ms: 500, work_ms };
+        let world = Arc::new(World::new(cold, 250));
+        world.lock().branches.insert(1, vec![Branch { forked_ms: 0, truth: true }]);
+        world.lock().machines = vec![Machine::of("s-0".into(), 1, None, 0)];
+        let served = serve(&world, 0);
+        let discovery = Discovery::start(Mode::Up, 1, vec![host("s-0", &served.addr, 1, true, "SERVING", 0)]);
+        let folder = tempfile::tempdir().expect("a folder");
+        let listen = [free_address(), free_address()];
+        Place { folder, listen, discovery, world, _served: served }
+    }
+
+    fn start(&self, nth: usize) -> Daemon {
+        let folder = self.folder.path().join(format!("front-{nth}"));
+        std::fs::create_dir_all(folder.join("state")).expect("made");
+        let facts = format!(r#"{{"seed":"{nth}","settings":{}}}"#, settings());
+        let conf = format!("state-dir {}\nwrite-journal system\n", folder.join("state").display());
+        let start = Start {
+            program: Path::new(env!("CARGO_BIN_EXE_gingerwick")),
+            facts: &facts,
+            conf: Some(&conf),
+            folder: &folder,
+            listen: self.listen[nth],
+            discovery: self.discovery.addr,
+        };
+        Daemon::start(&start).expect("it starts")
+    }
+
+    fn client(&self, nth: usize) -> Client {
+        let began = Instant::now();
+        loop {
+            match Client::with_session(&self.listen[nth], "backend", Some("new")) {
+                Ok(client) => return client,
+                Err(why) => assert!(began.elapsed() < Duration::from_secs(10), "{why}"),
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    fn runs(&self, id: &str) -> usize {
+        self.world.lock().runs.get(id).map_or(0, Vec::len)
+    }
+}
+
+#[test]
+fn through_kills_no_client_is_told_wrong_and_nothing_runs_after_it_was_told_never() {
+    let place = Place::new(4);
+    let mut rng = Mwc::new(7);
+    // What each write was answered, where it was sent, and what was told of it later.
+    let sent: Arc<Mutex<Vec<(String, String, Answer)>>> = Arc::default();
+    let (mut told_ran, mut told_never, mut not_known) = (0, 0, 0);
+    for round in 0..14 {
+        let daemon = place.start(0);
+        let over = Arc::new(AtomicBool::new(false));
+        let writers: Vec<_> = (0..6)
+            .map(|nth| {
+                let (over, sent, mut client) = (over.clone(), sent.clone(), place.client(0));
+                thread::spawn(move || {
+                    let origin = client.origin.clone().expect("told at the start");
+                    for serial in 0.. {
+                        if over.load(Ordering::Acquire) {
+                            return;
+                        }
+                        let id = format!("k{round}-{nth}-{serial}");
+                        let answer = client.ask(&id, 1, Kind::Write, 400).answer;
+                        let lost = answer == Answer::None;
+                        let mut sent = sent.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+                        sent.push((id, origin.clone(), answer));
+                        if lost {
+                            return;
+                        }
+                    }
+                })
+            })
+            .collect();
+        thread::sleep(Duration::from_millis(120 + rng.below(160) as u64));
+        daemon.kill();
+        over.store(true, Ordering::Release);
+        writers.into_iter().for_each(|writer| writer.join().expect("no writer panics"));
+        // A store may still be at work on what left; it ends soon after.
+        thread::sleep(Duration::from_millis(60));
+        let daemon = place.start(0);
+        let mut client = place.client(0);
+        let sent = std::mem::take(&mut *sent.lock().expect("no writer panicked"));
+        for (id, origin, answer) in &sent {
+            let runs = place.runs(id);
+            let fate = client.fate(id, origin);
+            let right = match &fate {
+                Answer::Value(word) if word.starts_with("ran") => {
+                    told_ran += 1;
+                    runs == 1
+                }
+                Answer::Value(word) if word == "never" => {
+                    told_never += 1;
+                    runs == 0
+                }
+                Answer::Error(code) if code == "40003" => {
+                    not_known += 1;
+                    true
+                }
+                _ => false,
+            };
+            assert!(right && runs <= 1, "{id}, answered {answer:?}, told {fate:?}, ran {runs} times");
+            // Who was pushed back or told never may send it again, under another id; under this one nothing goes.
+            if *answer == Answer::None && fate == Answer::Value("never".into()) {
+                let again = client.ask(id, 1, Kind::Write, 400).answer;
+                assert_eq!(again, Answer::Error("42710".into()), "{id}");
+                assert_eq!(place.runs(id), 0);
+            }
+        }
+        daemon.kill();
+    }
+    println!("told: {told_ran} ran, {told_never} never, {not_known} not known");
+    assert!(told_ran > 100 && told_never + not_known > 0);
+}
+
+#[test]
+fn a_write_that_never_left_or_went_elsewhere_is_told_as_such() {
+    let place = Place::new(300);
+    let _daemons = [place.start(0), place.start(1)];
+    let mut client = place.client(0);
+    let origin = client.origin.clone().expect("told at the start");
+    assert_eq!(client.fate("nobody", &origin), Answer::Value("never".into()));
+    assert_eq!(
+        client.ask("nobody", 1, Kind::Write, 900).answer,
+        Answer::Error("42710".into()),
+        "it was on its way"
+    );
+    let mut other = place.client(1);
+    assert_eq!(other.fate("nobody", &origin), Answer::Error("40003".into()), "another front's");
+    assert_eq!(other.fate("nobody", "x"), Answer::Error("40003".into()));
+    // While it is out it is under way, and then it has run.
+    let listen = place.listen[0];
+    let asking = thread::spawn(move || {
+        let mut client = Client::open(&listen).expect("a client");
+        (0..20)
+            .map(|nth| client.ask(&format!("long-{nth}"), 1, Kind::Write, 900).answer)
+            .find(|answer| matches!(answer, Answer::Value(_)))
+    });
+    let mut seen = Vec::new();
+    while !asking.is_finished() {
+        for nth in 0..20 {
+            if let Answer::Value(word) = client.fate(&format!("long-{nth}"), "elsewhere.0") {
+                seen.push(word);
+            }
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert!(asking.join().expect("no panic").is_some(), "one was served");
+    assert!(seen.iter().any(|word| word == "under way"), "{seen:?}");
+    assert!(client.fate("", &origin) == Answer::Error("42601".into()));
+}
--- a/front/tests/owner.rs
+++ b/front/tests/owner.rs
@@ -41,7 +41,7 @@
     let second = Span::millis(1000);
     let pool = Arc::new(Pool::new(alarms.clone(), ledger.clone(), second, second * 30));
     let (owner, news) = channel();
-    let outlet = Outlet { pool, owner: owner.clone(), probe_within: second };
+    let outlet = Outlet { pool, owner: owner.clone(), probe_within: second, writes: None };
     let decides = Owner::new(facts, 1, Vec::new(), most_held, outlet, news, None);
     spawn(move || decides.run());
     let host = Host {
--- a/standins/src/client.rs
+++ b/standins/src/client.rs
@@ -44,6 +44,8 @@
     stream: TcpStream,
     /// The token of its session as it was last given.
     pub token: Option<String>,
+    /// Where its writes are on record, as it was told at its start.
+    pub origin: Option<String>,
     /// Why its start was refused: SQLSTATE.
     pub refused: Option<String>,
 }
@@ -68,7 +70,7 @@
         words.push(0);
         stream.write_all(&(words.len() as u32 + 4).to_be_bytes())?;
         stream.write_all(&words)?;
-        let mut client = Client { stream, token: None, refused: None };
+        let mut client = Client { stream, token: None, origin: None, refused: None };
         loop {
             let (tag, body) = client.next().ok_or(std::io::ErrorKind::UnexpectedEof)?;
             match tag {
@@ -82,15 +84,28 @@
         }
     }
 
-    /// Keeps the token that a ParameterStatus gives.
+    /// Keeps the token and the origin that a ParameterStatus gives.
     fn note(&mut self, tag: u8, body: &[u8]) {
         let text = String::from_utf8_lossy(body);
         let mut words = text.split('\0');
-        if tag == b'S' && words.next() == Some("gingerwick.session") {
-            self.token = words.next().map(str::to_string);
+        match words.next().filter(|_| tag == b'S') {
+            Some("gingerwick.session") => self.token = words.next().map(str::to_string),
+            Some("gingerwick.origin") => self.origin = words.next().map(str::to_string),
+            _ => {}
         }
     }
 
+    /// Asks what became of a write.
+    pub fn fate(&mut self, id: &str, origin: &str) -> Answer {
+        let mut out = Vec::new();
+        let text = format!("/* fate={id},at={origin} */ SHOW gingerwick.fate\0");
+        message::message(&mut out, b'Q', text.as_bytes());
+        if self.stream.write_all(&out).is_err() {
+            return Answer::None;
+        }
+        self.answer().0
+    }
+
     fn next(&mut self) -> Option<(u8, Vec<u8>)> {
         message::next(&mut self.stream)
     }
