--- a/standins/src/bin/writes.rs
+++ b/standins/src/bin/writes.rs
@@ -62,12 +62,16 @@
     };
     let daemon = Daemon::start(&start).expect("it starts");
     let (over, counts) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
-    let times = Arc::new(Mutex::new((Histogram::<u64>::new(3).expect("three digits"), 0u64)));
+    let times = Arc::new(Mutex::new((
+        Histogram::<u64>::new_with_bounds(1, 10_000_000, 3).expect("sound bounds"),
+        0u64,
+    )));
     let asking: Vec<_> = (0..at_once)
         .map(|nth| {
             let (over, counts, times) = (over.clone(), counts.clone(), times.clone());
             thread::spawn(move || {
-                let (mut mine, mut other) = (Histogram::<u64>::new(3).expect("three digits"), 0);
+                let (mut mine, mut other) =
+                    (Histogram::<u64>::new_with_bounds(1, 10_000_000, 3).expect("sound bounds"), 0);
                 while !over.load(Ordering::Acquire) {
                     let Ok(mut client) = Client::open(&listen) else {
                         thread::sleep(Duration::from_millis(5));
