Tuned values leave the adapters; what nothing used is gone

Cause: a reading of the whole change found a batch bound, a pause and a share of descriptors decided in front/, and four functions that nothing called. Change: they stand in writes, recovery/lives.rs and Regain::new; Regain::words and primary, Epochs::latest and the stand-ins' cut are gone. No value changes.

--- a/front/src/discovery.rs
+++ b/front/src/discovery.rs
@@ -11,7 +11,7 @@
 use gingerwick::rng::Mwc;
 use gingerwick::time::Span;
 use may::sync::mpsc::Sender;
-use recovery::lives::{Lives, Offer, Verdict};
+use recovery::lives::{Lives, Offer, Verdict, LONGEST_ANEW};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -20,9 +20,6 @@
 const CONNECT_WITHIN: Span = Span::millis(1_000);
 /// The shortest and the longest pause before the watch is taken up again; chance spreads each.
 const PAUSES: (Span, Span) = (Span::millis(50), Span::millis(2_000));
-/// The longest while nothing that discovery said since this start is known: all else waits for its first
-/// word.
-const LONGEST_ANEW: Span = Span::millis(500);
 /// A line that is longer than any list.
 const MOST_LINE: usize = 4 << 20;
 
--- a/front/src/owner.rs
+++ b/front/src/owner.rs
@@ -75,7 +75,8 @@
     pub times: Option<Times>,
     /// Stores can say who they are.
     pub who: bool,
-    pub most_out: usize,
+    /// Descriptors for stores.
+    pub descriptors: usize,
     pub keeper: Option<Arc<Keeper>>,
 }
 
@@ -376,7 +377,7 @@
 
 impl State {
     fn new(seed: u64, facts: &Facts, alarms: &Alarms, recovers: Option<&Recovers>) -> State {
-        let regain = |how: &Recovers| Regain::new(how.times, facts.may_probe, how.most_out);
+        let regain = |how: &Recovers| Regain::new(how.times, facts.may_probe, how.descriptors);
         let mut actions = Vec::new();
         let router = Router::new(seed, facts, alarms.now(), &mut actions);
         State {
--- a/front/src/start.rs
+++ b/front/src/start.rs
@@ -78,7 +78,7 @@
     let recovers = state.as_ref().map(|state| Recovers {
         times: state.kept.as_ref().and_then(|(_, times)| *times),
         who: operators.store_identity == Identity::Postgres,
-        most_out: ledger.most(Share::Stores) / 2,
+        descriptors: ledger.most(Share::Stores),
         keeper: keeper.clone(),
     });
     let decides = Owner::new(facts, seed, launch.settings.azs.clone(), most_held, outlet, news, recovers);
--- a/front/src/writes.rs
+++ b/front/src/writes.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::{SystemTime, UNIX_EPOCH};
 use writes::fate::{Fate, Input, Leave, Origin};
-use writes::journal::{Bounds, Journal, Op, Reply, Sync};
+use writes::journal::{Bounds, Journal, Op, Reply, Sync, MOST_AT_ONCE};
 
 /// Whether a call-out may leave.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,9 +35,6 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as i64
 }
 
-/// So many go in one batch at most: those in front would wait long for those behind.
-const MOST_AT_ONCE: usize = 512;
-
 impl Writes {
     pub fn start(path: &Path, sync: Sync, bounds: Bounds, chance: u64) -> Result<Arc<Writes>, String> {
         let journal = Journal::open(path, sync, bounds, chance).map_err(|why| why.to_string())?;
--- a/recovery/src/regain.rs
+++ b/recovery/src/regain.rs
@@ -5,7 +5,7 @@
 use crate::proof::{judge, Floor, Verdict};
 use crate::store::{self, Effect, Input, Standing, Store, Word};
 use crate::trust::{step, Step, Times};
-use gingerwick::iface::{Clearance, GroupIx, Role, StoreIx, Told};
+use gingerwick::iface::{Clearance, GroupIx, StoreIx, Told};
 use gingerwick::time::{Moment, Span};
 use std::collections::BTreeSet;
 
@@ -133,10 +133,11 @@
 }
 
 impl Regain {
-    /// `times`: those of the kept list. `may_ask`: whether stores may be asked at all here.
-    pub fn new(times: Option<Times>, may_ask: bool, most_out: usize) -> Regain {
+    /// `times`: those of the kept list. `may_ask`: whether stores may be asked at all here. `descriptors`: those there are
+    /// for stores; half of them are left to RPCs.
+    pub fn new(times: Option<Times>, may_ask: bool, descriptors: usize) -> Regain {
         let (stores, groups, due) = Default::default();
-        let most_out = most_out.max(1);
+        let most_out = (descriptors / 2).max(1);
         let begun = Default::default();
         Regain { stores, groups, due, out: 0, begun, times, shown: None, vouched: false, may_ask, most_out }
     }
@@ -249,14 +250,14 @@
             self.enter(now, *member, actions);
             let store = &mut self.stores[member.store];
             if store.standing == Standing::Gone {
-                self.input(now, member.store, Input::Listed, actions);
+                self.input(member.store, Input::Listed, actions);
                 self.plan(member.store, now);
             }
             // Discovery itself names it: the module's own rule, to probe it before use, is enough.
             self.stores[member.store].admitted = true;
         }
         for ix in gone {
-            self.input(now, ix, Input::Left, actions);
+            self.input(ix, Input::Left, actions);
         }
         (0..self.groups.len()).for_each(|group| self.judge(now, group, actions));
     }
@@ -286,7 +287,7 @@
             self.shown = self.shown.max(word.position);
             store.hear(word, asked, now);
         }
-        self.input(now, ix, input, actions);
+        self.input(ix, input, actions);
         let group = self.stores[ix].group;
         self.judge(now, group, actions);
         self.replan(ix, now);
@@ -302,8 +303,8 @@
         }
         store.failures = store.failures.saturating_add(1);
         match why {
-            Failure::Refused => self.input(now, ix, Input::Refusal, actions),
-            Failure::Silent => self.input(now, ix, Input::NoWord, actions),
+            Failure::Refused => self.input(ix, Input::Refusal, actions),
+            Failure::Silent => self.input(ix, Input::NoWord, actions),
             Failure::Unasked => {}
         }
         let group = self.stores[ix].group;
@@ -333,7 +334,7 @@
         }
     }
 
-    fn input(&mut self, _now: Moment, ix: StoreIx, input: Input, actions: &mut Vec<Action>) {
+    fn input(&mut self, ix: StoreIx, input: Input, actions: &mut Vec<Action>) {
         let Some(store) = self.stores.get_mut(ix) else { return };
         let Some((next, effect)) = store::next(store.standing, input) else { return };
         store.standing = next;
@@ -442,19 +443,4 @@
             }
         }
     }
-
-    /// What the members of each group have said since this start, to be kept.
-    pub fn words(&self) -> impl Iterator<Item = (StoreIx, Word, Moment)> + '_ {
-        let heard = |(ix, store): (StoreIx, &Store)| store.is_heard().then_some((ix, store.word, store.told));
-        self.stores.iter().enumerate().filter_map(heard)
-    }
-
-    /// Whether a role was heard that no list is needed for.
-    pub fn primary(&self, group: GroupIx) -> Option<StoreIx> {
-        let members = &self.groups.get(group)?.members;
-        members.iter().copied().find(|&ix| {
-            self.stores[ix].word.role == Some(Role::Primary)
-                && self.groups[group].standing == group::Standing::Confirmed(ix)
-        })
-    }
 }
--- a/sessions/src/epochs.rs
+++ b/sessions/src/epochs.rs
@@ -51,10 +51,6 @@
         }
     }
 
-    pub fn latest(&self, group: Block) -> Option<u32> {
-        self.groups.get(&group)?.last_key_value().map(|(number, _)| *number)
-    }
-
     /// One row of the table is one arm; they are tried from above.
     pub fn judge(&self, group: Block, mark: Mark) -> Verdict {
         let Some(known) = self.groups.get(&group) else { return Verdict::Stands(mark.position) };
--- a/standins/src/world.rs
+++ b/standins/src/world.rs
@@ -164,11 +164,6 @@
         }
     }
 
-    /// Cuts a replica's link: it stands still on the branch and timeline that it is on.
-    pub fn cut(&mut self, ix: StoreIx, now: i64) {
-        self.machines[ix].stands = Some(self.position(ix, now));
-    }
-
     /// What a started store can do by now, of all that it can.
     fn warmth(&self, ix: StoreIx, now: i64, cold: &Cold) -> Option<f64> {
         let age = now - self.machines[ix].started_ms;
--- a/writes/src/journal.rs
+++ b/writes/src/journal.rs
@@ -17,6 +17,9 @@
     Disk,
 }
 
+/// So many go in one batch at most: those in front would wait long for those behind.
+pub const MOST_AT_ONCE: usize = 512;
+
 /// How much is kept.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
