A connection whose proof is under way is waited for, no second one is opened

A probe's answer is what lets the read behind it go, microseconds later, and Pool::reuse passed over the connection that had just asked its empty query (Use::NotYet), so each pair got a second one by Pool::open. Change: who wants it waits for the round trip, a quarter of the connect time-out at most. A free one still goes first.

--- a/front/src/pool.rs
+++ b/front/src/pool.rs
@@ -85,17 +85,41 @@
         self.idle.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
-    pub fn reuse(&self, addr: &SocketAddr) -> Option<Wire> {
+    /// A connection at hand, one that is proved before one whose answer to the empty query is under way. That
+    /// answer is a round trip away, a new connection costs several and work at the store.
+    pub fn reuse(&self, addr: &SocketAddr, by: Moment, bell: &Bell) -> Option<Wire> {
+        loop {
+            let mut idle = self.take(addr)?;
+            if idle.proof.is_none() {
+                return Some(idle.wire);
+            }
+            let until = by.min(idle.since + self.dial / 4);
+            idle.wire.listen_to(until, bell);
+            while idle.wire.read(until, bell).is_ok() {
+                match idle.look(self.alarms.now(), self) {
+                    Use::Free => return Some(idle.wire),
+                    Use::NotYet => {}
+                    Use::Never => break,
+                }
+            }
+        }
+    }
+
+    fn take(&self, addr: &SocketAddr) -> Option<Idle> {
         let (now, mut idle) = (self.alarms.now(), self.lock());
         let all = idle.get_mut(addr)?;
+        let mut unproved = None;
         for nth in (0..all.len()).rev() {
             match all[nth].look(now, self) {
-                Use::Free => return Some(all.remove(nth).wire),
-                Use::NotYet => {}
-                Use::Never => drop(all.remove(nth)),
+                Use::Free => return Some(all.remove(nth)),
+                Use::NotYet => unproved = Some(nth),
+                Use::Never => {
+                    drop(all.remove(nth));
+                    unproved = unproved.map(|later| later - 1);
+                }
             }
         }
-        None
+        unproved.map(|nth| all.remove(nth))
     }
 
     /// Opens a connection and brings its start-up through.
--- a/front/src/send.rs
+++ b/front/src/send.rs
@@ -81,7 +81,7 @@
 ) -> Sent {
     let CallOut { addr, by, bell, query, .. } = job;
     loop {
-        let reused = pool.reuse(addr);
+        let reused = pool.reuse(addr, *by, bell);
         let again = reused.is_some();
         let mut wire = match reused.map_or_else(|| pool.open(addr, *by, bell), Ok) {
             Ok(wire) => wire,
@@ -192,7 +192,7 @@
     bell: &Bell,
 ) -> Result<(Outcome, Vec<u8>), NoWire> {
     loop {
-        let reused = pool.reuse(&addr);
+        let reused = pool.reuse(&addr, by, bell);
         let again = reused.is_some();
         let mut wire = reused.map_or_else(|| pool.open(&addr, by, bell), Ok)?;
         wire.listen_to(by, bell);
--- a/front/tests/loopback.rs
+++ b/front/tests/loopback.rs
@@ -74,6 +74,8 @@
         while let Some((b'Q', body)) = next(&mut stream) {
             let text = String::from_utf8(body).expect("text").trim_end_matches('\0').to_string();
             if text.is_empty() {
+                // A network's round trip: long enough for another call-out to want the connection.
+                thread::sleep(Duration::from_millis(5));
                 stream.write_all(b"I\0\0\0\x04Z\0\0\0\x05I").ok()?;
                 continue;
             }
@@ -435,6 +437,18 @@
     assert_eq!(front.primary.starts.load(Ordering::Acquire), 2);
 }
 
+#[test]
+fn a_call_out_right_behind_another_waits_for_its_connection_and_opens_none() {
+    let front = Front::start();
+    let mut client = Client::open(front.listen);
+    for _ in 0..20 {
+        assert_eq!(client.ask("read", "good", 1500), value());
+        assert_eq!(client.ask("order", "good", 3000), value());
+    }
+    let starts = [&front.primary, &front.replica].map(|store| store.starts.load(Ordering::Acquire));
+    assert_eq!(starts, [1, 1], "one connection to each, for probes and call-outs");
+}
+
 #[test]
 fn a_second_copy_behind_an_answer_reaches_nobody_and_a_spoilt_one_is_told_at_once() {
     let front = Front::without_probes();
