Many fronts: probes on need, writes by the list's word, pairs pass, rooms come back

Of reads 26% were held over 5 ms; what was believed, printed at each arrival, showed six members last asked 3 to 5 s before, 177,613 probes notwithstanding, and rooms of 0.015 to 0.06. Ruled out: slow stores (median probe 1.6 ms), lag (median 119 ms of 800), overload (median load 0.68). At fault, each harmless in one front: sound_out asked for each RPC whether or not a fit replica was known; takes_more let the next call leave only once the last was paid off, 1 to 3 s, though calls come in twos by chance; ended cut a room by a natural tail of one answer in ten and let it grow only while pressed, which of 300 fronts none is.

--- a/front/src/owner.rs
+++ b/front/src/owner.rs
@@ -45,6 +45,7 @@
     recorded: bool,
     /// A call-out of it may have run, or has.
     may_have_run: bool,
+    arrived: Moment,
     resort: Moment,
     ticket: Option<Ticket>,
     query: Arc<Query>,
@@ -192,6 +193,12 @@
                 self.overhear(now, store, asked, note);
             }
             News::Probed { store, outcome, elapsed, report } => {
+                if tracing::enabled!(tracing::Level::DEBUG) {
+                    let (store, took_us) = (state.stores.name(store), elapsed.0 / 1_000);
+                    let behind_us = report.position.map_or(-1, |at| (now - at).0 / 1_000);
+                    let load = report.load.unwrap_or(-1.0);
+                    tracing::debug!(%store, ?outcome, took_us, behind_us, load, "probe ended");
+                }
                 state.tell(now, Event::Probed { store, outcome, elapsed, report });
                 self.overhear(now, store, now - elapsed, report);
             }
@@ -320,6 +327,7 @@
                 Action::Send { rpc, store, time_out } => {
                     let number = state.book.sent(rpc);
                     let bell = Arc::new(Bell::default());
+                    state.trace(rpc, "call-out", now);
                     let Some(live) = state.book.get_mut(rpc) else { continue };
                     live.out = Some((number, bell.clone()));
                     let (query, again) = (live.query.clone(), live.recorded);
@@ -342,8 +350,14 @@
                         again,
                     });
                 }
-                Action::PushBack { rpc, come_back } => state.answer(rpc, Answer::PushBack(come_back)),
-                Action::Abort { rpc } => state.answer(rpc, Answer::Abort),
+                Action::PushBack { rpc, come_back } => {
+                    state.trace(rpc, "pushed back", now);
+                    state.answer(rpc, Answer::PushBack(come_back));
+                }
+                Action::Abort { rpc } => {
+                    state.trace(rpc, "aborted", now);
+                    state.answer(rpc, Answer::Abort);
+                }
                 Action::Withdraw { rpc, call_out } => {
                     if let Some((number, bell)) = state.book.get(rpc).and_then(|live| live.out.as_ref()) {
                         if *number == call_out {
@@ -518,6 +532,7 @@
                 journaled,
                 recorded: false,
                 may_have_run: false,
+                arrived: now,
                 resort,
                 ticket: Some(ticket),
                 query: Arc::new(query),
@@ -563,6 +578,15 @@
         self.strike(rpc, page);
     }
 
+    /// One line for each decision on an RPC, by which it is followed through the front.
+    fn trace(&mut self, rpc: RpcId, what: &str, now: Moment) {
+        if tracing::enabled!(tracing::Level::DEBUG) {
+            let Some(live) = self.book.get_mut(rpc) else { return };
+            let (group, held_us) = (live.cluster, (now - live.arrived).0 / 1_000);
+            tracing::debug!(rpc, id = %live.id, group, reads = live.reads, held_us, "decided: {what}");
+        }
+    }
+
     fn answer(&mut self, rpc: RpcId, answer: Answer) {
         if let Some(ticket) = self.book.get_mut(rpc).and_then(|live| live.ticket.take()) {
             ticket.answer(answer);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,8 +1,7 @@
 //! Every decision: where each RPC goes, when it waits, and when it is given up.
 //!
-//! A host makes one [`Router`] an instance and hands it events in the order in which they came, each with
-//! the clock of its batch, by [`Router::handle`]; what is to be done is pushed to the caller's list in order.
-//! The types on both sides stand in `iface.rs`. It shares nothing, reads no clock; chance is from its seed.
+//! A host makes one [`Router`] an instance and hands it events in their order, each with the clock of its
+//! batch, by [`Router::handle`]; what is to be done is pushed to the caller's list. Chance is from its seed.
 //!
 //! The ordinary path: a read goes to the replica with the fewest of our call-outs in flight among those whose
 //! told position reaches the read's bound. Where none does, the read waits for one, by the store's own hold
@@ -72,6 +71,7 @@
     /// The shortest soft deadline.
     pressing: Span,
     our_share: f64,
+    first_room: f64,
 }
 
 struct Terms {
@@ -94,8 +94,7 @@
     /// After this an answer earns nothing.
     worth_by: Moment,
     answer_by: Moment,
-    /// The position that a read asks for whatever the time: a current one's arrival, what its session wrote
-    /// or saw.
+    /// The position that a read asks for whatever the time: its arrival, what its session wrote or saw.
     mark: Option<Moment>,
     /// Its session has seen something: no store checks that by itself.
     carries: bool,
@@ -142,8 +141,7 @@
     failed: Moment,
     probe_out: bool,
     probed: Moment,
-    /// Our call-outs that it may hold before further ones go elsewhere or wait. Under one it is the part of
-    /// the time: many fronts with one call-out each bury a store.
+    /// Our call-outs that it may hold; under one the part of the time: many fronts with one each bury a store.
     room: f64,
     room_cut: Moment,
     /// Our work at it when the last call-out was sent, in seconds.
@@ -203,6 +201,7 @@
             let (need, soft, late_share) = (m.need, m.soft_deadline, m.late_share);
             Terms { need, repeat_for, harmless, soft, late_share, stalls }
         };
+        let our_share = 1.0 / f64::from(facts.instances.max(1));
         Charter {
             facts: facts.clone(),
             methods: facts.methods.iter().map(terms).collect(),
@@ -211,7 +210,8 @@
             margin,
             pulse: (soft / 8).max(facts.tick),
             pressing: soft,
-            our_share: 1.0 / f64::from(facts.instances.max(1)),
+            our_share,
+            first_room: (FIRST_ROOM * our_share).min(FIRST_ROOM / 4.0),
             stale_after: tightest.unwrap_or(soft * 4) / 4,
         }
     }
@@ -273,8 +273,7 @@
         }
     }
 
-    /// Asked right before a call-out's bytes leave, since connecting takes time: whether what it was sent for
-    /// still holds. Where stores check a read's bound themselves, it is theirs.
+    /// Whether what a call-out was sent for still holds as its bytes leave; a bound that stores check is theirs.
     pub fn confirms(&mut self, now: Moment, id: RpcId, call_out: u32, ix: StoreIx) -> bool {
         self.now = now;
         let Some(rpc) = self.rpcs.get(&id) else { return false };
@@ -312,8 +311,7 @@
             let store = &mut self.stores[entry.store];
             if !self.groups[entry.group].members.contains(&entry.store) {
                 self.groups[entry.group].members.push(entry.store);
-                (store.group, store.zone, store.room) =
-                    (entry.group, entry.zone, (FIRST_ROOM * self.charter.our_share).min(FIRST_ROOM / 4.0));
+                (store.group, store.zone, store.room) = (entry.group, entry.zone, self.charter.first_room);
             }
             let kept = entry.standing == Standing::Gone && store.open && stays;
             store.open = kept || entry.standing == Standing::Open;
@@ -370,10 +368,9 @@
     }
 
     fn find_primary(&mut self, group: GroupIx) {
-        let cleared = |ix: StoreIx| self.groups[group].clears(ix);
-        let claim = |&ix: &StoreIx| Some((self.stores[ix].claims.filter(|_| cleared(ix))?, ix));
-        let latest = self.groups[group].members.iter().filter_map(claim).max();
-        self.groups[group].primary = latest.map(|(_, ix)| ix);
+        let its = &self.groups[group];
+        let claim = |&ix: &StoreIx| Some((self.stores[ix].claims.filter(|_| its.clears(ix))?, ix));
+        self.groups[group].primary = its.members.iter().filter_map(claim).max().map(|(_, ix)| ix);
     }
 
     /// A store that fails gets nothing for a while, each time longer, then a single call-out to show itself:
@@ -392,23 +389,26 @@
         let store = &self.stores[ix];
         let blind = !self.charter.facts.may_probe;
         let sound = store.failures == 0 || (store.in_flight == 0 && (blind || store.answered > store.failed));
-        let up = store.open && (blind || store.answered > Moment::DAWN) && store.rest_until <= self.now;
+        // A write goes by the list's word on its primary: one who is none turns it away untouched.
+        let claims = self.charter.methods[method].need == Need::Write && store.claims.is_some();
+        let heard = blind || claims || store.answered > Moment::DAWN;
+        let up = store.open && heard && store.rest_until <= self.now;
         let light = self.warmth(store).is_none_or(|part| self.is_light(self.usual[method], part));
-        // Who claims to be primary and was not cleared may stand on a log of its own: no position of it
-        // counts.
+        // Who claims to be primary and was not cleared may stand on a log of its own.
         let apart = store.claims.is_some() && !self.groups[store.group].clears(ix);
         up && sound && light && !apart
     }
 
     fn has_room(&self, ix: StoreIx, part: f64) -> bool {
         let store = &self.stores[ix];
-        store.takes_more(part, self.cold_room(store), self.now)
+        // Calls come in twos by chance, which says nothing of a warm store's queue.
+        let ahead = self.warmth(store).map_or(self.charter.pressing.secs() / 4.0, |_| 0.0);
+        store.takes_more(part, self.cold_room(store), ahead, self.now)
     }
 
-    /// The room of a store that has just started. Where fronts are few: a third of what may lie at one core
-    /// of it beside all that is done meanwhile. Else a rate: what it surely has of its full capacity, times
-    /// our work done at the mean warm store; two thirds of the multiple are left to chance, part of a core is
-    /// for granted.
+    /// The room of a store that has just started: a third of what may lie at one core of it meanwhile; where
+    /// fronts are many a rate, what it surely has of its capacity times our work done at the mean warm store;
+    /// two thirds of the multiple are left to chance, part of a core is for granted.
     fn cold_room(&self, store: &Store) -> f64 {
         let Some(part) = self.warmth(store) else { return f64::INFINITY };
         let Facts { fall_multiple: multiple, fall_window, .. } = self.charter.facts;
@@ -458,14 +458,16 @@
         let worth_by = if terms.late_share > 0.0 { answer_by } else { answer_by.min(self.now + terms.soft) };
         let (arrived, repeat) = (self.now, new.repeat && terms.late_share == 0.0);
         let rpc = Rpc { method, group, arrived, worth_by, answer_by, ..Rpc::default() };
-        let rpc = Rpc { mark, carries, session, repeat, ..rpc };
-        self.rpcs.insert(id, rpc);
+        self.rpcs.insert(id, Rpc { mark, carries, session, repeat, ..rpc });
         let moments = [(id * 2 + 1, arrived + (answer_by - arrived) / 2), (id * 2 + 2, answer_by)];
         actions.extend(moments.map(|(tag, at)| Action::Remind { tag, at }));
         self.drive(id, Input::News, actions);
         let Group { credit, members, .. } = &mut self.groups[group];
         *credit = (*credit + f64::from(u8::from(!new.repeat))).min(members.len() as f64);
-        self.sound_out(group, actions);
+        // A write that is held asks at the next beat; one that is out needs to know of no replica.
+        if self.charter.methods[method].need != Need::Write {
+            self.sound_out(group, actions);
+        }
     }
 
     /// Reads the table until nothing follows.
@@ -590,7 +592,7 @@
         let queue = if stalls { time_out } else { Span((usual * 1e9) as i64) + self.charter.pressing / 2 };
         let timely = queue.min(time_out * 3 / 4);
         let store = &mut self.stores[ix];
-        let pressed = !store.takes_more(0.5, f64::INFINITY, self.now);
+        let pressed = !store.takes_more(0.5, f64::INFINITY, 0.0, self.now);
         rpc.out = Some(CallOut { number: rpc.call_outs, sent: self.now, work: usual, timely, pressed });
         rpc.call_outs += 1;
         (store.owing, store.sent) = (store.owed(store.room, self.now) + usual, self.now);
@@ -625,7 +627,9 @@
         let done = done + if outcome == Outcome::Ok { work } else { 0.0 };
         let Some(store) = self.stores.get_mut(ix) else { return };
         (store.in_flight, store.done, store.done_at) = (store.in_flight.saturating_sub(1), done, now);
-        let widens = pressed && !store.busy(now - self.charter.stale_after * 4, FULL);
+        // What a cut took comes back unasked: of many fronts each is pressed too seldom to win it back.
+        let widens = (pressed || store.room < self.charter.first_room)
+            && !store.busy(now - self.charter.stale_after * 4, FULL);
         let late = outcome == Outcome::TimedOut || (outcome == Outcome::Ok && elapsed >= timely);
         match outcome {
             Outcome::Ok | Outcome::Lagged => {
@@ -655,8 +659,8 @@
         if outcome == Outcome::Ok {
             let usual = &mut self.usual[rpc.method];
             *usual *= if elapsed.secs() > *usual { 1.02 } else { 0.95 };
-            let wrote =
-                self.charter.methods[rpc.method].need == Need::Write && !self.charter.facts.marks_carried;
+            let (terms, carried) = (&self.charter.methods[rpc.method], self.charter.facts.marks_carried);
+            let wrote = terms.need == Need::Write && !carried;
             if let (true, Some(key), Some(at)) = (wrote, rpc.session, end.note.position) {
                 self.sessions.wrote(key, at);
             }
@@ -671,8 +675,7 @@
         self.drive(id, if end.closed { Input::Closed } else { Input::Returned }, actions);
     }
 
-    /// Tests the held RPCs of a store's group anew, most urgent first; where one of a method must go on
-    /// waiting, so must the later ones.
+    /// Tests a group's held RPCs anew, most urgent first; where one must wait, so must its method's later ones.
     fn retry_held(&mut self, group: Option<GroupIx>, actions: &mut Vec<Action>) {
         let Some(group) = group else { return };
         for nth in 0..self.charter.order.len() {
@@ -699,32 +702,41 @@
         self.sessions.forget(open.map(|store| store.position).min().flatten());
         for group in 0..self.groups.len() {
             self.retry_held(Some(group), actions);
-            let Group { credit, held, .. } = &mut self.groups[group];
-            *credit += if *credit >= 1.0 || held.iter().all(BTreeSet::is_empty) { 0.0 } else { 0.25 };
+            let Group { credit, held, primary, .. } = &mut self.groups[group];
+            let led = primary.is_some_and(|ix| self.stores[ix].failures == 0 && self.stores[ix].open);
+            let idle = held.iter().all(BTreeSet::is_empty) || (led && self.charter.first_room < 1.0);
+            *credit += if *credit >= 1.0 || idle { 0.0 } else { 0.25 };
             self.sound_out(group, actions);
         }
     }
 
-    /// Probes are paid for by the RPCs of their group, so that all fronts' together follow the traffic:
-    /// fronts times stores would cost more than it. A group with RPCs held may ask one in four beats more.
+    /// Probes are paid for by their group's RPCs, so that all fronts' together follow the traffic. Where fronts
+    /// are few, or no primary is known, a group with RPCs held may ask one in four beats more.
     fn sound_out(&mut self, ix: GroupIx, actions: &mut Vec<Action>) {
         let (now, stale, pace) = (self.now, self.charter.stale_after, self.charter.pulse * 2);
         while self.charter.facts.may_probe && self.groups[ix].credit >= 1.0 {
             let group = &self.groups[ix];
             let waiting = !group.held.iter().all(BTreeSet::is_empty);
             let lost = !group.primary.is_some_and(|ix| self.stores[ix].failures == 0 && self.stores[ix].open);
+            let reads = |ix: &StoreIx| waiting || group.primary != Some(*ix);
+            // What another replica tells is of use only where none is known that would do for a read.
+            let fit = |ix: &StoreIx| reads(ix) && self.usable(*ix, 0);
+            let fresh = |ix: &StoreIx| self.stores[*ix].position > Some(now - stale * 4) && fit(ix);
+            let known = !waiting && group.members.iter().any(fresh);
             let wanted = |ix: &&StoreIx| {
                 let store = &self.stores[**ix];
                 let old = if waiting { stale / 2 } else { stale };
-                let due = store.answered == Moment::DAWN
-                    || (store.told + old <= now && (waiting || group.primary != Some(**ix)))
+                let due = (store.told + old <= now && !known && reads(ix))
                     || (waiting && lost)
                     || (store.failures > 0 && store.rest_until <= now);
                 let paced = store.probed + pace * (if store.failures > 1 { 2 } else { 1 }) <= now;
                 store.open && due && paced && !store.probe_out
             };
             let wanted = group.members.iter().filter(wanted).copied();
-            let Some(store) = wanted.min_by_key(|_| self.rng.below(1 << 16)) else { return };
+            // Who was least behind when it last told is the likeliest to be fresh; who never told comes next.
+            let behind = |store: &Store| store.position.map_or(stale, |at| store.told - at);
+            let rank = |ix: &StoreIx| if lost { 0 } else { behind(&self.stores[*ix]).0 / stale.0.max(1) };
+            let Some(store) = wanted.min_by_key(|ix| (rank(ix), self.rng.below(1 << 16))) else { return };
             (self.stores[store].probe_out, self.stores[store].probed) = (true, now);
             self.groups[ix].credit -= 1.0;
             actions.push(Action::Probe { store });
@@ -744,9 +756,9 @@
 
 impl Store {
     /// Whether a part of its room, or of `most`, lets it take another call-out of ours.
-    fn takes_more(&self, part: f64, most: f64, now: Moment) -> bool {
+    fn takes_more(&self, part: f64, most: f64, ahead: f64, now: Moment) -> bool {
         let room = self.room.min(most) * part;
-        f64::from(self.in_flight) < room.max(1.0) && (room >= 1.0 || self.owed(room, now) <= 0.0)
+        f64::from(self.in_flight) < room.max(1.0) && (room >= 1.0 || self.owed(room, now) <= ahead)
     }
 
     /// Whether it has said since then that more of its cores than this are in use.
@@ -759,8 +771,7 @@
         (self.owing - room * (now - self.sent).secs()).max(0.0)
     }
 
-    /// Answers that come late mean a queue: less is put there at once, at most once for what was sent before
-    /// the last time.
+    /// Answers that come late mean a queue: less is put there, once for what was sent before the last time.
     fn crowded(&mut self, sent: Moment, now: Moment, least: f64) {
         if self.room_cut < sent {
             (self.room, self.room_cut) = ((self.room * 0.8).max(least), now);
