--- a/src/choice.rs
+++ b/src/choice.rs
@@ -2,7 +2,6 @@
 //!
 //! A host makes one [`Router`] an instance and hands it events in their order, each with the clock of its
 //! batch, by [`Router::handle`]; what is to be done is pushed to the caller's list. Chance is from its seed.
-//!
 //! The ordinary path: a read goes to the replica with the fewest of our call-outs in flight among those whose
 //! told position reaches the read's bound. Where none does, the read waits for one, by the store's own hold
 //! or here, before it touches the primary. `docs/design.md` says where that is departed from.
@@ -718,8 +717,10 @@
             let group = &self.groups[ix];
             let waiting = !group.held.iter().all(BTreeSet::is_empty);
             let lost = !group.primary.is_some_and(|ix| self.stores[ix].failures == 0 && self.stores[ix].open);
-            let reads = |ix: &StoreIx| waiting || group.primary != Some(*ix);
-            // What another replica tells is of use only where none is known that would do for a read.
+            let reads = |ix: &StoreIx| {
+                lost || group.primary != Some(*ix) || self.stores[*ix].answered == Moment::DAWN
+            };
+            // Another replica's word is of use only where none is known that would do.
             let fit = |ix: &StoreIx| reads(ix) && self.usable(*ix, 0);
             let fresh = |ix: &StoreIx| self.stores[*ix].position > Some(now - stale * 4) && fit(ix);
             let known = !waiting && group.members.iter().any(fresh);
@@ -727,7 +728,6 @@
                 let store = &self.stores[**ix];
                 let old = if waiting { stale / 2 } else { stale };
                 let due = (store.told + old <= now && !known && reads(ix))
-                    || (waiting && lost)
                     || (store.failures > 0 && store.rest_until <= now);
                 let paced = store.probed + pace * (if store.failures > 1 { 2 } else { 1 }) <= now;
                 store.open && due && paced && !store.probe_out
