--- a/front/src/owner.rs
+++ b/front/src/owner.rs
@@ -579,9 +579,9 @@
     }
 
     /// One line for each decision on an RPC, by which it is followed through the front.
-    fn trace(&mut self, rpc: RpcId, what: &str, now: Moment) {
+    fn trace(&self, rpc: RpcId, what: &str, now: Moment) {
         if tracing::enabled!(tracing::Level::DEBUG) {
-            let Some(live) = self.book.get_mut(rpc) else { return };
+            let Some(live) = self.book.get(rpc) else { return };
             let (group, held_us) = (live.cluster, (now - live.arrived).0 / 1_000);
             tracing::debug!(rpc, id = %live.id, group, reads = live.reads, held_us, "decided: {what}");
         }
--- a/front/src/pool.rs
+++ b/front/src/pool.rs
@@ -93,7 +93,9 @@
             if idle.proof.is_none() {
                 return Some(idle.wire);
             }
-            let until = by.min(idle.since + self.dial / 4);
+            // Where none comes, most of the time must be left for a new one.
+            let now = self.alarms.now();
+            let until = now + (self.dial / 4).min((by - now) / 8);
             idle.wire.listen_to(until, bell);
             while idle.wire.read(until, bell).is_ok() {
                 match idle.look(self.alarms.now(), self) {
--- a/front/tests/loopback.rs
+++ b/front/tests/loopback.rs
@@ -71,8 +71,12 @@
         message(&mut out, b'R', &[0; 4]);
         message(&mut out, b'Z', b"I");
         stream.write_all(&out).ok()?;
+        let mut mute = false;
         while let Some((b'Q', body)) = next(&mut stream) {
             let text = String::from_utf8(body).expect("text").trim_end_matches('\0').to_string();
+            if text.is_empty() && mute {
+                continue;
+            }
             if text.is_empty() {
                 // A network's round trip: long enough for another call-out to want the connection.
                 thread::sleep(Duration::from_millis(5));
@@ -89,6 +93,7 @@
                 vec![0, 255, b'\n', 7]
             };
             let key = text.split('\'').nth(1).unwrap_or_default().to_string();
+            mute = key == "mute";
             let mut out = Vec::new();
             match key.as_str() {
                 "silent" => continue,
@@ -450,6 +455,19 @@
     assert_eq!(starts, [1, 1], "one connection to each, for probes and call-outs");
 }
 
+#[test]
+fn a_connection_that_never_proves_itself_holds_up_nobody_for_long() {
+    let front = Front::without_probes();
+    let mut client = Client::open(front.listen);
+    for nth in 1..4 {
+        assert_eq!(client.ask("order", "mute", 3000), value());
+        let began = Instant::now();
+        assert_eq!(client.ask("order", "good", 3000), value());
+        assert!(began.elapsed() < Duration::from_secs(1), "most of its time was spent on waiting");
+        assert_eq!(front.primary.starts.load(Ordering::Acquire), nth + 1, "a new one in its place");
+    }
+}
+
 #[test]
 fn a_second_copy_behind_an_answer_reaches_nobody_and_a_spoilt_one_is_told_at_once() {
     let front = Front::without_probes();
--- a/front/tests/messages.rs
+++ b/front/tests/messages.rs
@@ -431,3 +431,15 @@
 fn greeted() -> Item {
     Item::Greet { minor: 0, hello: Hello { audience: "7:backend/store".into(), session: None } }
 }
+
+#[test]
+fn a_flood_of_small_chunks_costs_time_by_its_bytes_and_not_by_their_square() {
+    let flood =
+        [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec(), b"1\r\n\n\r\n".repeat(300_000)]
+            .concat();
+    let (mut stream, began) = (Stream::default(), std::time::Instant::now());
+    stream.take(&flood).expect("all of it is in order");
+    assert_eq!(std::iter::from_fn(|| stream.line()).count(), 300_000);
+    // Moving what is left for each chunk is a quarter of a terabyte, some ten seconds at the least.
+    assert!(began.elapsed() < std::time::Duration::from_secs(4), "{:?}", began.elapsed());
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -717,22 +717,21 @@
             let group = &self.groups[ix];
             let waiting = !group.held.iter().all(BTreeSet::is_empty);
             let lost = !group.primary.is_some_and(|ix| self.stores[ix].failures == 0 && self.stores[ix].open);
-            let reads = |ix: &StoreIx| {
-                lost || group.primary != Some(*ix) || self.stores[*ix].answered == Moment::DAWN
-            };
+            // A read waits for no word of a sound primary that has spoken.
+            let speaks = |ix: StoreIx| group.primary == Some(ix) && self.stores[ix].answered > Moment::DAWN;
+            let others = group.members.iter().copied().filter(|&ix| lost || !speaks(ix));
             // Another replica's word is of use only where none is known that would do.
-            let fit = |ix: &StoreIx| reads(ix) && self.usable(*ix, 0);
-            let fresh = |ix: &StoreIx| self.stores[*ix].position > Some(now - stale * 4) && fit(ix);
-            let known = !waiting && group.members.iter().any(fresh);
-            let wanted = |ix: &&StoreIx| {
-                let store = &self.stores[**ix];
+            let fresh = |store: &Store| store.position > Some(now - stale * 4) && store.failures == 0;
+            let known = !waiting && others.clone().any(|ix| self.stores[ix].open && fresh(&self.stores[ix]));
+            let wanted = |ix: &StoreIx| {
+                let store = &self.stores[*ix];
                 let old = if waiting { stale / 2 } else { stale };
-                let due = (store.told + old <= now && !known && reads(ix))
-                    || (store.failures > 0 && store.rest_until <= now);
+                let rested = store.failures > 0 && store.rest_until <= now;
+                let due = rested || (store.told + old <= now && !known);
                 let paced = store.probed + pace * (if store.failures > 1 { 2 } else { 1 }) <= now;
                 store.open && due && paced && !store.probe_out
             };
-            let wanted = group.members.iter().filter(wanted).copied();
+            let wanted = others.filter(wanted);
             // Who was least behind when it last told is the likeliest to be fresh; who never told comes next.
             let behind = |store: &Store| store.position.map_or(stale, |at| store.told - at);
             let rank = |ix: &StoreIx| if lost { 0 } else { behind(&self.stores[*ix]).0 / stale.0.max(1) };
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -475,6 +475,21 @@
     }
 }
 
+#[test]
+fn a_waiting_read_asks_for_no_word_of_a_sound_primary() {
+    let mut bench = Bench::ready(Lagging::AnswersAnyway, 1, 1);
+    // Behind by more than the bound, and near enough to be waited for.
+    bench.pass(BOUND + TICK * 4);
+    for replica in [1, 2] {
+        bench.probed(replica, Outcome::Ok, bench.now - BOUND - TICK, false);
+    }
+    bench.pass(Span::millis(150));
+    let read = bench.arrive(BOUNDED, 0, 1.0);
+    assert!(bench.live[&read].out.is_none(), "no replica is known to be fit");
+    bench.pass(Span::millis(250));
+    assert!(!bench.probes.is_empty() && !bench.probes.contains(&0), "{:?}", bench.probes);
+}
+
 #[test]
 fn a_write_goes_by_the_lists_word_before_its_primary_has_spoken() {
     let facts = facts(Lagging::AnswersAnyway);
