Nobody is asked while nobody reads; tests that fail without the guards of many fronts

Found by taking each guard out and running tests/rules.rs: won-back rooms, the beat that asks nothing for many fronts, and a write's arrival that asks nobody had tests that passed without them.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -266,7 +266,7 @@
                     }
                 }
                 self.retry_held(group, actions);
-                group.into_iter().for_each(|group| self.sound_out(group, actions));
+                group.into_iter().for_each(|group| self.sound_out(group, false, actions));
             }
             Event::Peer { .. } => {}
         }
@@ -463,10 +463,7 @@
         self.drive(id, Input::News, actions);
         let Group { credit, members, .. } = &mut self.groups[group];
         *credit = (*credit + f64::from(u8::from(!new.repeat))).min(members.len() as f64);
-        // A write that is held asks at the next beat; one that is out needs to know of no replica.
-        if self.charter.methods[method].need != Need::Write {
-            self.sound_out(group, actions);
-        }
+        self.sound_out(group, self.charter.methods[method].need != Need::Write, actions);
     }
 
     /// Reads the table until nothing follows.
@@ -705,17 +702,21 @@
             let led = primary.is_some_and(|ix| self.stores[ix].failures == 0 && self.stores[ix].open);
             let idle = held.iter().all(BTreeSet::is_empty) || (led && self.charter.first_room < 1.0);
             *credit += if *credit >= 1.0 || idle { 0.0 } else { 0.25 };
-            self.sound_out(group, actions);
+            self.sound_out(group, false, actions);
         }
     }
 
     /// Probes are paid for by their group's RPCs, so that all fronts' together follow the traffic. Where fronts
     /// are few, or no primary is known, a group with RPCs held may ask one in four beats more.
-    fn sound_out(&mut self, ix: GroupIx, actions: &mut Vec<Action>) {
+    fn sound_out(&mut self, ix: GroupIx, reads: bool, actions: &mut Vec<Action>) {
         let (now, stale, pace) = (self.now, self.charter.stale_after, self.charter.pulse * 2);
         while self.charter.facts.may_probe && self.groups[ix].credit >= 1.0 {
             let group = &self.groups[ix];
             let waiting = !group.held.iter().all(BTreeSet::is_empty);
+            // What is told while nobody reads is old when somebody does.
+            if !reads && !waiting {
+                return;
+            }
             let lost = !group.primary.is_some_and(|ix| self.stores[ix].failures == 0 && self.stores[ix].open);
             // A read waits for no word of a sound primary that has spoken.
             let speaks = |ix: StoreIx| group.primary == Some(ix) && self.stores[ix].answered > Moment::DAWN;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -443,14 +443,31 @@
     for took in [600, 600, 600, 600, 600, 50, 50, 50, 50, 50, 50, 50, 50] {
         write(&mut bench, took);
     }
-    let pair = [(); 2].map(|()| {
+    for _ in 0..2 {
         let write = bench.arrive(WRITE, 0, 1.0);
-        bench.pass(Span::millis(250));
-        let out = bench.live[&write].out.is_some();
+        bench.pass(Span::millis(100));
         bench.end(write, Outcome::Ok, Some(true));
-        out
-    });
-    assert_eq!(pair, [true, true], "eight timely answers make up for five late ones");
+    }
+    let third = bench.arrive(WRITE, 0, 1.0);
+    bench.pass(Span::millis(700));
+    assert!(bench.live[&third].out.is_some(), "eight timely answers make up for five late ones");
+}
+
+#[test]
+fn nobody_is_asked_for_a_write_and_of_many_fronts_a_held_read_asks_once() {
+    let mut bench = Bench::one_of(100, Lagging::AnswersAnyway, 1, 1);
+    bench.pass(BOUND * 2);
+    let write = bench.arrive(WRITE, 0, 1.0);
+    bench.end(write, Outcome::Ok, Some(true));
+    bench.pass(BOUND * 2);
+    assert_eq!(bench.probes, [], "nobody reads, and the primary has spoken");
+    for (instances, most) in [(2, 2), (100, 1)] {
+        let mut bench = Bench::one_of(instances, Lagging::AnswersAnyway, 1, 1);
+        bench.pass(BOUND + TICK * 4);
+        bench.arrive(BOUNDED, 0, 1.0);
+        bench.pass(Span::millis(290));
+        assert_eq!(bench.probes.len(), most, "{instances} fronts");
+    }
 }
 
 #[test]
