--- a/src/choice.rs
+++ b/src/choice.rs
@@ -400,8 +400,9 @@
 
     fn has_room(&self, ix: StoreIx, part: f64) -> bool {
         let store = &self.stores[ix];
-        // Calls come in twos by chance, which says nothing of a warm store's queue.
-        let ahead = self.warmth(store).map_or(self.charter.pressing.secs() / 4.0, |_| 0.0);
+        // Calls come in twos by chance: no sign of a queue at a warm store that no late answer has cut.
+        let whole = self.warmth(store).is_none() && store.room >= self.charter.first_room;
+        let ahead = if whole { part * self.charter.pressing.secs() / 4.0 } else { 0.0 };
         store.takes_more(part, self.cold_room(store), ahead, self.now)
     }
 
@@ -566,8 +567,7 @@
         Some(replicas)
     }
 
-    /// The fewest of our call-outs in flight, one more counted for another zone; ties by own zone, then
-    /// chance.
+    /// The fewest of our call-outs in flight, another zone counts one more; ties by own zone, then chance.
     fn fewest(&mut self, among: &[StoreIx]) -> Option<StoreIx> {
         let (stores, zone, rng) = (&self.stores, self.charter.facts.zone, &mut self.rng);
         let away = |ix: &StoreIx| stores[*ix].zone != zone;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -431,6 +431,22 @@
     }
 }
 
+#[test]
+fn of_many_fronts_each_lets_no_second_write_through_behind_a_late_answer() {
+    let mut bench = Bench::one_of(100, Lagging::AnswersAnyway, 1, 1);
+    let late = bench.arrive(WRITE, 0, 1.0);
+    bench.pass(Span::millis(600));
+    bench.end(late, Outcome::Ok, Some(true));
+    bench.pass(Span::millis(2000));
+    let first = bench.arrive(WRITE, 0, 1.0);
+    bench.pass(Span::millis(500));
+    bench.end(first, Outcome::Errored, None);
+    let second = bench.arrive(WRITE, 0, 1.0);
+    assert!(bench.live[&second].out.is_none(), "the queue there is no chance of two calls");
+    bench.pass(Span::millis(800));
+    assert!(bench.live[&second].out.is_some(), "held no longer than its rate asks");
+}
+
 #[test]
 fn of_many_fronts_each_wins_back_the_room_that_late_answers_cost() {
     let mut bench = Bench::one_of(100, Lagging::AnswersAnyway, 1, 1);
