--- a/front/tests/starts.rs
+++ b/front/tests/starts.rs
@@ -142,8 +142,8 @@
         let daemon = place.start(&place.conf());
         place.served(Kind::Write, &format!("b{round}"));
         place.served(Kind::Read, &format!("c{round}"));
-        let log = daemon.kill();
-        assert!(log.contains("starts from the list kept"), "{log}");
+        assert!(daemon.says("starts from the list kept"), "{}", daemon.kill());
+        daemon.kill();
         place.kept_within(knows);
     }
     // Another life of discovery is taken, and kept.
@@ -156,8 +156,7 @@
     place.discovery.tell(2, hosts.collect());
     place.discovery.turn(Mode::Up);
     place.kept_within(|kept| kept.seq == 2);
-    let log = daemon.kill();
-    assert!(log.contains("discovery has begun anew"), "{log}");
+    assert!(daemon.says("discovery has begun anew"), "{}", daemon.kill());
     assert_eq!(place.world.lock().counts.astray, 0);
 }
 
@@ -166,6 +165,8 @@
     let place = Place::new(Mode::Up);
     let missing = place.start(&place.conf().replace("/state", "/nowhere"));
     place.served(Kind::Write, "a");
+    missing.says("the list is not kept");
+    // A second line would come with the next saves.
     thread::sleep(Duration::from_millis(300));
     let log = missing.kill();
     assert_eq!(log.matches("the list is not kept").count(), 1, "{log}");
@@ -175,8 +176,7 @@
     let second = Place { listen: free_address(), ..Place::new(Mode::Up) };
     let other = second.start(&place.conf());
     second.served(Kind::Write, "c");
-    let log = other.kill();
-    assert!(log.contains("another front uses it"), "{log}");
+    assert!(other.says("another front uses it"), "{}", other.kill());
     // No room: saving fails from now on, and is said once.
     let entries = place.kept_within(|kept| kept.seq == 7).stores;
     let blocked = place.state().join("list.new");
@@ -193,8 +193,10 @@
         thread::sleep(Duration::from_millis(150));
         place.served(Kind::Read, &format!("d{seq}"));
     }
+    first.says("the list is not kept");
     std::fs::remove_dir(&blocked).expect("gone");
     place.kept_within(|kept| kept.seq == 11);
+    first.says("the list is kept again");
     let log = first.kill();
     assert_eq!(log.matches("the list is not kept").count(), 1, "{log}");
     assert_eq!(log.matches("the list is kept again").count(), 1, "{log}");
@@ -287,10 +289,10 @@
     let file = place.folder.path().join("gingerwick.conf");
     std::fs::write(&file, conf.replace("postgres", "none").replace("100ms", "2s")).expect("written");
     daemon.signal("HUP");
-    thread::sleep(Duration::from_millis(200));
+    daemon.says("store-identity has changed");
     std::fs::write(&file, "save-gap never\n").expect("written");
     daemon.signal("HUP");
-    thread::sleep(Duration::from_millis(200));
+    daemon.says("all goes on as before");
     place.served(Kind::Write, "b");
     daemon.signal("TERM");
     let mut daemon = daemon;
--- a/standins/src/daemon.rs
+++ b/standins/src/daemon.rs
@@ -1,15 +1,18 @@
 //! The daemon as a child process on start facts of its own. Dropping it kills it.
 
-use std::io::Read;
+use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 pub struct Daemon {
     child: Child,
-    log: Option<JoinHandle<String>>,
+    log: Arc<Mutex<String>>,
+    /// Ends with the log.
+    reader: Option<JoinHandle<()>>,
 }
 
 /// What a daemon is started with.
@@ -39,14 +42,19 @@
         command.env("ROUTER_LISTEN", start.listen.to_string());
         command.env("ROUTER_DISCOVERY", start.discovery.to_string());
         let mut child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn()?;
-        let log = child.stderr.take().map(|mut stderr| {
+        let log = Arc::new(Mutex::new(String::new()));
+        let reader = child.stderr.take().map(|stderr| {
+            let log = Arc::clone(&log);
             thread::spawn(move || {
-                let mut text = String::new();
-                let _ = stderr.read_to_string(&mut text);
-                text
+                let mut lines = BufReader::new(stderr);
+                let mut line = Vec::new();
+                while lines.read_until(b'\n', &mut line).is_ok_and(|read| read > 0) {
+                    log.lock().expect("no reader panicked").push_str(&String::from_utf8_lossy(&line));
+                    line.clear();
+                }
             })
         });
-        Ok(Daemon { child, log })
+        Ok(Daemon { child, log, reader })
     }
 
     pub fn pid(&self) -> u32 {
@@ -70,11 +78,27 @@
         None
     }
 
+    /// Waits until its log has these words, for ten seconds at most; whether they came. What a daemon has
+    /// done shows before the line about it does, and one that is killed says nothing more.
+    pub fn says(&self, words: &str) -> bool {
+        let until = Instant::now() + Duration::from_secs(10);
+        while !self.log.lock().expect("no reader panicked").contains(words) {
+            if Instant::now() > until {
+                return false;
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        true
+    }
+
     /// Ends it at once; what it has logged.
     pub fn kill(mut self) -> String {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        self.log.take().and_then(|log| log.join().ok()).unwrap_or_default()
+        if let Some(reader) = self.reader.take() {
+            let _ = reader.join();
+        }
+        std::mem::take(&mut self.log.lock().expect("no reader panicked"))
     }
 }
 
