--- a/front/tests/starts.rs
+++ b/front/tests/starts.rs
@@ -5,14 +5,14 @@
 use standins::client::{Answer, Client, Kind};
 use standins::daemon::{Daemon, Start};
 use standins::discovery::{host, Discovery, Mode};
+use standins::each_seed;
 use standins::starts::{play, settings, Build, Plan, Times};
 use standins::store::{free_address, serve, Served};
 use standins::world::{unix_ms, Branch, Cold, Machine, World};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Command;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -20,30 +20,18 @@
 
 #[test]
 fn with_discovery_down_and_an_untrue_list_no_rule_breaks_and_writes_flow_once_they_may() {
-    let (next, failed) = (AtomicU64::new(0), Mutex::new(Vec::new()));
     let times = Times { down: Duration::from_millis(1_500), back: Duration::from_millis(6_000) };
     let build = Build { program: Path::new(DAEMON), keeps: true };
-    thread::scope(|scope| {
-        // Daemons, stores and clients of one plan keep a core or two busy; starved of them answers are late.
-        let cores = thread::available_parallelism().map_or(2, usize::from);
-        for _ in 0..(cores / 2).clamp(1, 6) {
-            scope.spawn(|| loop {
-                let seed = next.fetch_add(1, Ordering::Relaxed);
-                if seed >= 18 {
-                    return;
-                }
-                let plan = Plan::draw(seed);
-                println!("seed {seed}: {plan:?}");
-                let played = play(&plan, &build, times).expect("it can be played");
-                let idle = played.groups_writing < played.groups_able;
-                if played.audit.broken() > 0 || idle {
-                    let words = format!("{plan:?}\n{played:#?}");
-                    failed.lock().expect("no plan panicked").push(words);
-                }
-            });
-        }
+    // Daemons, stores and clients of one plan keep a core or two busy; starved of them answers are late.
+    let cores = thread::available_parallelism().map_or(2, usize::from);
+    let failed = each_seed(0..18, (cores / 2).clamp(1, 6), |seed| {
+        let plan = Plan::draw(seed);
+        println!("seed {seed}: {plan:?}");
+        let played = play(&plan, &build, times).expect("it can be played");
+        let idle = played.groups_writing < played.groups_able;
+        (!played.audit.offences.is_empty() || idle).then(|| format!("{plan:?}\n{played:#?}"))
     });
-    let failed = failed.into_inner().expect("no plan panicked");
+    let failed: Vec<String> = failed.into_iter().flatten().collect();
     assert!(failed.is_empty(), "{}", failed.join("\n"));
 }
 
@@ -157,7 +145,7 @@
     place.discovery.turn(Mode::Up);
     place.kept_within(|kept| kept.seq == 2);
     assert!(daemon.says("discovery has begun anew"), "{}", daemon.kill());
-    assert_eq!(place.world.lock().counts.astray, 0);
+    assert!(place.world.lock().runs.values().flatten().all(|run| run.by_primary));
 }
 
 #[test]
--- a/standins/src/bin/starts.rs
+++ b/standins/src/bin/starts.rs
@@ -1,12 +1,10 @@
 //! Plays starts with discovery down against one build or two, and says what broke.
 
+use checker::Verdict;
 use clap::{Parser, ValueEnum};
-use standins::client::Audit;
-use standins::starts::{play, rate, Build, Plan, Played, Times};
+use standins::each_seed;
+use standins::starts::{play, rate, Build, Plan, Times};
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Mutex;
-use std::thread;
 use std::time::Duration;
 
 #[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
@@ -63,26 +61,15 @@
     let times = Times { down: Duration::from_millis(1_500), back: Duration::from_millis(5_500) };
     let mut failed = false;
     for (name, build) in builds(line) {
-        let (next, all) = (AtomicU64::new(0), Mutex::new(Vec::new()));
-        thread::scope(|scope| {
-            for _ in 0..line.at_once {
-                scope.spawn(|| loop {
-                    let nth = next.fetch_add(1, Ordering::Relaxed);
-                    if nth >= line.seeds {
-                        return;
-                    }
-                    let plan = Plan::draw(line.first + nth);
-                    let played = play(&plan, &build, times).expect("a plan can be played here");
-                    all.lock().expect("no plan panicked").push((plan, played));
-                });
-            }
+        let all = each_seed(line.first..line.first + line.seeds, line.at_once, |seed| {
+            let plan = Plan::draw(seed);
+            let played = play(&plan, &build, times).expect("a plan can be played here");
+            (plan, played)
         });
-        let mut all: Vec<(Plan, Played)> = all.into_inner().expect("no plan panicked");
-        all.sort_by_key(|(plan, _)| plan.seed);
-        let (mut sum, mut broke, mut able, mut writing) = (Audit::default(), 0, 0, 0);
+        let (mut sum, mut broke, mut able, mut writing) = (Verdict::default(), 0, 0, 0);
         let served = all.iter().filter(|(_, played)| played.served_without).count();
         for (plan, played) in &all {
-            sum.add(&played.audit);
+            sum.add(played.audit.clone());
             (able, writing) = (able + played.groups_able, writing + played.groups_writing);
             if build.keeps && played.groups_writing < played.groups_able {
                 let (writing, able) = (played.groups_writing, played.groups_able);
@@ -91,23 +78,24 @@
                     played.log.lines().for_each(|words| println!("    | {words}"));
                 }
             }
-            if played.audit.broken() > 0 {
+            if !played.audit.offences.is_empty() {
                 broke += 1;
                 let Plan { seed, faults, age_s, comes_back, just_started, .. } = plan;
                 println!(
                     "  seed {seed}: {faults:?}, {age_s} s old, {comes_back:?}, just started {just_started}"
                 );
-                played.audit.offences.iter().take(4).for_each(|words| println!("    {words}"));
+                played.audit.offences.iter().take(4).for_each(|offence| println!("    {offence:?}"));
                 if line.logs {
                     played.log.lines().for_each(|words| println!("    | {words}"));
                 }
             }
         }
         println!(
-            "{name}: {broke} of {} plans broke a rule; of {} RPCs {} ok; writes astray {}, started stores pushed \
-             over {}, lost {}, late {}, twice {}, stale {}, past a drain {}",
-            all.len(), sum.asked, sum.ok, sum.astray, sum.fallen, sum.lost, sum.late, sum.twice, sum.stale,
-            sum.drained
+            "{name}: {broke} of {} plans broke a rule {:?}; of {} RPCs {} ok",
+            all.len(),
+            sum.broken(),
+            sum.asked,
+            sum.ok
         );
         println!(
             "{name}: writes served while discovery was down in {served} of {} plans; after discovery's return in {writing} of {able} groups \
--- a/standins/src/client.rs
+++ b/standins/src/client.rs
@@ -1,45 +1,12 @@
-//! A client that remembers what it asked and what it got, and the audit of both against what is true.
+//! A client that remembers what it asked and what it got.
 
 use crate::message::{self, field};
-use crate::world::{unix_ms, World};
-use std::collections::HashSet;
+use crate::world::unix_ms;
+pub use checker::{Answer, Kind, Record};
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Kind {
-    /// Of data no older than the bound.
-    Read,
-    /// Non-idempotent.
-    Write,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Answer {
-    Value(String),
-    /// It did not run, or may run again; the wait in milliseconds.
-    PushedBack(Option<i64>),
-    Aborted,
-    Error(String),
-    /// The connection ended without an answer, or none came in time.
-    None,
-}
-
-/// One RPC as the client saw it.
-#[derive(Clone, Debug)]
-pub struct Record {
-    pub id: String,
-    pub group: i64,
-    pub kind: Kind,
-    pub sent_ms: i64,
-    pub answered_ms: i64,
-    pub patience_ms: i64,
-    pub answer: Answer,
-    /// Something came behind the answer that belongs to no RPC.
-    pub more: bool,
-}
-
 pub struct Client {
     stream: TcpStream,
     /// The token of its session as it was last given.
@@ -121,7 +88,7 @@
         let one = |id: &String| {
             let (answer, more) = if sent { self.answer() } else { (Answer::None, false) };
             let (id, answered_ms) = (id.clone(), unix_ms());
-            Record { id, group, kind, sent_ms, answered_ms, patience_ms, answer, more }
+            Record { id, group, kind, sent_ms, answered_ms, patience_ms, answer, more, cut: false }
         };
         ids.iter().map(one).collect()
     }
@@ -134,7 +101,7 @@
         let sent = self.stream.write_all(&out).is_ok();
         let (answer, more) = if sent { self.answer() } else { (Answer::None, false) };
         let (id, answered_ms) = (id.to_string(), unix_ms());
-        Record { id, group, kind, sent_ms, answered_ms, patience_ms, answer, more }
+        Record { id, group, kind, sent_ms, answered_ms, patience_ms, answer, more, cut: false }
     }
 
     fn answer(&mut self) -> (Answer, bool) {
@@ -165,103 +132,13 @@
     }
 }
 
+const INSERT: &str = "INSERT INTO kv (name, content) VALUES ('00000000000000aa', '\\x01') RETURNING content";
+
 fn statement(id: &str, group: i64, kind: Kind, patience_ms: i64) -> String {
     let (method, rest) = match kind {
         Kind::Read => ("read", "SELECT content FROM kv WHERE name = '00000000000000aa'"),
-        Kind::Write => {
-            ("order", "INSERT INTO kv (name, content) VALUES ('00000000000000aa', '\\x01') RETURNING content")
-        }
+        Kind::Write => ("order", INSERT),
+        Kind::Tokened => ("deposit", INSERT),
     };
     format!("/* id={id},c={method},d={patience_ms},cluster={group} */ {rest}\0")
 }
-
-/// What the five rules come to, each as a count of offences.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Audit {
-    pub asked: usize,
-    pub ok: usize,
-    /// Without an answer, with two, or with a value made for another.
-    pub lost: usize,
-    /// Answered after the client had given up.
-    pub late: usize,
-    /// Run twice, or pushed back although it had run.
-    pub twice: usize,
-    pub stale: usize,
-    /// Run by another than the true primary.
-    pub astray: usize,
-    pub fallen: usize,
-    pub drained: usize,
-    pub offences: Vec<String>,
-}
-
-impl Audit {
-    pub fn broken(&self) -> usize {
-        self.lost + self.late + self.twice + self.stale + self.astray + self.fallen + self.drained
-    }
-
-    pub fn add(&mut self, other: &Audit) {
-        self.asked += other.asked;
-        self.ok += other.ok;
-        self.lost += other.lost;
-        self.late += other.late;
-        self.twice += other.twice;
-        self.stale += other.stale;
-        self.astray += other.astray;
-        self.fallen += other.fallen;
-        self.drained += other.drained;
-        self.offences.extend(other.offences.iter().take(3).cloned());
-    }
-}
-
-/// Beside the client's patience: what a busy machine may take to wake the client's own thread.
-const WAKING_MS: i64 = 500;
-/// Answers take a moment to the front; a bound counts from the sending there.
-const ON_THE_WAY_MS: i64 = 60;
-
-pub fn audit(world: &World, records: &[Record], bound_ms: i64) -> Audit {
-    let truth = world.lock();
-    let counts = truth.counts;
-    let mut audit = Audit {
-        asked: records.len(),
-        astray: counts.astray,
-        fallen: counts.fallen,
-        drained: counts.drained,
-        offences: truth.offences.clone(),
-        ..Audit::default()
-    };
-    let mut seen = HashSet::new();
-    for record in records {
-        let Record { id, kind, sent_ms, answered_ms, patience_ms, answer, .. } = record;
-        let runs = truth.runs.get(id).map_or(0, Vec::len);
-        let mut blame = Vec::new();
-        if *answer == Answer::None || record.more || !seen.insert(id) {
-            audit.lost += 1;
-            blame.push("has no answer, or more than one");
-        }
-        if answered_ms - sent_ms > patience_ms + WAKING_MS {
-            audit.late += 1;
-            blame.push("was answered late");
-        }
-        if runs > 1 || (runs > 0 && matches!(answer, Answer::PushedBack(_))) {
-            audit.twice += 1;
-            blame.push("ran twice, or ran and was pushed back");
-        }
-        if let Answer::Value(value) = answer {
-            audit.ok += 1;
-            let mut words = value.split(' ');
-            if words.next() != Some(id) || (*kind == Kind::Write && runs != 1) {
-                audit.lost += 1;
-                blame.push("got a value that was not made for it");
-            }
-            let true_to: i64 = words.next().and_then(|word| word.parse().ok()).unwrap_or(0);
-            if *kind == Kind::Read && true_to < sent_ms - bound_ms - ON_THE_WAY_MS {
-                audit.stale += 1;
-                blame.push("got data older than its bound");
-            }
-        }
-        if !blame.is_empty() && audit.offences.len() < 20 {
-            audit.offences.push(format!("{kind:?} {id}: {} ({answer:?})", blame.join(", ")));
-        }
-    }
-    audit
-}
--- a/standins/src/starts.rs
+++ b/standins/src/starts.rs
@@ -1,11 +1,12 @@
 //! Starts with discovery down and a list that is no longer true, drawn from a seed: the faults of a day, the
 //! daemon on them, clients, discovery's return in one of its ways, and the audit.
 
-use crate::client::{audit, Answer, Audit, Client, Kind, Record};
+use crate::client::{Answer, Client, Kind, Record};
 use crate::daemon::{Daemon, Start};
 use crate::discovery::{host, Discovery, Mode};
-use crate::store::{free_address, serve, Served};
-use crate::world::{unix_ms, Branch, Cold, Machine, Reach, StoreIx, World};
+use crate::store::{free_address, serve, Served, MEMORY_MS};
+use crate::world::{unix_ms, Branch, Cold, Machine, Reach, StoreIx, World, BOUND_MS};
+use checker::{judge, Verdict};
 use gingerwick::rng::Mwc;
 use keep::{Dir, Kept, KeptStore, Said};
 use serde_json::Value;
@@ -116,7 +117,7 @@
 /// What one daemon made of a plan.
 #[derive(Clone, Debug, Default)]
 pub struct Played {
-    pub audit: Audit,
+    pub audit: Verdict,
     /// From the start of the process, in milliseconds.
     pub first_read: Option<f64>,
     pub first_write: Option<f64>,
@@ -135,7 +136,6 @@
     pub keeps: bool,
 }
 
-pub const BOUND_MS: i64 = 800;
 const GRACE_MS: i64 = 250;
 /// As the operators' deployments word it, with a shorter warm-up.
 const COLD: Cold = Cold { from: 0.23, for_ms: 8_000, fall_multiple: 2.5, window_ms: 2_000, work_ms: 4 };
@@ -150,8 +150,11 @@
     format!(
         r#"{{"nInstances":{fronts},"zone":0,"azs":["a"],"resolutionNs":5000000,"membershipMode":"push",
         "classes":[{{"name":"read","aimNs":{},"deadlineNs":{},"effect":"read_like"}},
-            {{"name":"order","aimNs":{},"deadlineNs":{},"effect":"non_idempotent","lateValue":0.5}}],
-        "familyInfo":{{"classRead":["recent","update"],"guards":"off","lagAllowedNs":[{},0],"sessionMarks":"client"}},
+            {{"name":"order","aimNs":{},"deadlineNs":{},"effect":"non_idempotent","lateValue":0.5}},
+            {{"name":"deposit","aimNs":{},"deadlineNs":{},"effect":"idempotency_key","keyScope":"cell",
+                "memorySpanNs":{},"lateValue":0.5}}],
+        "familyInfo":{{"classRead":["recent","update","update"],"guards":"off","lagAllowedNs":[{},0,0],
+            "sessionMarks":"client"}},
         "allowed":{{"maxAttempts":6,"mayCancel":true,"probes":true,"retryAfter":true,"maxRetryAfterNs":{}}},
         "report":{{"names":["x0","x1","load_share"]}},
         "rules":{{"coldFrom":{},"coldNs":{},"fallMultiple":{},"overloadForNs":{}}}}}"#,
@@ -159,6 +162,9 @@
         ms(800),
         ms(400),
         ms(1_000),
+        ms(400),
+        ms(1_000),
+        ms(MEMORY_MS),
         ms(BOUND_MS),
         ms(500),
         COLD.from,
@@ -359,7 +365,7 @@
         records.iter().filter(late).any(ok)
     };
     let played = Played {
-        audit: audit(&stage.world, &records, BOUND_MS),
+        audit: judge(&stage.world.history(records.clone(), Vec::new(), Vec::new())),
         first_read: first(0),
         first_write: first(1),
         groups_writing: able.iter().filter(writes).count(),
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -1,10 +1,11 @@
 //! A store on a socket of its own: it answers as the world says that it stands, and enters what it runs.
 
 use crate::message::{self, error, parameter, ready, row};
-use crate::world::{unix_ms, Reach, Run, StoreIx, World};
+use crate::world::{unix_ms, Reach, StoreIx, Truth, World};
+use checker::{Rule, Run};
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -22,9 +23,13 @@
     }
 }
 
-/// An address that nobody listens on: taken for a moment and given back.
+/// An address that nobody listens on: taken for a moment and given back. It has an address of loopback's for
+/// itself, so that nobody else is given the port while what is to listen there is not up, or up no more.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+    static GIVEN: AtomicU32 = AtomicU32::new(0);
+    let (nth, process) = (GIVEN.fetch_add(1, Ordering::Relaxed), std::process::id());
+    let host = Ipv4Addr::new(127, 1 + (process % 250) as u8, (nth >> 8) as u8, nth as u8);
+    let listener = TcpListener::bind((host, 0)).expect("loopback has a free port");
     listener.local_addr().expect("a bound listener has an address")
 }
 
@@ -82,6 +87,15 @@
     let position = truth.position(ix, unix_ms()) as f64 / 1e3;
     let primary = u8::from(truth.machines[ix].primary);
     row(out, format!("x0={position:.3},x1={primary},load_share=0.1").as_bytes());
+    epoch(out, &truth, ix);
+}
+
+/// Its epoch, and where that began.
+fn epoch(out: &mut Vec<u8>, truth: &Truth, ix: StoreIx) {
+    let machine = &truth.machines[ix];
+    let began = truth.forks(machine.group).get(machine.branch).copied().filter(|began| *began > 0);
+    let began = began.map_or(String::new(), |began| format!("@{began}"));
+    parameter(out, "epoch", &format!("{}{began}", machine.timeline));
 }
 
 fn identity(world: &World, ix: StoreIx, out: &mut Vec<u8>) {
@@ -94,6 +108,9 @@
     }
 }
 
+/// For so long a group drops repeats of a tokened write.
+pub const MEMORY_MS: i64 = 1_500;
+
 /// A value in a statement's comment.
 fn word<'a>(text: &'a str, name: &str) -> Option<&'a str> {
     let comment = text.strip_prefix("/*")?.split("*/").next()?;
@@ -103,45 +120,39 @@
 fn statement(world: &World, ix: StoreIx, text: &str, out: &mut Vec<u8>) -> Option<()> {
     let id = word(text, "id")?.to_string();
     let group: i64 = word(text, "cluster")?.parse().ok()?;
-    let (write, now) = (text.contains("INSERT"), unix_ms());
-    let takes = {
+    let (write, tokened, now) = (text.contains("INSERT"), word(text, "c") == Some("deposit"), unix_ms());
+    // What it answers is as it stands now, however long it takes.
+    let (takes, machine, epoch_told, at, point, true_to) = {
         let mut truth = world.lock();
         let takes = truth.offer(ix, now, &world.cold);
-        let machine = &truth.machines[ix];
-        let (primary, since) = (machine.primary, machine.draining_since);
-        if let Some(since) = since {
-            if now > since + world.grace_ms {
-                truth.counts.drained += 1;
-                let name = truth.machines[ix].name.clone();
-                truth.say(format!("{name} got {id} {} ms after its drain", now - since));
-            }
+        let machine = truth.machines[ix].clone();
+        if let Some(late) =
+            machine.draining_since.map(|since| now - since).filter(|&late| late > world.grace_ms)
+        {
+            truth.see(ix, Rule::Drains, format!("got {id} {late} ms after its drain"));
         }
-        if write && !primary {
+        if write && !machine.primary {
             error(out, "25006");
             parameter(out, "recovery", "on");
             return Some(());
         }
-        if write {
-            if !truth.is_true_primary(ix, group) {
-                truth.counts.astray += 1;
-                let name = truth.machines[ix].name.clone();
-                truth.say(format!("{name} ran the write {id} of group {group}, whose primary it is not"));
-            }
-            truth.runs.entry(id.clone()).or_default().push(Run { store: ix, at_ms: now });
+        let (at, true_to) = (truth.point(ix, now), truth.true_to(ix, now));
+        let before = tokened.then(|| truth.remembered(&id, at, MEMORY_MS)).flatten();
+        if write && before.is_none() {
+            let by_primary = truth.is_true_primary(ix, group);
+            let run = Run { id: id.clone(), group, point: at, by_primary };
+            truth.runs.entry(id.clone()).or_default().push(run);
         }
-        takes
+        let mut epoch_told = Vec::new();
+        epoch(&mut epoch_told, &truth, ix);
+        (takes, machine, epoch_told, at, before.unwrap_or(at), true_to)
     };
     thread::sleep(takes);
-    let truth = world.lock();
-    let machine = &truth.machines[ix];
-    let (at, true_to) = (truth.position(ix, now), truth.true_to(ix, now));
     // A store of another group has nothing of what is asked here.
     let true_to = if machine.group == group { true_to } else { 0 };
-    row(out, format!("{id} {true_to} {}", machine.name).as_bytes());
+    row(out, format!("{id} {true_to} {} {}", point.branch, point.at_ms).as_bytes());
     parameter(out, "recovery", if machine.primary { "off" } else { "on" });
-    parameter(out, "lsn_ms", &at.to_string());
-    let began = truth.branches[&machine.group][machine.branch].forked_ms;
-    let began = if began > 0 { format!("@{began}") } else { String::new() };
-    parameter(out, "epoch", &format!("{}{began}", machine.timeline));
+    parameter(out, "lsn_ms", &at.at_ms.to_string());
+    out.extend(epoch_told);
     Some(())
 }
--- a/standins/src/world.rs
+++ b/standins/src/world.rs
@@ -4,6 +4,7 @@
 //! stood so long ago as it lags, and stands still while its link is cut or its upstream is dead. A promotion
 //! forks a branch: what the former primary goes on writing is on a branch that is dead.
 
+use checker::{includes, Fate, History, Offence, Point, Record, Rule, Run};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -82,22 +83,6 @@
     pub work_ms: i64,
 }
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counts {
-    /// Writes that another than the true primary ran.
-    pub astray: usize,
-    /// Started stores pushed over.
-    pub fallen: usize,
-    /// Statements taken more than the grace after a drain was told.
-    pub drained: usize,
-}
-
-#[derive(Clone, Debug)]
-pub struct Run {
-    pub store: StoreIx,
-    pub at_ms: i64,
-}
-
 #[derive(Default)]
 pub struct Truth {
     pub machines: Vec<Machine>,
@@ -109,9 +94,8 @@
     pub work: HashMap<StoreIx, Vec<i64>>,
     /// When a store's one core will have done all that it has taken, in microseconds of Unix time.
     busy_until: HashMap<StoreIx, i64>,
-    pub counts: Counts,
-    /// Words on each broken rule, a few of them.
-    pub offences: Vec<String>,
+    /// Rules whose breaking stores see by themselves.
+    pub seen: Vec<Offence>,
 }
 
 impl Truth {
@@ -125,6 +109,25 @@
         }
     }
 
+    /// Where it stands on its group's log.
+    pub fn point(&self, ix: StoreIx, now: i64) -> Point {
+        Point { branch: self.machines[ix].branch, at_ms: self.position(ix, now) }
+    }
+
+    /// Where each branch of a group's log left the one before it.
+    pub fn forks(&self, group: i64) -> Vec<i64> {
+        self.branches.get(&group).into_iter().flatten().map(|branch| branch.forked_ms).collect()
+    }
+
+    /// The run that a store at this point still knows of, of a write whose repeats are dropped for so long.
+    pub fn remembered(&self, id: &str, at: Point, memory_ms: i64) -> Option<Point> {
+        let mut runs = self.runs.get(id)?.iter().map(|run| (run, self.forks(run.group)));
+        let known = |(run, forks): &(&Run, Vec<i64>)| {
+            at.at_ms - run.point.at_ms < memory_ms && includes(forks, at, run.point)
+        };
+        runs.find(known).map(|(run, _)| run.point)
+    }
+
     /// Up to when its data is that of the true log.
     pub fn true_to(&self, ix: StoreIx, now: i64) -> i64 {
         let (machine, position) = (&self.machines[ix], self.position(ix, now));
@@ -184,34 +187,55 @@
         let Some(warmth) = warmth else { return wait };
         let offered = work.len() as f64 * cold.work_ms as f64;
         if offered > warmth * cold.fall_multiple * cold.window_ms as f64 {
-            self.counts.fallen += 1;
             work.clear();
-            let name = self.machines[ix].name.clone();
-            self.say(format!(
-                "{name} was pushed over {} ms after its start",
-                now - self.machines[ix].started_ms
-            ));
+            let age = now - self.machines[ix].started_ms;
+            self.see(ix, Rule::Cold, format!("was pushed over {age} ms after its start"));
         }
         wait
     }
 
-    pub fn say(&mut self, words: String) {
-        if self.offences.len() < 20 {
-            self.offences.push(words);
-        }
+    pub fn see(&mut self, ix: StoreIx, rule: Rule, words: String) {
+        let whose = self.machines[ix].name.clone();
+        self.seen.push(Offence { rule, whose, words });
     }
 }
 
+/// The bound of the settings that fronts here are started with.
+pub const BOUND_MS: i64 = 800;
+
 pub struct World {
     pub cold: Cold,
     /// After a drain was told, so long may statements still come.
     pub grace_ms: i64,
+    /// How old a read's data may be.
+    pub bound_ms: i64,
     truth: Mutex<Truth>,
 }
 
+/// Beside the client's patience: what a busy machine may take to wake the client's own thread.
+const WAKING_MS: i64 = 500;
+/// Answers take a moment to the front; a bound counts from the sending there.
+const ON_THE_WAY_MS: i64 = 60;
+
 impl World {
     pub fn new(cold: Cold, grace_ms: i64) -> World {
-        World { cold, grace_ms, truth: Mutex::default() }
+        World { cold, grace_ms, bound_ms: BOUND_MS, truth: Mutex::default() }
+    }
+
+    /// What was done here, and what clients make of it.
+    pub fn history(&self, loose: Vec<Record>, sessions: Vec<Vec<Record>>, fates: Vec<Fate>) -> History {
+        let truth = self.lock();
+        History {
+            loose,
+            sessions,
+            fates,
+            runs: truth.runs.values().flatten().cloned().collect(),
+            forks: truth.branches.keys().map(|&group| (group, truth.forks(group))).collect(),
+            seen: truth.seen.clone(),
+            bound_ms: self.bound_ms,
+            waking_ms: WAKING_MS,
+            on_the_way_ms: ON_THE_WAY_MS,
+        }
     }
 
     pub fn lock(&self) -> MutexGuard<'_, Truth> {
