Writes hear their primary's epoch first, losses are told once, tokened repeats rejoin

The call-out now has the store tell of its epoch first, once a connection, and the owner judges again before it leaves (News::Confirm). - marks.rs::strike left nothing in the place of a lost mark, so a front that remembered the session brought it back and told it again. Need beside it: a tokened write whose front died was barred for good. It now goes out again under its id, only in its group and its memory, counted from the first sending on the machine's uptime, which nobody sets; past that, on a machine started anew or where nobody knows, it stays barred. A repeat is never pushed back once it has joined.

--- a/front/src/carry.rs
+++ b/front/src/carry.rs
@@ -99,8 +99,9 @@
                 carried.marks.see(group, *mark);
                 lock(&self.kept).merge(now, carried.session, &mut carried.marks);
             }
-            Answer::Lost => {
+            Answer::Lost(anew) => {
                 carried.marks.strike(group);
+                carried.marks.see(group, *anew);
                 lock(&self.kept).strike(&carried.session, group);
             }
             _ => return None,
--- a/front/src/mailbox.rs
+++ b/front/src/mailbox.rs
@@ -23,7 +23,7 @@
     /// RowDescription, DataRow and CommandComplete as the store gave them.
     Value(Vec<u8>, Seen),
     /// What its session saw of the group is lost: it did not run.
-    Lost,
+    Lost(Mark),
     /// What became of a write.
     Fate(Fate),
     PushBack(Option<Span>),
--- a/front/src/news.rs
+++ b/front/src/news.rs
@@ -5,6 +5,7 @@
 use crate::hosts::Host;
 use crate::mailbox::Ticket;
 use crate::pool::NoWire;
+use crate::writes::{Filed, Filing};
 use gingerwick::iface::{Outcome, RpcId, StoreIx, Told};
 use gingerwick::time::{Moment, Span};
 use keep::Kept;
@@ -26,6 +27,11 @@
         store: StoreIx,
         reply: Sender<bool>,
     },
+    /// A store has told of its epoch, before the RPC's call-out leaves.
+    Epoch {
+        rpc: RpcId,
+        epoch: Epoch,
+    },
     Ended(End),
     Probed {
         store: StoreIx,
@@ -74,10 +80,10 @@
     pub by: Moment,
     pub query: Arc<Query>,
     pub bell: Arc<Bell>,
-    /// Its RPC's id, where it must be on record before it leaves.
-    pub journaled: Option<Arc<str>>,
-    /// An earlier call-out of the RPC is on record.
-    pub again: bool,
+    /// What must be on record before it leaves.
+    pub entry: Option<Filing>,
+    /// It must stand on a log that has what its session saw: the store tells of its epoch first.
+    pub follows: bool,
 }
 
 /// What became of a call-out.
@@ -91,18 +97,16 @@
     pub report: Told,
     pub epoch: Option<Epoch>,
     pub value: Vec<u8>,
-    /// It was recorded, whether or not it left then.
-    pub recorded: bool,
-    /// Its id is another's in the journal: it must not leave.
-    pub barred: bool,
+    /// What the journal said, where it was asked, whether or not the call-out left then.
+    pub word: Option<Filed>,
 }
 
 impl End {
     /// A call-out that never left.
     pub fn moot(rpc: RpcId, number: u32, store: StoreIx, sent: Moment) -> End {
         let (note, report) = (Told::default(), Told::default());
-        let (epoch, value, recorded, barred) = Default::default();
+        let (epoch, value, word) = Default::default();
         let outcome = Outcome::Moot;
-        End { rpc, number, store, sent, outcome, note, report, epoch, value, recorded, barred }
+        End { rpc, number, store, sent, outcome, note, report, epoch, value, word }
     }
 }
--- a/front/src/owner.rs
+++ b/front/src/owner.rs
@@ -11,7 +11,7 @@
 use crate::news::{self, CallOut, Heard, News};
 use crate::pool::NoWire;
 use crate::send::Outlet;
-use crate::writes::Writes;
+use crate::writes::{Filed, Filing, Writes};
 use gingerwick::choice::Router;
 use gingerwick::iface::{
     Action, Arrival, Effect, End, Entry, Event, Facts, Need, Outcome, RpcId, Standing, StoreIx, Told,
@@ -31,7 +31,7 @@
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::Arc;
-use writes::fate::{Fate, Input};
+use writes::fate::{Fate, Input, Token};
 
 /// What the book keeps of an RPC.
 struct Live {
@@ -40,9 +40,12 @@
     /// What its session has seen, and whether the RPC is a read, which must show that much.
     mark: Option<Mark>,
     reads: bool,
-    /// It may not run twice, so it is kept on record.
+    /// It may not run twice, so it is kept on record; with its token, where it has one.
     journaled: bool,
+    token: Option<Token>,
     recorded: bool,
+    /// It repeats one that is on record, which may have run: it goes out as long as that is dropped.
+    joined: bool,
     /// A call-out of it may have run, or has.
     may_have_run: bool,
     arrived: Moment,
@@ -52,6 +55,15 @@
     out: Option<(u32, Arc<Bell>)>,
 }
 
+impl Live {
+    /// What must be on record before a call-out leaves.
+    fn entry(&self) -> Option<Filing> {
+        // A repeat of another RPC's asks each time whether it may still go.
+        let input = if self.recorded && !self.joined { Input::Again } else { Input::Intend };
+        self.journaled.then(|| Filing { id: self.id.clone(), input, token: self.token })
+    }
+}
+
 pub struct Owner {
     facts: Facts,
     seed: u64,
@@ -185,7 +197,12 @@
             }
             News::Confirm { rpc, call_out, store, reply } => {
                 let holds = state.book.is_open(rpc) && state.router.confirms(now, rpc, call_out, store);
-                let _ = reply.send(holds);
+                let _ = reply.send(holds && state.follows(rpc));
+            }
+            News::Epoch { rpc, epoch } => {
+                if let Some(live) = state.book.get(rpc) {
+                    state.epochs.learn(live.cluster, epoch);
+                }
             }
             News::Ended(end) => {
                 let (store, asked, note) = (end.store, end.sent, end.note);
@@ -330,8 +347,8 @@
                     state.trace(rpc, "call-out", now);
                     let Some(live) = state.book.get_mut(rpc) else { continue };
                     live.out = Some((number, bell.clone()));
-                    let (query, again) = (live.query.clone(), live.recorded);
-                    let journaled = live.journaled.then(|| live.id.clone());
+                    let (query, entry) = (live.query.clone(), live.entry());
+                    let follows = !live.reads && live.mark.is_some_and(|mark| mark.epoch > 0);
                     let Some(addr) = state.dials[store] else {
                         ends.push(news::End::moot(rpc, number, store, now));
                         continue;
@@ -346,13 +363,19 @@
                         by,
                         query,
                         bell,
-                        journaled,
-                        again,
+                        entry,
+                        follows,
                     });
                 }
                 Action::PushBack { rpc, come_back } => {
-                    state.trace(rpc, "pushed back", now);
-                    state.answer(rpc, Answer::PushBack(come_back));
+                    // A repeat of what may have run in an earlier RPC: that it didn't is no longer known.
+                    let doubtful = state.book.get(rpc).is_some_and(|live| live.joined);
+                    let (what, answer) = match doubtful {
+                        true => ("aborted", Answer::Abort),
+                        false => ("pushed back", Answer::PushBack(come_back)),
+                    };
+                    state.trace(rpc, what, now);
+                    state.answer(rpc, answer);
                 }
                 Action::Abort { rpc } => {
                     state.trace(rpc, "aborted", now);
@@ -502,6 +525,7 @@
         let (tick, come_back) = (facts.tick, facts.max_come_back);
         let effect = facts.methods.get(new.method).map(|method| method.effect);
         let journaled = self.writes.is_some() && effect != Some(Effect::Idempotent);
+        let token = effect.and_then(|effect| token(effect, new.cluster, tick));
         let reads = facts.methods.get(new.method).is_some_and(|method| method.need != Need::Write);
         if self.groups.is_empty() {
             // No list has come yet: which groups there are is not known.
@@ -513,7 +537,7 @@
         let rpc = ticket.rpc;
         let Admission { id, method, cluster, session, last_write, mark, deadline, repeat, .. } = new;
         let seen = match mark.map(|mark| self.epochs.judge(cluster, mark)) {
-            Some(Verdict::Lost) => return ticket.answer(Answer::Lost),
+            Some(Verdict::Lost) => return ticket.answer(Answer::Lost(self.epochs.anew(cluster))),
             Some(Verdict::Stands(position) | Verdict::Ahead(position)) => Some(position),
             None => None,
         };
@@ -530,7 +554,9 @@
                 mark,
                 reads,
                 journaled,
+                token,
                 recorded: false,
+                joined: false,
                 may_have_run: false,
                 arrived: now,
                 resort,
@@ -546,15 +572,18 @@
     }
 
     fn ended(&mut self, now: Moment, end: news::End, come_back: Option<Span>) {
-        let news::End { rpc, number, store, sent, outcome, note, report, epoch, value, recorded, barred } =
-            end;
+        let news::End { rpc, number, store, sent, outcome, note, report, epoch, value, word } = end;
         let Some(live) = self.book.get_mut(rpc) else { return };
-        live.recorded |= recorded;
-        live.may_have_run |= !outcome.proves_it_never_ran();
+        live.joined |= word == Some(Filed::Join);
+        // Where one before may have run, this answer may be that to a repeat, and its position no commit's.
+        let first = !live.joined && !live.may_have_run;
+        live.recorded |= matches!(word, Some(Filed::Go | Filed::Join));
+        live.may_have_run |= live.joined || !outcome.proves_it_never_ran();
         if let (Some(writes), true, Outcome::Ok) = (&self.writes, live.recorded, outcome) {
-            writes.ended(&live.id, Input::Ran(note.position.map(|at| at.0 / 1_000_000)));
+            let commit = note.position.filter(|_| first).map(|at| at.0 / 1_000_000);
+            writes.ended(&live.id, Input::Ran(commit));
         }
-        if let Some(ticket) = live.ticket.take_if(|_| barred) {
+        if let Some(ticket) = live.ticket.take_if(|_| word == Some(Filed::Barred)) {
             ticket.answer(Answer::Refused("42710", "id is that of a write on record: ask for its fate"));
         }
         if outcome == Outcome::Ok {
@@ -578,6 +607,17 @@
         self.strike(rpc, page);
     }
 
+    /// Whether what an RPC's session has seen still lies on the log, by all that was heard up to this moment;
+    /// where not, its client is told.
+    fn follows(&mut self, rpc: RpcId) -> bool {
+        let Some(live) = self.book.get_mut(rpc) else { return false };
+        let lost = live.mark.is_some_and(|mark| self.epochs.judge(live.cluster, mark) == Verdict::Lost);
+        if let Some(ticket) = live.ticket.take_if(|_| lost) {
+            ticket.answer(Answer::Lost(self.epochs.anew(live.cluster)));
+        }
+        !lost
+    }
+
     /// One line for each decision on an RPC, by which it is followed through the front.
     fn trace(&self, rpc: RpcId, what: &str, now: Moment) {
         if tracing::enabled!(tracing::Level::DEBUG) {
@@ -626,6 +666,17 @@
     }
 }
 
+/// The token by which repeats are dropped, less the moment that one takes to its store.
+fn token(effect: Effect, group: i64, tick: Span) -> Option<Token> {
+    match effect {
+        Effect::Tokened { everywhere, memory } => Some(Token {
+            scope: (!everywhere).then_some(group),
+            memory_ms: (memory - tick * 2).0 / 1_000_000,
+        }),
+        _ => None,
+    }
+}
+
 /// What a client gets for a good answer. A read whose session has seen more than this store's log shows is
 /// not given it: what the store that really answered says of itself goes before all that was believed of it.
 fn shown(
@@ -640,7 +691,7 @@
     let lost = live.mark.is_some_and(|mark| epochs.judge(live.cluster, mark) == Verdict::Lost);
     let shows = live.mark.is_none_or(|mark| epochs.shows(live.cluster, mark, epoch, note.position));
     if live.reads && lost {
-        return Answer::Lost;
+        return Answer::Lost(epochs.anew(live.cluster));
     }
     if live.reads && !shows {
         return Answer::PushBack(come_back);
--- a/front/src/send.rs
+++ b/front/src/send.rs
@@ -8,8 +8,8 @@
 use crate::relay::{report, Reply};
 use crate::tasks::spawn;
 use crate::wire::{Stop, Wire};
-use crate::writes::{Word, Writes};
-use gingerwick::iface::{Outcome, StoreIx, Told};
+use crate::writes::{Filed, Writes};
+use gingerwick::iface::{Outcome, Role, StoreIx, Told};
 use gingerwick::time::{Moment, Span};
 use may::sync::mpsc::{channel, Sender};
 use sessions::epochs::Epoch;
@@ -38,7 +38,7 @@
     if let Some(end) = &mut pending.end {
         (end.outcome, end.value) = (sent.outcome, sent.value);
         (end.note, end.report, end.epoch) = (sent.note, sent.report, sent.epoch);
-        (end.recorded, end.barred) = (sent.recorded, sent.barred);
+        end.word = sent.word;
     }
     drop(pending);
     if let Some(wire) = sent.free {
@@ -54,22 +54,21 @@
     report: Told,
     epoch: Option<Epoch>,
     free: Option<Wire>,
-    recorded: bool,
-    barred: bool,
+    word: Option<Filed>,
 }
 
 impl Sent {
     fn unsent(outcome: Outcome) -> Sent {
         let (note, report) = Default::default();
-        let (epoch, free, recorded, barred) = Default::default();
-        Sent { outcome, value: Vec::new(), note, report, epoch, free, recorded, barred }
+        let (epoch, free, word) = Default::default();
+        Sent { outcome, value: Vec::new(), note, report, epoch, free, word }
     }
 }
 
 fn attempt(pool: &Pool, writes: Option<&Writes>, owner: &Sender<News>, job: &CallOut) -> Sent {
-    let mut recorded = false;
-    let sent = leave(pool, writes, owner, job, &mut recorded);
-    Sent { recorded, ..sent }
+    let mut word = None;
+    let sent = leave(pool, writes, owner, job, &mut word);
+    Sent { word, ..sent }
 }
 
 fn leave(
@@ -77,7 +76,7 @@
     writes: Option<&Writes>,
     owner: &Sender<News>,
     job: &CallOut,
-    recorded: &mut bool,
+    word: &mut Option<Filed>,
 ) -> Sent {
     let CallOut { addr, by, bell, query, .. } = job;
     loop {
@@ -88,13 +87,20 @@
             Err(why) => return Sent::unsent(why.outcome),
         };
         wire.listen_to(*by, bell);
+        if job.follows && !wire.vouched {
+            wire = match first_the_epoch(wire, owner, job) {
+                Some(wire) => wire,
+                // A connection from before may have ended meanwhile, and nothing of this has left.
+                None if again && pool.alarms.now() < *by && !bell.is_rung() => continue,
+                None => return Sent::unsent(Outcome::Unreachable),
+            };
+        }
         // On record first: the word that it may leave must be the last before it does.
-        if let (Some(id), Some(writes), false) = (&job.journaled, writes, *recorded) {
-            let word = writes.may_leave(id, job.again);
-            *recorded = word == Word::Go;
-            if !*recorded {
+        if let (Some(entry), Some(writes), None) = (&job.entry, writes, *word) {
+            *word = Some(writes.may_leave(entry));
+            if matches!(word, Some(Filed::Barred | Filed::Failed)) {
                 pool.keep(*addr, wire);
-                return Sent { barred: word == Word::Barred, ..Sent::unsent(Outcome::Moot) };
+                return Sent::unsent(Outcome::Moot);
             }
         }
         // Connecting took its time: what held when this was decided may hold no more.
@@ -116,6 +122,19 @@
     }
 }
 
+/// Has the store tell of its epoch, for the owner to judge before the call-out leaves; the connection, where it
+/// still can be used. A store that tells none is gone on with: a loss can't be seen there.
+fn first_the_epoch(mut wire: Wire, owner: &Sender<News>, job: &CallOut) -> Option<Wire> {
+    let mut query = Vec::new();
+    pg::query(&mut query, HEALTH);
+    wire.write(&[&query], job.by, &job.bell).ok()?;
+    let sent = answer(wire, job.by, &job.bell);
+    if let Some(epoch) = sent.epoch {
+        let _ = owner.send(News::Epoch { rpc: job.rpc, epoch });
+    }
+    sent.free
+}
+
 fn confirmed(owner: &Sender<News>, job: &CallOut) -> bool {
     let (reply, answer) = channel();
     let asked = owner.send(News::Confirm { rpc: job.rpc, call_out: job.number, store: job.store, reply });
@@ -138,6 +157,7 @@
     let buffer = wire.take_buffer();
     let value = if outcome == Outcome::Ok { reply.value(buffer) } else { Vec::new() };
     let (note, report) = reply.told();
+    wire.vouched |= note.role == Some(Role::Primary) && reply.told_epoch().is_some();
     Sent {
         value,
         note,
@@ -212,8 +232,10 @@
 }
 
 /// Asks for the report.
+const HEALTH: &str = "SHOW health";
+
 fn health(pool: &Pool, addr: SocketAddr, by: Moment) -> Result<(Outcome, Told), NoWire> {
-    let (outcome, column) = sound(pool, addr, "SHOW health", by, &Bell::default())?;
+    let (outcome, column) = sound(pool, addr, HEALTH, by, &Bell::default())?;
     Ok((outcome, std::str::from_utf8(&column).map(report).unwrap_or_default()))
 }
 
--- a/front/src/session.rs
+++ b/front/src/session.rs
@@ -464,7 +464,7 @@
                 None,
             );
         }
-        Answer::Lost => {
+        Answer::Lost(_) => {
             let why =
                 "what this session saw of the group is lost, by a switch of its primary; it did not run";
             pg::error(&mut out, "ERROR", "ZG001", why, None);
--- a/front/src/wire.rs
+++ b/front/src/wire.rs
@@ -40,6 +40,9 @@
     /// Read since it last waited.
     burst: usize,
     entry: Entry,
+    /// The store on it has told, as a primary, of the epoch that it is on. One that is primary no more closes
+    /// its connections, so this holds as long as the connection does.
+    pub vouched: bool,
 }
 
 impl Wire {
@@ -56,7 +59,15 @@
         let stream = TcpStream::connect_timeout(addr, duration(left))?;
         stream.set_nodelay(true)?;
         let weight = entry.weight();
-        Ok(Wire { stream, alarms: alarms.clone(), buffer: Vec::new(), weight, burst: 0, entry })
+        Ok(Wire {
+            stream,
+            alarms: alarms.clone(),
+            buffer: Vec::new(),
+            weight,
+            burst: 0,
+            entry,
+            vouched: false,
+        })
     }
 
     /// Makes `by` and `bell` heard by the reads and writes that follow.
--- a/front/src/writes.rs
+++ b/front/src/writes.rs
@@ -6,20 +6,30 @@
 use std::sync::mpsc::{self, Receiver};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
-use std::time::{SystemTime, UNIX_EPOCH};
-use writes::fate::{Fate, Input, Leave, Origin};
-use writes::journal::{Bounds, Journal, Op, Reply, Sync, MOST_AT_ONCE};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use writes::fate::{Fate, Input, Leave, Origin, Token, Uptime};
+use writes::journal::{Bounds, Journal, Now, Op, Reply, Sync, MOST_AT_ONCE};
 
 /// Whether a call-out may leave.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Word {
+pub enum Filed {
     Go,
+    /// As a repeat of one that may have run.
+    Join,
     /// Its id is on record already.
     Barred,
     /// It could not be recorded: it must not leave.
     Failed,
 }
 
+/// What must be on record before a call-out leaves.
+#[derive(Clone)]
+pub struct Filing {
+    pub id: Arc<str>,
+    pub input: Input,
+    pub token: Option<Token>,
+}
+
 type Told = Box<dyn FnOnce(Option<Reply>) + Send>;
 
 pub struct Writes {
@@ -35,6 +45,15 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as i64
 }
 
+/// How long this machine has been up, by the kernel's own files; none where it has no such.
+fn uptime() -> Option<Uptime> {
+    let name = std::fs::read_to_string("/proc/sys/kernel/random/boot_id").ok()?;
+    let boot = u64::from_str_radix(name.replace('-', "").get(..16)?, 16).ok()?;
+    let words = std::fs::read_to_string("/proc/uptime").ok()?;
+    let seconds: f64 = words.split_whitespace().next()?.parse().ok()?;
+    Some(Uptime { boot, ms: (seconds * 1e3).round() as i64 })
+}
+
 impl Writes {
     pub fn start(path: &Path, sync: Sync, bounds: Bounds, chance: u64) -> Result<Arc<Writes>, String> {
         let journal = Journal::open(path, sync, bounds, chance).map_err(|why| why.to_string())?;
@@ -52,22 +71,24 @@
     }
 
     /// Records that a call-out is about to leave; the calling coroutine waits until that is kept.
-    pub fn may_leave(&self, id: &str, again: bool) -> Word {
-        let input = if again { Input::Again } else { Input::Intend };
-        let (told, word): (Sender<Word>, _) = channel();
-        self.put(Op::Record { id: id.to_string(), input }, move |reply| {
-            let _ = told.send(match reply {
-                Some(Reply::Leave(Leave::Go)) => Word::Go,
-                Some(_) => Word::Barred,
-                None => Word::Failed,
-            });
-        });
-        word.recv().unwrap_or(Word::Failed)
+    pub fn may_leave(&self, entry: &Filing) -> Filed {
+        let (told, word): (Sender<Option<Reply>>, _) = channel();
+        let asked = Instant::now();
+        let Filing { id, input, token } = entry.clone();
+        self.put(Op::Record { id: id.to_string(), input, token }, move |reply| _ = told.send(reply));
+        let waited_ms = |asked: Instant| asked.elapsed().as_millis() as i64;
+        match word.recv().ok().flatten() {
+            Some(Reply::Leave(Leave::Go)) => Filed::Go,
+            // The word itself may have come too late: others' records go to the disk before it.
+            Some(Reply::Leave(Leave::Join { left_ms })) if waited_ms(asked) < left_ms => Filed::Join,
+            Some(_) => Filed::Barred,
+            None => Filed::Failed,
+        }
     }
 
     /// What became of a write that was recorded. Nobody waits for it.
     pub fn ended(&self, id: &str, input: Input) {
-        self.put(Op::Record { id: id.to_string(), input }, |_| ());
+        self.put(Op::Record { id: id.to_string(), input, token: None }, |_| ());
     }
 
     pub fn ask(
@@ -95,7 +116,9 @@
                 ops.push(op);
                 told.push(tell);
             }
-            let replies = journal.apply(wall_ms(), &ops);
+            let tokened = ops.iter().any(|op| matches!(op, Op::Record { token: Some(_), .. }));
+            let up = tokened.then(uptime).flatten();
+            let replies = journal.apply(Now { wall_ms: wall_ms(), up }, &ops);
             *lock(&self.origin) = journal.origin();
             match &replies {
                 Err(why) if !failing => {
--- a/front/tests/fates.rs
+++ b/front/tests/fates.rs
@@ -5,7 +5,7 @@
 use standins::daemon::{Daemon, Start};
 use standins::discovery::{host, Discovery, Mode};
 use standins::starts::settings;
-use standins::store::{free_address, serve, Served};
+use standins::store::{free_address, serve, Served, MEMORY_MS};
 use standins::world::{Branch, Cold, Machine, World};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -63,6 +63,25 @@
         }
     }
 
+    /// Has these run, and kills the front before it hears of that; the moment by which they had.
+    fn cut_off<const N: usize>(&self, front: Daemon, writes: [(&'static str, Kind); N]) -> Instant {
+        // The first of a front's life waits for the list; what comes behind it is sent at once.
+        while !matches!(self.client(0).ask("warm", 1, Kind::Tokened, 900).answer, Answer::Value(_)) {}
+        let asking = writes.map(|(id, kind)| {
+            let mut client = self.client(0);
+            thread::spawn(move || client.ask(id, 1, kind, 900).answer)
+        });
+        let began = Instant::now();
+        while writes.iter().any(|(id, _)| self.runs(id) == 0) {
+            assert!(began.elapsed() < Duration::from_secs(5), "they are sent at once");
+            thread::sleep(Duration::from_millis(2));
+        }
+        let ran = Instant::now();
+        front.kill();
+        asking.into_iter().for_each(|asking| assert_eq!(asking.join().expect("no panic"), Answer::None));
+        ran
+    }
+
     fn runs(&self, id: &str) -> usize {
         self.world.lock().runs.get(id).map_or(0, Vec::len)
     }
@@ -176,3 +195,47 @@
     assert!(seen.iter().any(|word| word == "under way"), "{seen:?}");
     assert!(client.fate("", &origin) == Answer::Error("42601".into()));
 }
+
+#[test]
+fn a_tokened_write_goes_out_again_after_a_kill_while_its_repeats_are_dropped_and_no_longer() {
+    let place = Place::new(150);
+    let daemon = place.start(0);
+    let origin = place.client(0).origin.expect("told at the start");
+    let ran =
+        place.cut_off(daemon, [("soon", Kind::Tokened), ("late", Kind::Tokened), ("plain", Kind::Write)]);
+    let daemon = place.start(0);
+    let mut client = place.client(0);
+    assert_eq!(client.fate("soon", &origin), Answer::Error("40003".into()), "it may have run");
+    let again = client.ask("soon", 1, Kind::Tokened, 900).answer;
+    assert!(matches!(&again, Answer::Value(word) if word.starts_with("soon ")), "{again:?}");
+    assert!(ran.elapsed() < Duration::from_millis(MEMORY_MS as u64), "the machine is too slow to show it");
+    // That its repeat was answered shows that it ran; where it was committed nobody said.
+    assert_eq!(client.fate("soon", &origin), Answer::Value("ran".into()));
+    let barred = Answer::Error("42710".into());
+    assert_eq!(client.ask("plain", 1, Kind::Write, 900).answer, barred, "it has no token");
+    thread::sleep(Duration::from_millis(MEMORY_MS as u64).saturating_sub(ran.elapsed()));
+    assert_eq!(client.ask("late", 1, Kind::Tokened, 900).answer, barred, "its repeats are dropped no more");
+    assert_eq!(["soon", "late", "plain"].map(|id| place.runs(id)), [1, 1, 1]);
+    drop(daemon);
+}
+
+#[test]
+fn a_repeat_that_no_store_took_is_aborted_and_does_not_go_out_past_its_memory() {
+    let place = Place::new(150);
+    let ran = place.cut_off(place.start(0), [("soon", Kind::Tokened), ("late", Kind::Tokened)]);
+    let daemon = place.start(0);
+    while !matches!(place.client(0).ask("known", 1, Kind::Tokened, 900).answer, Answer::Value(_)) {}
+    // What takes it now is a primary no more, and says so: this time it is known not to have run.
+    place.world.lock().machines[0].primary = false;
+    let asking = [("soon", 700), ("late", 2_600)].map(|(id, patience)| {
+        let mut client = place.client(0);
+        thread::spawn(move || client.ask(id, 1, Kind::Tokened, patience).answer)
+    });
+    thread::sleep(Duration::from_millis(MEMORY_MS as u64 + 50).saturating_sub(ran.elapsed()));
+    place.world.lock().machines[0].primary = true;
+    let [soon, late] = asking.map(|asking| asking.join().expect("no panic"));
+    assert_eq!(soon, Answer::Aborted, "the first try may have run, so it is not pushed back");
+    assert!(matches!(&late, Answer::Aborted | Answer::Error(_)), "{late:?}");
+    assert_eq!(["soon", "late"].map(|id| place.runs(id)), [1, 1]);
+    drop(daemon);
+}
--- a/front/tests/sessions.rs
+++ b/front/tests/sessions.rs
@@ -95,14 +95,25 @@
     }
 }
 
+/// Asks until it is told something else than to come back.
+fn answered(client: &mut Client, kind: Kind, name: &str) -> Record {
+    for nth in 0..200 {
+        let record = client.ask(&format!("{name}-{nth}"), 1, kind, 800);
+        if !matches!(record.answer, Answer::PushedBack(_)) {
+            return record;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    panic!("{name} is only pushed back");
+}
+
 /// Asks until it is served.
 fn served(client: &mut Client, kind: Kind, name: &str) -> Record {
     for nth in 0..200 {
-        let record = client.ask(&format!("{name}-{nth}"), 1, kind, 800);
+        let record = answered(client, kind, &format!("{name}-{nth}"));
         if matches!(record.answer, Answer::Value(_)) {
             return record;
         }
-        thread::sleep(Duration::from_millis(10));
     }
     panic!("{name} is not served");
 }
@@ -145,10 +156,17 @@
 #[test]
 fn a_switch_that_loses_what_a_session_saw_is_told_once_and_clearly() {
     let place = Place::new([400, 400]);
-    let daemons = [place.start(0), place.start(1)];
-    let mut client = place.client(0, Some("new"));
-    served(&mut client, Kind::Write, "w");
-    let token = client.token.clone().expect("a token");
+    let mut daemons = [place.start(0), place.start(1)].map(Some);
+    // Sessions that both fronts remember.
+    let [token, read, write] = ["a", "b", "c"].map(|name| {
+        let mut token = "new".to_string();
+        for nth in 0..2 {
+            let mut client = place.client(nth, Some(&token));
+            served(&mut client, Kind::Write, &format!("{name}{nth}"));
+            token = client.token.expect("a token");
+        }
+        token
+    });
     // The heir lacks the last 400 ms, the session's write among them; the former primary is gone.
     {
         let mut truth = place.world.lock();
@@ -158,18 +176,28 @@
         truth.machines[0].reach = Reach::Silent;
     }
     place.list(3, 1);
+    // A front that has just started has heard nothing of epochs, and the first that it gets is a write.
+    daemons[0].take().map(Daemon::kill);
+    daemons[0] = Some(place.start(0));
+    let told = answered(&mut place.client(0, Some(&token)), Kind::Write, "first");
+    assert_eq!(told.answer, Answer::Error("ZG001".into()));
+    assert!(!place.world.lock().runs.contains_key(&told.id), "told of a loss, and it ran");
     // Both fronts hear of the new epoch by other clients.
     for nth in 0..2 {
         let mut other = place.client(nth, None);
         served(&mut other, Kind::Write, &format!("o{nth}"));
     }
-    for kind in [Kind::Read, Kind::Write] {
-        let mut moved = place.client(1, Some(&token));
+    for (kind, token) in [(Kind::Read, read), (Kind::Write, write)] {
+        let mut moved = place.client(0, Some(&token));
         let told = moved.ask(&format!("t-{kind:?}"), 1, kind, 800);
         assert_eq!(told.answer, Answer::Error("ZG001".into()), "{kind:?}");
         let next = moved.token.clone().expect("a token without what was lost");
-        let mut again = place.client(0, Some(&next));
-        served(&mut again, Kind::Read, &format!("a-{kind:?}"));
+        // Told once: the front that remembers what was lost does not bring it back.
+        for nth in 0..2 {
+            let mut again = place.client(nth, Some(&next));
+            let record = answered(&mut again, Kind::Read, &format!("a-{kind:?}-{nth}"));
+            assert!(matches!(record.answer, Answer::Value(_)), "{record:?}");
+        }
     }
     // A session that saw nothing of it is not troubled.
     let mut fresh = place.client(1, Some("new"));
--- a/sessions/src/epochs.rs
+++ b/sessions/src/epochs.rs
@@ -72,6 +72,13 @@
         }
     }
 
+    /// Where a session goes on that was told of a loss: at the beginning of the latest epoch.
+    pub fn anew(&self, group: Block) -> Mark {
+        let latest = self.groups.get(&group).and_then(|known| known.last_key_value());
+        let (epoch, began) = latest.map_or((0, None), |(number, began)| (*number, *began));
+        Mark { epoch, position: began.unwrap_or(Moment(0)) }
+    }
+
     /// Whether an answer from a store on this epoch and at this position shows all that the mark has seen.
     /// What the answer itself tells of its epoch is learnt before this is asked: it may be the first word of
     /// a loss.
--- a/sessions/src/marks.rs
+++ b/sessions/src/marks.rs
@@ -86,7 +86,8 @@
         }
     }
 
-    /// The log that a mark lies on was lost, and the client has been told.
+    /// The log that a mark lies on was lost, and the client is told. What it carries on must then `see` where
+    /// the new epoch began, or another copy that still has the old mark would bring it back.
     pub fn strike(&mut self, group: Block) {
         self.each.retain(|(other, _)| *other != group);
     }
--- a/sessions/tests/guarantees.rs
+++ b/sessions/tests/guarantees.rs
@@ -75,6 +75,34 @@
     assert_eq!(epochs.judge(2, mark(4, 9)), Verdict::Stands(at(9)), "another group has its own");
 }
 
+#[test]
+fn a_loss_that_was_told_is_not_brought_back_by_a_front_that_remembers_what_was_lost() {
+    let (mut epochs, session, now) = (Epochs::default(), [7; 16], at(0));
+    let [mut here, mut elsewhere] = [(); 2].map(|()| Kept::new(9, Span::millis(60_000)));
+    let mut carried = Marks::default();
+    carried.see(1, mark(1, 900));
+    carried.see(2, mark(1, 700));
+    here.merge(now, session, &mut carried);
+    elsewhere.merge(now, session, &mut carried);
+    for (number, began) in [(2, 500), (3, 600)] {
+        epochs.learn(1, Epoch { number, began: Some(at(began)) });
+    }
+    assert_eq!(epochs.judge(1, carried.of(1).expect("seen")), Verdict::Lost);
+    let mut before = carried.clone();
+    carried.strike(1);
+    carried.see(1, epochs.anew(1));
+    here.strike(&session, 1);
+    // The client that was not reached by this comes with what it had, and is told again.
+    here.merge(now, session, &mut before);
+    assert_eq!(epochs.judge(1, before.of(1).expect("seen")), Verdict::Lost);
+    for front in [&mut here, &mut elsewhere] {
+        front.merge(now, session, &mut carried);
+        assert_eq!(carried.of(1), Some(mark(3, 600)), "told once, it goes on from where the new log began");
+        assert_eq!(epochs.judge(1, mark(3, 600)), Verdict::Stands(at(600)));
+        assert_eq!(carried.of(2), Some(mark(1, 700)), "another group is not touched");
+    }
+}
+
 #[test]
 fn an_answer_from_a_log_that_was_left_shows_nothing() {
     let mut epochs = Epochs::default();
@@ -238,6 +266,7 @@
                     if let Some((_, Verdict::Lost)) = verdict {
                         // Told, and begun anew.
                         marks.strike(1);
+                        marks.see(1, front.anew(1));
                         saw[who] = None;
                         continue;
                     }
--- a/writes/src/fate.rs
+++ b/writes/src/fate.rs
@@ -17,6 +17,10 @@
     Intend,
     /// The same RPC goes out once more, since the call-out before is proved not to have run.
     Again,
+    /// Another RPC carries the token of one on record, where its repeats are still dropped.
+    Rejoin {
+        left_ms: i64,
+    },
     Ran(Option<i64>),
     /// All its call-outs are proved not to have run, and no more will be made.
     ProvedNever,
@@ -28,10 +32,70 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Leave {
     Go,
+    /// It may, for so many milliseconds more, as a repeat of one that may have run.
+    Join {
+        left_ms: i64,
+    },
     Refuse,
 }
 
-type Row = (fn(Option<State>) -> bool, fn(Input) -> bool, fn(Option<State>, Input) -> Option<State>, Leave);
+/// By what repeats of a tokened write are known and dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Token {
+    /// The group whose stores drop them; none: all stores do.
+    pub scope: Option<i64>,
+    /// For how long, in milliseconds, counted from the first sending that may have run.
+    pub memory_ms: i64,
+}
+
+/// How long a machine has been up, by a clock that nobody sets: it alone counts memories.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Uptime {
+    /// Which start of the machine it counts from, by a name drawn then.
+    pub boot: u64,
+    pub ms: i64,
+}
+
+/// What `Uptime` may be wrong by: it is read in hundredths of a second.
+const GRAIN_MS: i64 = 10;
+
+impl Uptime {
+    /// The most that has passed since; none where the machine has been started anew, or time went back.
+    pub fn since(self, then: Uptime) -> Option<i64> {
+        let passed = self.ms - then.ms;
+        (self.boot == then.boot && passed >= 0).then_some(passed + GRAIN_MS)
+    }
+}
+
+/// How much longer a token's repeats are dropped where it was first sent with `kept`, so long ago at most; none
+/// where they are not, or nobody knows.
+pub fn still_dropped(kept: Option<Token>, asked: Option<Token>, passed_ms: Option<i64>) -> Option<i64> {
+    let (kept, asked, passed) = (kept?, asked?, passed_ms?);
+    let left = kept.memory_ms.min(asked.memory_ms) - passed;
+    (kept.scope == asked.scope && left > 0).then_some(left)
+}
+
+type Row = (
+    fn(Option<State>) -> bool,
+    fn(Input) -> bool,
+    fn(Option<State>, Input) -> Option<State>,
+    fn(Input) -> Leave,
+);
+
+fn go(_: Input) -> Leave {
+    Leave::Go
+}
+
+fn join(input: Input) -> Leave {
+    match input {
+        Input::Rejoin { left_ms } => Leave::Join { left_ms },
+        _ => Leave::Refuse,
+    }
+}
+
+fn refuse(_: Input) -> Leave {
+    Leave::Refuse
+}
 
 fn absent(at: Option<State>) -> bool {
     at.is_none()
@@ -49,15 +113,16 @@
     at
 }
 
-/// The first row that fits counts. What is settled stays settled, and nothing leaves under an id that was settled or is
-/// another RPC's.
+/// The first row that fits counts. What is settled stays settled, and nothing leaves under an id that was settled; nor
+/// under another RPC's, but where repeats are dropped.
 const TABLE: &[Row] = &[
-    (absent, |i| matches!(i, Input::Intend | Input::Again), |_, _| Some(State::Open), Leave::Go),
-    (open, |i| i == Input::Again, stays, Leave::Go),
-    (open, |i| matches!(i, Input::Ran(_)), ran, Leave::Refuse),
-    (open, |i| i == Input::ProvedNever, |_, _| Some(State::Never), Leave::Refuse),
-    (absent, |i| i == Input::Bar, |_, _| Some(State::Never), Leave::Refuse),
-    (any, |_| true, stays, Leave::Refuse),
+    (absent, |i| matches!(i, Input::Intend | Input::Again), |_, _| Some(State::Open), go),
+    (open, |i| i == Input::Again, stays, go),
+    (open, |i| matches!(i, Input::Rejoin { .. }), stays, join),
+    (open, |i| matches!(i, Input::Ran(_)), ran, refuse),
+    (open, |i| i == Input::ProvedNever, |_, _| Some(State::Never), refuse),
+    (absent, |i| i == Input::Bar, |_, _| Some(State::Never), refuse),
+    (any, |_| true, stays, refuse),
 ];
 
 fn ran(_: Option<State>, input: Input) -> Option<State> {
@@ -69,7 +134,7 @@
 
 pub fn next(at: Option<State>, input: Input) -> (Option<State>, Leave) {
     let row = TABLE.iter().find(|row| row.0(at) && row.1(input));
-    row.map_or((at, Leave::Refuse), |row| (row.2(at, input), row.3))
+    row.map_or((at, Leave::Refuse), |row| (row.2(at, input), row.3(input)))
 }
 
 /// Where the one that asks sent the write, as it was told at the start of that connection: which journal, and how far
--- a/writes/src/journal.rs
+++ b/writes/src/journal.rs
@@ -1,7 +1,7 @@
 //! The records on disk, by the write's id, and in the order in which they were made. One thread owns it; many inputs go
 //! in one batch, and one sync answers for them all.
 
-use crate::fate::{fate, next, Fate, Input, Known, Leave, Origin, State};
+use crate::fate::{fate, next, still_dropped, Fate, Input, Known, Leave, Origin, State, Token, Uptime};
 use fjall::{Database, Keyspace, KeyspaceCreateOptions, PersistMode};
 use std::collections::HashMap;
 use std::fmt;
@@ -30,8 +30,17 @@
 
 #[derive(Clone, Debug)]
 pub enum Op {
-    Record { id: String, input: Input },
-    Ask { id: String, origin: Option<Origin>, alive: bool },
+    /// With the token, where the write has one.
+    Record {
+        id: String,
+        input: Input,
+        token: Option<Token>,
+    },
+    Ask {
+        id: String,
+        origin: Option<Origin>,
+        alive: bool,
+    },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,6 +64,20 @@
     }
 }
 
+/// What the clocks say as a batch is worked off.
+#[derive(Clone, Copy, Debug)]
+pub struct Now {
+    pub wall_ms: i64,
+    /// None: it can't be told here, and no token is sent again.
+    pub up: Option<Uptime>,
+}
+
+impl From<i64> for Now {
+    fn from(wall_ms: i64) -> Now {
+        Now { wall_ms, up: None }
+    }
+}
+
 pub struct Journal {
     db: Database,
     /// id to serial, state and time.
@@ -77,6 +100,8 @@
     serial: u64,
     state: State,
     at_ms: i64,
+    /// Its token, and when it was first about to leave.
+    token: Option<(Token, Uptime)>,
 }
 
 const NAME: &str = "name";
@@ -98,6 +123,12 @@
         bytes.extend(self.serial.to_be_bytes());
         bytes.extend(self.at_ms.to_be_bytes());
         bytes.extend(commit.to_be_bytes());
+        if let Some((Token { scope, memory_ms }, Uptime { boot, ms })) = self.token {
+            bytes.push(u8::from(scope.is_some()));
+            for number in [scope.unwrap_or(0), memory_ms, boot as i64, ms] {
+                bytes.extend(number.to_be_bytes());
+            }
+        }
         bytes
     }
 
@@ -112,7 +143,13 @@
             (Some(3), Some(_)) => State::Never,
             _ => State::Open,
         };
-        Record { serial: serial.unwrap_or(0) as u64, state, at_ms: at_ms.unwrap_or(0) }
+        // A record without, or with half a token: it is sent again by nobody.
+        let token = || {
+            let scope = number(26).filter(|_| bytes[25] != 0);
+            let token = Token { scope, memory_ms: number(34)? };
+            Some((token, Uptime { boot: number(42)? as u64, ms: number(50)? }))
+        };
+        Record { serial: serial.unwrap_or(0) as u64, state, at_ms: at_ms.unwrap_or(0), token: token() }
     }
 }
 
@@ -167,20 +204,21 @@
 
     /// Works off a batch in its order, and answers once all of it has come as far as it must. Where that fails nothing is
     /// answered: what waits must not leave.
-    pub fn apply(&mut self, now_ms: i64, ops: &[Op]) -> Result<Vec<Reply>, Fault> {
+    pub fn apply(&mut self, now: impl Into<Now>, ops: &[Op]) -> Result<Vec<Reply>, Fault> {
+        let Now { wall_ms: now_ms, up } = now.into();
         let (mut fresh, mut replies) = (HashMap::new(), Vec::with_capacity(ops.len()));
         let mut batch = self.db.batch();
         let (mut next_serial, mut count) = (self.next, self.count);
         for op in ops {
-            let (id, input, reply) = match op {
-                Op::Record { id, input } => (id, Some(*input), None),
+            let (id, input, token, reply) = match op {
+                Op::Record { id, input, token } => (id, Some(*input), *token, None),
                 Op::Ask { id, origin, alive } => {
                     let state = self.find(id, &fresh)?.map(|record| record.state);
                     let covered = origin
                         .as_ref()
                         .is_some_and(|origin| origin.journal == self.name && origin.serial >= self.floor);
                     let (fate, bar) = fate(Known { state, covered, alive: *alive });
-                    (id, bar.then_some(Input::Bar), Some(Reply::Fate(fate)))
+                    (id, bar.then_some(Input::Bar), None, Some(Reply::Fate(fate)))
                 }
             };
             let Some(input) = input else {
@@ -188,6 +226,12 @@
                 continue;
             };
             let before = self.find(id, &fresh)?;
+            let kept = before.and_then(|record| record.token);
+            let passed = up.zip(kept).and_then(|(up, (_, first))| up.since(first));
+            let input = match still_dropped(kept.map(|(token, _)| token), token, passed) {
+                Some(left_ms) if input == Input::Intend => Input::Rejoin { left_ms },
+                _ => input,
+            };
             let (state, leave) = next(before.map(|record| record.state), input);
             if let Some(state) = state.filter(|state| before.map(|record| record.state) != Some(*state)) {
                 let serial = before.map_or(next_serial, |record| record.serial);
@@ -197,7 +241,8 @@
                 }
                 // The time of the first sending stays: memories count from there.
                 let at_ms = before.map_or(now_ms, |record| record.at_ms);
-                let record = Record { serial, state, at_ms };
+                let token = before.map_or(token.zip(up), |record| record.token);
+                let record = Record { serial, state, at_ms, token };
                 batch.insert(&self.records, id.as_bytes(), record.bytes());
                 fresh.insert(id.clone(), record);
             }
--- a/writes/tests/fates.rs
+++ b/writes/tests/fates.rs
@@ -6,13 +6,13 @@
 use std::io::{BufRead, BufReader, Write};
 use std::path::Path;
 use std::process::{Command, Stdio};
-use writes::fate::{fate, next, Fate, Input, Known, Leave, Origin, State};
-use writes::journal::{Bounds, Journal, Op, Reply, Sync};
+use writes::fate::{fate, next, Fate, Input, Known, Leave, Origin, State, Token, Uptime};
+use writes::journal::{Bounds, Journal, Now, Op, Reply, Sync};
 
 const BOUNDS: Bounds = Bounds { most: 1_000, age_ms: 60_000 };
 
 fn record(id: &str, input: Input) -> Op {
-    Op::Record { id: id.to_string(), input }
+    Op::Record { id: id.to_string(), input, token: None }
 }
 
 fn ask(id: &str, origin: Option<&Origin>) -> Op {
@@ -59,6 +59,58 @@
     );
 }
 
+#[test]
+fn a_token_goes_out_again_in_its_group_and_its_memory_by_a_clock_that_nobody_sets() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let token = Token { scope: Some(7), memory_ms: 3_000 };
+    let at = |wall_ms: i64, boot: u64, ms: i64| Now { wall_ms, up: Some(Uptime { boot, ms }) };
+    let intend = |id: &str, token: Token| {
+        [Op::Record { id: id.to_string(), input: Input::Intend, token: Some(token) }]
+    };
+    let mut journal = open(folder.path(), BOUNDS);
+    for id in ["t", "settled", "never"] {
+        assert_eq!(
+            journal.apply(at(9_000, 1, 500), &intend(id, token)).expect("kept"),
+            [Reply::Leave(Leave::Go)]
+        );
+    }
+    journal.apply(at(9_000, 1, 510), &[record("plain", Input::Intend)]).expect("kept");
+    journal
+        .apply(9_000, &[record("settled", Input::Ran(None)), record("never", Input::ProvedNever)])
+        .expect("kept");
+    // Another life, on a machine whose clock was set back by an hour.
+    drop(journal);
+    let mut journal = open(folder.path(), BOUNDS);
+    let mut told =
+        |now: Now, id: &str, token: Token| journal.apply(now, &intend(id, token)).expect("kept")[0];
+    let join = |left_ms: i64| Reply::Leave(Leave::Join { left_ms });
+    let refuse = Reply::Leave(Leave::Refuse);
+    assert_eq!(told(at(-3_591_000, 1, 2_500), "t", token), join(990), "2 s have passed, and a grain");
+    assert_eq!(
+        told(at(9_000, 1, 2_600), "t", token),
+        join(890),
+        "counted from the first sending, not the last"
+    );
+    assert_eq!(told(at(9_000, 1, 3_480), "t", token), join(10));
+    for (why, now, id, token) in [
+        ("its memory has passed", at(9_000, 1, 3_490), "t", token),
+        ("another group", at(9_000, 1, 600), "t", Token { scope: Some(8), ..token }),
+        ("all stores now, one group then", at(9_000, 1, 600), "t", Token { scope: None, ..token }),
+        ("the settings say less now", at(9_000, 1, 600), "t", Token { memory_ms: 100, ..token }),
+        ("the machine was started anew", at(9_000, 2, 600), "t", token),
+        ("time went back", at(9_000, 1, 400), "t", token),
+        ("nobody knows the time", Now::from(9_000), "t", token),
+        ("it was no tokened one", at(9_000, 1, 600), "plain", token),
+        ("it ran", at(9_000, 1, 600), "settled", token),
+        ("it never will", at(9_000, 1, 600), "never", token),
+    ] {
+        assert_eq!(told(now, id, token), refuse, "{why}");
+    }
+    // What became of it is entered as that of any other.
+    journal.apply(9_000, &[record("t", Input::Ran(Some(8_999)))]).expect("kept");
+    assert_eq!(journal.apply(9_000, &[ask("t", None)]).expect("kept"), [Reply::Fate(Fate::Ran(Some(8_999)))]);
+}
+
 #[test]
 fn what_was_dropped_is_never_taken_for_what_never_was() {
     let folder = tempfile::tempdir().expect("a folder");
@@ -187,7 +239,7 @@
 
     /// One id, any inputs in any order: what was told once stays true, and nothing leaves against what was told.
     #[test]
-    fn no_fate_is_ever_taken_back(steps in prop::collection::vec((0..7u8, any::<bool>()), 1..40)) {
+    fn no_fate_is_ever_taken_back(steps in prop::collection::vec((0..8u8, any::<bool>()), 1..40)) {
         let (mut state, mut told, mut left): (Option<State>, Option<Fate>, u32) = (None, None, 0);
         // What is true of the store: a write that left may run; one that did can't be proved never to have.
         let mut runs = 0;
@@ -195,6 +247,7 @@
             let input = match kind {
                 0 => Input::Intend,
                 1 => Input::Again,
+                7 => Input::Rejoin { left_ms: 5 },
                 2 if left > 0 && runs > 0 => Input::Ran(Some(5)),
                 3 if runs == 0 => Input::ProvedNever,
                 4 if left > 0 && luck && state == Some(State::Open) => {
@@ -220,6 +273,11 @@
                 _ => continue,
             };
             let (to, leave) = next(state, input);
+            if let Leave::Join { .. } = leave {
+                prop_assert_eq!((state, to), (Some(State::Open), Some(State::Open)), "what repeats is on record");
+                prop_assert_ne!(told, Some(Fate::Never));
+                left += 1;
+            }
             let asks = matches!(input, Input::Intend | Input::Again);
             if asks && leave == Leave::Go {
                 prop_assert_ne!(told, Some(Fate::Never), "somebody was told that it never would");
