--- a/standins/src/bin/writes.rs
+++ b/standins/src/bin/writes.rs
@@ -7,13 +7,16 @@
 use standins::daemon::{Daemon, Start};
 use standins::discovery::{host, Discovery, Mode};
 use standins::starts::settings;
-use standins::store::{free_address, serve};
-use standins::world::{Branch, Cold, Machine, World};
-use std::path::PathBuf;
+use standins::store::{free_address, serve, Served};
+use standins::world::{unix_ms, Branch, Cold, Machine, World};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
+use writes::fate::Input;
+use writes::journal::{Bounds, Journal, Op, Sync};
 
 /// The cost of keeping writes on record.
 #[derive(Parser)]
@@ -23,10 +26,16 @@
     /// Seconds for each row
     #[arg(long, default_value_t = 3)]
     seconds: u64,
+    /// Instead: how long a start takes on a journal of so many MB, and what memory it has then
+    #[arg(long)]
+    start_on_mb: Option<u64>,
 }
 
 fn main() {
     let line = Line::parse();
+    if let Some(mb) = line.start_on_mb {
+        return start_on(&line, mb);
+    }
     println!(
         "{:<8} {:>8} {:>12} {:>10} {:>10} {:>10}",
         "journal", "at once", "ok a second", "p50 us", "p99 us", "other"
@@ -38,29 +47,103 @@
     }
 }
 
-fn row(line: &Line, journal: &str, at_once: usize) {
-    let cold = Cold { from: 1.0, for_ms: 1, fall_multiple: 9.0, window_ms: 500, work_ms: 0 };
-    let world = Arc::new(World::new(cold, 250));
-    world.lock().branches.insert(1, vec![Branch { forked_ms: 0, truth: true }]);
-    world.lock().machines = vec![Machine::of("s-0".into(), 1, None, 0)];
-    let served = serve(&world, 0);
-    let discovery = Discovery::start(Mode::Up, 1, vec![host("s-0", &served.addr, 1, true, "SERVING", 0)]);
-    let folder = tempfile::tempdir().expect("a folder");
-    let state = folder.path().join("state");
-    std::fs::create_dir(&state).expect("made");
-    let listen = free_address();
-    let start = Start {
-        program: &line.daemon,
-        facts: &format!(
-            r#"{{"seed":"1","limits":{{"sockets":4096,"memory_mb":256}},"settings":{}}}"#,
-            settings()
-        ),
-        conf: Some(&format!("state-dir {}\nwrite-journal {journal}\n", state.display())),
-        folder: folder.path(),
-        listen,
-        discovery: discovery.addr,
+/// One primary, discovery, and a folder with a state directory.
+struct Place {
+    folder: tempfile::TempDir,
+    listen: SocketAddr,
+    discovery: Discovery,
+    _served: Served,
+}
+
+impl Place {
+    fn new() -> Place {
+        let cold = Cold { from: 1.0, for_ms: 1, fall_multiple: 9.0, window_ms: 500, work_ms: 0 };
+        let world = Arc::new(World::new(cold, 250));
+        world.lock().branches.insert(1, vec![Branch { forked_ms: 0, truth: true }]);
+        world.lock().machines = vec![Machine::of("s-0".into(), 1, None, 0)];
+        let served = serve(&world, 0);
+        let discovery = Discovery::start(Mode::Up, 1, vec![host("s-0", &served.addr, 1, true, "SERVING", 0)]);
+        let folder = tempfile::tempdir().expect("a folder");
+        std::fs::create_dir(folder.path().join("state")).expect("made");
+        Place { folder, listen: free_address(), discovery, _served: served }
+    }
+
+    fn state(&self) -> PathBuf {
+        self.folder.path().join("state")
+    }
+
+    fn start(&self, line: &Line, journal: &str) -> Daemon {
+        let start = Start {
+            program: &line.daemon,
+            facts: &format!(
+                r#"{{"seed":"1","limits":{{"sockets":4096,"memory_mb":256}},"settings":{}}}"#,
+                settings()
+            ),
+            conf: Some(&format!(
+                "state-dir {}\nwrite-journal {journal}\nwrite-journal-most 100000000\n",
+                self.state().display()
+            )),
+            folder: self.folder.path(),
+            listen: self.listen,
+            discovery: self.discovery.addr,
+        };
+        Daemon::start(&start).expect("it starts")
+    }
+}
+
+/// What lies in a folder and the folders in it, in bytes.
+fn bytes_in(path: &Path) -> u64 {
+    let entries = std::fs::read_dir(path).into_iter().flatten().flatten();
+    let size = |entry: std::fs::DirEntry| match entry.metadata() {
+        Ok(meta) if meta.is_dir() => bytes_in(&entry.path()),
+        Ok(meta) => meta.len(),
+        Err(_) => 0,
     };
-    let daemon = Daemon::start(&start).expect("it starts");
+    entries.map(size).sum()
+}
+
+fn start_on(line: &Line, mb: u64) {
+    let place = Place::new();
+    let path = place.state().join("writes");
+    let bounds = Bounds { most: 100_000_000, age_ms: 3_600_000 };
+    let mut journal = Journal::open(&path, Sync::System, bounds, 7).expect("it opens");
+    let mut records = 0u64;
+    // Sizes on disk follow with a delay, so the folder is looked at now and then.
+    while bytes_in(&path) < mb << 20 {
+        for _ in 0..20 {
+            let one = |nth: u64| Op::Record {
+                id: format!("{:016x}", nth.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+                input: Input::Intend,
+                token: None,
+            };
+            let ops: Vec<Op> = (records..records + 8_192).map(one).collect();
+            records += 8_192;
+            journal.apply(unix_ms(), &ops).expect("kept");
+        }
+    }
+    drop(journal);
+    println!("{records} records, {} MB on disk", bytes_in(&path) >> 20);
+    for _ in 0..3 {
+        let began = Instant::now();
+        let daemon = place.start(line, "system");
+        let mut first = None;
+        while first.is_none() {
+            let asked = Client::open(&place.listen).map(|mut client| {
+                let id = format!("first-{}", unix_ms());
+                client.ask(&id, 1, Kind::Write, 900).answer
+            });
+            first = asked.ok().filter(|answer| matches!(answer, Answer::Value(_))).map(|_| began.elapsed());
+        }
+        let status = std::fs::read_to_string(format!("/proc/{}/status", daemon.pid())).unwrap_or_default();
+        let memory = status.lines().find(|line| line.starts_with("VmHWM")).unwrap_or_default();
+        println!("first write after {:?}; {memory}", first.unwrap_or_default());
+        daemon.kill();
+    }
+}
+
+fn row(line: &Line, journal: &str, at_once: usize) {
+    let place = Place::new();
+    let (daemon, listen) = (place.start(line, journal), place.listen);
     let (over, counts) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
     let times = Arc::new(Mutex::new((
         Histogram::<u64>::new_with_bounds(1, 10_000_000, 3).expect("sound bounds"),
