Classes of clients: connections kept for known ones, limits and rates by address

Need: the ledger knows who is idle, not who is who; a flood that is never idle kept everybody out alike. Change: admission/ (no I/O) decides by a table on rate, each, most and what is kept for whom; sources are bounded and forgotten once they are back to their pace. conf reads admit lines and says what contradicts itself; front/src/gate.rs holds the places, whose drop gives them back; the ledger has a share of its own for those who are told why not, and asks idle ones of the full class alone to go. SIGHUP takes classes up and lets nobody go. Without an admit line all of it is off.

--- a/checker/src/lib.rs
+++ b/checker/src/lib.rs
@@ -1,5 +1,5 @@
-//! Judges a history by itself: what each client sent and saw, what each store ran, where logs forked. It knows
-//! nothing of fronts, and takes no front's word for anything.
+//! Judges a history by itself: what each client sent and saw, what each store ran, where logs forked. It
+//! knows nothing of fronts, and takes no front's word for anything.
 //!
 //! Times are Unix milliseconds of one clock, that of the machine on which clients and stores ran.
 
--- a/checker/tests/histories.rs
+++ b/checker/tests/histories.rs
@@ -135,13 +135,14 @@
         ..ProptestConfig::default()
     })]
 
-    /// Sessions over any switches, served by stores that keep every guarantee, are blamed for nothing; the same
-    /// with one answer from a store that stands before what was seen are blamed.
+    /// Sessions over any switches, served by stores that keep every guarantee, are blamed for nothing; the
+    /// same with one answer from a store that stands before what was seen are blamed.
     #[test]
     fn honest_sessions_pass_and_one_step_back_does_not(
         steps in prop::collection::vec((0..6u8, 0..500i64), 2..60),
     ) {
-        let (mut forks, mut seen, mut session, mut runs) = (vec![0], Vec::<Point>::new(), Vec::new(), Vec::new());
+        let (mut forks, mut seen) = (vec![0], Vec::<Point>::new());
+        let (mut session, mut runs) = (Vec::new(), Vec::new());
         let mut back = None;
         for (nth, (what, lag)) in steps.into_iter().enumerate() {
             let (id, now) = (format!("i{nth}"), 10_000 + 10 * nth as i64);
--- a/conf/src/lib.rs
+++ b/conf/src/lib.rs
@@ -1,6 +1,7 @@
 //! The operators' file: a keyword and its values on each line, `#` begins a comment, quotes keep blanks.
 //! Pure: text in, settings out, all faults at once with their lines.
 
+mod admit;
 mod line;
 mod settings;
 
--- a/conf/src/settings.rs
+++ b/conf/src/settings.rs
@@ -1,6 +1,7 @@
 //! The keywords, their values and what holds where they are missing.
 
 use crate::line::{split, Fault};
+use admission::{Class, Prefixes};
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -50,6 +51,10 @@
     pub write_journal_keeps: Duration,
     /// How many records are kept: 1,000 to 100 million.
     pub write_journal_most: u64,
+    /// Classes of clients, by which connections are let in; none: whoever comes is, while there is room.
+    pub admit: Vec<Class>,
+    /// How much of an address is one source: 8 to 32 bits of IPv4, 16 to 64 of IPv6.
+    pub admit_prefixes: Prefixes,
     pub log_format: Format,
     /// What of the log is written: `error`, `warn`, `info`, `debug`.
     pub log_level: String,
@@ -68,6 +73,8 @@
             write_journal: Journal::default(),
             write_journal_keeps: Duration::from_secs(3600),
             write_journal_most: 1_000_000,
+            admit: Vec::new(),
+            admit_prefixes: Prefixes::default(),
             log_format: Format::default(),
             log_level: "info".to_string(),
             log_buffer: 64 << 10,
@@ -135,6 +142,14 @@
             most.ok_or_else(|| format!("{word:?} is not between 1000 and 100000000"))?;
         Ok(())
     }),
+    ("admit-prefix-4", |settings, word| {
+        settings.admit_prefixes.v4 = bits(word, 8, 32)?;
+        Ok(())
+    }),
+    ("admit-prefix-6", |settings, word| {
+        settings.admit_prefixes.v6 = bits(word, 16, 64)?;
+        Ok(())
+    }),
     ("log-format", |settings, word| {
         settings.log_format = one_of(word, &[("text", Format::Text), ("json", Format::Json)])?;
         Ok(())
@@ -154,6 +169,14 @@
     }),
 ];
 
+/// May stand on many lines, one for each class.
+const ADMIT: &str = "admit";
+
+fn bits(word: &str, least: u8, most: u8) -> Result<u8, String> {
+    let bits = word.parse().ok().filter(|bits| (least..=most).contains(bits));
+    bits.ok_or_else(|| format!("{word:?} is not between {least} and {most}"))
+}
+
 fn one_of<T: Copy>(word: &str, known: &[(&str, T)]) -> Result<T, String> {
     let found = known.iter().find(|(name, _)| *name == word);
     let names: Vec<&str> = known.iter().map(|(name, _)| *name).collect();
@@ -163,6 +186,7 @@
 /// Reads the whole text; where anything is wrong, says all of it.
 pub fn parse(text: &str) -> Result<Settings, Vec<Fault>> {
     let (mut settings, mut faults, mut seen) = (Settings::default(), Vec::new(), Vec::new());
+    let mut admits_to = 0;
     for (nth, text) in text.lines().enumerate() {
         let line = nth + 1;
         let fault = |keyword: &str, why: String| Fault { line, keyword: keyword.to_string(), why };
@@ -174,6 +198,14 @@
             }
         };
         let Some((keyword, values)) = words.split_first() else { continue };
+        if keyword == ADMIT {
+            match crate::admit::class(values) {
+                Ok(class) => settings.admit.push(class),
+                Err(why) => faults.push(fault(keyword, why)),
+            }
+            admits_to = line;
+            continue;
+        }
         let Some((name, take)) = KEYWORDS.iter().find(|known| known.0 == keyword) else {
             faults.push(fault(keyword, unknown(keyword)));
             continue;
@@ -191,6 +223,11 @@
             faults.push(fault(name, why));
         }
     }
+    // How much room there is only a start knows; what they contradict each other in shows here.
+    let classes = admission::class::check(&settings.admit, usize::MAX);
+    let among =
+        |why: admission::Fault| Fault { line: admits_to, keyword: ADMIT.to_string(), why: why.to_string() };
+    faults.extend(classes.into_iter().map(among));
     if faults.is_empty() {
         Ok(settings)
     } else {
@@ -199,7 +236,8 @@
 }
 
 fn unknown(keyword: &str) -> String {
-    let near = KEYWORDS.iter().map(|known| (strsim::damerau_levenshtein(known.0, keyword), known.0)).min();
+    let known = KEYWORDS.iter().map(|known| known.0).chain([ADMIT]);
+    let near = known.map(|name| (strsim::damerau_levenshtein(name, keyword), name)).min();
     match near {
         Some((apart, name)) if apart <= 3 => format!("is no keyword; is {name} meant?"),
         _ => "is no keyword".to_string(),
@@ -218,6 +256,8 @@
         note("write-journal", self.write_journal != newer.write_journal);
         note("write-journal-keeps", self.write_journal_keeps != newer.write_journal_keeps);
         note("write-journal-most", self.write_journal_most != newer.write_journal_most);
+        // Classes count from a SIGHUP on; whether any are set decides how descriptors are shared out.
+        note(ADMIT, self.admit.is_empty() != newer.admit.is_empty());
         note("log-format", self.log_format != newer.log_format);
         note("log-level", self.log_level != newer.log_level);
         note("log-buffer", self.log_buffer != newer.log_buffer);
--- a/conf/tests/lines.rs
+++ b/conf/tests/lines.rs
@@ -39,6 +39,39 @@
     }
 }
 
+#[test]
+fn classes_of_clients_stand_on_a_line_each() {
+    let text = "admit desk from 10.20.0.0/16,10.30.4.7,2001:db8::/32 keep 40 most 80\n\
+        admit others each 20 rate 50 burst 200\nadmit-prefix-4 24\n";
+    let settings = parse(text).expect("all fit");
+    let [desk, others] = &settings.admit[..] else { panic!("two classes") };
+    let from: Vec<String> = desk.from.iter().map(|range| range.to_string()).collect();
+    assert_eq!(from, ["10.20.0.0/16", "10.30.4.7/32", "2001:db8::/32"]);
+    assert_eq!((desk.keep, desk.most, desk.each, desk.rate), (40, Some(80), None, None));
+    assert_eq!((others.each, others.rate.map(|rate| (rate.per_s, rate.burst))), (Some(20), Some((50, 200))));
+    assert_eq!((settings.admit_prefixes.v4, settings.admit_prefixes.v6), (24, 64));
+    let rate = parse("admit others rate 7\n").expect("fits").admit[0].rate;
+    assert_eq!(rate.map(|rate| rate.burst), Some(7), "a second's worth at once");
+    for (line, why) in [
+        ("admit", "names no class"),
+        ("admit a,b", "is no name"),
+        ("admit desk from", "from has no value"),
+        ("admit desk from 10.0.0.0/33", "from: "),
+        ("admit others each 0", "each: \"0\" is not between 1 and 100000"),
+        ("admit others burst 5", "a burst stands behind its rate"),
+        ("admit others each 1 each 2", "each stands there twice"),
+        ("admit others least 4", "\"least\" is none of from, keep, most, each, rate, burst"),
+        ("admit desk each 4", "desk has no ranges"),
+        ("admit others from 10.0.0.0/8", "others are those in no range"),
+        ("admit others each 4\nadmit others each 5", "others is there twice"),
+        ("admit-prefix-6 65", "is not between 16 and 64"),
+        ("admits others", "is no keyword; is admit meant?"),
+    ] {
+        let faults = parse(line).expect_err(line);
+        assert!(faults.iter().any(|fault| fault.to_string().contains(why)), "{line}: {faults:?}");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 512,
--- a/front/src/discovery.rs
+++ b/front/src/discovery.rs
@@ -145,7 +145,8 @@
             Verdict::Suspect => return Err("its list is older than ours"),
         }
         if self.lives.seq() < before {
-            log!(INFO; "discovery has begun anew: its list, version {}, takes the place of {before}", offer.seq);
+            let seq = offer.seq;
+            log!(INFO; "discovery has begun anew: its list, version {seq}, takes the place of {before}");
         }
         self.anew &= !offer.whole;
         if let Some(keeper) = &self.keeper {
--- a/front/src/ledger.rs
+++ b/front/src/ledger.rs
@@ -13,6 +13,8 @@
     Clients,
     Stores,
     Discovery,
+    /// Clients that are told why they are not let in.
+    TurnedAway,
 }
 
 /// Who goes first where descriptors run short.
@@ -45,11 +47,13 @@
 struct Guest {
     since: Moment,
     mailbox: Arc<Mailbox>,
+    /// Its class, where clients have such.
+    class: Option<Arc<str>>,
 }
 
 #[derive(Default)]
 struct Entries {
-    taken: [usize; 3],
+    taken: [usize; 4],
     /// Of the stores' share, by address.
     by_store: HashMap<SocketAddr, usize>,
     /// Clients with nothing to do, those who would go first in front.
@@ -61,9 +65,9 @@
 
 impl Entries {
     /// Asks the first of those ranks to go that has not been asked and was let be for long enough.
-    fn ask(&mut self, now: Moment, ranks: impl Fn(Rank) -> bool) {
+    fn ask(&mut self, now: Moment, whom: impl Fn(Rank, &Guest) -> bool) {
         let goes = |((rank, serial), guest): (&(Rank, u64), &Guest)| {
-            let may = ranks(*rank) && now - guest.since >= rank.grace() && !self.asked.contains(serial);
+            let may = whom(*rank, guest) && now - guest.since >= rank.grace() && !self.asked.contains(serial);
             may.then(|| (*serial, guest.mailbox.clone()))
         };
         if let Some((serial, mailbox)) = self.idle.iter().find_map(goes) {
@@ -74,7 +78,7 @@
 }
 
 pub struct Ledger {
-    most: [usize; 3],
+    most: [usize; 4],
     /// Clients accepted beyond the share: each for one that was asked to go, or to be told that there is no
     /// room.
     beyond: usize,
@@ -137,12 +141,14 @@
 }
 
 impl Ledger {
-    pub fn new(descriptors: usize, memory: usize) -> Arc<Ledger> {
+    /// `turns_away`: some are set aside for clients that are told why they are not let in.
+    pub fn new(descriptors: usize, memory: usize, turns_away: bool) -> Arc<Ledger> {
         let beyond = (descriptors / 16).max(16);
-        let rest = descriptors.saturating_sub(SPARE + beyond + DISCOVERY).max(2);
+        let turned_away = if turns_away { beyond } else { 0 };
+        let rest = descriptors.saturating_sub(SPARE + beyond + turned_away + DISCOVERY).max(2);
         // An RPC that is out holds one of both kinds; held ones and idle sessions hold a client's alone.
         let stores = (rest * 2 / 5).max(1);
-        let most = [rest - stores, stores, DISCOVERY];
+        let most = [rest - stores, stores, DISCOVERY, turned_away];
         let (held, entries) = Default::default();
         Arc::new(Ledger { most, beyond, memory, held, entries })
     }
@@ -185,17 +191,23 @@
             return Some((Entry { ledger: self.clone(), share: Share::Clients, store: None }, true));
         }
         // Who is being let go is told to hurry; that alone makes no room, its place is given away already.
-        entries.ask(now, |rank| rank == Rank::Leaving);
+        entries.ask(now, |rank, _| rank == Rank::Leaving);
         if taken >= most + self.beyond {
             return None;
         }
-        entries.ask(now, |rank| rank != Rank::Leaving);
+        entries.ask(now, |rank, _| rank != Rank::Leaving);
         let goes = |key: &&(Rank, u64)| key.0 == Rank::Leaving || entries.asked.contains(&key.1);
         let stays = taken < most + entries.idle.keys().filter(goes).count();
         entries.taken[Share::Clients as usize] += 1;
         Some((Entry { ledger: self.clone(), share: Share::Clients, store: None }, stays))
     }
 
+    /// Asks one client of a class that has nothing to do to go.
+    pub fn ask_one_of(&self, now: Moment, class: &str) {
+        let mut entries = self.lock();
+        entries.ask(now, |rank, guest| rank != Rank::Leaving && guest.class.as_deref() == Some(class));
+    }
+
     pub fn most(&self, share: Share) -> usize {
         self.most[share as usize]
     }
@@ -214,11 +226,17 @@
     }
 
     /// A session has nothing to do; what is returned strikes it out again.
-    pub fn idle(&self, rank: Rank, since: Moment, mailbox: &Arc<Mailbox>) -> (Rank, u64) {
+    pub fn idle(
+        &self,
+        rank: Rank,
+        since: Moment,
+        mailbox: &Arc<Mailbox>,
+        class: Option<Arc<str>>,
+    ) -> (Rank, u64) {
         let mut entries = self.lock();
         entries.serial += 1;
         let key = (rank, entries.serial);
-        entries.idle.insert(key, Guest { since, mailbox: mailbox.clone() });
+        entries.idle.insert(key, Guest { since, mailbox: mailbox.clone(), class });
         key
     }
 
--- a/front/src/lib.rs
+++ b/front/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod command;
 pub mod discovery;
 pub mod exit;
+pub mod gate;
 pub mod hosts;
 pub mod keeper;
 pub mod launch;
--- a/front/src/owner.rs
+++ b/front/src/owner.rs
@@ -599,7 +599,8 @@
         if tracing::enabled!(tracing::Level::DEBUG) {
             let group = live.cluster;
             let (store, took_us) = (self.stores.name(store), elapsed.0 / 1_000);
-            tracing::debug!(rpc, id = %live.id, call_out = number, %store, group, ?outcome, took_us, "call-out ended");
+            let id = &live.id;
+            tracing::debug!(rpc, %id, call_out = number, %store, group, ?outcome, took_us, "call-out ended");
         }
         let event = End { rpc, call_out: number, store, outcome, elapsed, closed, note, report };
         self.tell(now, Event::Ended(event));
--- a/front/src/send.rs
+++ b/front/src/send.rs
@@ -122,8 +122,8 @@
     }
 }
 
-/// Has the store tell of its epoch, for the owner to judge before the call-out leaves; the connection, where it
-/// still can be used. A store that tells none is gone on with: a loss can't be seen there.
+/// Has the store tell of its epoch, for the owner to judge before the call-out leaves; the connection, where
+/// it still can be used. A store that tells none is gone on with: a loss can't be seen there.
 fn first_the_epoch(mut wire: Wire, owner: &Sender<News>, job: &CallOut) -> Option<Wire> {
     let mut query = Vec::new();
     pg::query(&mut query, HEALTH);
--- a/front/src/session.rs
+++ b/front/src/session.rs
@@ -5,6 +5,7 @@
 use crate::admit::{self, Query};
 use crate::carry::{Carried, Carry};
 use crate::clock::Alarms;
+use crate::gate::{Gate, Passage};
 use crate::ledger::{Entry, Ledger, Rank, Weight};
 use crate::log;
 use crate::mailbox::{Answer, Mailbox, Ticket};
@@ -49,6 +50,8 @@
     pub leave: Arc<Leave>,
     /// Where sessions are carried by their clients.
     pub carry: Option<Arc<Carry>>,
+    /// Where clients have classes.
+    pub gate: Option<Arc<Gate>>,
     /// Where writes are kept on record.
     pub writes: Option<Arc<Writes>>,
     pub rpcs: AtomicU64,
@@ -81,6 +84,7 @@
     weight: Weight,
     /// What its client carries, where it asked for that.
     carried: Option<Carried>,
+    passage: Option<Passage>,
 }
 
 enum Heard {
@@ -89,8 +93,16 @@
     Gone,
 }
 
-/// Runs a client's session from its first byte to its close; one that may not stay is told so.
-pub fn run(shared: Arc<Shared>, stream: TcpStream, _entry: Entry, stays: bool) {
+/// How a client is received.
+pub enum Reception {
+    /// With its place in its class, where it has one.
+    Stays(Option<Passage>),
+    /// It is told why not, and when it had better come back where that may be said.
+    Goes(&'static str, Option<Span>),
+}
+
+/// Runs a client's session from its first byte to its close.
+pub fn run(shared: Arc<Shared>, stream: TcpStream, _entry: Entry, reception: Reception) {
     let _ = stream.set_nodelay(true);
     let mailbox = Mailbox::new(stream.waker());
     let _member = shared.leave.join(&mailbox);
@@ -110,10 +122,12 @@
         idle: None,
         weight,
         carried: None,
+        passage: None,
     };
     session.wake_at(connected + OWED_WITHIN);
-    if !stays {
-        session.end("53300", "no descriptor is free");
+    match reception {
+        Reception::Stays(passage) => session.passage = passage,
+        Reception::Goes(why, come_back) => session.turn_away(why, come_back),
     }
     let served = catch_unwind(AssertUnwindSafe(|| session.serve()));
     if served.unwrap_or_else(|_| session.after_panic()) {
@@ -230,7 +244,8 @@
     fn rest(&mut self) {
         if self.idle.is_none() {
             let rank = if self.asked { Rank::Idle } else { Rank::Silent };
-            self.idle = Some(self.shared.ledger.idle(rank, self.shared.alarms.now(), &self.mailbox));
+            let class = self.passage.as_ref().and_then(Passage::class);
+            self.idle = Some(self.shared.ledger.idle(rank, self.shared.alarms.now(), &self.mailbox, class));
         }
         self.inbox.rest();
         self.outbox = VecDeque::new();
@@ -365,6 +380,13 @@
         self.last = true;
     }
 
+    /// It was never let in.
+    fn turn_away(&mut self, why: &str, come_back: Option<Span>) {
+        let wait = come_back.map(|span| (span.0 / 1_000_000).max(0).to_string());
+        self.say(|out| pg::error(out, "FATAL", "53300", why, wait.as_deref()));
+        self.last = true;
+    }
+
     /// A fault of ours: all that is pending aborts, as far as the client still takes it.
     fn after_panic(&mut self) -> bool {
         self.end("XX000", "internal fault");
@@ -428,7 +450,7 @@
         let now = self.shared.alarms.now();
         let (until, asked) = (now + CLOSE_WITHIN, self.mailbox.take_close());
         let until = if asked { until - CLOSE_WITHIN * 9 / 10 } else { until };
-        self.idle = Some(self.shared.ledger.idle(Rank::Leaving, now, &self.mailbox));
+        self.idle = Some(self.shared.ledger.idle(Rank::Leaving, now, &self.mailbox, None));
         self.wake_at(until);
         let (mut bytes, mut most) = ([0; 4096], CLOSE_READS);
         while most > 0 && self.shared.alarms.now() < until && !self.mailbox.should_close() {
@@ -488,3 +510,14 @@
     pg::ready(&mut out);
     out
 }
+
+/// Tells a client that was never let in why, without waiting for anything.
+pub fn last_word(stream: &TcpStream, why: &str, come_back: Option<Span>) {
+    let (mut out, mut came) = (Vec::new(), [0; 4096]);
+    let wait = come_back.map(|span| (span.0 / 1_000_000).max(0).to_string());
+    pg::error(&mut out, "FATAL", "53300", why, wait.as_deref());
+    // What came unread would turn the close into a reset.
+    let _ = stream.inner().read(&mut came);
+    let _ = stream.inner().write(&out);
+    let _ = stream.shutdown(Shutdown::Write);
+}
--- a/front/src/start.rs
+++ b/front/src/start.rs
@@ -5,6 +5,7 @@
 use crate::clock::{duration, Alarms, Clock};
 use crate::discovery::{Watch, Whereto};
 use crate::exit::{self, Fault};
+use crate::gate::Gate;
 use crate::hosts;
 use crate::keeper::Keeper;
 use crate::launch::{Launch, When};
@@ -15,7 +16,7 @@
 use crate::owner::{Owner, Recovers};
 use crate::pool::Pool;
 use crate::send::Outlet;
-use crate::session::{self, Shared};
+use crate::session::{self, Reception, Shared};
 use crate::shutdown::Leave;
 use crate::tasks::{spawn, spawn_long_lived, STACK};
 use crate::wire::BREATH;
@@ -24,12 +25,13 @@
 use gingerwick::rng::Mwc;
 use gingerwick::time::Span;
 use keep::{Dir, Kept, KeptStore};
-use may::net::TcpListener;
+use may::net::{TcpListener, TcpStream};
 use may::sync::mpsc::channel;
 use recovery::lives::Lives;
 use recovery::trust::Times;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
+use std::net::IpAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
@@ -59,7 +61,9 @@
     may::config().set_workers(1).set_pool_capacity(64).set_stack_size(STACK).set_worker_pin(false);
     std::panic::set_hook(Box::new(|panic| log!(WARN; "{panic}")));
     let alarms = Arc::new(Alarms::start(clock));
-    let ledger = Ledger::new(launch.limits.sockets, launch.limits.memory_mb << 20);
+    let ledger =
+        Ledger::new(launch.limits.sockets, launch.limits.memory_mb << 20, !operators.admit.is_empty());
+    let gate = gate(&operators, &ledger, &alarms)?;
     let (owner, news) = channel();
     let dial = Span(settings.allowed.dial_timeout_ns);
     let closed_after = Span(settings.allowed.conn_idle_ns);
@@ -127,6 +131,7 @@
         come_back,
         leave: leave.clone(),
         carry: carry.clone(),
+        gate: gate.clone(),
         writes,
         rpcs: AtomicU64::new(0),
         number: AtomicU64::new(1),
@@ -145,7 +150,9 @@
         match (signal, stop_accepting.take()) {
             (SIGHUP, still) => {
                 stop_accepting = still;
-                reload(&launch, &whereto, &operators, conf.as_deref(), keeper.as_deref(), carry.as_deref());
+                let reads =
+                    Reads { keeper: keeper.as_deref(), carry: carry.as_deref(), gate: gate.as_deref() };
+                reload(&launch, &whereto, &operators, conf.as_deref(), &reads);
             }
             (_, Some(stop_accepting)) => {
                 if let Some(keeper) = &keeper {
@@ -162,8 +169,8 @@
 /// A save on leaving may take so long at most: nobody is answered later for it.
 const FINISH_WITHIN: Duration = Duration::from_millis(50);
 
-/// The journal of writes, where one is kept. Without it nothing may be promised, so a front that can't have it does not
-/// start.
+/// The journal of writes, where one is kept. Without it nothing may be promised, so a front that can't have
+/// it does not start.
 fn journal(operators: &Settings) -> Result<Option<Arc<Writes>>, Fault> {
     let sync = match operators.write_journal {
         conf::Journal::Off => return Ok(None),
@@ -184,6 +191,19 @@
     std::hash::RandomState::new().build_hasher().finish()
 }
 
+/// The gate, where clients have classes.
+fn gate(operators: &Settings, ledger: &Ledger, alarms: &Arc<Alarms>) -> Result<Option<Arc<Gate>>, Fault> {
+    if operators.admit.is_empty() {
+        return Ok(None);
+    }
+    let (classes, room) = (operators.admit.clone(), ledger.most(Share::Clients));
+    let gate = Gate::new(classes, operators.admit_prefixes, room, name_seed(), alarms.clone());
+    let fault = |faults: Vec<admission::Fault>| {
+        (exit::CONFIG, faults.iter().map(|why| format!("admit: {why}")).collect())
+    };
+    gate.map(Some).map_err(fault)
+}
+
 /// What was found of earlier lives, and who writes on.
 struct State {
     kept: Option<(Kept, Option<Times>)>,
@@ -236,21 +256,22 @@
 }
 
 /// SIGHUP: both files are read anew. What can't be taken from one changes nothing of what it sets.
-fn reload(
-    started: &Launch,
-    whereto: &Whereto,
-    operators: &Settings,
-    conf: Option<&Path>,
-    keeper: Option<&Keeper>,
-    carry: Option<&Carry>,
-) {
+/// What takes up newer settings while the front runs.
+struct Reads<'a> {
+    keeper: Option<&'a Keeper>,
+    carry: Option<&'a Carry>,
+    gate: Option<&'a Gate>,
+}
+
+fn reload(started: &Launch, whereto: &Whereto, operators: &Settings, conf: Option<&Path>, reads: &Reads) {
     match launch(When::Reload) {
         Ok(newer) => {
             for key in started.differs(&newer) {
                 log!(INFO; "reload: {key} has changed, it counts from the next start");
             }
             let turned = whereto.turn(newer.discovery);
-            log!(INFO; "reloaded, discovery {} {}", if turned { "is now" } else { "is still" }, newer.discovery);
+            let how = if turned { "is now" } else { "is still" };
+            log!(INFO; "reloaded, discovery {how} {}", newer.discovery);
         }
         Err(why) => log!(WARN; "reload: {}; all goes on as before", why.join("; ")),
     }
@@ -262,10 +283,18 @@
             for keyword in operators.differs(&newer) {
                 log!(INFO; "reload: {keyword} has changed, it counts from the next start");
             }
-            if let Some(keeper) = keeper {
+            if let Some(keeper) = reads.keeper {
                 keeper.set_gap(newer.save_gap);
             }
-            if let (Some(carry), Some(path)) = (carry, &operators.session_keys) {
+            if let Some(gate) = reads.gate.filter(|_| !newer.admit.is_empty()) {
+                match gate.set(newer.admit.clone(), newer.admit_prefixes) {
+                    Ok(()) => log!(INFO; "reload: {}", gate.words()),
+                    Err(faults) => faults.iter().for_each(|why| {
+                        log!(WARN; "reload: admit: {why}; all goes on as before");
+                    }),
+                }
+            }
+            if let (Some(carry), Some(path)) = (reads.carry, &operators.session_keys) {
                 match carry::read_keys(path) {
                     Ok(keys) => carry.set_keys(keys),
                     Err(why) => log!(WARN; "reload: session-keys: {why}; all goes on as before"),
@@ -283,10 +312,11 @@
     let mut row = 0;
     while !closing.load(Ordering::Acquire) {
         match listener.accept() {
-            Ok((stream, _)) => {
-                let (entry, stays) = entry(&shared);
-                let shared = shared.clone();
-                spawn(move || session::run(shared, stream, entry, stays));
+            Ok((stream, from)) => {
+                if let Some((entry, reception)) = receive(&shared, &stream, from.ip()) {
+                    let shared = shared.clone();
+                    spawn(move || session::run(shared, stream, entry, reception));
+                }
             }
             Err(why) => {
                 log!(WARN; "a connection was not accepted: {why}");
@@ -300,6 +330,26 @@
     }
 }
 
+/// How a client is received; none where it was told already. Whoever comes while all that can be held for
+/// being told why is taken gets a last word at once: it may be lost to one that goes on sending.
+fn receive(shared: &Shared, stream: &TcpStream, from: IpAddr) -> Option<(Entry, Reception)> {
+    let passage = match shared.gate.as_ref().map(|gate| gate.arrive(&shared.ledger, from)).transpose() {
+        Ok(passage) => passage,
+        Err(refusal) => {
+            let come_back = shared.come_back.map(|most| refusal.come_back.min(most));
+            let words = refusal.why.words();
+            let Some(entry) = shared.ledger.enter(Share::TurnedAway) else {
+                session::last_word(stream, words, come_back);
+                return None;
+            };
+            return Some((entry, Reception::Goes(words, come_back)));
+        }
+    };
+    let (entry, stays) = entry(shared);
+    let goes = Reception::Goes("no descriptor is free", None);
+    Some((entry, if stays { Reception::Stays(passage) } else { goes }))
+}
+
 /// A client's entry. Dropping the connection would lose what came with it, so where there is no place even
 /// beyond the share the next waits for one who is about to go.
 fn entry(shared: &Shared) -> (Entry, bool) {
--- a/front/src/writes.rs
+++ b/front/src/writes.rs
@@ -1,4 +1,5 @@
-//! The journal of writes at work: a thread owns it, whoever waits for a record waits without holding the worker.
+//! The journal of writes at work: a thread owns it, whoever waits for a record waits without holding the
+//! worker.
 
 use crate::log;
 use may::sync::mpsc::{channel, Sender};
--- /dev/null
+++ b/front/tests/admission.rs
@@ -0,0 +1,221 @@
+//! Known clients and floods, on loopback's own addresses.
+
+use standins::client::{Answer, Client, Kind};
+use standins::daemon::{Daemon, Start};
+use standins::discovery::{host, Discovery, Mode};
+use standins::starts::settings;
+use standins::store::{free_address, serve, Served};
+use standins::world::{Branch, Cold, Machine, World};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// One primary and a front with few descriptors.
+struct Place {
+    folder: tempfile::TempDir,
+    listen: SocketAddr,
+    discovery: Discovery,
+    _served: Served,
+}
+
+impl Place {
+    fn new() -> Place {
+        let cold = Cold { from: 1.0, for_ms: 1, fall_multiple: 9.0, window_ms: 500, work_ms: 1 };
+        let world = Arc::new(World::new(cold, 250));
+        world.lock().branches.insert(1, vec![Branch { forked_ms: 0, truth: true }]);
+        world.lock().machines = vec![Machine::of("s-0".into(), 1, None, 0)];
+        let served = serve(&world, 0);
+        let discovery = Discovery::start(Mode::Up, 1, vec![host("s-0", &served.addr, 1, true, "SERVING", 0)]);
+        let folder = tempfile::tempdir().expect("a folder");
+        Place { folder, listen: free_address(), discovery, _served: served }
+    }
+
+    fn start(&self, conf: &str) -> Daemon {
+        let limits = r#""limits":{"sockets":200,"memory_mb":64}"#;
+        let facts = format!(r#"{{"seed":"1",{limits},"settings":{}}}"#, settings());
+        let start = Start {
+            program: Path::new(env!("CARGO_BIN_EXE_gingerwick")),
+            facts: &facts,
+            conf: Some(conf),
+            folder: self.folder.path(),
+            listen: self.listen,
+            discovery: self.discovery.addr,
+        };
+        let daemon = Daemon::start(&start).expect("it starts");
+        let began = Instant::now();
+        while !self.is_served(Ipv4Addr::new(127, 9, 0, 1), "warm") {
+            assert!(began.elapsed() < Duration::from_secs(10), "{}", daemon.kill());
+            thread::sleep(Duration::from_millis(5));
+        }
+        daemon
+    }
+
+    fn is_served(&self, from: Ipv4Addr, id: &str) -> bool {
+        let Ok(mut client) = Client::from_address(&self.listen, from) else { return false };
+        client.refused.is_none() && matches!(client.ask(id, 1, Kind::Write, 800).answer, Answer::Value(_))
+    }
+}
+
+/// What a flood from 300 addresses did, and how many of 60 desk apps were served meanwhile.
+#[derive(Debug, Default)]
+struct Flooded {
+    desk_served: usize,
+    refused: usize,
+    told_when: usize,
+    let_in: usize,
+    rpcs_lost: usize,
+}
+
+/// Each of the flood's connections asks again and again, so that nobody is idle, and comes again once it is
+/// refused.
+fn flood(place: &Place) -> Flooded {
+    let over = Arc::new(AtomicBool::new(false));
+    let counts: Arc<[AtomicUsize; 4]> = Arc::default();
+    let flooding: Vec<_> = (0..150u16)
+        .map(|nth| {
+            let (over, counts, listen) = (over.clone(), counts.clone(), place.listen);
+            thread::spawn(move || {
+                for round in 0u16.. {
+                    let from = Ipv4Addr::new(127, 50, (nth % 2) as u8 + 2 * (round % 2) as u8, nth as u8);
+                    if over.load(Ordering::Acquire) {
+                        return;
+                    }
+                    let Ok(mut client) = Client::from_address(&listen, from) else {
+                        thread::sleep(Duration::from_millis(10));
+                        continue;
+                    };
+                    if client.refused.is_some() {
+                        counts[0].fetch_add(1, Ordering::Relaxed);
+                        counts[1].fetch_add(usize::from(client.come_back.is_some()), Ordering::Relaxed);
+                        thread::sleep(Duration::from_millis(20));
+                        continue;
+                    }
+                    counts[2].fetch_add(1, Ordering::Relaxed);
+                    for serial in 0.. {
+                        if over.load(Ordering::Acquire) {
+                            return;
+                        }
+                        let id = format!("f{nth}-{round}-{serial}");
+                        if client.ask(&id, 1, Kind::Read, 400).answer == Answer::None {
+                            // Let go between two queries is no loss; with one on the way it would be.
+                            counts[3].fetch_add(usize::from(serial == 0), Ordering::Relaxed);
+                            break;
+                        }
+                    }
+                }
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(400));
+    let desk = |nth: u8| place.is_served(Ipv4Addr::new(127, 9, 0, nth % 10), &format!("d{nth}"));
+    let desk_served = (0..60).filter(|&nth| desk(nth)).count();
+    over.store(true, Ordering::Release);
+    flooding.into_iter().for_each(|flooding| flooding.join().expect("no client panics"));
+    let [refused, told_when, let_in, rpcs_lost] = [0, 1, 2, 3].map(|nth| counts[nth].load(Ordering::Relaxed));
+    Flooded { desk_served, refused, told_when, let_in, rpcs_lost }
+}
+
+#[test]
+fn desk_apps_get_in_through_a_flood_that_keeps_them_out_without_classes() {
+    let place = Place::new();
+    let daemon = place.start("admit desk from 127.9.0.0/16 keep 20\nadmit others each 3 rate 50 burst 10\n");
+    let with = flood(&place);
+    daemon.kill();
+    let daemon = place.start("");
+    let without = flood(&place);
+    daemon.kill();
+    println!("with classes {with:?}\nwithout {without:?}");
+    assert_eq!((with.desk_served, with.rpcs_lost), (60, 0), "{with:?}");
+    assert!(with.refused > 0 && with.told_when > 0 && with.let_in > 20, "{with:?}");
+    assert!(without.desk_served < 60, "it shows nothing: {without:?}");
+}
+
+#[test]
+fn limits_change_while_the_front_runs_and_nobody_who_may_stay_is_let_go() {
+    let place = Place::new();
+    let desk = "admit desk from 127.9.0.0/16 keep 5\n";
+    let daemon = place.start(&format!("{desk}admit others each 4\n"));
+    let from = Ipv4Addr::new(127, 60, 0, 1);
+    let open = || Client::from_address(&place.listen, from).expect("it answers");
+    let mut held: Vec<Client> = (0..4).map(|_| open()).collect();
+    assert!(held.iter().all(|client| client.refused.is_none()));
+    let fifth = open();
+    assert_eq!(fifth.refused.as_deref(), Some("53300"));
+    assert!(fifth.come_back.is_some_and(|ms| (1..=1_000).contains(&ms)), "{:?}", fifth.come_back);
+    let file = place.folder.path().join("gingerwick.conf");
+    // What contradicts itself changes nothing.
+    std::fs::write(&file, "admit desk from 127.9.0.0/16 keep 5 most 4\n").expect("written");
+    daemon.signal("HUP");
+    assert!(daemon.says("1: admit: desk keeps more than its most; all goes on as before"));
+    std::fs::write(&file, "admit desk from 127.9.0.0/16 keep 5000\n").expect("written");
+    daemon.signal("HUP");
+    assert!(daemon.says("5000 connections are kept in all, and there is room for"));
+    assert_eq!(open().refused.as_deref(), Some("53300"), "the limits from before count");
+    // Lowered below what is held: nobody new, and who is there stays.
+    std::fs::write(&file, format!("{desk}admit others each 1\n")).expect("written");
+    daemon.signal("HUP");
+    assert!(daemon.says("others 4; turned away since the start: others 2"));
+    for (nth, client) in held.iter_mut().enumerate() {
+        let answer = client.ask(&format!("h{nth}"), 1, Kind::Write, 800).answer;
+        assert!(matches!(answer, Answer::Value(_)), "{answer:?}");
+    }
+    held.truncate(1);
+    thread::sleep(Duration::from_millis(50));
+    assert_eq!(open().refused.as_deref(), Some("53300"), "one is still held");
+    held.clear();
+    let began = Instant::now();
+    while open().refused.is_some() {
+        assert!(began.elapsed() < Duration::from_secs(5), "the last has gone");
+        thread::sleep(Duration::from_millis(5));
+    }
+    drop(daemon);
+}
+
+#[test]
+fn a_full_class_has_its_own_idle_ones_make_way_and_nobody_elses() {
+    let place = Place::new();
+    let daemon = place.start("admit desk from 127.9.0.0/16 keep 2 most 2\nadmit others most 3\n");
+    let from = |net: u8, nth: u8| {
+        Client::from_address(&place.listen, Ipv4Addr::new(127, net, 0, nth)).expect("it answers")
+    };
+    let mut desk = [from(9, 1), from(9, 2)];
+    let held = [from(60, 1), from(60, 2), from(60, 3)];
+    assert!(desk.iter().chain(&held).all(|client| client.refused.is_none()));
+    // Who has not asked for anything is let be for a moment, and then had better make way.
+    let began = Instant::now();
+    let mut came = 4;
+    let mut newer = Vec::new();
+    while newer.len() < 3 {
+        assert!(began.elapsed() < Duration::from_secs(10), "{} came in", newer.len());
+        came += 1;
+        let client = from(60, came);
+        newer.extend(client.refused.is_none().then_some(client));
+        thread::sleep(Duration::from_millis(20));
+    }
+    for (nth, client) in desk.iter_mut().enumerate() {
+        let answer = client.ask(&format!("k{nth}"), 1, Kind::Write, 800).answer;
+        assert!(matches!(answer, Answer::Value(_)), "a desk app was let go for the others: {answer:?}");
+    }
+    drop(daemon);
+}
+
+#[test]
+fn limits_that_do_not_fit_are_said_at_the_start() {
+    let place = Place::new();
+    let facts =
+        format!(r#"{{"seed":"1","limits":{{"sockets":200,"memory_mb":64}},"settings":{}}}"#, settings());
+    let start = Start {
+        program: Path::new(env!("CARGO_BIN_EXE_gingerwick")),
+        facts: &facts,
+        conf: Some("admit desk from 127.9.0.0/16 keep 5000\n"),
+        folder: place.folder.path(),
+        listen: place.listen,
+        discovery: place.discovery.addr,
+    };
+    let mut daemon = Daemon::start(&start).expect("it runs");
+    assert_eq!(daemon.ends_within(Duration::from_secs(5)), Some(78));
+    assert!(daemon.says("admit: 5000 connections are kept in all, and there is room for"));
+}
--- a/front/tests/fates.rs
+++ b/front/tests/fates.rs
@@ -146,7 +146,8 @@
                 _ => false,
             };
             assert!(right && runs <= 1, "{id}, answered {answer:?}, told {fate:?}, ran {runs} times");
-            // Who was pushed back or told never may send it again, under another id; under this one nothing goes.
+            // Who was pushed back or told never may send it again, under another id; under this one nothing
+            // goes.
             if *answer == Answer::None && fate == Answer::Value("never".into()) {
                 let again = client.ask(id, 1, Kind::Write, 400).answer;
                 assert_eq!(again, Answer::Error("42710".into()), "{id}");
--- a/front/tests/histories.rs
+++ b/front/tests/histories.rs
@@ -1,5 +1,5 @@
-//! Sessions and writes through kills of fronts, moves, lag and a switch that loses the tail of a log: the checker
-//! judges what clients saw by what stores ran.
+//! Sessions and writes through kills of fronts, moves, lag and a switch that loses the tail of a log: the
+//! checker judges what clients saw by what stores ran.
 
 use standins::sessions::{play, Plan, Played};
 use standins::starts::Build;
--- a/front/tests/loopback.rs
+++ b/front/tests/loopback.rs
@@ -86,7 +86,8 @@
             let unix = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
             let mut value = if text == "SHOW health" {
                 let role = u8::from(self.primary);
-                // A tenth of a second behind: a machine that sets its clock forward must not make it the future.
+                // A tenth of a second behind: a machine that sets its clock forward must not make it the
+                // future.
                 format!("x0={:.3},x1={role},load_share=0.1", unix.as_secs_f64() - 0.1).into_bytes()
             } else {
                 self.seen.lock().expect("no panic").push(text.clone());
--- a/front/tests/messages.rs
+++ b/front/tests/messages.rs
@@ -175,7 +175,7 @@
 
     #[test]
     fn each_descriptor_and_each_byte_is_given_back_once(steps in prop::collection::vec((0usize..5, any::<u16>()), 1..200)) {
-        let ledger = Ledger::new(64, 3 << 10);
+        let ledger = Ledger::new(64, 3 << 10, false);
         let (mut entries, mut weights) = (Vec::new(), Vec::new());
         let shares = [Share::Clients, Share::Stores, Share::Discovery];
         for (step, how) in steps {
--- a/front/tests/owner.rs
+++ b/front/tests/owner.rs
@@ -37,7 +37,7 @@
     let boot: BootInfo = serde_json::from_str(SETTINGS).expect("start facts");
     let facts = facts(&boot).expect("sound ones");
     let alarms = Arc::new(Alarms::start(Clock::start()));
-    let ledger = Ledger::new(64, 1 << 20);
+    let ledger = Ledger::new(64, 1 << 20, false);
     let second = Span::millis(1000);
     let pool = Arc::new(Pool::new(alarms.clone(), ledger.clone(), second, second * 30));
     let (owner, news) = channel();
--- a/recovery/src/lives.rs
+++ b/recovery/src/lives.rs
@@ -19,8 +19,8 @@
     Suspect,
 }
 
-/// The longest pause between two watches while nothing that discovery said since this start is known: all else waits for
-/// its first word.
+/// The longest pause between two watches while nothing that discovery said since this start is known: all
+/// else waits for its first word.
 pub const LONGEST_ANEW: Span = Span::millis(500);
 
 /// What is offered.
--- a/recovery/src/regain.rs
+++ b/recovery/src/regain.rs
@@ -133,7 +133,8 @@
 }
 
 impl Regain {
-    /// `times`: those of the kept list. `may_ask`: whether stores may be asked at all here. `descriptors`: those there are
+    /// `times`: those of the kept list. `may_ask`: whether stores may be asked at all here. `descriptors`: those
+    /// there are
     /// for stores; half of them are left to RPCs.
     pub fn new(times: Option<Times>, may_ask: bool, descriptors: usize) -> Regain {
         let (stores, groups, due) = Default::default();
--- a/sessions/src/kept.rs
+++ b/sessions/src/kept.rs
@@ -58,8 +58,8 @@
         }
     }
 
-    /// A mark of the session was struck out, and its client is told. Nothing stands in its place: one that was
-    /// not reached comes again with the token that it had, and must be told again.
+    /// A mark of the session was struck out, and its client is told. Nothing stands in its place: one that
+    /// was not reached comes again with the token that it had, and must be told again.
     pub fn strike(&mut self, session: &SessionId, group: i64) {
         if let Some(row) = self.rows.get_mut(session) {
             row.marks.strike(group);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -140,7 +140,7 @@
     failed: Moment,
     probe_out: bool,
     probed: Moment,
-    /// Our call-outs that it may hold; under one the part of the time: many fronts with one each bury a store.
+    /// Our call-outs that it may hold; under one a part of the time: many fronts with one each bury it.
     room: f64,
     room_cut: Moment,
     /// Our work at it when the last call-out was sent, in seconds.
@@ -272,7 +272,7 @@
         }
     }
 
-    /// Whether what a call-out was sent for still holds as its bytes leave; a bound that stores check is theirs.
+    /// Whether what a call-out was sent for still holds as it leaves; a bound that stores check is theirs.
     pub fn confirms(&mut self, now: Moment, id: RpcId, call_out: u32, ix: StoreIx) -> bool {
         self.now = now;
         let Some(rpc) = self.rpcs.get(&id) else { return false };
@@ -671,7 +671,7 @@
         self.drive(id, if end.closed { Input::Closed } else { Input::Returned }, actions);
     }
 
-    /// Tests a group's held RPCs anew, most urgent first; where one must wait, so must its method's later ones.
+    /// Tests a group's held RPCs anew, most urgent first; behind one that must wait its method's wait too.
     fn retry_held(&mut self, group: Option<GroupIx>, actions: &mut Vec<Action>) {
         let Some(group) = group else { return };
         for nth in 0..self.charter.order.len() {
@@ -706,7 +706,7 @@
         }
     }
 
-    /// Probes are paid for by their group's RPCs, so that all fronts' together follow the traffic. Where fronts
+    /// Probes are paid for by their group's RPCs: all fronts' together follow the traffic. Where fronts
     /// are few, or no primary is known, a group with RPCs held may ask one in four beats more.
     fn sound_out(&mut self, ix: GroupIx, reads: bool, actions: &mut Vec<Action>) {
         let (now, stale, pace) = (self.now, self.charter.stale_after, self.charter.pulse * 2);
--- a/standins/src/bin/sessions.rs
+++ b/standins/src/bin/sessions.rs
@@ -1,4 +1,5 @@
-//! Plays sessions through kills, moves, lag and a switch against one build or two, and says which guarantees broke.
+//! Plays sessions through kills, moves, lag and a switch against one build or two, and says which guarantees
+//! broke.
 
 use checker::Verdict;
 use clap::Parser;
--- a/standins/src/bin/starts.rs
+++ b/standins/src/bin/starts.rs
@@ -98,8 +98,8 @@
             sum.ok
         );
         println!(
-            "{name}: writes served while discovery was down in {served} of {} plans; after discovery's return in {writing} of {able} groups \
-             with a primary in reach",
+            "{name}: writes served while discovery was down in {served} of {} plans; after discovery's return \
+             in {writing} of {able} groups with a primary in reach",
             all.len()
         );
         failed |= broke > 0 && build.keeps;
--- a/standins/src/bin/writes.rs
+++ b/standins/src/bin/writes.rs
@@ -1,5 +1,5 @@
-//! What the journal of writes costs: writes a second and their times, by how many are at once and how far a record must
-//! come before the write leaves.
+//! What the journal of writes costs: writes a second and their times, by how many are at once and how far a
+//! record must come before the write leaves.
 
 use clap::Parser;
 use hdrhistogram::Histogram;
--- a/standins/src/client.rs
+++ b/standins/src/client.rs
@@ -4,7 +4,7 @@
 use crate::world::unix_ms;
 pub use checker::{Answer, Kind, Record};
 use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::time::Duration;
 
 pub struct Client {
@@ -15,6 +15,8 @@
     pub origin: Option<String>,
     /// Why its start was refused: SQLSTATE.
     pub refused: Option<String>,
+    /// When it was told to come back, in milliseconds.
+    pub come_back: Option<i64>,
 }
 
 impl Client {
@@ -25,7 +27,18 @@
     /// Asks for a session, `new` or one that a token carries. A start that is refused leaves a client that
     /// says why.
     pub fn with_session(addr: &SocketAddr, user: &str, session: Option<&str>) -> std::io::Result<Client> {
-        let mut stream = TcpStream::connect_timeout(addr, Duration::from_secs(1))?;
+        Client::start(TcpStream::connect_timeout(addr, Duration::from_secs(1))?, user, session)
+    }
+
+    /// From an address of loopback's own.
+    pub fn from_address(addr: &SocketAddr, local: Ipv4Addr) -> std::io::Result<Client> {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
+        socket.bind(&SocketAddr::from((local, 0)).into())?;
+        socket.connect_timeout(&(*addr).into(), Duration::from_secs(1))?;
+        Client::start(socket.into(), "backend", None)
+    }
+
+    fn start(mut stream: TcpStream, user: &str, session: Option<&str>) -> std::io::Result<Client> {
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(Duration::from_secs(5)))?;
         let mut words = b"\0\x03\0\0".to_vec();
@@ -37,13 +50,14 @@
         words.push(0);
         stream.write_all(&(words.len() as u32 + 4).to_be_bytes())?;
         stream.write_all(&words)?;
-        let mut client = Client { stream, token: None, origin: None, refused: None };
+        let mut client = Client { stream, token: None, origin: None, refused: None, come_back: None };
         loop {
             let (tag, body) = client.next().ok_or(std::io::ErrorKind::UnexpectedEof)?;
             match tag {
                 b'Z' => return Ok(client),
                 b'E' => {
                     client.refused = field(&body, b'C');
+                    client.come_back = field(&body, b'D').and_then(|wait| wait.parse().ok());
                     return Ok(client);
                 }
                 _ => client.note(tag, &body),
--- a/writes/src/fate.rs
+++ b/writes/src/fate.rs
@@ -67,8 +67,8 @@
     }
 }
 
-/// How much longer a token's repeats are dropped where it was first sent with `kept`, so long ago at most; none
-/// where they are not, or nobody knows.
+/// How much longer a token's repeats are dropped where it was first sent with `kept`, so long ago at most;
+/// none where they are not, or nobody knows.
 pub fn still_dropped(kept: Option<Token>, asked: Option<Token>, passed_ms: Option<i64>) -> Option<i64> {
     let (kept, asked, passed) = (kept?, asked?, passed_ms?);
     let left = kept.memory_ms.min(asked.memory_ms) - passed;
@@ -113,8 +113,8 @@
     at
 }
 
-/// The first row that fits counts. What is settled stays settled, and nothing leaves under an id that was settled; nor
-/// under another RPC's, but where repeats are dropped.
+/// The first row that fits counts. What is settled stays settled, and nothing leaves under an id that was
+/// settled; nor under another RPC's, but where repeats are dropped.
 const TABLE: &[Row] = &[
     (absent, |i| matches!(i, Input::Intend | Input::Again), |_, _| Some(State::Open), go),
     (open, |i| i == Input::Again, stays, go),
@@ -137,8 +137,8 @@
     row.map_or((at, Leave::Refuse), |row| (row.2(at, input), row.3(input)))
 }
 
-/// Where the one that asks sent the write, as it was told at the start of that connection: which journal, and how far
-/// that had come by then.
+/// Where the one that asks sent the write, as it was told at the start of that connection: which journal, and
+/// how far that had come by then.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Origin {
     pub journal: String,
@@ -176,7 +176,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Known {
     pub state: Option<State>,
-    /// The write was sent to this journal's front, and no record made since that connection began has been dropped.
+    /// The write was sent to this journal's front, and no record made since that connection began has been
+    /// dropped.
     pub covered: bool,
     /// The RPC is still open in this process.
     pub alive: bool,
--- a/writes/src/journal.rs
+++ b/writes/src/journal.rs
@@ -1,5 +1,5 @@
-//! The records on disk, by the write's id, and in the order in which they were made. One thread owns it; many inputs go
-//! in one batch, and one sync answers for them all.
+//! The records on disk, by the write's id, and in the order in which they were made. One thread owns it; many
+//! inputs go in one batch, and one sync answers for them all.
 
 use crate::fate::{fate, next, still_dropped, Fate, Input, Known, Leave, Origin, State, Token, Uptime};
 use fjall::{Database, Keyspace, KeyspaceCreateOptions, PersistMode};
@@ -158,7 +158,8 @@
 }
 
 impl Journal {
-    /// Opens or begins one. `chance` names a new one: a journal that was lost and begun anew must not pass for the old.
+    /// Opens or begins one. `chance` names a new one: a journal that was lost and begun anew must not pass
+    /// for the old.
     pub fn open(path: &Path, sync: Sync, bounds: Bounds, chance: u64) -> Result<Journal, Fault> {
         let builder = Database::builder(path).worker_threads(1).cache_size(1 << 20);
         let db = builder.max_journaling_size(64 << 20).open()?;
@@ -202,8 +203,8 @@
         Ok(self.records.get(id)?.map(|bytes| Record::read(&bytes)))
     }
 
-    /// Works off a batch in its order, and answers once all of it has come as far as it must. Where that fails nothing is
-    /// answered: what waits must not leave.
+    /// Works off a batch in its order, and answers once all of it has come as far as it must. Where that
+    /// fails nothing is answered: what waits must not leave.
     pub fn apply(&mut self, now: impl Into<Now>, ops: &[Op]) -> Result<Vec<Reply>, Fault> {
         let Now { wall_ms: now_ms, up } = now.into();
         let (mut fresh, mut replies) = (HashMap::new(), Vec::with_capacity(ops.len()));
@@ -270,8 +271,8 @@
         Ok(self.records.get(id)?.map(|bytes| Record::read(&bytes).at_ms))
     }
 
-    /// Gives back what is beyond the bounds, a few records at a time and always the earliest. The floor goes up in the
-    /// same batch: what was dropped is never taken for what never was.
+    /// Gives back what is beyond the bounds, a few records at a time and always the earliest. The floor goes
+    /// up in the same batch: what was dropped is never taken for what never was.
     fn drop_old(&mut self, now_ms: i64) -> Result<(), Fault> {
         let mut batch = self.db.batch();
         let (mut floor, mut count) = (self.floor, self.count);
--- a/writes/tests/fates.rs
+++ b/writes/tests/fates.rs
@@ -1,4 +1,5 @@
-//! Every fate that is told is held against a history that knows all, through kills of the process that keeps it.
+//! Every fate that is told is held against a history that knows all, through kills of the process that keeps
+//! it.
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -237,7 +238,8 @@
         ..ProptestConfig::default()
     })]
 
-    /// One id, any inputs in any order: what was told once stays true, and nothing leaves against what was told.
+    /// One id, any inputs in any order: what was told once stays true, and nothing leaves against what was
+    /// told.
     #[test]
     fn no_fate_is_ever_taken_back(steps in prop::collection::vec((0..8u8, any::<bool>()), 1..40)) {
         let (mut state, mut told, mut left): (Option<State>, Option<Fate>, u32) = (None, None, 0);
