Descriptors run out: the process's own limit counts, and who comes is told from a spare one

Need: where the process may open fewer descriptors than its settings say, the ledger counted on what was not there; at EMFILE the listener paused 50 ms and whoever waited in the queue heard nothing. Change: front/src/descriptors.rs raises the limit as far as the machine lets it and goes by what there is; one descriptor is held back and lent to the listener, which takes who comes, tells 53300 and closes. Only with an operators' file. Both guards taken out fail a test.

--- a/front/src/lib.rs
+++ b/front/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod carry;
 pub mod clock;
 pub mod command;
+pub mod descriptors;
 pub mod discovery;
 pub mod exit;
 pub mod gate;
--- a/front/src/session.rs
+++ b/front/src/session.rs
@@ -512,12 +512,13 @@
 }
 
 /// Tells a client that was never let in why, without waiting for anything.
-pub fn last_word(stream: &TcpStream, why: &str, come_back: Option<Span>) {
+pub fn last_word(mut stream: &std::net::TcpStream, why: &str, come_back: Option<Span>) {
     let (mut out, mut came) = (Vec::new(), [0; 4096]);
     let wait = come_back.map(|span| (span.0 / 1_000_000).max(0).to_string());
     pg::error(&mut out, "FATAL", "53300", why, wait.as_deref());
     // What came unread would turn the close into a reset.
-    let _ = stream.inner().read(&mut came);
-    let _ = stream.inner().write(&out);
+    let _ = stream.set_nonblocking(true);
+    let _ = stream.read(&mut came);
+    let _ = stream.write(&out);
     let _ = stream.shutdown(Shutdown::Write);
 }
--- a/front/src/start.rs
+++ b/front/src/start.rs
@@ -3,6 +3,7 @@
 use crate::admit::Terms;
 use crate::carry::{self, Carry};
 use crate::clock::{duration, Alarms, Clock};
+use crate::descriptors::{self, Spare};
 use crate::discovery::{Watch, Whereto};
 use crate::exit::{self, Fault};
 use crate::gate::Gate;
@@ -61,8 +62,11 @@
     may::config().set_workers(1).set_pool_capacity(64).set_stack_size(STACK).set_worker_pin(false);
     std::panic::set_hook(Box::new(|panic| log!(WARN; "{panic}")));
     let alarms = Arc::new(Alarms::start(clock));
-    let ledger =
-        Ledger::new(launch.limits.sockets, launch.limits.memory_mb << 20, !operators.admit.is_empty());
+    // Without an operators' file the platform has seen to the limits, and nothing is asked of the machine.
+    let ours = conf.is_some();
+    let sockets = launch.limits.sockets;
+    let sockets = if ours { descriptors::available(sockets) } else { sockets };
+    let ledger = Ledger::new(sockets, launch.limits.memory_mb << 20, !operators.admit.is_empty());
     let gate = gate(&operators, &ledger, &alarms)?;
     let (owner, news) = channel();
     let dial = Span(settings.allowed.dial_timeout_ns);
@@ -138,7 +142,8 @@
     };
     let closing = Arc::new(AtomicBool::new(false));
     let accepting = closing.clone();
-    spawn(move || accept(listener, Arc::new(shared), &accepting));
+    let spare = if ours { Spare::hold() } else { Spare::default() };
+    spawn(move || accept(listener, Arc::new(shared), &accepting, spare));
     log!(INFO; "{} serves on {listen}", launch.name);
 
     let mut stop_accepting = Some(move || {
@@ -305,10 +310,11 @@
     }
 }
 
+const NO_DESCRIPTOR: &str = "no descriptor is free";
 /// So many accepted in a row are enough: in a flood the worker would serve nobody else.
 const ROW: usize = 8;
 
-fn accept(listener: TcpListener, shared: Arc<Shared>, closing: &AtomicBool) {
+fn accept(listener: TcpListener, shared: Arc<Shared>, closing: &AtomicBool, mut spare: Spare) {
     let mut row = 0;
     while !closing.load(Ordering::Acquire) {
         match listener.accept() {
@@ -320,7 +326,12 @@
             }
             Err(why) => {
                 log!(WARN; "a connection was not accepted: {why}");
-                shared.alarms.pause(Span::millis(50));
+                let told = descriptors::ran_out(&why)
+                    && spare.lend(|| {
+                        let taken = listener.inner().accept();
+                        taken.map(|(stream, _)| session::last_word(&stream, NO_DESCRIPTOR, None)).is_ok()
+                    });
+                shared.alarms.pause(if told { BREATH } else { Span::millis(50) });
             }
         }
         row = (row + 1) % ROW;
@@ -339,14 +350,14 @@
             let come_back = shared.come_back.map(|most| refusal.come_back.min(most));
             let words = refusal.why.words();
             let Some(entry) = shared.ledger.enter(Share::TurnedAway) else {
-                session::last_word(stream, words, come_back);
+                session::last_word(stream.inner(), words, come_back);
                 return None;
             };
             return Some((entry, Reception::Goes(words, come_back)));
         }
     };
     let (entry, stays) = entry(shared);
-    let goes = Reception::Goes("no descriptor is free", None);
+    let goes = Reception::Goes(NO_DESCRIPTOR, None);
     Some((entry, if stays { Reception::Stays(passage) } else { goes }))
 }
 
--- a/front/tests/admission.rs
+++ b/front/tests/admission.rs
@@ -7,7 +7,7 @@
 use standins::store::{free_address, serve, Served};
 use standins::world::{Branch, Cold, Machine, World};
 use std::net::{Ipv4Addr, SocketAddr};
-use std::path::Path;
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
@@ -18,6 +18,7 @@
     folder: tempfile::TempDir,
     listen: SocketAddr,
     discovery: Discovery,
+    program: PathBuf,
     _served: Served,
 }
 
@@ -30,14 +31,15 @@
         let served = serve(&world, 0);
         let discovery = Discovery::start(Mode::Up, 1, vec![host("s-0", &served.addr, 1, true, "SERVING", 0)]);
         let folder = tempfile::tempdir().expect("a folder");
-        Place { folder, listen: free_address(), discovery, _served: served }
+        let program = PathBuf::from(env!("CARGO_BIN_EXE_gingerwick"));
+        Place { folder, listen: free_address(), discovery, program, _served: served }
     }
 
     fn start(&self, conf: &str) -> Daemon {
         let limits = r#""limits":{"sockets":200,"memory_mb":64}"#;
         let facts = format!(r#"{{"seed":"1",{limits},"settings":{}}}"#, settings());
         let start = Start {
-            program: Path::new(env!("CARGO_BIN_EXE_gingerwick")),
+            program: &self.program,
             facts: &facts,
             conf: Some(conf),
             folder: self.folder.path(),
@@ -202,13 +204,72 @@
     drop(daemon);
 }
 
+/// The daemon under a limit of the process's own, by the shell.
+fn limited(place: &Place, descriptors: usize) -> PathBuf {
+    use std::os::unix::fs::PermissionsExt;
+    let path = place.folder.path().join("limited");
+    let daemon = env!("CARGO_BIN_EXE_gingerwick");
+    let text = format!("#!/bin/sh\nulimit -n {descriptors}\nexec {daemon} \"$@\"\n");
+    std::fs::write(&path, text).expect("written");
+    std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o755)).expect("made to run");
+    path
+}
+
+#[test]
+fn a_process_that_may_open_less_than_its_settings_say_goes_by_that_and_desks_still_get_in() {
+    let mut place = Place::new();
+    place.program = limited(&place, 100);
+    let daemon = place.start("admit desk from 127.9.0.0/16 keep 8\nadmit others each 3\n");
+    assert!(daemon.says("the process may open 100 descriptors, the settings say 200: it goes by 100"));
+    let flooded = flood(&place);
+    let log = daemon.kill();
+    assert_eq!((flooded.desk_served, flooded.rpcs_lost), (60, 0), "{flooded:?}");
+    assert!(flooded.refused > 0 && !log.contains("was not accepted"), "{flooded:?} {log}");
+}
+
+#[test]
+fn who_comes_while_no_descriptor_is_left_is_told_so_and_what_was_taken_is_answered() {
+    let place = Place::new();
+    let daemon = place.start("admit desk from 127.9.0.0/16 keep 8\n");
+    let open = || Client::from_address(&place.listen, Ipv4Addr::new(127, 9, 0, 1));
+    let mut first = open().expect("it is let in");
+    // A connection to its store is there; from now on the machine gives it none beyond a few more.
+    assert!(matches!(first.ask("before", 1, Kind::Write, 800).answer, Answer::Value(_)));
+    let used = std::fs::read_dir(format!("/proc/{}/fd", daemon.pid())).expect("a process").count() as u64;
+    let pid = daemon.pid() as i32;
+    let limit = |soft: u64| rlimit::prlimit(pid, rlimit::Resource::NOFILE, Some((soft, 4_096)), None);
+    limit(used + 3).expect("an own process may be limited");
+    let began = Instant::now();
+    let (mut held, mut told) = (Vec::new(), 0);
+    for _ in 0..30 {
+        // One whose word was lost to a reset was not left waiting either.
+        match open() {
+            Ok(client) if client.refused.is_none() => held.push(client),
+            Ok(client) => told += usize::from(client.refused.as_deref() == Some("53300")),
+            Err(_) => {}
+        }
+    }
+    assert!(began.elapsed() < Duration::from_secs(3), "nobody waits in the queue: {:?}", began.elapsed());
+    assert!(held.len() <= 4 && told >= 20, "{} were let in, {told} told", held.len());
+    for (nth, client) in [first].iter_mut().chain(&mut held).enumerate() {
+        let answer = client.ask(&format!("held{nth}"), 1, Kind::Write, 800).answer;
+        assert!(matches!(answer, Answer::Value(_) | Answer::PushedBack(_)), "{answer:?}");
+    }
+    limit(4_096).expect("an own process may be limited");
+    let began = Instant::now();
+    while !open().is_ok_and(|client| client.refused.is_none()) {
+        assert!(began.elapsed() < Duration::from_secs(2), "there are descriptors again");
+    }
+    assert!(daemon.says("a connection was not accepted: "));
+}
+
 #[test]
 fn limits_that_do_not_fit_are_said_at_the_start() {
     let place = Place::new();
     let facts =
         format!(r#"{{"seed":"1","limits":{{"sockets":200,"memory_mb":64}},"settings":{}}}"#, settings());
     let start = Start {
-        program: Path::new(env!("CARGO_BIN_EXE_gingerwick")),
+        program: &place.program,
         facts: &facts,
         conf: Some("admit desk from 127.9.0.0/16 keep 5000\n"),
         folder: place.folder.path(),
--- a/standins/src/bin/writes.rs
+++ b/standins/src/bin/writes.rs
@@ -102,6 +102,12 @@
     entries.map(size).sum()
 }
 
+/// Spreads a number over all its bits.
+fn mixed(nth: u64) -> u64 {
+    let nth = (nth ^ (nth >> 31)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (nth ^ (nth >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
+}
+
 fn start_on(line: &Line, mb: u64) {
     let place = Place::new();
     let path = place.state().join("writes");
@@ -112,7 +118,8 @@
     while bytes_in(&path) < mb << 20 {
         for _ in 0..20 {
             let one = |nth: u64| Op::Record {
-                id: format!("{:016x}", nth.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+                // As long as an id may be, and as unlike the next.
+                id: [1u64, 3, 5, 7].map(|odd| format!("{:016x}", mixed(nth * odd))).concat(),
                 input: Input::Intend,
                 token: None,
             };
