--- a/admission/src/admission.rs
+++ b/admission/src/admission.rs
@@ -95,25 +95,25 @@
     /// By class and reason, since the start.
     refused: BTreeMap<(Arc<str>, Why), u64>,
     lately: (Moment, i64),
+    longest: Span,
     rng: Mwc,
 }
 
 impl Admission {
-    /// For a front with room for so many connections.
+    /// For a front with room for so many connections, which may tell clients to stay away for `longest` at most.
     ///
     /// # Errors
     /// All that is wrong with the classes among themselves.
     pub fn new(
         classes: Vec<Class>,
         prefixes: Prefixes,
-        room: usize,
+        (room, longest): (usize, Span),
         seed: u64,
     ) -> Result<Admission, Vec<Fault>> {
         let classes = whole(classes, room)?;
         let (held, sources, refused) = Default::default();
-        let lately = (Moment(0), 0);
-        let rng = Mwc::new(seed);
-        Ok(Admission { classes, prefixes, room, held, all: 0, sources, refused, lately, rng })
+        let (lately, rng) = ((Moment(0), 0), Mwc::new(seed));
+        Ok(Admission { classes, prefixes, room, held, all: 0, sources, refused, lately, longest, rng })
     }
 
     /// Takes other classes. Who holds a connection keeps it, and goes on counting for the class of that name;
@@ -168,6 +168,8 @@
         // As many as the front has room for may come in a wait; beyond that, waits grow with their number.
         let crowd = 1 + self.lately.1 / (self.room.max(1) as i64);
         let wait = wait.max(WAIT) * crowd;
+        // Under the longest that may be told they still lie apart: cut off there, all would come back at once.
+        let wait = wait.min(self.longest / SPREAD);
         let apart = self.rng.below((wait.0 / 1_000_000 * (SPREAD - 1)).max(1) as usize) as i64;
         Refusal { why, class, come_back: wait + Span::millis(apart) }
     }
--- a/front/src/descriptors.rs
+++ b/front/src/descriptors.rs
@@ -22,7 +22,7 @@
 
 /// EMFILE and ENFILE: a connection that waits can't be taken, and stays in the queue.
 pub fn ran_out(why: &Error) -> bool {
-    matches!(why.raw_os_error(), Some(23 | 24))
+    matches!(why.raw_os_error(), Some(libc::EMFILE | libc::ENFILE))
 }
 
 /// One descriptor that is held back, so that who can't be taken is told so and not left in the queue.
--- a/front/src/gate.rs
+++ b/front/src/gate.rs
@@ -4,6 +4,7 @@
 use crate::clock::Alarms;
 use crate::ledger::Ledger;
 use admission::{Admission, Class, Fault, Pass, Prefixes, Refusal};
+use gingerwick::time::Span;
 use std::net::IpAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -33,18 +34,18 @@
 }
 
 impl Gate {
-    /// For a front with room for so many clients.
+    /// For a front with room for so many clients, which may tell them to stay away for so long at most.
     ///
     /// # Errors
     /// All that is wrong with the classes.
     pub fn new(
         classes: Vec<Class>,
         prefixes: Prefixes,
-        room: usize,
+        bounds: (usize, Span),
         seed: u64,
         alarms: Arc<Alarms>,
     ) -> Result<Arc<Gate>, Vec<Fault>> {
-        let admission = Mutex::new(Admission::new(classes, prefixes, room, seed)?);
+        let admission = Mutex::new(Admission::new(classes, prefixes, bounds, seed)?);
         Ok(Arc::new(Gate { admission, alarms }))
     }
 
--- a/front/src/owner.rs
+++ b/front/src/owner.rs
@@ -667,13 +667,12 @@
     }
 }
 
-/// The token by which repeats are dropped, less the moment that one takes to its store.
 fn token(effect: Effect, group: i64, tick: Span) -> Option<Token> {
+    let ms = |span: Span| span.0 / 1_000_000;
     match effect {
-        Effect::Tokened { everywhere, memory } => Some(Token {
-            scope: (!everywhere).then_some(group),
-            memory_ms: (memory - tick * 2).0 / 1_000_000,
-        }),
+        Effect::Tokened { everywhere, memory } => {
+            Some(Token::new((!everywhere).then_some(group), ms(memory), ms(tick)))
+        }
         _ => None,
     }
 }
--- a/front/src/send.rs
+++ b/front/src/send.rs
@@ -89,10 +89,11 @@
         wire.listen_to(*by, bell);
         if job.follows && !wire.vouched {
             wire = match first_the_epoch(wire, owner, job) {
-                Some(wire) => wire,
+                Ok(wire) => wire,
                 // A connection from before may have ended meanwhile, and nothing of this has left.
-                None if again && pool.alarms.now() < *by && !bell.is_rung() => continue,
-                None => return Sent::unsent(Outcome::Unreachable),
+                Err(Stop::Broken) if again => continue,
+                Err(Stop::Broken) => return Sent::unsent(Outcome::Unreachable),
+                Err(Stop::Late | Stop::Rung) => return Sent::unsent(Outcome::Moot),
             };
         }
         // On record first: the word that it may leave must be the last before it does.
@@ -124,15 +125,19 @@
 
 /// Has the store tell of its epoch, for the owner to judge before the call-out leaves; the connection, where
 /// it still can be used. A store that tells none is gone on with: a loss can't be seen there.
-fn first_the_epoch(mut wire: Wire, owner: &Sender<News>, job: &CallOut) -> Option<Wire> {
+fn first_the_epoch(mut wire: Wire, owner: &Sender<News>, job: &CallOut) -> Result<Wire, Stop> {
     let mut query = Vec::new();
     pg::query(&mut query, HEALTH);
-    wire.write(&[&query], job.by, &job.bell).ok()?;
+    wire.write(&[&query], job.by, &job.bell)?;
     let sent = answer(wire, job.by, &job.bell);
     if let Some(epoch) = sent.epoch {
         let _ = owner.send(News::Epoch { rpc: job.rpc, epoch });
     }
-    sent.free
+    sent.free.ok_or(match sent.outcome {
+        Outcome::TimedOut => Stop::Late,
+        Outcome::Withdrawn => Stop::Rung,
+        _ => Stop::Broken,
+    })
 }
 
 fn confirmed(owner: &Sender<News>, job: &CallOut) -> bool {
@@ -231,9 +236,10 @@
     }
 }
 
-/// Asks for the report.
+/// What asks for the report.
 const HEALTH: &str = "SHOW health";
 
+/// Asks for the report.
 fn health(pool: &Pool, addr: SocketAddr, by: Moment) -> Result<(Outcome, Told), NoWire> {
     let (outcome, column) = sound(pool, addr, HEALTH, by, &Bell::default())?;
     Ok((outcome, std::str::from_utf8(&column).map(report).unwrap_or_default()))
--- a/front/src/session.rs
+++ b/front/src/session.rs
@@ -382,8 +382,7 @@
 
     /// It was never let in.
     fn turn_away(&mut self, why: &str, come_back: Option<Span>) {
-        let wait = come_back.map(|span| (span.0 / 1_000_000).max(0).to_string());
-        self.say(|out| pg::error(out, "FATAL", "53300", why, wait.as_deref()));
+        self.say(|out| refuse(out, why, come_back));
         self.last = true;
     }
 
@@ -492,14 +491,8 @@
             pg::error(&mut out, "ERROR", "ZG001", why, None);
         }
         Answer::PushBack(come_back) => {
-            let wait = come_back.map(|span| (span.0 / 1_000_000).max(0).to_string());
-            pg::error(
-                &mut out,
-                "ERROR",
-                "53300",
-                "pushed back: it did not run, or may run again",
-                wait.as_deref(),
-            );
+            let why = "pushed back: it did not run, or may run again";
+            pg::error(&mut out, "ERROR", "53300", why, millis(come_back).as_deref());
         }
         Answer::Abort => pg::error(&mut out, "ERROR", "58000", "aborted: it may have run", None),
         Answer::Refused(code, why) => pg::error(&mut out, "ERROR", code, why, None),
@@ -511,11 +504,18 @@
     out
 }
 
+fn millis(come_back: Option<Span>) -> Option<String> {
+    come_back.map(|span| (span.0 / 1_000_000).max(0).to_string())
+}
+
+fn refuse(out: &mut Vec<u8>, why: &str, come_back: Option<Span>) {
+    pg::error(out, "FATAL", "53300", why, millis(come_back).as_deref());
+}
+
 /// Tells a client that was never let in why, without waiting for anything.
 pub fn last_word(mut stream: &std::net::TcpStream, why: &str, come_back: Option<Span>) {
     let (mut out, mut came) = (Vec::new(), [0; 4096]);
-    let wait = come_back.map(|span| (span.0 / 1_000_000).max(0).to_string());
-    pg::error(&mut out, "FATAL", "53300", why, wait.as_deref());
+    refuse(&mut out, why, come_back);
     // What came unread would turn the close into a reset.
     let _ = stream.set_nonblocking(true);
     let _ = stream.read(&mut came);
--- a/front/src/start.rs
+++ b/front/src/start.rs
@@ -67,7 +67,7 @@
     let sockets = launch.limits.sockets;
     let sockets = if ours { descriptors::available(sockets) } else { sockets };
     let ledger = Ledger::new(sockets, launch.limits.memory_mb << 20, !operators.admit.is_empty());
-    let gate = gate(&operators, &ledger, &alarms)?;
+    let gate = gate(&operators, &ledger, &alarms, facts.max_come_back)?;
     let (owner, news) = channel();
     let dial = Span(settings.allowed.dial_timeout_ns);
     let closed_after = Span(settings.allowed.conn_idle_ns);
@@ -197,12 +197,19 @@
 }
 
 /// The gate, where clients have classes.
-fn gate(operators: &Settings, ledger: &Ledger, alarms: &Arc<Alarms>) -> Result<Option<Arc<Gate>>, Fault> {
+fn gate(
+    operators: &Settings,
+    ledger: &Ledger,
+    alarms: &Arc<Alarms>,
+    longest: Option<Span>,
+) -> Result<Option<Arc<Gate>>, Fault> {
     if operators.admit.is_empty() {
         return Ok(None);
     }
-    let (classes, room) = (operators.admit.clone(), ledger.most(Share::Clients));
-    let gate = Gate::new(classes, operators.admit_prefixes, room, name_seed(), alarms.clone());
+    // Where nothing may be told, it does not matter what.
+    let bounds = (ledger.most(Share::Clients), longest.unwrap_or(Span::ZERO));
+    let (classes, prefixes) = (operators.admit.clone(), operators.admit_prefixes);
+    let gate = Gate::new(classes, prefixes, bounds, name_seed(), alarms.clone());
     let fault = |faults: Vec<admission::Fault>| {
         (exit::CONFIG, faults.iter().map(|why| format!("admit: {why}")).collect())
     };
@@ -260,7 +267,6 @@
     Launch::read(when, |name| std::env::var(name).ok())
 }
 
-/// SIGHUP: both files are read anew. What can't be taken from one changes nothing of what it sets.
 /// What takes up newer settings while the front runs.
 struct Reads<'a> {
     keeper: Option<&'a Keeper>,
@@ -268,6 +274,7 @@
     gate: Option<&'a Gate>,
 }
 
+/// SIGHUP: both files are read anew. What can't be taken from one changes nothing of what it sets.
 fn reload(started: &Launch, whereto: &Whereto, operators: &Settings, conf: Option<&Path>, reads: &Reads) {
     match launch(When::Reload) {
         Ok(newer) => {
@@ -347,7 +354,7 @@
     let passage = match shared.gate.as_ref().map(|gate| gate.arrive(&shared.ledger, from)).transpose() {
         Ok(passage) => passage,
         Err(refusal) => {
-            let come_back = shared.come_back.map(|most| refusal.come_back.min(most));
+            let come_back = shared.come_back.map(|_| refusal.come_back);
             let words = refusal.why.words();
             let Some(entry) = shared.ledger.enter(Share::TurnedAway) else {
                 session::last_word(stream.inner(), words, come_back);
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for what a front talks to, on loopback and without privileges: stores with a log that ships and
 //! lags, roles that change, cold starts and drains ([`world`], [`store`]), discovery with lives and outages
 //! ([`discovery`]), a client that remembers what it asked and saw ([`client`]), the daemon as a child
-//! process ([`daemon`]), and what is drawn from a seed: starts with discovery down ([`starts`]), sessions
+//! process ([`daemon`]), the smallest place to start one ([`lone`]), and what is drawn from a seed: starts with discovery down ([`starts`]), sessions
 //! through kills, moves, lag and a switch ([`sessions`]).
 //!
 //! Written from the public description of PostgreSQL's protocol, version 3, and of HTTP/1.1.
@@ -9,6 +9,7 @@
 pub mod client;
 pub mod daemon;
 pub mod discovery;
+pub mod lone;
 pub mod message;
 pub mod sessions;
 pub mod starts;
--- a/writes/src/fate.rs
+++ b/writes/src/fate.rs
@@ -7,6 +7,9 @@
     Open,
     /// It ran, and was committed there where the store said so (Unix milliseconds).
     Ran(Option<i64>),
+    /// All that left of it is proved not to have run, and nobody was told that it never will: its client may send
+    /// it again.
+    Free,
     /// It did not run, and from here it never will.
     Never,
 }
@@ -48,6 +51,13 @@
     pub memory_ms: i64,
 }
 
+impl Token {
+    /// One whose repeats are dropped for so long, less two ticks: a repeat needs a moment to its store.
+    pub fn new(scope: Option<i64>, memory_ms: i64, tick_ms: i64) -> Token {
+        Token { scope, memory_ms: memory_ms - 2 * tick_ms }
+    }
+}
+
 /// How long a machine has been up, by a clock that nobody sets: it alone counts memories.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Uptime {
@@ -97,8 +107,12 @@
     Leave::Refuse
 }
 
-fn absent(at: Option<State>) -> bool {
-    at.is_none()
+fn free(at: Option<State>) -> bool {
+    matches!(at, None | Some(State::Free))
+}
+
+fn leaves(input: Input) -> bool {
+    matches!(input, Input::Intend | Input::Again | Input::Rejoin { .. })
 }
 
 fn open(at: Option<State>) -> bool {
@@ -116,12 +130,12 @@
 /// The first row that fits counts. What is settled stays settled, and nothing leaves under an id that was
 /// settled; nor under another RPC's, but where repeats are dropped.
 const TABLE: &[Row] = &[
-    (absent, |i| matches!(i, Input::Intend | Input::Again), |_, _| Some(State::Open), go),
+    (free, leaves, |_, _| Some(State::Open), go),
     (open, |i| i == Input::Again, stays, go),
     (open, |i| matches!(i, Input::Rejoin { .. }), stays, join),
     (open, |i| matches!(i, Input::Ran(_)), ran, refuse),
-    (open, |i| i == Input::ProvedNever, |_, _| Some(State::Never), refuse),
-    (absent, |i| i == Input::Bar, |_, _| Some(State::Never), refuse),
+    (open, |i| i == Input::ProvedNever, |_, _| Some(State::Free), refuse),
+    (free, |i| i == Input::Bar, |_, _| Some(State::Never), refuse),
     (any, |_| true, stays, refuse),
 ];
 
@@ -190,6 +204,7 @@
         Known { state: Some(State::Never), .. } => (Fate::Never, false),
         Known { alive: true, .. } => (Fate::UnderWay, false),
         Known { state: Some(State::Open), .. } => (Fate::NotKnown, false),
+        Known { state: Some(State::Free), .. } => (Fate::Never, true),
         // Nothing leaves without a record: none was made, so it never left. It may still be on its way to us.
         Known { state: None, covered: true, .. } => (Fate::Never, true),
         Known { state: None, covered: false, .. } => (Fate::NotKnown, false),
--- a/writes/src/journal.rs
+++ b/writes/src/journal.rs
@@ -89,7 +89,7 @@
     next: u64,
     /// Of all records made from this one on none has been dropped.
     floor: u64,
-    /// Records kept. Serials have gaps, from one life to the next.
+    /// Places in the order. Serials have gaps, from one life to the next.
     count: u64,
     sync: Sync,
     bounds: Bounds,
@@ -118,6 +118,7 @@
             State::Ran(None) => (1, 0),
             State::Ran(Some(commit)) => (2, commit),
             State::Never => (3, 0),
+            State::Free => (4, 0),
         };
         let mut bytes = vec![kind];
         bytes.extend(self.serial.to_be_bytes());
@@ -141,6 +142,7 @@
             (Some(1), Some(_)) => State::Ran(None),
             (Some(2), Some(commit)) => State::Ran(Some(commit)),
             (Some(3), Some(_)) => State::Never,
+            (Some(4), Some(_)) => State::Free,
             _ => State::Open,
         };
         // A record without, or with half a token: it is sent again by nobody.
@@ -235,14 +237,17 @@
             };
             let (state, leave) = next(before.map(|record| record.state), input);
             if let Some(state) = state.filter(|state| before.map(|record| record.state) != Some(*state)) {
-                let serial = before.map_or(next_serial, |record| record.serial);
-                if before.is_none() {
+                // The time of the first sending that may have run stays: memories count from there. One that is
+                // free begins anew, with its place in the order: under the old one it would be dropped unseen
+                // by those who sent it later.
+                let first = before.filter(|record| record.state != State::Free);
+                let serial = first.map_or(next_serial, |record| record.serial);
+                if first.is_none() {
                     (next_serial, count) = (next_serial + 1, count + 1);
                     batch.insert(&self.order, serial.to_be_bytes().as_slice(), id.as_bytes());
                 }
-                // The time of the first sending stays: memories count from there.
-                let at_ms = before.map_or(now_ms, |record| record.at_ms);
-                let token = before.map_or(token.zip(up), |record| record.token);
+                let at_ms = first.map_or(now_ms, |record| record.at_ms);
+                let token = first.map_or(token.zip(up), |record| record.token);
                 let record = Record { serial, state, at_ms, token };
                 batch.insert(&self.records, id.as_bytes(), record.bytes());
                 fresh.insert(id.clone(), record);
@@ -279,13 +284,17 @@
         for guard in self.order.iter().take(64) {
             let (serial, id) = guard.into_inner()?;
             let Some(serial) = number(&serial) else { continue };
+            // A place that its record has left for a later one is of no use.
             let record = self.records.get(&id)?.map(|bytes| Record::read(&bytes));
+            let record = record.filter(|record| record.serial == serial);
             let old = record.is_none_or(|record| now_ms - record.at_ms > self.bounds.age_ms);
             if !old && count <= self.bounds.most {
                 break;
             }
             batch.remove(&self.order, serial.to_be_bytes().as_slice());
-            batch.remove(&self.records, id);
+            if record.is_some() {
+                batch.remove(&self.records, id);
+            }
             (floor, count) = (serial + 1, count.saturating_sub(1));
         }
         if floor != self.floor {
