An alarm that rings within a batch is struck out by its own word, so no front stands still

With a counter in the owner and in the alarms' thread, in a front that stood still:

STALL now-last 952ms inturn false turns 714 set-now -952ms ticks 250 ticked 250 asked 633 got 633 ringing false

All alarms had rung and been told (250 of 250), the worker was alive (the watch went on setting alarms), and the last one was set for the very millisecond of the last turn. Ruled out by it: a worker that is blocked, the alarms' thread, a wake-up lost in the channel or the runtime (read through: park, mpsc, epoll). At fault: `Owner::turn`. It reads the clock once a batch; an alarm that rang while the batch was under way was taken within it, and `set <= now` was false of a clock read before. Nothing had fallen due either, so no new alarm was set, and the front waited for news. A thin front gets none.

Change: the news of an alarm says which one rang, and only that strikes it out. A panic, which may lose it, clears it.

The new test fails without the change ("an RPC is lost").

--- a/front/src/news.rs
+++ b/front/src/news.rs
@@ -58,7 +58,10 @@
         asked: Moment,
         answer: Result<Heard, NoWire>,
     },
-    Tick,
+    /// The alarm set for then has rung.
+    Tick {
+        at: Moment,
+    },
 }
 
 /// What a store said when it was asked.
--- a/front/src/owner.rs
+++ b/front/src/owner.rs
@@ -73,6 +73,7 @@
     news: Receiver<News>,
     /// The list as it was last told, by host: what a router made anew begins with.
     listed: BTreeMap<String, Host>,
+    /// The next alarm that is set and has not rung yet.
     alarm: Option<Moment>,
     /// The router has just been made anew and does not know the list.
     anew: bool,
@@ -145,7 +146,10 @@
             self.state.writes.clone_from(&self.outlet.writes);
             self.vouched = vouched;
             self.anew = true;
-            let _ = self.outlet.owner.send(News::Tick);
+            // The word that it had rung may have been lost with the batch.
+            self.alarm = None;
+            let at = self.outlet.alarms().now();
+            let _ = self.outlet.owner.send(News::Tick { at });
         }
     }
 
@@ -170,11 +174,13 @@
         let due = self.state.timers.first().map(|timer| timer.0);
         let due = due.into_iter().chain(self.state.resorts.first().map(|resort| resort.0));
         let due = due.chain(self.state.regain.as_ref().and_then(|regain| regain.due(now))).min();
-        if let Some(due) = due.filter(|due| self.alarm.is_none_or(|set| *due < set || set <= now)) {
+        // One that rings while its batch is under way is taken with a clock reading from before it: only its
+        // own word says that it is over, or what falls due behind it would wait for news that may never come.
+        if let Some(due) = due.filter(|due| self.alarm.is_none_or(|set| *due < set)) {
             self.alarm = Some(due);
             let owner = self.outlet.owner.clone();
             self.outlet.alarms().at(due, move || {
-                let _ = owner.send(News::Tick);
+                let _ = owner.send(News::Tick { at: due });
             });
         }
     }
@@ -250,7 +256,10 @@
                 }
             }
             News::ListFailed => state.tell(now, Event::ListFailed),
-            News::Tick => state.recover(now, Regained::Tick),
+            News::Tick { at } => {
+                self.alarm = self.alarm.filter(|set| *set != at);
+                state.recover(now, Regained::Tick);
+            }
         }
         self.work_off(now);
     }
--- a/front/tests/owner.rs
+++ b/front/tests/owner.rs
@@ -20,7 +20,7 @@
 use std::time::{Duration, Instant};
 
 const SETTINGS: &str = r#"{"nInstances":1,"resolutionNs":5000000,"membershipMode":"push","report":{},"rules":{},
-    "classes":[{"name":"order","aimNs":500000000,"deadlineNs":3000000000,"effect":"non_idempotent"}],
+    "classes":[{"name":"order","aimNs":40000000,"deadlineNs":3000000000,"effect":"non_idempotent"}],
     "familyInfo":{"classRead":["update"],"guards":"off"},"allowed":{"maxAttempts":6,"retryAfter":true,"maxRetryAfterNs":2000000000}}"#;
 
 struct Rig {
@@ -44,18 +44,22 @@
     let outlet = Outlet { pool, owner: owner.clone(), probe_within: second, writes: None };
     let decides = Owner::new(facts, 1, Vec::new(), most_held, outlet, news, None);
     spawn(move || decides.run());
-    let host = Host {
-        host: "s".to_string(),
-        dial: silent.local_addr().expect("its address").to_string(),
+    let primary = host("s", silent, 3, "off");
+    owner.send(News::List { whole: true, hosts: vec![primary] }).expect("an owner");
+    let stream = TcpStream::connect(silent.local_addr().expect("its address")).expect("a connection");
+    Rig { owner, alarms, ledger, mailbox: Mailbox::new(stream.waker()), _stream: stream }
+}
+
+fn host(name: &str, at: &TcpListener, block: i64, recovery: &str) -> Host {
+    Host {
+        host: name.to_string(),
+        dial: at.local_addr().expect("its address").to_string(),
         site: String::new(),
-        block: 3,
+        block,
         health: Health::Serving,
         born_ms: 0.0,
-        recovery: "off".to_string(),
-    };
-    owner.send(News::List { whole: true, hosts: vec![host] }).expect("an owner");
-    let stream = TcpStream::connect(silent.local_addr().expect("its address")).expect("a connection");
-    Rig { owner, alarms, ledger, mailbox: Mailbox::new(stream.waker()), _stream: stream }
+        recovery: recovery.to_string(),
+    }
 }
 
 impl Rig {
@@ -64,11 +68,15 @@
     }
 
     fn arrive_as(&self, rpc: u64, id: &str, d: i64) {
+        self.arrive_in(3, rpc, id, d);
+    }
+
+    fn arrive_in(&self, cluster: i64, rpc: u64, id: &str, d: i64) {
         let deadline = self.alarms.now() + Span::millis(d);
         let (session, last_write, repeat) = (None, None, false);
         let (id, patience, mark) = (id.into(), 0..0, None);
         let admission =
-            Admission { id, method: 0, cluster: 3, session, last_write, mark, deadline, repeat, patience };
+            Admission { id, method: 0, cluster, session, last_write, mark, deadline, repeat, patience };
         let query = Query { body: vec![0], patience: 0..0, weight: self.ledger.weight() };
         let ticket = Ticket::new(rpc, self.mailbox.clone());
         self.owner.send(News::Arrived(admission, query, ticket)).expect("an owner");
@@ -127,6 +135,23 @@
     }
 }
 
+#[test]
+fn an_alarm_that_rings_while_a_batch_is_under_way_holds_up_nobody() {
+    let silent = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let rig = rig(&silent, 100);
+    // Nobody is listed as primary of the group, so nothing happens to a write but by the time.
+    let replicas = (0..2_000).map(|nth| host(&format!("r-{nth}"), &silent, 4, "on")).collect();
+    rig.owner.send(News::List { whole: false, hosts: replicas }).expect("an owner");
+    for rpc in 1..=3 {
+        rig.arrive_in(4, rpc, &rpc.to_string(), 300);
+        // Far longer to take in than the alarms of this owner lie apart.
+        let again = (0..2_000).map(|nth| host(&format!("r-{nth}"), &silent, 4, "on")).collect();
+        rig.owner.send(News::List { whole: false, hosts: again }).expect("an owner");
+        let [(answered, answer)] = &rig.answers(1)[..] else { panic!("one answer") };
+        assert_eq!((*answered, matches!(answer, Answer::PushBack(_))), (rpc, true), "{answer:?}");
+    }
+}
+
 #[test]
 fn an_id_is_taken_once_until_nothing_more_can_come_of_its_rpc() {
     let silent = TcpListener::bind("127.0.0.1:0").expect("a free port");
