--- a/admission/src/admission.rs
+++ b/admission/src/admission.rs
@@ -3,7 +3,8 @@
 
 use crate::class::{check, of, Class, Fault, OTHERS};
 use crate::source::{Prefixes, Source, Sources};
-use gingerwick::rng::Mwc;
+use crate::spread::Spread;
+use crate::turnstile::Client;
 use gingerwick::time::{Moment, Span};
 use std::collections::BTreeMap;
 use std::net::IpAddr;
@@ -20,6 +21,8 @@
     Most,
     /// What is free is kept for others.
     Room,
+    /// Too many have not said yet who they are.
+    Lobby,
 }
 
 impl Why {
@@ -29,6 +32,17 @@
             Why::Each => "this address holds as many connections as it may",
             Why::Most => "clients of this class hold as many connections as they may",
             Why::Room => "the connections that are free are kept for others",
+            Why::Lobby => "too many connections have not said yet who they are",
+        }
+    }
+
+    pub fn word(self) -> &'static str {
+        match self {
+            Why::Rate => "rate",
+            Why::Each => "each",
+            Why::Most => "most",
+            Why::Room => "room",
+            Why::Lobby => "lobby",
         }
     }
 
@@ -53,6 +67,13 @@
     source: Source,
 }
 
+impl Pass {
+    /// Whom its RPCs count for.
+    pub fn client(&self) -> Client {
+        Client { class: self.class.clone(), source: self.source }
+    }
+}
+
 /// What one decision is made from.
 struct Case<'a> {
     class: &'a Class,
@@ -78,13 +99,6 @@
     (Why::Room, |case| case.held >= case.class.keep && case.all + case.kept >= case.room),
 ];
 
-/// What who is turned away waits at the least, beside what its rate says, and how many times that at the
-/// most.
-const WAIT: Span = Span::millis(200);
-const SPREAD: i64 = 4;
-/// Over so long those turned away are counted: the more there are, the longer each waits.
-const LATELY: Span = Span::millis(1_000);
-
 pub struct Admission {
     classes: Vec<Class>,
     prefixes: Prefixes,
@@ -94,9 +108,7 @@
     sources: Sources,
     /// By class and reason, since the start.
     refused: BTreeMap<(Arc<str>, Why), u64>,
-    lately: (Moment, i64),
-    longest: Span,
-    rng: Mwc,
+    spread: Spread,
 }
 
 impl Admission {
@@ -112,17 +124,18 @@
     ) -> Result<Admission, Vec<Fault>> {
         let classes = whole(classes, room)?;
         let (held, sources, refused) = Default::default();
-        let (lately, rng) = ((Moment(0), 0), Mwc::new(seed));
-        Ok(Admission { classes, prefixes, room, held, all: 0, sources, refused, lately, longest, rng })
+        let spread = Spread::new(room, longest, seed);
+        Ok(Admission { classes, prefixes, room, held, all: 0, sources, refused, spread })
     }
 
-    /// Takes other classes. Who holds a connection keeps it, and goes on counting for the class of that name;
+    /// Takes other classes, and room for so many connections. Who holds a connection keeps it, and goes on counting for the class of that name;
     /// what is lowered below what is held only lets nobody new in.
     ///
     /// # Errors
     /// As [`Admission::new`]; all goes on as before then.
-    pub fn set(&mut self, classes: Vec<Class>, prefixes: Prefixes) -> Result<(), Vec<Fault>> {
-        self.classes = whole(classes, self.room)?;
+    pub fn set(&mut self, classes: Vec<Class>, prefixes: Prefixes, room: usize) -> Result<(), Vec<Fault>> {
+        self.classes = whole(classes, room)?;
+        self.room = room;
         if self.prefixes != prefixes {
             // Sources are others now: what they hold is counted anew from here on.
             (self.prefixes, self.sources) = (prefixes, Sources::default());
@@ -130,13 +143,23 @@
         Ok(())
     }
 
-    /// A connection has come.
+    /// Whether who a client says that it is can matter: else it is let in by its address alone.
+    pub fn asks_users(&self) -> bool {
+        self.classes.iter().any(|class| !class.users.is_empty())
+    }
+
+    /// One address of a source as this one counts them.
+    pub fn source(&self, from: IpAddr) -> Source {
+        Source::of(from, self.prefixes)
+    }
+
+    /// A connection has come, of a client that says to be `user`, where it was asked.
     ///
     /// # Errors
     /// It is turned away.
-    pub fn arrive(&mut self, now: Moment, from: IpAddr) -> Result<Pass, Refusal> {
+    pub fn arrive(&mut self, now: Moment, from: IpAddr, user: Option<&str>) -> Result<Pass, Refusal> {
         self.sources.forget(now);
-        let class = &self.classes[of(&self.classes, from.to_canonical())];
+        let class = &self.classes[of(&self.classes, from.to_canonical(), user)];
         let source = Source::of(from, self.prefixes);
         let held = |class: &Class| self.held.get(&class.name).copied().unwrap_or(0);
         let others = self.classes.iter().filter(|other| other.name != class.name);
@@ -159,19 +182,14 @@
         Ok(Pass { class: name, source })
     }
 
+    /// A connection that has not said yet who it is must make way, or finds no place to say it.
+    pub fn crowded(&mut self, now: Moment) -> Refusal {
+        self.refuse(now, Why::Lobby, OTHERS.into(), Span::ZERO)
+    }
+
     fn refuse(&mut self, now: Moment, why: Why, class: Arc<str>, wait: Span) -> Refusal {
         *self.refused.entry((class.clone(), why)).or_default() += 1;
-        if now - self.lately.0 >= LATELY {
-            self.lately = (now, 0);
-        }
-        self.lately.1 += 1;
-        // As many as the front has room for may come in a wait; beyond that, waits grow with their number.
-        let crowd = 1 + self.lately.1 / (self.room.max(1) as i64);
-        let wait = wait.max(WAIT) * crowd;
-        // Under the longest that may be told they still lie apart: cut off there, all would come back at once.
-        let wait = wait.min(self.longest / SPREAD);
-        let apart = self.rng.below((wait.0 / 1_000_000 * (SPREAD - 1)).max(1) as usize) as i64;
-        Refusal { why, class, come_back: wait + Span::millis(apart) }
+        Refusal { why, class, come_back: self.spread.next(now, wait) }
     }
 
     /// A connection has ended.
@@ -187,6 +205,16 @@
             .retain(|name, held| *held > 0 || name != class || classes.iter().any(|set| set.name == *name));
     }
 
+    /// The classes, with that of all others.
+    pub fn classes(&self) -> &[Class] {
+        &self.classes
+    }
+
+    /// Sources with most connections, at the most so many, and how many those are.
+    pub fn top(&self, most: usize) -> Vec<(Source, usize)> {
+        self.sources.top(most)
+    }
+
     /// Connections held, by class.
     pub fn held(&self) -> impl Iterator<Item = (&str, usize)> {
         self.held.iter().map(|(name, held)| (&**name, *held))
--- a/admission/src/source.rs
+++ b/admission/src/source.rs
@@ -66,6 +66,15 @@
         self.rows.get(&source).map_or(0, |row| row.held)
     }
 
+    /// Who holds most, at the most so many.
+    pub fn top(&self, most: usize) -> Vec<(Source, usize)> {
+        let holding = self.rows.iter().filter(|(_, row)| row.held > 0);
+        let mut all: Vec<(Source, usize)> = holding.map(|(source, row)| (*source, row.held)).collect();
+        all.sort_by_key(|(source, held)| (std::cmp::Reverse(*held), *source));
+        all.truncate(most);
+        all
+    }
+
     /// Sources of which anything is remembered.
     pub fn len(&self) -> usize {
         self.rows.len()
--- a/admission/tests/admission.rs
+++ b/admission/tests/admission.rs
@@ -26,7 +26,7 @@
 }
 
 fn why(admission: &mut Admission, ms: i64, from: IpAddr) -> Option<Why> {
-    admission.arrive(at(ms), from).err().map(|refusal| refusal.why)
+    admission.arrive(at(ms), from, None).err().map(|refusal| refusal.why)
 }
 
 #[test]
@@ -34,17 +34,17 @@
     let mut front = begin(vec![desk(), Class { each: Some(2), ..Class::named(OTHERS) }], 10);
     let mut passes: Vec<Pass> = Vec::new();
     for nth in 0..200 {
-        passes.extend(front.arrive(at(nth), v4(1, 0, nth as u8)));
+        passes.extend(front.arrive(at(nth), v4(1, 0, nth as u8), None));
     }
     assert_eq!(passes.len(), 6, "the others get what is not kept");
     assert_eq!(why(&mut front, 300, v4(1, 0, 250)), Some(Why::Room));
     for nth in 0..4 {
-        passes.push(front.arrive(at(301), v4(9, 1, nth)).expect("kept for it"));
+        passes.push(front.arrive(at(301), v4(9, 1, nth), None).expect("kept for it"));
     }
     assert_eq!(why(&mut front, 302, v4(9, 1, 9)), Some(Why::Room), "all is taken");
     // A place of the others' that is given back is anybody's.
     front.leave(at(303), passes.remove(0));
-    passes.push(front.arrive(at(304), v4(9, 1, 9)).expect("free"));
+    passes.push(front.arrive(at(304), v4(9, 1, 9), None).expect("free"));
     // One that the desk has beyond what is kept is free again, and so the others' as well.
     front.leave(at(305), passes.pop().expect("the last"));
     assert_eq!(why(&mut front, 306, v4(1, 0, 250)), None);
@@ -56,8 +56,9 @@
     let rate = Some(Rate { per_s: 10, burst: 3 });
     let mut front = begin(vec![Class { rate, each: Some(5), ..Class::named(OTHERS) }], 1_000);
     let from = |host: u128| IpAddr::from(Ipv6Addr::from_bits((0x2001_0db8 << 96) | host));
-    let passes: Vec<Pass> = (0..3).map(|host| front.arrive(at(0), from(host)).expect("a burst")).collect();
-    let refusal = front.arrive(at(0), from(77)).expect_err("one /64 is one source");
+    let passes: Vec<Pass> =
+        (0..3).map(|host| front.arrive(at(0), from(host), None).expect("a burst")).collect();
+    let refusal = front.arrive(at(0), from(77), None).expect_err("one /64 is one source");
     assert_eq!(refusal.why, Why::Rate);
     assert!((Span::millis(100)..Span::millis(801)).contains(&refusal.come_back), "{refusal:?}");
     assert_eq!(why(&mut front, 0, from(1 << 64)), None, "the next /64 is another");
@@ -76,9 +77,9 @@
 #[test]
 fn who_is_turned_away_in_a_crowd_is_told_times_that_lie_apart() {
     let mut front = begin(vec![Class { most: Some(1), ..Class::named(OTHERS) }], 50);
-    let _held = front.arrive(at(0), v4(1, 1, 1)).expect("the first");
+    let _held = front.arrive(at(0), v4(1, 1, 1), None).expect("the first");
     let told: Vec<i64> = (0..1_000)
-        .map(|nth| front.arrive(at(1), v4(1, 2, nth as u8)).expect_err("full").come_back.0 / 1_000_000)
+        .map(|nth| front.arrive(at(1), v4(1, 2, nth as u8), None).expect_err("full").come_back.0 / 1_000_000)
         .collect();
     // All at the same moment: the later ones are told to wait longer, and no tenth of a second gets a tenth
     // of them.
@@ -93,10 +94,10 @@
     let longest = Span::millis(500);
     let classes = vec![Class { most: Some(1), ..Class::named(OTHERS) }];
     let mut front = Admission::new(classes, Prefixes::default(), (50, longest), 7).expect("they fit");
-    let _held = front.arrive(at(0), v4(1, 1, 1)).expect("the first");
+    let _held = front.arrive(at(0), v4(1, 1, 1), None).expect("the first");
     let mut tenths: BTreeMap<i64, usize> = BTreeMap::new();
     for nth in 0..1_000 {
-        let told = front.arrive(at(1), v4(1, 2, nth as u8)).expect_err("full").come_back;
+        let told = front.arrive(at(1), v4(1, 2, nth as u8), None).expect_err("full").come_back;
         assert!(told <= longest);
         *tenths.entry(told.0 / 100_000_000).or_default() += 1;
     }
@@ -117,14 +118,14 @@
         Fault::KeepsMoreThanMost("a".into()),
         Fault::SameRange(range),
         Fault::Twice("b".into()),
-        Fault::Ranges("b".into()),
-        Fault::Ranges(OTHERS.into()),
+        Fault::Nobody("b".into()),
+        Fault::Nobody(OTHERS.into()),
         Fault::KeepTooMuch { kept: 14, room: 13 },
     ] {
         assert!(faults.contains(&fault), "{fault}: {faults:?}");
     }
     let mut front = begin(vec![desk()], 10);
-    assert!(front.set(classes, Prefixes::default()).is_err());
+    assert!(front.set(classes, Prefixes::default(), 10).is_err());
     assert_eq!(why(&mut front, 0, v4(9, 0, 0)), None, "all goes on as before");
 }
 
@@ -134,21 +135,21 @@
     let mut front = begin(vec![Class { rate, ..Class::named(OTHERS) }], 100);
     let slow = v4(255, 255, 255);
     for _ in 0..2 {
-        let pass = front.arrive(at(0), slow).expect("its burst");
+        let pass = front.arrive(at(0), slow, None).expect("its burst");
         front.leave(at(0), pass);
     }
     assert_eq!(why(&mut front, 1, slow), Some(Why::Rate));
     for nth in 0..1_000_000u32 {
         // All within the second in which each is remembered.
         let now = Moment(1_000_000 + i64::from(nth) * 900);
-        let pass = front.arrive(now, Ipv4Addr::from_bits(nth).into()).expect("its first");
+        let pass = front.arrive(now, Ipv4Addr::from_bits(nth).into(), None).expect("its first");
         front.leave(now, pass);
         assert!(front.remembered() <= MOST_REMEMBERED + 1);
     }
     assert_eq!(front.remembered(), MOST_REMEMBERED);
     // Who is furthest from its pace is forgotten last: all others came once.
     assert_eq!(why(&mut front, 950, slow), Some(Why::Rate));
-    let pass = front.arrive(at(60_000), slow).expect("back to its pace");
+    let pass = front.arrive(at(60_000), slow, None).expect("back to its pace");
     front.leave(at(70_000), pass);
     assert_eq!(front.remembered(), 0);
 }
@@ -188,7 +189,7 @@
             if what == 9 {
                 lower = usize::from(host);
                 changed = true;
-                front.set(classes(lower), Prefixes::default()).expect("they fit");
+                front.set(classes(lower), Prefixes::default(), room).expect("they fit");
                 continue;
             }
             if what >= 6 {
@@ -207,7 +208,7 @@
                 class.keep.saturating_sub(held)
             };
             let for_others: usize = classes.iter().filter(|other| other.name != class.name).map(kept).sum();
-            match front.arrive(now, from) {
+            match front.arrive(now, from, None) {
                 Ok(pass) => {
                     prop_assert_eq!(&pass.class, &class.name);
                     prop_assert!(class.most.is_none_or(|most| mine < most));
@@ -228,6 +229,7 @@
                         Why::Each => class.each.is_some_and(|each| by_source >= each),
                         Why::Most => class.most.is_some_and(|most| mine >= most),
                         Why::Room => passes.len() + for_others >= room,
+                        Why::Lobby => false,
                     };
                     prop_assert!(cause, "{refusal:?}");
                     prop_assert!(refusal.come_back > Span::ZERO);
--- a/conf/src/admit.rs
+++ b/conf/src/admit.rs
@@ -13,6 +13,14 @@
         class.from = value.split(',').map(range).collect::<Result<_, _>>()?;
         Ok(())
     }),
+    ("user", |class, value| {
+        let user = |word: &str| {
+            let fits = (1..=63).contains(&word.len()) && !word.contains(char::is_control);
+            fits.then(|| word.into()).ok_or_else(|| format!("{word:?} is no name of 1 to 63 bytes"))
+        };
+        class.users = value.split(',').map(user).collect::<Result<_, _>>()?;
+        Ok(())
+    }),
     ("keep", |class, value| {
         class.keep = number(value, 0)?;
         Ok(())
@@ -36,6 +44,15 @@
         rate.burst = burst;
         Ok(())
     }),
+    ("weight", |class, value| {
+        let weight = number(value, 1)?;
+        class.weight = u32::try_from(weight).ok().filter(|weight| *weight <= 1_000).ok_or("is over 1000")?;
+        Ok(())
+    }),
+    ("rpcs", |class, value| {
+        class.rpcs = Some(number(value, 1)?);
+        Ok(())
+    }),
 ];
 
 fn number(word: &str, least: usize) -> Result<usize, String> {
--- a/conf/src/settings.rs
+++ b/conf/src/settings.rs
@@ -1,7 +1,9 @@
 //! The keywords, their values and what holds where they are missing.
 
 use crate::line::{split, Fault};
+use admission::turnstile::Turns;
 use admission::{Class, Prefixes};
+use gingerwick::time::Span;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -55,6 +57,16 @@
     pub admit: Vec<Class>,
     /// How much of an address is one source: 8 to 32 bits of IPv4, 16 to 64 of IPv6.
     pub admit_prefixes: Prefixes,
+    /// RPCs worked on at once: 1 to 100,000; none: as many as come.
+    pub rpcs_at_once: Option<usize>,
+    /// RPCs that wait their turn at most: 0 to 100,000; none: four times those worked on at once.
+    pub rpcs_waiting: Option<usize>,
+    /// So long may an RPC wait whose client's have waited in a row: 1 ms to 1 s.
+    pub rpcs_target: Duration,
+    /// Repeats in a hundred first tries, 0 to 100; none: they have no budget.
+    pub repeats: Option<u32>,
+    /// Where operators ask what the front does; none: they can't.
+    pub operators_socket: Option<PathBuf>,
     pub log_format: Format,
     /// What of the log is written: `error`, `warn`, `info`, `debug`.
     pub log_level: String,
@@ -75,6 +87,11 @@
             write_journal_most: 1_000_000,
             admit: Vec::new(),
             admit_prefixes: Prefixes::default(),
+            rpcs_at_once: None,
+            rpcs_waiting: None,
+            rpcs_target: Duration::from_millis(10),
+            repeats: None,
+            operators_socket: None,
             log_format: Format::default(),
             log_level: "info".to_string(),
             log_buffer: 64 << 10,
@@ -87,19 +104,11 @@
 
 const KEYWORDS: &[Keyword] = &[
     ("state-dir", |settings, word| {
-        let path = PathBuf::from(word);
-        if !path.is_absolute() {
-            return Err(format!("{word:?} is not an absolute path"));
-        }
-        settings.state_dir = Some(path);
+        settings.state_dir = Some(path(word)?);
         Ok(())
     }),
     ("save-gap", |settings, word| {
-        let gap = humantime::parse_duration(word).map_err(|why| format!("{word:?}: {why}"))?;
-        if !(Duration::from_millis(100)..=Duration::from_secs(3600)).contains(&gap) {
-            return Err(format!("{word:?} is not between 100ms and 1h"));
-        }
-        settings.save_gap = gap;
+        settings.save_gap = lasting(word, ("100ms", "1h"))?;
         Ok(())
     }),
     ("store-identity", |settings, word| {
@@ -108,19 +117,11 @@
         Ok(())
     }),
     ("session-keys", |settings, word| {
-        let path = PathBuf::from(word);
-        if !path.is_absolute() {
-            return Err(format!("{word:?} is not an absolute path"));
-        }
-        settings.session_keys = Some(path);
+        settings.session_keys = Some(path(word)?);
         Ok(())
     }),
     ("session-lasts", |settings, word| {
-        let lasts = humantime::parse_duration(word).map_err(|why| format!("{word:?}: {why}"))?;
-        if !(Duration::from_secs(1)..=Duration::from_secs(30 * 86_400)).contains(&lasts) {
-            return Err(format!("{word:?} is not between 1s and 30days"));
-        }
-        settings.session_lasts = lasts;
+        settings.session_lasts = lasting(word, ("1s", "30days"))?;
         Ok(())
     }),
     ("write-journal", |settings, word| {
@@ -129,25 +130,40 @@
         Ok(())
     }),
     ("write-journal-keeps", |settings, word| {
-        let keeps = humantime::parse_duration(word).map_err(|why| format!("{word:?}: {why}"))?;
-        if !(Duration::from_secs(60)..=Duration::from_secs(30 * 86_400)).contains(&keeps) {
-            return Err(format!("{word:?} is not between 1m and 30days"));
-        }
-        settings.write_journal_keeps = keeps;
+        settings.write_journal_keeps = lasting(word, ("1m", "30days"))?;
         Ok(())
     }),
     ("write-journal-most", |settings, word| {
-        let most = word.parse().ok().filter(|most| (1_000..=100_000_000).contains(most));
-        settings.write_journal_most =
-            most.ok_or_else(|| format!("{word:?} is not between 1000 and 100000000"))?;
+        settings.write_journal_most = number(word, (1_000, 100_000_000))?;
         Ok(())
     }),
     ("admit-prefix-4", |settings, word| {
-        settings.admit_prefixes.v4 = bits(word, 8, 32)?;
+        settings.admit_prefixes.v4 = number(word, (8, 32))?;
         Ok(())
     }),
     ("admit-prefix-6", |settings, word| {
-        settings.admit_prefixes.v6 = bits(word, 16, 64)?;
+        settings.admit_prefixes.v6 = number(word, (16, 64))?;
+        Ok(())
+    }),
+    ("rpcs-at-once", |settings, word| {
+        settings.rpcs_at_once = Some(number(word, (1, 100_000))?);
+        Ok(())
+    }),
+    ("rpcs-waiting", |settings, word| {
+        settings.rpcs_waiting = Some(number(word, (0, 100_000))?);
+        Ok(())
+    }),
+    ("rpcs-target", |settings, word| {
+        settings.rpcs_target = lasting(word, ("1ms", "1s"))?;
+        Ok(())
+    }),
+    ("repeats", |settings, word| {
+        let percent = word.strip_suffix('%').ok_or_else(|| format!("{word:?} is no part, as 10% is"))?;
+        settings.repeats = Some(number(percent, (0, 100))?);
+        Ok(())
+    }),
+    ("operators-socket", |settings, word| {
+        settings.operators_socket = Some(path(word)?);
         Ok(())
     }),
     ("log-format", |settings, word| {
@@ -172,9 +188,26 @@
 /// May stand on many lines, one for each class.
 const ADMIT: &str = "admit";
 
-fn bits(word: &str, least: u8, most: u8) -> Result<u8, String> {
-    let bits = word.parse().ok().filter(|bits| (least..=most).contains(bits));
-    bits.ok_or_else(|| format!("{word:?} is not between {least} and {most}"))
+fn path(word: &str) -> Result<PathBuf, String> {
+    let path = PathBuf::from(word);
+    path.is_absolute().then_some(path).ok_or_else(|| format!("{word:?} is not an absolute path"))
+}
+
+/// A whole number within bounds.
+fn number<T: std::str::FromStr + PartialOrd + std::fmt::Display>(
+    word: &str,
+    (least, most): (T, T),
+) -> Result<T, String> {
+    let number = word.parse().ok().filter(|number| (&least..=&most).contains(&number));
+    number.ok_or_else(|| format!("{word:?} is not between {least} and {most}"))
+}
+
+/// A length of time within bounds, which are worded as it is.
+fn lasting(word: &str, (least, most): (&str, &str)) -> Result<Duration, String> {
+    let read = |word: &str| humantime::parse_duration(word).map_err(|why| format!("{word:?}: {why}"));
+    let span = read(word)?;
+    let fits = (read(least)?..=read(most)?).contains(&span);
+    fits.then_some(span).ok_or_else(|| format!("{word:?} is not between {least} and {most}"))
 }
 
 fn one_of<T: Copy>(word: &str, known: &[(&str, T)]) -> Result<T, String> {
@@ -245,6 +278,16 @@
 }
 
 impl Settings {
+    /// How RPCs are let through, where that is limited at all.
+    pub fn turns(&self) -> Option<Turns> {
+        let limited = self.admit.iter().any(|class| class.rpcs.is_some());
+        let set = self.rpcs_at_once.is_some() || self.repeats.is_some() || limited;
+        let at_once = self.rpcs_at_once.unwrap_or(100_000);
+        let waiting = self.rpcs_waiting.unwrap_or(at_once * 4);
+        let target = Span(self.rpcs_target.as_nanos() as i64);
+        set.then_some(Turns { at_once, waiting, target, repeats: self.repeats })
+    }
+
     /// The keywords in which a newer file differs and which only a start can take up.
     pub fn differs(&self, newer: &Settings) -> Vec<&'static str> {
         let mut apart = Vec::new();
@@ -258,6 +301,7 @@
         note("write-journal-most", self.write_journal_most != newer.write_journal_most);
         // Classes count from a SIGHUP on; whether any are set decides how descriptors are shared out.
         note(ADMIT, self.admit.is_empty() != newer.admit.is_empty());
+        note("operators-socket", self.operators_socket != newer.operators_socket);
         note("log-format", self.log_format != newer.log_format);
         note("log-level", self.log_level != newer.log_level);
         note("log-buffer", self.log_buffer != newer.log_buffer);
--- a/conf/tests/lines.rs
+++ b/conf/tests/lines.rs
@@ -60,9 +60,20 @@
         ("admit others each 0", "each: \"0\" is not between 1 and 100000"),
         ("admit others burst 5", "a burst stands behind its rate"),
         ("admit others each 1 each 2", "each stands there twice"),
-        ("admit others least 4", "\"least\" is none of from, keep, most, each, rate, burst"),
-        ("admit desk each 4", "desk has no ranges"),
-        ("admit others from 10.0.0.0/8", "others are those in no range"),
+        ("admit others weight 1001", "weight: is over 1000"),
+        ("admit desk user a,,b", "user: \"\" is no name of 1 to 63 bytes"),
+        ("admit a user x\nadmit b user y,x", "user x stands in two classes"),
+        ("rpcs-at-once 0", "is not between 1 and 100000"),
+        ("repeats 10", "is no part, as 10% is"),
+        ("repeats 101%", "is not between 0 and 100"),
+        ("rpcs-target 2s", "is not between 1ms and 1s"),
+        ("operators-socket here", "is not an absolute path"),
+        (
+            "admit others least 4",
+            "\"least\" is none of from, user, keep, most, each, rate, burst, weight, rpcs",
+        ),
+        ("admit desk each 4", "desk has no ranges and no users"),
+        ("admit others from 10.0.0.0/8", "others are those in no other class"),
         ("admit others each 4\nadmit others each 5", "others is there twice"),
         ("admit-prefix-6 65", "is not between 16 and 64"),
         ("admits others", "is no keyword; is admit meant?"),
@@ -72,6 +83,18 @@
     }
 }
 
+#[test]
+fn rpcs_have_turns_once_a_line_says_so() {
+    assert_eq!(parse("admit others each 4 weight 2\n").expect("fits").turns(), None);
+    let turns = parse("admit desk user clerk from 10.0.0.0/8 rpcs 5\n").expect("fits").turns();
+    assert_eq!(turns.map(|turns| (turns.at_once, turns.repeats)), Some((100_000, None)));
+    let text = "rpcs-at-once 50\nrepeats 20%\nrpcs-target 5ms\noperators-socket /run/g.sock\n";
+    let settings = parse(text).expect("all fit");
+    let turns = settings.turns().expect("they have");
+    assert_eq!((turns.at_once, turns.waiting, turns.repeats), (50, 200, Some(20)));
+    assert_eq!(turns.target, gingerwick::time::Span::millis(5));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 512,
--- a/front/src/admit.rs
+++ b/front/src/admit.rs
@@ -2,6 +2,7 @@
 
 use crate::ledger::Weight;
 use crate::pg::Head;
+use admission::turnstile::Client;
 use gingerwick::iface::{Facts, MethodIx, Need};
 use gingerwick::time::{Moment, Span};
 use sessions::marks::Mark;
@@ -41,6 +42,8 @@
     pub deadline: Moment,
     pub repeat: bool,
     pub patience: Range<usize>,
+    /// Whom it counts for, where RPCs have turns.
+    pub client: Option<Client>,
 }
 
 /// A day: no client waits as long, and no time beyond it is reckoned with.
@@ -64,6 +67,7 @@
         deadline: now + Span::millis(head.patience_ms.min(LONGEST_MS)),
         repeat: head.repeat,
         patience: head.patience.clone(),
+        client: None,
     })
 }
 
--- a/front/src/command.rs
+++ b/front/src/command.rs
@@ -2,10 +2,12 @@
 
 use crate::carry;
 use crate::exit::{self, Fault};
+use crate::hatch;
 use crate::hosts::times;
 use crate::launch::{Launch, When};
 use crate::operators;
 use crate::start;
+use clap::builder::{PossibleValue, PossibleValuesParser};
 use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
 use gingerwick::time::Moment;
@@ -37,10 +39,24 @@
         #[command(subcommand)]
         what: ListWhat,
     },
+    /// Asks a running front what it does, by its operators-socket
+    Show {
+        /// What is shown
+        #[arg(value_parser = shown())]
+        what: String,
+        /// Instead of the one that the operators' file names
+        #[arg(long, value_name = "PATH")]
+        socket: Option<PathBuf>,
+    },
     /// Prints completions for a shell
     Completions { shell: Shell },
 }
 
+fn shown() -> PossibleValuesParser {
+    let words = hatch::WORDS.into_iter().chain([("metrics", "counts, as Prometheus words them")]);
+    words.map(|(word, help)| PossibleValue::new(word).help(help)).collect::<Vec<_>>().into()
+}
+
 #[derive(Subcommand)]
 enum ListWhat {
     /// Age, version, members, and what a start would believe of them now
@@ -68,6 +84,7 @@
         Some(What::Check) => check(line.conf.as_deref()),
         Some(What::List { what: ListWhat::Show { path, json } }) => show(&path, json),
         Some(What::List { what: ListWhat::Verify { path } }) => verify(&path),
+        Some(What::Show { what, socket }) => ask(line.conf.as_deref(), socket, &what),
         Some(What::Completions { shell }) => {
             clap_complete::generate(shell, &mut Line::command(), "gingerwick", &mut std::io::stdout());
             Ok(())
@@ -82,6 +99,15 @@
     }
 }
 
+fn ask(conf: Option<&Path>, socket: Option<PathBuf>, what: &str) -> Result<(), Fault> {
+    let named = || operators::read(conf).map_err(|why| (exit::CONFIG, why)).map(|read| read.operators_socket);
+    let none =
+        || (exit::USAGE, vec!["no --socket, and no operators-socket in the operators' file".to_string()]);
+    let path = socket.map_or_else(named, |path| Ok(Some(path)))?.ok_or_else(none)?;
+    let text = hatch::ask(&path, what).map_err(|why| (exit::UNAVAILABLE, vec![why]))?;
+    say(text.trim_end())
+}
+
 fn check(conf: Option<&Path>) -> Result<(), Fault> {
     let launch = Launch::read(When::Start, |name| std::env::var(name).ok());
     let settings = operators::read(conf);
--- a/front/src/descriptors.rs
+++ b/front/src/descriptors.rs
@@ -1,6 +1,7 @@
 //! The machine's own limit of descriptors, and one that is held back for when they run out all the same.
 
 use crate::log;
+use admission::door::Trouble;
 use std::fs::File;
 use std::io::Error;
 
@@ -20,9 +21,27 @@
     }
 }
 
-/// EMFILE and ENFILE: a connection that waits can't be taken, and stays in the queue.
-pub fn ran_out(why: &Error) -> bool {
-    matches!(why.raw_os_error(), Some(libc::EMFILE | libc::ENFILE))
+/// What hindered accept(2), in the terms of whoever decides what to do about it.
+pub fn trouble(why: &Error) -> Trouble {
+    match why.raw_os_error() {
+        Some(libc::EMFILE | libc::ENFILE) => Trouble::Descriptors,
+        Some(libc::ENOBUFS | libc::ENOMEM) => Trouble::Memory,
+        Some(libc::EINTR) => Trouble::Interrupted,
+        // What accept(2) of Linux passes on of a connection that is over.
+        Some(
+            libc::ECONNABORTED
+            | libc::EPROTO
+            | libc::EPERM
+            | libc::ENETDOWN
+            | libc::ENOPROTOOPT
+            | libc::EHOSTDOWN
+            | libc::ENONET
+            | libc::EHOSTUNREACH
+            | libc::EOPNOTSUPP
+            | libc::ENETUNREACH,
+        ) => Trouble::Over,
+        _ => Trouble::Other,
+    }
 }
 
 /// One descriptor that is held back, so that who can't be taken is told so and not left in the queue.
--- a/front/src/ledger.rs
+++ b/front/src/ledger.rs
@@ -222,7 +222,17 @@
 
     /// Whether buffers weigh more than a third of the memory: stacks and all else share the rest.
     pub fn is_heavy(&self) -> bool {
-        self.held.load(Ordering::Relaxed) > self.memory / 3
+        self.weighs() > self.heavy_from()
+    }
+
+    /// Bytes in buffers.
+    pub fn weighs(&self) -> usize {
+        self.held.load(Ordering::Relaxed)
+    }
+
+    /// Over so many bytes buffers are too heavy.
+    pub fn heavy_from(&self) -> usize {
+        self.memory / 3
     }
 
     /// A session has nothing to do; what is returned strikes it out again.
--- a/front/src/news.rs
+++ b/front/src/news.rs
@@ -3,8 +3,10 @@
 use crate::admit::{Admission, Query};
 use crate::bell::Bell;
 use crate::hosts::Host;
+use crate::look::Look;
 use crate::mailbox::Ticket;
 use crate::pool::NoWire;
+use crate::turns::Set;
 use crate::writes::{Filed, Filing};
 use gingerwick::iface::{Outcome, RpcId, StoreIx, Told};
 use gingerwick::time::{Moment, Span};
@@ -12,7 +14,7 @@
 use may::sync::mpsc::Sender;
 use sessions::epochs::Epoch;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{mpsc, Arc};
 use writes::fate::Origin;
 
 pub enum News {
@@ -58,6 +60,12 @@
         asked: Moment,
         answer: Result<Heard, NoWire>,
     },
+    /// Other limits on what is worked on at once; none: there are none any more.
+    Turns(Option<Set>),
+    /// Somebody looks after the front.
+    Look {
+        reply: mpsc::Sender<Look>,
+    },
     /// The alarm set for then has rung.
     Tick {
         at: Moment,
--- a/front/src/owner.rs
+++ b/front/src/owner.rs
@@ -3,18 +3,21 @@
 
 use crate::admit::{Admission, Query};
 use crate::bell::Bell;
-use crate::clock::Alarms;
 use crate::hosts::Host;
 use crate::keeper::Keeper;
 use crate::log;
+use crate::look::{Look, RpcRow, StoreRow, MOST_CLIENTS, MOST_RPCS};
 use crate::mailbox::{Answer, Seen, Ticket};
 use crate::news::{self, CallOut, Heard, News};
 use crate::pool::NoWire;
 use crate::send::Outlet;
+use crate::tally::{Ending, Tally};
+use crate::turns::{Coming, Set, Turning};
 use crate::writes::{Filed, Filing, Writes};
 use gingerwick::choice::Router;
 use gingerwick::iface::{
-    Action, Arrival, Effect, End, Entry, Event, Facts, Need, Outcome, RpcId, Standing, StoreIx, Told,
+    Action, Arrival, Effect, End, Entry, Event, Facts, MethodIx, Need, Outcome, RpcId, Standing, StoreIx,
+    Told,
 };
 use gingerwick::time::{Moment, Span};
 use hosting::book::Book;
@@ -36,6 +39,7 @@
 /// What the book keeps of an RPC.
 struct Live {
     id: Arc<str>,
+    method: MethodIx,
     cluster: i64,
     /// What its session has seen, and whether the RPC is a read, which must show that much.
     mark: Option<Mark>,
@@ -53,9 +57,33 @@
     ticket: Option<Ticket>,
     query: Arc<Query>,
     out: Option<(u32, Arc<Bell>)>,
+    /// The store that has it, and since when.
+    at: Option<(StoreIx, Moment)>,
 }
 
 impl Live {
+    /// Its client is gone; false where it had its answer already.
+    fn void(&mut self, tally: &Tally, now: Moment) -> bool {
+        let Some(ticket) = self.ticket.take() else { return false };
+        tally.ended(self.method, Ending::Gone, now - self.arrived);
+        ticket.void();
+        true
+    }
+
+    /// Answers it, unless that was done already.
+    fn answer(&mut self, tally: &Tally, now: Moment, answer: Answer) {
+        if let Some(ticket) = self.ticket.take() {
+            let how = match answer {
+                Answer::Value(..) | Answer::Fate(_) => Ending::Ok,
+                Answer::PushBack(_) => Ending::PushedBack,
+                Answer::Abort => Ending::Aborted,
+                Answer::Lost(_) | Answer::Refused(..) => Ending::Refused,
+            };
+            tally.ended(self.method, how, now - self.arrived);
+            ticket.answer(answer);
+        }
+    }
+
     /// What must be on record before a call-out leaves.
     fn entry(&self) -> Option<Filing> {
         // A repeat of another RPC's asks each time whether it may still go.
@@ -80,6 +108,8 @@
     /// The router that panicked had a list that discovery stood by.
     vouched: bool,
     recovers: Option<Recovers>,
+    /// How much is worked on at once, where that is limited.
+    turns: Option<Set>,
     state: State,
 }
 
@@ -109,9 +139,14 @@
     resorts: BTreeSet<(Moment, RpcId)>,
     actions: Vec<Action>,
     regain: Option<Regain>,
+    /// Those that wait their turn.
+    turning: Option<Turning>,
+    /// Of what was let through, that of which nothing more can come.
+    left: Vec<RpcId>,
     /// What is known of the groups' logs.
     epochs: Epochs,
     writes: Option<Arc<Writes>>,
+    tally: Arc<Tally>,
     /// What recovery wants done.
     tasks: Vec<Task>,
     /// The list's own words on stores that recovery has not opened yet.
@@ -128,10 +163,23 @@
         news: Receiver<News>,
         recovers: Option<Recovers>,
     ) -> Owner {
-        let mut state = State::new(seed, &facts, outlet.alarms(), recovers.as_ref());
-        state.writes.clone_from(&outlet.writes);
-        let (listed, alarm, anew, vouched) = (BTreeMap::new(), None, false, false);
-        Owner { facts, seed, zones, most_held, outlet, news, listed, alarm, anew, vouched, recovers, state }
+        let state = State::new(seed, &facts, &outlet, recovers.as_ref(), None);
+        let (listed, alarm, anew, vouched, turns) = (BTreeMap::new(), None, false, false, None);
+        Owner {
+            facts,
+            seed,
+            zones,
+            most_held,
+            outlet,
+            news,
+            listed,
+            alarm,
+            anew,
+            vouched,
+            recovers,
+            turns,
+            state,
+        }
     }
 
     /// Serves for the life of the process. A panic of the decisions drops their state: what was open aborts
@@ -142,8 +190,8 @@
             log!(WARN; "the router panicked; it starts anew from the list");
             self.seed = self.seed.wrapping_add(1);
             let vouched = self.state.regain.as_ref().is_some_and(Regain::is_vouched);
-            self.state = State::new(self.seed, &self.facts, self.outlet.alarms(), self.recovers.as_ref());
-            self.state.writes.clone_from(&self.outlet.writes);
+            let turns = self.turns.clone();
+            self.state = State::new(self.seed, &self.facts, &self.outlet, self.recovers.as_ref(), turns);
             self.vouched = vouched;
             self.anew = true;
             // The word that it had rung may have been lost with the batch.
@@ -165,14 +213,24 @@
             }
         }
         self.state.fire(now);
+        let mut through = Vec::new();
+        if let Some(turning) = &mut self.state.turning {
+            turning.tick(now, &mut through);
+        }
+        self.let_through(now, through);
         let mut next = Some(first);
         while let Some(news) = next {
             self.take(now, news);
             next = self.news.try_recv().ok();
         }
         self.act(now);
+        while !self.state.left.is_empty() {
+            self.let_through(now, Vec::new());
+            self.act(now);
+        }
         let due = self.state.timers.first().map(|timer| timer.0);
         let due = due.into_iter().chain(self.state.resorts.first().map(|resort| resort.0));
+        let due = due.chain(self.state.turning.as_ref().and_then(Turning::due));
         let due = due.chain(self.state.regain.as_ref().and_then(|regain| regain.due(now))).min();
         // One that rings while its batch is under way is taken with a clock reading from before it: only its
         // own word says that it is over, or what falls due behind it would wait for news that may never come.
@@ -189,21 +247,28 @@
         let state = &mut self.state;
         match news {
             News::Arrived(admission, query, ticket) => {
-                if state.book.len() >= self.most_held {
-                    return ticket.answer(Answer::PushBack(self.facts.max_come_back));
+                let coming = Coming { admission, query, ticket, came: now };
+                let mut through = Vec::new();
+                match &mut state.turning {
+                    Some(turning) => turning.arrive(now, coming, &mut through),
+                    None => through.push(coming),
                 }
-                state.arrive(now, admission, query, ticket, &self.facts);
+                self.let_through(now, through);
             }
             News::Gone { rpc } => {
-                if let Some(ticket) = state.book.get_mut(rpc).and_then(|live| live.ticket.take()) {
-                    ticket.void();
+                let mut through = Vec::new();
+                let waited =
+                    state.turning.as_mut().is_some_and(|turning| turning.gone(now, rpc, &mut through));
+                if waited {
+                    self.let_through(now, through);
+                } else if state.book.get_mut(rpc).is_some_and(|live| live.void(&state.tally, now)) {
                     state.tell(now, Event::Gone { rpc });
                     state.close(rpc);
                 }
             }
             News::Confirm { rpc, call_out, store, reply } => {
                 let holds = state.book.is_open(rpc) && state.router.confirms(now, rpc, call_out, store);
-                let _ = reply.send(holds && state.follows(rpc));
+                let _ = reply.send(holds && state.follows(now, rpc));
             }
             News::Epoch { rpc, epoch } => {
                 if let Some(live) = state.book.get(rpc) {
@@ -222,6 +287,7 @@
                     let load = report.load.unwrap_or(-1.0);
                     tracing::debug!(%store, ?outcome, took_us, behind_us, load, "probe ended");
                 }
+                state.tally.probed(outcome);
                 state.tell(now, Event::Probed { store, outcome, elapsed, report });
                 self.overhear(now, store, now - elapsed, report);
             }
@@ -256,6 +322,24 @@
                 }
             }
             News::ListFailed => state.tell(now, Event::ListFailed),
+            News::Turns(set) => {
+                let mut through = Vec::new();
+                self.turns.clone_from(&set);
+                match (state.turning.take(), set) {
+                    (Some(mut turning), Some(set)) => {
+                        turning.set(now, set, &mut through);
+                        state.turning = Some(turning);
+                    }
+                    (None, Some(set)) => {
+                        state.turning = Some(Turning::new(set, self.facts.max_come_back, self.seed));
+                    }
+                    (Some(turning), None) => through = turning.end(),
+                    (None, None) => {}
+                }
+                self.let_through(now, through);
+            }
+            // Whoever asked may have gone.
+            News::Look { reply } => _ = reply.send(state.look(now)),
             News::Tick { at } => {
                 self.alarm = self.alarm.filter(|set| *set != at);
                 state.recover(now, Regained::Tick);
@@ -264,6 +348,23 @@
         self.work_off(now);
     }
 
+    /// Puts before the decisions what may be worked on from now on, and what that makes room for.
+    fn let_through(&mut self, now: Moment, mut through: Vec<Coming>) {
+        loop {
+            for coming in through.drain(..) {
+                if self.state.book.len() >= self.most_held {
+                    self.state.left.push(coming.ticket.rpc);
+                    coming.ticket.answer(Answer::PushBack(self.facts.max_come_back));
+                } else {
+                    self.state.arrive(now, coming, &self.facts);
+                }
+            }
+            let left = std::mem::take(&mut self.state.left);
+            let Some(turning) = self.state.turning.as_mut().filter(|_| !left.is_empty()) else { return };
+            left.into_iter().for_each(|rpc| turning.leave(now, rpc, &mut through));
+        }
+    }
+
     fn asked(&mut self, now: Moment, store: StoreIx, asked: Moment, answer: Result<Heard, NoWire>) {
         let state = &mut self.state;
         let who = self.recovers.as_ref().is_some_and(|recovers| recovers.who);
@@ -355,7 +456,7 @@
                     let bell = Arc::new(Bell::default());
                     state.trace(rpc, "call-out", now);
                     let Some(live) = state.book.get_mut(rpc) else { continue };
-                    live.out = Some((number, bell.clone()));
+                    (live.out, live.at) = (Some((number, bell.clone())), Some((store, now)));
                     let (query, entry) = (live.query.clone(), live.entry());
                     let follows = !live.reads && live.mark.is_some_and(|mark| mark.epoch > 0);
                     let Some(addr) = state.dials[store] else {
@@ -384,11 +485,11 @@
                         false => ("pushed back", Answer::PushBack(come_back)),
                     };
                     state.trace(rpc, what, now);
-                    state.answer(rpc, answer);
+                    state.answer(now, rpc, answer);
                 }
                 Action::Abort { rpc } => {
                     state.trace(rpc, "aborted", now);
-                    state.answer(rpc, Answer::Abort);
+                    state.answer(now, rpc, Answer::Abort);
                 }
                 Action::Withdraw { rpc, call_out } => {
                     if let Some((number, bell)) = state.book.get(rpc).and_then(|live| live.out.as_ref()) {
@@ -422,10 +523,16 @@
 }
 
 impl State {
-    fn new(seed: u64, facts: &Facts, alarms: &Alarms, recovers: Option<&Recovers>) -> State {
+    fn new(
+        seed: u64,
+        facts: &Facts,
+        outlet: &Outlet,
+        recovers: Option<&Recovers>,
+        turns: Option<Set>,
+    ) -> State {
         let regain = |how: &Recovers| Regain::new(how.times, facts.may_probe, how.descriptors);
         let mut actions = Vec::new();
-        let router = Router::new(seed, facts, alarms.now(), &mut actions);
+        let router = Router::new(seed, facts, outlet.alarms().now(), &mut actions);
         State {
             router,
             book: Book::default(),
@@ -438,8 +545,11 @@
             resorts: BTreeSet::new(),
             actions,
             regain: recovers.map(regain),
+            turning: turns.map(|set| Turning::new(set, facts.max_come_back, seed)),
+            left: Vec::new(),
             epochs: Epochs::default(),
-            writes: None,
+            writes: outlet.writes.clone(),
+            tally: outlet.tally.clone(),
             tasks: Vec::new(),
             waiting: BTreeMap::new(),
         }
@@ -463,7 +573,7 @@
             };
             if self.book.is_open(rpc) && !self.actions.iter().any(answered) {
                 log!(WARN, rpc = rpc; "RPC {rpc} was still open at its last resort, aborted");
-                self.answer(rpc, Answer::Abort);
+                self.answer(now, rpc, Answer::Abort);
                 self.tell(now, Event::Gone { rpc });
             }
         }
@@ -530,7 +640,20 @@
         }
     }
 
-    fn arrive(&mut self, now: Moment, new: Admission, query: Query, ticket: Ticket, facts: &Facts) {
+    fn arrive(&mut self, now: Moment, coming: Coming, facts: &Facts) {
+        // Until it is in the book nothing else would tell that nothing more comes of it.
+        let rpc = coming.ticket.rpc;
+        if self.enter(now, coming, facts).is_none() {
+            self.left.push(rpc);
+        }
+    }
+
+    fn enter(&mut self, now: Moment, coming: Coming, facts: &Facts) -> Option<()> {
+        let Coming { admission: new, query, ticket, came } = coming;
+        let refuse = |ticket: Ticket, answer| {
+            ticket.answer(answer);
+            None
+        };
         let (tick, come_back) = (facts.tick, facts.max_come_back);
         let effect = facts.methods.get(new.method).map(|method| method.effect);
         let journaled = self.writes.is_some() && effect != Some(Effect::Idempotent);
@@ -538,27 +661,28 @@
         let reads = facts.methods.get(new.method).is_some_and(|method| method.need != Need::Write);
         if self.groups.is_empty() {
             // No list has come yet: which groups there are is not known.
-            return ticket.answer(Answer::PushBack(come_back));
+            return refuse(ticket, Answer::PushBack(come_back));
         }
         let Some(group) = self.groups.find(&new.cluster) else {
-            return ticket.answer(Answer::Refused("42704", "cluster names no listed group"));
+            return refuse(ticket, Answer::Refused("42704", "cluster names no listed group"));
         };
         let rpc = ticket.rpc;
         let Admission { id, method, cluster, session, last_write, mark, deadline, repeat, .. } = new;
         let seen = match mark.map(|mark| self.epochs.judge(cluster, mark)) {
-            Some(Verdict::Lost) => return ticket.answer(Answer::Lost(self.epochs.anew(cluster))),
+            Some(Verdict::Lost) => return refuse(ticket, Answer::Lost(self.epochs.anew(cluster))),
             Some(Verdict::Stands(position) | Verdict::Ahead(position)) => Some(position),
             None => None,
         };
         // A store would take the second for a copy of the first.
         if !self.ids.insert(id.clone()) {
-            return ticket.answer(Answer::Refused("42710", "id is that of an open query"));
+            return refuse(ticket, Answer::Refused("42710", "id is that of an open query"));
         }
         let resort = deadline - tick;
         self.book.enter(
             rpc,
             Live {
                 id,
+                method,
                 cluster,
                 mark,
                 reads,
@@ -567,22 +691,54 @@
                 recorded: false,
                 joined: false,
                 may_have_run: false,
-                arrived: now,
+                arrived: came,
                 resort,
                 ticket: Some(ticket),
                 query: Arc::new(query),
                 out: None,
+                at: None,
             },
         );
         self.resorts.insert((resort, rpc));
         self.recover(now, Regained::Wanted { group });
-        let arrival = Arrival { rpc, method, group, session, last_write, seen, deadline, repeat };
+        let arrival = Arrival { rpc, method, group, session, last_write, seen, came, deadline, repeat };
         self.tell(now, Event::Arrived(arrival));
+        Some(())
+    }
+
+    /// What stands where, the oldest RPCs first.
+    fn look(&self, now: Moment) -> Look {
+        let row = |(rpc, live): (RpcId, &Live)| RpcRow {
+            id: live.id.clone(),
+            method: live.method,
+            group: live.cluster,
+            came: live.arrived,
+            call_outs: live.out.as_ref().map_or(0, |(number, _)| number + 1),
+            out: live.at.map(|(store, since)| (self.stores.name(store).clone(), since)),
+            closed: !self.book.is_open(rpc),
+        };
+        let mut rpcs: Vec<RpcRow> = self.book.iter().map(row).collect();
+        rpcs.sort_by(|a, b| (a.came, &a.id).cmp(&(b.came, &b.id)));
+        rpcs.truncate(MOST_RPCS);
+        let store = |ix: StoreIx| StoreRow {
+            name: self.stores.name(ix).clone(),
+            addr: self.dials[ix],
+            look: self.router.look(now, ix),
+        };
+        Look {
+            now,
+            open: self.book.len(),
+            rpcs,
+            stores: (0..self.dials.len()).map(store).collect(),
+            groups: self.groups.len(),
+            turns: self.turning.as_ref().map(|turning| turning.look(MOST_CLIENTS)),
+        }
     }
 
     fn ended(&mut self, now: Moment, end: news::End, come_back: Option<Span>) {
         let news::End { rpc, number, store, sent, outcome, note, report, epoch, value, word } = end;
         let Some(live) = self.book.get_mut(rpc) else { return };
+        live.at = None;
         live.joined |= word == Some(Filed::Join);
         // Where one before may have run, this answer may be that to a repeat, and its position no commit's.
         let first = !live.joined && !live.may_have_run;
@@ -592,19 +748,22 @@
             let commit = note.position.filter(|_| first).map(|at| at.0 / 1_000_000);
             writes.ended(&live.id, Input::Ran(commit));
         }
-        if let Some(ticket) = live.ticket.take_if(|_| word == Some(Filed::Barred)) {
-            ticket.answer(Answer::Refused("42710", "id is that of a write on record: ask for its fate"));
+        if word == Some(Filed::Barred) {
+            let why = "id is that of a write on record: ask for its fate";
+            live.answer(&self.tally, now, Answer::Refused("42710", why));
         }
         if outcome == Outcome::Ok {
             if let Some(epoch) = epoch {
                 self.epochs.learn(live.cluster, epoch);
             }
-            if let Some(ticket) = live.ticket.take() {
-                ticket.answer(shown(&self.epochs, live, value, &note, epoch, now, come_back));
+            if live.ticket.is_some() {
+                let answer = shown(&self.epochs, live, value, &note, epoch, now, come_back);
+                live.answer(&self.tally, now, answer);
             }
         }
         let closed = live.ticket.is_none();
         let elapsed = now - sent;
+        self.tally.called_out(outcome, elapsed);
         if tracing::enabled!(tracing::Level::DEBUG) {
             let group = live.cluster;
             let (store, took_us) = (self.stores.name(store), elapsed.0 / 1_000);
@@ -619,11 +778,12 @@
 
     /// Whether what an RPC's session has seen still lies on the log, by all that was heard up to this moment;
     /// where not, its client is told.
-    fn follows(&mut self, rpc: RpcId) -> bool {
+    fn follows(&mut self, now: Moment, rpc: RpcId) -> bool {
         let Some(live) = self.book.get_mut(rpc) else { return false };
         let lost = live.mark.is_some_and(|mark| self.epochs.judge(live.cluster, mark) == Verdict::Lost);
-        if let Some(ticket) = live.ticket.take_if(|_| lost) {
-            ticket.answer(Answer::Lost(self.epochs.anew(live.cluster)));
+        if lost {
+            let anew = self.epochs.anew(live.cluster);
+            live.answer(&self.tally, now, Answer::Lost(anew));
         }
         !lost
     }
@@ -637,9 +797,9 @@
         }
     }
 
-    fn answer(&mut self, rpc: RpcId, answer: Answer) {
-        if let Some(ticket) = self.book.get_mut(rpc).and_then(|live| live.ticket.take()) {
-            ticket.answer(answer);
+    fn answer(&mut self, now: Moment, rpc: RpcId, answer: Answer) {
+        if let Some(live) = self.book.get_mut(rpc) {
+            live.answer(&self.tally, now, answer);
         }
         self.close(rpc);
     }
@@ -657,6 +817,9 @@
                 writes.ended(&live.id, Input::ProvedNever);
             }
             self.resorts.remove(&(live.resort, rpc));
+            if self.turning.is_some() {
+                self.left.push(rpc);
+            }
         }
     }
 
--- a/front/src/pg.rs
+++ b/front/src/pg.rs
@@ -80,6 +80,7 @@
 pub struct Hello {
     /// User and database: who a session's token is given to.
     pub audience: String,
+    pub user: String,
     /// `gingerwick.session`: empty or `new` to begin a session, a token to go on with one.
     pub session: Option<String>,
 }
@@ -97,6 +98,7 @@
         }
     }
     hello.audience = format!("{}:{user}/{database}", user.len());
+    hello.user = user;
     hello
 }
 
--- a/front/src/send.rs
+++ b/front/src/send.rs
@@ -6,6 +6,7 @@
 use crate::pg;
 use crate::pool::{NoWire, Pool};
 use crate::relay::{report, Reply};
+use crate::tally::Tally;
 use crate::tasks::spawn;
 use crate::wire::{Stop, Wire};
 use crate::writes::{Filed, Writes};
@@ -285,6 +286,7 @@
     pub owner: Sender<News>,
     pub probe_within: Span,
     pub writes: Option<Arc<Writes>>,
+    pub tally: Arc<Tally>,
 }
 
 impl Outlet {
--- a/front/src/session.rs
+++ b/front/src/session.rs
@@ -15,6 +15,8 @@
 use crate::take_in::{Item, TakeIn};
 use crate::wire::{BREATH, BURST, LIGHT};
 use crate::writes::Writes;
+use admission::turnstile::Client;
+use admission::Prefixes;
 use gingerwick::iface::RpcId;
 use gingerwick::time::{Moment, Span};
 use may::io::WaitIo;
@@ -23,7 +25,7 @@
 use sessions::marks::Block;
 use std::collections::VecDeque;
 use std::io::{ErrorKind, IoSlice, Read, Write};
-use std::net::Shutdown;
+use std::net::{IpAddr, Shutdown};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
@@ -52,6 +54,8 @@
     pub carry: Option<Arc<Carry>>,
     /// Where clients have classes.
     pub gate: Option<Arc<Gate>>,
+    /// Whom the RPCs of an address count for where clients have none, but RPCs have turns.
+    pub counts: Option<Prefixes>,
     /// Where writes are kept on record.
     pub writes: Option<Arc<Writes>>,
     pub rpcs: AtomicU64,
@@ -85,6 +89,8 @@
     /// What its client carries, where it asked for that.
     carried: Option<Carried>,
     passage: Option<Passage>,
+    /// Whom its RPCs count for.
+    client: Option<Client>,
 }
 
 enum Heard {
@@ -102,11 +108,12 @@
 }
 
 /// Runs a client's session from its first byte to its close.
-pub fn run(shared: Arc<Shared>, stream: TcpStream, _entry: Entry, reception: Reception) {
+pub fn run(shared: Arc<Shared>, stream: TcpStream, _entry: Entry, from: IpAddr, reception: Reception) {
     let _ = stream.set_nodelay(true);
     let mailbox = Mailbox::new(stream.waker());
     let _member = shared.leave.join(&mailbox);
     let (weight, connected) = (shared.ledger.weight(), shared.alarms.now());
+    let client = shared.counts.map(|prefixes| Client::other(from, prefixes));
     let mut session = Session {
         shared,
         stream,
@@ -123,10 +130,11 @@
         weight,
         carried: None,
         passage: None,
+        client,
     };
     session.wake_at(connected + OWED_WITHIN);
     match reception {
-        Reception::Stays(passage) => session.passage = passage,
+        Reception::Stays(passage) => session.stay(passage),
         Reception::Goes(why, come_back) => session.turn_away(why, come_back),
     }
     let served = catch_unwind(AssertUnwindSafe(|| session.serve()));
@@ -148,11 +156,30 @@
 }
 
 impl Session {
+    fn stay(&mut self, passage: Option<Passage>) {
+        let Some(passage) = passage else { return };
+        if !passage.waits_at(&self.mailbox) {
+            self.make_way(&passage);
+        }
+        self.client = passage.client().or(self.client.take());
+        self.passage = Some(passage);
+    }
+
+    /// Others come, and it has not said yet who it is.
+    fn make_way(&mut self, passage: &Passage) {
+        let refusal = passage.refusal();
+        self.turn_away(refusal.why.words(), self.shared.come_back.map(|_| refusal.come_back));
+    }
+
     /// True where the client should be let go gently, false where the connection is dead.
     fn serve(&mut self) -> bool {
         let (mut stalled, mut burst): (Option<Moment>, usize) = (None, 0);
         loop {
             self.take_in();
+            let asked_to_go = !self.last && self.mailbox.should_close();
+            if let Some(passage) = self.passage.take_if(|passage| asked_to_go && passage.is_in_lobby()) {
+                self.make_way(&passage);
+            }
             self.collect();
             let Ok(blocked) = self.flush() else { return false };
             let now = self.shared.alarms.now();
@@ -301,6 +328,13 @@
     /// Begins or takes up what the client carries, where it asked for that and it is given here.
     fn greet(&mut self, minor: u16, hello: Hello) {
         let now = self.shared.alarms.now();
+        if let Some(passage) = &mut self.passage {
+            if let Err(refusal) = passage.introduce(&hello.user) {
+                let come_back = self.shared.come_back.map(|_| refusal.come_back);
+                return self.turn_away(refusal.why.words(), come_back);
+            }
+            self.client = passage.client().or(self.client.take());
+        }
         let (carry, asked) = (self.shared.carry.clone(), hello.session.is_some());
         let token = match (carry, hello.session) {
             (Some(carry), Some(word)) => match carry.begin(now, &word, &hello.audience) {
@@ -344,6 +378,7 @@
         if let (Some(carry), Some(carried)) = (&self.shared.carry, &mut self.carried) {
             admission.mark = carry.mark(self.shared.alarms.now(), carried, admission.cluster);
         }
+        admission.client.clone_from(&self.client);
         let rpc = self.shared.rpcs.fetch_add(1, Ordering::Relaxed);
         self.slots.push_back(Slot::Open(rpc, admission.cluster));
         let mut weight = self.shared.ledger.weight();
--- a/front/src/shutdown.rs
+++ b/front/src/shutdown.rs
@@ -48,6 +48,11 @@
         self.begun.load(Ordering::Acquire)
     }
 
+    /// Sessions that are here.
+    pub fn members(&self) -> usize {
+        self.lock().sessions.len()
+    }
+
     pub fn join(self: &Arc<Leave>, mailbox: &Arc<Mailbox>) -> Member {
         let mut members = self.lock();
         members.serial += 1;
--- a/front/src/start.rs
+++ b/front/src/start.rs
@@ -5,34 +5,36 @@
 use crate::clock::{duration, Alarms, Clock};
 use crate::descriptors::{self, Spare};
 use crate::discovery::{Watch, Whereto};
+use crate::door::{self, Listening};
 use crate::exit::{self, Fault};
 use crate::gate::Gate;
+use crate::hatch::{self, Hatch};
 use crate::hosts;
 use crate::keeper::Keeper;
 use crate::launch::{Launch, When};
-use crate::ledger::{Entry, Ledger, Share};
+use crate::ledger::{Ledger, Share};
 use crate::log;
 use crate::news::News;
 use crate::operators::{self, Conf};
 use crate::owner::{Owner, Recovers};
 use crate::pool::Pool;
 use crate::send::Outlet;
-use crate::session::{self, Reception, Shared};
+use crate::session::Shared;
 use crate::shutdown::Leave;
+use crate::tally::Tally;
 use crate::tasks::{spawn, spawn_long_lived, STACK};
-use crate::wire::BREATH;
+use crate::turns::Set;
 use crate::writes::Writes;
 use conf::{Identity, Settings};
 use gingerwick::rng::Mwc;
 use gingerwick::time::Span;
 use keep::{Dir, Kept, KeptStore};
-use may::net::{TcpListener, TcpStream};
-use may::sync::mpsc::channel;
+use may::net::TcpListener;
+use may::sync::mpsc::{channel, Sender};
 use recovery::lives::Lives;
 use recovery::trust::Times;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use std::net::IpAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
@@ -66,8 +68,15 @@
     let ours = conf.is_some();
     let sockets = launch.limits.sockets;
     let sockets = if ours { descriptors::available(sockets) } else { sockets };
+    let sockets = sockets.saturating_sub(own(&operators));
     let ledger = Ledger::new(sockets, launch.limits.memory_mb << 20, !operators.admit.is_empty());
     let gate = gate(&operators, &ledger, &alarms, facts.max_come_back)?;
+    // Before anything counts.
+    let socket = operators.operators_socket.as_ref().map(|path| hatch::counts().map(|counts| (path, counts)));
+    let socket_fault = |why| (exit::OS, vec![format!("operators-socket: {why}")]);
+    let socket = socket.transpose().map_err(socket_fault)?;
+    let methods: Vec<String> = settings.classes.iter().map(|class| class.name.clone()).collect();
+    let tally = Arc::new(Tally::new(&methods));
     let (owner, news) = channel();
     let dial = Span(settings.allowed.dial_timeout_ns);
     let closed_after = Span(settings.allowed.conn_idle_ns);
@@ -75,10 +84,15 @@
     let listener = TcpListener::bind(listen)
         .map_err(|why| (exit::OS, vec![format!("ROUTER_LISTEN: {listen}: {why}")]))?;
 
-    let terms = Terms::new(settings.classes.iter().map(|class| class.name.clone()).collect(), &facts);
+    let terms = Terms::new(methods.clone(), &facts);
     let writes = journal(&operators)?;
-    let outlet =
-        Outlet { pool: pool.clone(), owner: owner.clone(), probe_within: dial, writes: writes.clone() };
+    let outlet = Outlet {
+        pool: pool.clone(),
+        owner: owner.clone(),
+        probe_within: dial,
+        writes: writes.clone(),
+        tally: tally.clone(),
+    };
     let come_back = facts.max_come_back;
     let most_held = settings.allowed.most_held;
     let state = operators.state_dir.as_deref().map(|dir| State::take_up(dir, clock, &operators, &mut launch));
@@ -105,6 +119,9 @@
             None => Lives::new(0, false),
         },
     };
+    if let Some(set) = turns(&operators) {
+        let _ = owner.send(News::Turns(Some(set)));
+    }
     let started = |why: std::io::Error| (exit::OS, vec![format!("no stack for a coroutine: {why}")]);
     spawn_long_lived(move || decides.run()).map_err(started)?;
     let whereto = Arc::new(Whereto::new(launch.discovery));
@@ -127,6 +144,13 @@
     let leave = Arc::new(Leave::default());
     let lasts = Span(operators.session_lasts.as_nanos() as i64);
     let carry = keys.map(|keys| Arc::new(Carry::new(keys, lasts, name_seed())));
+    if let Some((path, counts)) = socket {
+        let name = launch.name.clone();
+        let (owner, ledger, gate, leave) = (owner.clone(), ledger.clone(), gate.clone(), leave.clone());
+        let shown = Hatch { name, owner, ledger, gate, leave, methods };
+        hatch::open(path, counts, shown).map_err(socket_fault)?;
+    }
+    let told = owner.clone();
     let shared = Shared {
         alarms: alarms.clone(),
         ledger,
@@ -136,6 +160,7 @@
         leave: leave.clone(),
         carry: carry.clone(),
         gate: gate.clone(),
+        counts: ours.then_some(operators.admit_prefixes),
         writes,
         rpcs: AtomicU64::new(0),
         number: AtomicU64::new(1),
@@ -143,7 +168,8 @@
     let closing = Arc::new(AtomicBool::new(false));
     let accepting = closing.clone();
     let spare = if ours { Spare::hold() } else { Spare::default() };
-    spawn(move || accept(listener, Arc::new(shared), &accepting, spare));
+    let (shared, mut doorway) = (Arc::new(shared), Listening { listener, spare, alarms: alarms.clone() });
+    spawn(move || door::stand(&mut doorway, &accepting, |stream, from| door::take(&shared, stream, from)));
     log!(INFO; "{} serves on {listen}", launch.name);
 
     let mut stop_accepting = Some(move || {
@@ -155,8 +181,8 @@
         match (signal, stop_accepting.take()) {
             (SIGHUP, still) => {
                 stop_accepting = still;
-                let reads =
-                    Reads { keeper: keeper.as_deref(), carry: carry.as_deref(), gate: gate.as_deref() };
+                let (keeper, carry, gate) = (keeper.as_deref(), carry.as_deref(), gate.as_deref());
+                let reads = Reads { keeper, carry, gate, owner: &told };
                 reload(&launch, &whereto, &operators, conf.as_deref(), &reads);
             }
             (_, Some(stop_accepting)) => {
@@ -196,10 +222,24 @@
     std::hash::RandomState::new().build_hasher().finish()
 }
 
+/// Descriptors that the front itself holds for what operators have set.
+fn own(operators: &Settings) -> usize {
+    let state = if operators.state_dir.is_some() { keep::DESCRIPTORS } else { 0 };
+    let journal =
+        if operators.write_journal == conf::Journal::Off { 0 } else { writes::journal::DESCRIPTORS };
+    let socket = if operators.operators_socket.is_some() { hatch::DESCRIPTORS } else { 0 };
+    state + journal + socket
+}
+
+/// How much is worked on at once, where that is limited.
+fn turns(operators: &Settings) -> Option<Set> {
+    operators.turns().map(|turns| Set { turns, classes: operators.admit.clone() })
+}
+
 /// The gate, where clients have classes.
 fn gate(
     operators: &Settings,
-    ledger: &Ledger,
+    ledger: &Arc<Ledger>,
     alarms: &Arc<Alarms>,
     longest: Option<Span>,
 ) -> Result<Option<Arc<Gate>>, Fault> {
@@ -207,9 +247,9 @@
         return Ok(None);
     }
     // Where nothing may be told, it does not matter what.
-    let bounds = (ledger.most(Share::Clients), longest.unwrap_or(Span::ZERO));
+    let longest = longest.unwrap_or(Span::ZERO);
     let (classes, prefixes) = (operators.admit.clone(), operators.admit_prefixes);
-    let gate = Gate::new(classes, prefixes, bounds, name_seed(), alarms.clone());
+    let gate = Gate::new(classes, prefixes, longest, name_seed(), alarms.clone(), ledger.clone());
     let fault = |faults: Vec<admission::Fault>| {
         (exit::CONFIG, faults.iter().map(|why| format!("admit: {why}")).collect())
     };
@@ -272,6 +312,7 @@
     keeper: Option<&'a Keeper>,
     carry: Option<&'a Carry>,
     gate: Option<&'a Gate>,
+    owner: &'a Sender<News>,
 }
 
 /// SIGHUP: both files are read anew. What can't be taken from one changes nothing of what it sets.
@@ -298,13 +339,18 @@
             if let Some(keeper) = reads.keeper {
                 keeper.set_gap(newer.save_gap);
             }
-            if let Some(gate) = reads.gate.filter(|_| !newer.admit.is_empty()) {
-                match gate.set(newer.admit.clone(), newer.admit_prefixes) {
-                    Ok(()) => log!(INFO; "reload: {}", gate.words()),
-                    Err(faults) => faults.iter().for_each(|why| {
-                        log!(WARN; "reload: admit: {why}; all goes on as before");
-                    }),
+            let taken = match reads.gate.filter(|_| !newer.admit.is_empty()) {
+                Some(gate) => gate.set(newer.admit.clone(), newer.admit_prefixes).map(|()| Some(gate)),
+                None => Ok(None),
+            };
+            match taken {
+                Ok(gate) => {
+                    gate.into_iter().for_each(|gate| log!(INFO; "reload: {}", gate.words()));
+                    let _ = reads.owner.send(News::Turns(turns(&newer)));
                 }
+                Err(faults) => faults.iter().for_each(|why| {
+                    log!(WARN; "reload: admit: {why}; all goes on as before");
+                }),
             }
             if let (Some(carry), Some(path)) = (reads.carry, &operators.session_keys) {
                 match carry::read_keys(path) {
@@ -316,66 +362,3 @@
         Err(why) => log!(WARN; "reload: {}; all goes on as before", why.join("; ")),
     }
 }
-
-const NO_DESCRIPTOR: &str = "no descriptor is free";
-/// So many accepted in a row are enough: in a flood the worker would serve nobody else.
-const ROW: usize = 8;
-
-fn accept(listener: TcpListener, shared: Arc<Shared>, closing: &AtomicBool, mut spare: Spare) {
-    let mut row = 0;
-    while !closing.load(Ordering::Acquire) {
-        match listener.accept() {
-            Ok((stream, from)) => {
-                if let Some((entry, reception)) = receive(&shared, &stream, from.ip()) {
-                    let shared = shared.clone();
-                    spawn(move || session::run(shared, stream, entry, reception));
-                }
-            }
-            Err(why) => {
-                log!(WARN; "a connection was not accepted: {why}");
-                let told = descriptors::ran_out(&why)
-                    && spare.lend(|| {
-                        let taken = listener.inner().accept();
-                        taken.map(|(stream, _)| session::last_word(&stream, NO_DESCRIPTOR, None)).is_ok()
-                    });
-                shared.alarms.pause(if told { BREATH } else { Span::millis(50) });
-            }
-        }
-        row = (row + 1) % ROW;
-        if row == 0 {
-            shared.alarms.pause(BREATH);
-        }
-    }
-}
-
-/// How a client is received; none where it was told already. Whoever comes while all that can be held for
-/// being told why is taken gets a last word at once: it may be lost to one that goes on sending.
-fn receive(shared: &Shared, stream: &TcpStream, from: IpAddr) -> Option<(Entry, Reception)> {
-    let passage = match shared.gate.as_ref().map(|gate| gate.arrive(&shared.ledger, from)).transpose() {
-        Ok(passage) => passage,
-        Err(refusal) => {
-            let come_back = shared.come_back.map(|_| refusal.come_back);
-            let words = refusal.why.words();
-            let Some(entry) = shared.ledger.enter(Share::TurnedAway) else {
-                session::last_word(stream.inner(), words, come_back);
-                return None;
-            };
-            return Some((entry, Reception::Goes(words, come_back)));
-        }
-    };
-    let (entry, stays) = entry(shared);
-    let goes = Reception::Goes(NO_DESCRIPTOR, None);
-    Some((entry, if stays { Reception::Stays(passage) } else { goes }))
-}
-
-/// A client's entry. Dropping the connection would lose what came with it, so where there is no place even
-/// beyond the share the next waits for one who is about to go.
-fn entry(shared: &Shared) -> (Entry, bool) {
-    loop {
-        if let Some(entry) = shared.ledger.enter_client(shared.alarms.now()) {
-            return entry;
-        }
-        log!(WARN; "clients wait to be turned away: all descriptors for that are taken");
-        shared.alarms.pause(Span::millis(2));
-    }
-}
--- a/front/tests/messages.rs
+++ b/front/tests/messages.rs
@@ -327,7 +327,7 @@
     let too_long = Item::Unfit { code: "54000", why: "message too long" };
     assert_eq!(all(&[&long[..200]]), [greeted(), too_long], "told by its head alone");
     let opened = b"\0\0\0\x3c\0\x03\0\0user\0ann\0gingerwick.session\0new\0database\0x\0odd\0yes\0\0";
-    let hello = Hello { audience: "3:ann/x".into(), session: Some("new".into()) };
+    let hello = Hello { audience: "3:ann/x".into(), user: "ann".into(), session: Some("new".into()) };
     assert_eq!(all(&[opened]), [Item::Greet { minor: 0, hello }]);
     let version_2 = [0, 0, 0, 8, 0, 2, 0, 0];
     assert!(matches!(all(&[&version_2])[..], [Item::Unfit { code: "0A000", .. }]));
@@ -436,7 +436,10 @@
 
 /// What the start-up message of `pg::start_up` is taken in as.
 fn greeted() -> Item {
-    Item::Greet { minor: 0, hello: Hello { audience: "7:backend/store".into(), session: None } }
+    Item::Greet {
+        minor: 0,
+        hello: Hello { audience: "7:backend/store".into(), user: "backend".into(), session: None },
+    }
 }
 
 #[test]
--- a/front/tests/owner.rs
+++ b/front/tests/owner.rs
@@ -9,6 +9,7 @@
 use front::owner::Owner;
 use front::pool::Pool;
 use front::send::Outlet;
+use front::tally::Tally;
 use front::tasks::spawn;
 use gingerwick::time::Span;
 use hosting::facts::{facts, BootInfo};
@@ -41,7 +42,8 @@
     let second = Span::millis(1000);
     let pool = Arc::new(Pool::new(alarms.clone(), ledger.clone(), second, second * 30));
     let (owner, news) = channel();
-    let outlet = Outlet { pool, owner: owner.clone(), probe_within: second, writes: None };
+    let tally = Arc::new(Tally::new(&[]));
+    let outlet = Outlet { pool, owner: owner.clone(), probe_within: second, writes: None, tally };
     let decides = Owner::new(facts, 1, Vec::new(), most_held, outlet, news, None);
     spawn(move || decides.run());
     let primary = host("s", silent, 3, "off");
@@ -75,8 +77,18 @@
         let deadline = self.alarms.now() + Span::millis(d);
         let (session, last_write, repeat) = (None, None, false);
         let (id, patience, mark) = (id.into(), 0..0, None);
-        let admission =
-            Admission { id, method: 0, cluster, session, last_write, mark, deadline, repeat, patience };
+        let admission = Admission {
+            id,
+            method: 0,
+            cluster,
+            session,
+            last_write,
+            mark,
+            deadline,
+            repeat,
+            patience,
+            client: None,
+        };
         let query = Query { body: vec![0], patience: 0..0, weight: self.ledger.weight() };
         let ticket = Ticket::new(rpc, self.mailbox.clone());
         self.owner.send(News::Arrived(admission, query, ticket)).expect("an owner");
--- a/hosting/src/book.rs
+++ b/hosting/src/book.rs
@@ -34,6 +34,11 @@
         self.pages.get_mut(&rpc).map(|page| &mut page.what)
     }
 
+    /// All that are open, or whose last call-out has not ended, in no order.
+    pub fn iter(&self) -> impl Iterator<Item = (RpcId, &T)> {
+        self.pages.iter().map(|(rpc, page)| (*rpc, &page.what))
+    }
+
     /// Whether it still owes its client an answer.
     pub fn is_open(&self, rpc: RpcId) -> bool {
         self.pages.get(&rpc).is_some_and(|page| !page.closed)
--- a/hosting/src/doors.rs
+++ b/hosting/src/doors.rs
@@ -37,6 +37,10 @@
         self.names.is_empty()
     }
 
+    pub fn len(&self) -> usize {
+        self.names.len()
+    }
+
     pub fn name(&self, ix: usize) -> &K {
         &self.names[ix]
     }
--- a/keep/src/lib.rs
+++ b/keep/src/lib.rs
@@ -12,6 +12,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Descriptors that a directory takes at the most: its lock, the file that is written, the folder itself.
+pub const DESCRIPTORS: usize = 3;
+
 /// All that is kept. Times are Unix milliseconds by the wall clock of the front that wrote them.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Kept {
--- a/simhost/src/host.rs
+++ b/simhost/src/host.rs
@@ -134,6 +134,7 @@
             session,
             last_write,
             seen: None,
+            came: self.now,
             deadline: Moment(new.drop_dead_ns),
             repeat: new.repeat,
         });
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -6,10 +6,13 @@
 //! told position reaches the read's bound. Where none does, the read waits for one, by the store's own hold
 //! or here, before it touches the primary. `docs/design.md` says where that is departed from.
 
+mod look;
+
 use crate::iface::*;
 use crate::remembered::Remembered;
 use crate::rng::Mwc;
 use crate::time::{Moment, Span};
+pub use look::StoreLook;
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -283,11 +286,6 @@
         ours && self.stores[ix].open && (self.groups[rpc.group].primary == Some(ix) || (reads && fresh))
     }
 
-    /// Sessions whose marks are kept.
-    pub fn remembered(&self) -> usize {
-        self.sessions.len()
-    }
-
     // What is believed of stores.
 
     fn ask(&mut self, actions: &mut Vec<Action>) {
@@ -455,7 +453,7 @@
             _ => None,
         };
         let (mark, carries) = (mark.max(new.seen), new.seen.is_some());
-        let worth_by = if terms.late_share > 0.0 { answer_by } else { answer_by.min(self.now + terms.soft) };
+        let worth_by = if terms.late_share > 0.0 { answer_by } else { answer_by.min(new.came + terms.soft) };
         let (arrived, repeat) = (self.now, new.repeat && terms.late_share == 0.0);
         let rpc = Rpc { method, group, arrived, worth_by, answer_by, ..Rpc::default() };
         self.rpcs.insert(id, Rpc { mark, carries, session, repeat, ..rpc });
--- a/src/iface.rs
+++ b/src/iface.rs
@@ -168,6 +168,8 @@
     pub last_write: Option<Span>,
     /// What its session has seen: a read must show this much, whatever its method.
     pub seen: Option<Moment>,
+    /// When it came to the host: what an answer earns counts from then.
+    pub came: Moment,
     /// When the client gives this try up.
     pub deadline: Moment,
     pub repeat: bool,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -202,7 +202,7 @@
     let arrive = |router: &mut Router, now: Moment, rpc, method, key, actions: &mut Vec<Action>| {
         let (session, deadline) = (Some(key), now + Span::millis(2_000));
         let (last_write, seen, repeat) = (None, None, false);
-        let new = Arrival { rpc, method, group: 0, session, last_write, seen, deadline, repeat };
+        let new = Arrival { rpc, method, group: 0, session, last_write, seen, came: now, deadline, repeat };
         router.handle(now, Event::Arrived(new), actions);
     };
     let to = |actions: &[Action], rpc: RpcId| {
@@ -541,7 +541,7 @@
     let deadline = now + Span::millis(1000);
     for (rpc, method) in [(1, CURRENT), (2, WRITE)] {
         let (session, last_write, seen, repeat) = (None, None, None, false);
-        let new = Arrival { rpc, method, group: 0, session, last_write, seen, deadline, repeat };
+        let new = Arrival { rpc, method, group: 0, session, last_write, seen, came: now, deadline, repeat };
         router.handle(now, Event::Arrived(new), &mut actions);
     }
     let sent = actions.iter().filter_map(|action| match action {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -171,6 +171,7 @@
             session,
             last_write,
             seen,
+            came: self.now,
             deadline,
             repeat: false,
         }));
--- a/writes/src/journal.rs
+++ b/writes/src/journal.rs
@@ -20,6 +20,10 @@
 /// So many go in one batch at most: those in front would wait long for those behind.
 pub const MOST_AT_ONCE: usize = 512;
 
+/// Descriptors that it may hold at the most: its files and those of tables that are kept open.
+pub const DESCRIPTORS: usize = 48;
+const TABLES_OPEN: usize = 24;
+
 /// How much is kept.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -164,7 +168,8 @@
     /// for the old.
     pub fn open(path: &Path, sync: Sync, bounds: Bounds, chance: u64) -> Result<Journal, Fault> {
         let builder = Database::builder(path).worker_threads(1).cache_size(1 << 20);
-        let db = builder.max_journaling_size(64 << 20).open()?;
+        let builder = builder.max_journaling_size(64 << 20).max_cached_files(Some(TABLES_OPEN));
+        let db = builder.open()?;
         let keyspace =
             |name: &str| db.keyspace(name, || KeyspaceCreateOptions::default().max_memtable_size(2 << 20));
         let (records, order, meta) = (keyspace("records")?, keyspace("order")?, keyspace("meta")?);
