What a write told binds its session's reads, though its client has left before it ended

Change: the host, whose book has the RPC until its last call-out has ended, says whose write it was (`End::wrote`), and the mark is set before that return. Two more of the same kind, by reading: an answer cut behind its value tells no position and set no mark, now it counts as this moment; positions are told in whole milliseconds, so a replica that tells the same one may lack the write: the next one is asked for, as for `after`. The test of forgotten marks lets its replicas reach the next millisecond for that reason; it asks for no less.

--- a/front/src/admit.rs
+++ b/front/src/admit.rs
@@ -51,10 +51,11 @@
 
 pub fn admit(terms: &Terms, now: Moment, head: &Head) -> Result<Admission, (&'static str, &'static str)> {
     let &(method, keyed) = terms.methods.get(head.class).ok_or(("42704", "c names no known class"))?;
-    // Passed over, a position out of range would make a session's read one without a bound.
+    // Passed over, a position out of range would make a session's read one without a bound. It is told in
+    // whole milliseconds, as stores' are: only one beyond it is sure to show what was written in it.
     let after = match head.after_ms.unwrap_or(0) {
         0 => None,
-        ms @ 1..9_000_000_000_000 => Some(now - Moment(ms * 1_000_000)),
+        ms @ 1..9_000_000_000_000 => Some(now - Moment((ms + 1) * 1_000_000)),
         _ => return Err(("22008", "after is out of range")),
     };
     Ok(Admission {
--- a/front/src/owner.rs
+++ b/front/src/owner.rs
@@ -41,6 +41,8 @@
     id: Arc<str>,
     method: MethodIx,
     cluster: i64,
+    /// Where it is a write, the session that it is made for.
+    wrote: Option<u64>,
     /// What its session has seen, and whether the RPC is a read, which must show that much.
     mark: Option<Mark>,
     reads: bool,
@@ -684,6 +686,7 @@
                 id,
                 method,
                 cluster,
+                wrote: session.filter(|_| !reads),
                 mark,
                 reads,
                 journaled,
@@ -770,7 +773,8 @@
             let id = &live.id;
             tracing::debug!(rpc, %id, call_out = number, %store, group, ?outcome, took_us, "call-out ended");
         }
-        let event = End { rpc, call_out: number, store, outcome, elapsed, closed, note, report };
+        let wrote = live.wrote;
+        let event = End { rpc, call_out: number, store, outcome, elapsed, closed, wrote, note, report };
         self.tell(now, Event::Ended(event));
         let page = self.book.returned(rpc, closed);
         self.strike(rpc, page);
--- a/simhost/src/host.rs
+++ b/simhost/src/host.rs
@@ -2,7 +2,7 @@
 
 use crate::wire::{self, Availability, How, In, Out, Record, Status};
 use gingerwick::choice::Router;
-use gingerwick::iface::{Action, Arrival, End, Entry, Event, Outcome, Role, RpcId, Standing, Told};
+use gingerwick::iface::{Action, Arrival, End, Entry, Event, Need, Outcome, Role, RpcId, Standing, Told};
 use gingerwick::time::{Moment, Span};
 use hosting::book::Book;
 use hosting::doors::Doors;
@@ -20,6 +20,12 @@
     replies: Vec<u8>,
 }
 
+/// What the book keeps of an RPC: its name, and where it is a write, its session.
+struct Entered {
+    id: String,
+    wrote: Option<u64>,
+}
+
 struct Front {
     number: u32,
     router: Router,
@@ -28,7 +34,9 @@
     stores: Doors<String>,
     groups: Doors<i64>,
     rpcs: HashMap<String, RpcId>,
-    book: Book<String>,
+    book: Book<Entered>,
+    /// Methods whose RPCs write.
+    writes: Vec<bool>,
     next_rpc: RpcId,
     actions: Vec<Action>,
 }
@@ -125,7 +133,8 @@
         let rpc = host.next_rpc;
         host.next_rpc += 1;
         host.rpcs.insert(new.request_id.to_string(), rpc);
-        host.book.enter(rpc, new.request_id.into_owned());
+        let wrote = session.filter(|_| host.writes.get(new.profile) == Some(&true));
+        host.book.enter(rpc, Entered { id: new.request_id.into_owned(), wrote });
         let last_write = (new.last_write_ms > 0.0).then_some(Span((new.last_write_ms * 1e6) as i64));
         let event = Event::Arrived(Arrival {
             rpc,
@@ -162,6 +171,7 @@
             outcome: outcome(end.status),
             elapsed: Span(end.wait_time_ns),
             closed: end.done_flag,
+            wrote: host.book.get(rpc).and_then(|entered| entered.wrote),
             note,
             report: host.report(end.pressure.as_deref()),
         });
@@ -203,6 +213,7 @@
             groups: Doors::default(),
             rpcs: HashMap::new(),
             book: Book::default(),
+            writes: facts.methods.iter().map(|method| method.need == Need::Write).collect(),
             next_rpc: 0,
             actions,
         })
@@ -248,15 +259,15 @@
         self.forget(gone);
     }
 
-    fn forget(&mut self, id: Option<String>) {
-        if let Some(id) = id {
+    fn forget(&mut self, entered: Option<Entered>) {
+        if let Some(Entered { id, .. }) = entered {
             self.rpcs.remove(&id);
         }
     }
 
     fn write(&mut self, action: &Action, replies: &mut Vec<u8>) {
         let front = self.number;
-        let id = |rpc: &RpcId| self.book.get(*rpc).map(String::as_str);
+        let id = |rpc: &RpcId| self.book.get(*rpc).map(|entered| &*entered.id);
         let written = match action {
             Action::Send { rpc, store, time_out } => id(rpc).map(|request_id| Out::Forward {
                 front,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -100,12 +100,12 @@
     mark: Option<Moment>,
     /// Its session has seen something: no store checks that by itself.
     carries: bool,
-    session: Option<u64>,
     call_outs: u32,
     /// One of them has reached a store, run or not.
     reached: bool,
     out: Option<CallOut>,
-    ran_from: Option<Moment>,
+    /// It may have run, and until then may be repeated.
+    repeat_by: Option<Moment>,
     refusals: u32,
     /// Its client had a try before this one, most likely until nothing could be earned any more.
     repeat: bool,
@@ -456,7 +456,7 @@
         let worth_by = if terms.late_share > 0.0 { answer_by } else { answer_by.min(new.came + terms.soft) };
         let (arrived, repeat) = (self.now, new.repeat && terms.late_share == 0.0);
         let rpc = Rpc { method, group, arrived, worth_by, answer_by, ..Rpc::default() };
-        self.rpcs.insert(id, Rpc { mark, carries, session, repeat, ..rpc });
+        self.rpcs.insert(id, Rpc { mark, carries, repeat, ..rpc });
         let moments = [(id * 2 + 1, arrived + (answer_by - arrived) / 2), (id * 2 + 2, answer_by)];
         actions.extend(moments.map(|(tag, at)| Action::Remind { tag, at }));
         self.drive(id, Input::News, actions);
@@ -494,7 +494,7 @@
         let terms = &self.charter.methods[rpc.method];
         // Never more than a third: a method that is not sent at all would stay slow in our books for ever.
         let fair = Span((self.usual[rpc.method] * 2e9) as i64).min(terms.soft / 3);
-        let barred = rpc.ran_from.is_some_and(|ran| self.now >= ran + terms.repeat_for);
+        let barred = rpc.repeat_by.is_some_and(|by| self.now >= by);
         // A client that has waited half of its time for nothing had better ask elsewhere.
         let half = rpc.arrived + (rpc.answer_by - rpc.arrived) / 2;
         let in_vain = self.now + fair >= rpc.worth_by || (!rpc.reached && self.now >= half);
@@ -598,7 +598,7 @@
     /// The final answer, at once. Only where a repeat is harmless does it invite one.
     fn give_up(&mut self, id: RpcId, actions: &mut Vec<Action>) -> Option<Input> {
         let rpc = self.rpcs.get(&id)?;
-        let may_have_run = rpc.ran_from.is_some() || rpc.out.is_some();
+        let may_have_run = rpc.repeat_by.is_some() || rpc.out.is_some();
         if self.charter.methods[rpc.method].harmless || !may_have_run {
             let left = (rpc.answer_by - self.now).max(Span::ZERO);
             let come_back = self.charter.facts.max_come_back.map(|most| left.min(most));
@@ -645,6 +645,11 @@
                 self.stores[other].crowded(sent, now, least);
             }
         }
+        // What has run binds its session's reads, though nobody waits for it any more. A position is told in
+        // whole milliseconds: only the next one is sure to show the write.
+        if let (Outcome::Ok, false, Some(key)) = (outcome, self.charter.facts.marks_carried, end.wrote) {
+            self.sessions.wrote(key, end.note.position.unwrap_or(now).min(now) + Span::millis(1));
+        }
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
         if rpc.out.as_ref().is_none_or(|out| out.number != end.call_out) {
             return;
@@ -653,17 +658,12 @@
         if outcome == Outcome::Ok {
             let usual = &mut self.usual[rpc.method];
             *usual *= if elapsed.secs() > *usual { 1.02 } else { 0.95 };
-            let (terms, carried) = (&self.charter.methods[rpc.method], self.charter.facts.marks_carried);
-            let wrote = terms.need == Need::Write && !carried;
-            if let (true, Some(key), Some(at)) = (wrote, rpc.session, end.note.position) {
-                self.sessions.wrote(key, at);
-            }
         } else {
             rpc.refusals += u32::from(outcome == Outcome::Lagged);
             rpc.shunned = Some(ix);
             rpc.reached |= !matches!(outcome, Outcome::Moot | Outcome::Unreachable);
-            if !outcome.proves_it_never_ran() && rpc.ran_from.is_none() {
-                rpc.ran_from = out.map(|out| out.sent);
+            if !outcome.proves_it_never_ran() && rpc.repeat_by.is_none() {
+                rpc.repeat_by = out.map(|out| out.sent + self.charter.methods[rpc.method].repeat_for);
             }
         }
         self.drive(id, if end.closed { Input::Closed } else { Input::Returned }, actions);
--- a/src/iface.rs
+++ b/src/iface.rs
@@ -185,6 +185,8 @@
     pub elapsed: Span,
     /// The RPC needs no answer any more.
     pub closed: bool,
+    /// Where it was a write, the session that it was made for.
+    pub wrote: Option<u64>,
     /// What the answer itself says.
     pub note: Told,
     /// What a report that came with it says, as old as that is.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -224,7 +224,8 @@
             let note = Told { position: Some(now), role: Some(Role::Primary), load: None };
             let (call_out, outcome, elapsed, closed, report) =
                 (0, Outcome::Ok, Span(1), true, Told::default());
-            let end = End { rpc: key, call_out, store: 0, outcome, elapsed, closed, note, report };
+            let wrote = Some(key);
+            let end = End { rpc: key, call_out, store: 0, outcome, elapsed, closed, wrote, note, report };
             router.handle(now, Event::Ended(end), &mut actions);
         }
     }
@@ -236,7 +237,9 @@
         arrive(&mut router, now, rpc, ANY, key, &mut actions);
         assert_ne!(to(&actions, rpc), Some(1), "session {key}");
     }
-    // Once every store has got there, no mark is left and none is needed.
+    // Once every store has got there, no mark is left and none is needed. The last write lies anywhere in the
+    // millisecond that was told.
+    now = now + Span::millis(1);
     probe(&mut router, now, 0, now, &mut actions);
     probe(&mut router, now, 1, now, &mut actions);
     router.handle(now, Event::Timer { tag: 0 }, &mut actions);
@@ -246,6 +249,63 @@
     assert_eq!(to(&actions, many + 2), Some(1));
 }
 
+/// A write of session 7 runs on the primary, which is asked of the router before it ends; `position` is what
+/// its answer tells. The replica to which a read of the session goes that comes 100 ms later, where the
+/// replica's position stands so far behind the moment of the write's end.
+fn shown_after(gone: bool, position: Option<Span>, behind: Span) -> bool {
+    let (mut router, start, mut actions) = remembering();
+    let told = |position, role| Told { position: Some(position), role: Some(role), load: None };
+    let now = start + Span::millis(500);
+    let session = |rpc, method, now: Moment| {
+        let (session, deadline) = (Some(7), now + Span::millis(2_000));
+        let (last_write, seen, repeat) = (None, None, false);
+        Event::Arrived(Arrival {
+            rpc,
+            method,
+            group: 0,
+            session,
+            last_write,
+            seen,
+            came: now,
+            deadline,
+            repeat,
+        })
+    };
+    let outcome = Outcome::Ok;
+    let report = told(start, Role::Primary);
+    router.handle(start, Event::Probed { store: 0, outcome, elapsed: TICK, report }, &mut actions);
+    router.handle(start, session(1, WRITE, start), &mut actions);
+    assert!(actions.iter().any(|action| matches!(action, Action::Send { rpc: 1, store: 0, .. })));
+    if gone {
+        router.handle(start, Event::Gone { rpc: 1 }, &mut actions);
+    }
+    let note = Told { position: position.map(|ago| now - ago), role: Some(Role::Primary), load: None };
+    let (rpc, call_out, store, elapsed, closed) = (1, 0, 0, now - start, true);
+    let (wrote, report) = (Some(7), Told::default());
+    let end = End { rpc, call_out, store, outcome, elapsed, closed, wrote, note, report };
+    router.handle(now, Event::Ended(end), &mut actions);
+    let later = now + Span::millis(100);
+    let report = told(now - behind, Role::Replica);
+    router.handle(later, Event::Probed { store: 1, outcome, elapsed: TICK, report }, &mut actions);
+    actions.clear();
+    router.handle(later, session(2, ANY, later), &mut actions);
+    actions.iter().any(|action| matches!(action, Action::Send { rpc: 2, store: 1, .. }))
+}
+
+#[test]
+fn what_ran_binds_its_session_though_its_client_has_left_and_however_little_its_answer_told() {
+    let ms = Span::millis;
+    for gone in [false, true] {
+        assert!(!shown_after(gone, Some(ms(5)), ms(6)), "gone {gone}: the write is not shown there yet");
+        assert!(
+            !shown_after(gone, Some(ms(5)), ms(5)),
+            "gone {gone}: both may lie anywhere in that millisecond"
+        );
+        assert!(shown_after(gone, Some(ms(5)), ms(4)), "gone {gone}: it is shown");
+        assert!(!shown_after(gone, None, ms(1)), "gone {gone}: where no position is told, it ran just now");
+    }
+}
+
 #[test]
 fn a_replica_of_another_zone_is_taken_once_the_own_one_has_more_in_flight() {
     let mut bench = Bench::ready(Lagging::AnswersAnyway, 1, 1);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -211,7 +211,8 @@
             self.excused[store] = primary;
         }
         let (elapsed, report) = (self.now - sent, Told::default());
-        self.give(Event::Ended(End { rpc, call_out, store, outcome, elapsed, closed, note, report }));
+        let wrote = None;
+        self.give(Event::Ended(End { rpc, call_out, store, outcome, elapsed, closed, wrote, note, report }));
     }
 
     /// Lets time pass, firing the timers that fall due.
