A tokened repeat is confirmed only while its memory lasts, however long its connection took

Found by reading: whether a repeat may still run was asked when it was decided (`seek`), and `confirms`, asked right before the bytes leave, looked at the store and the drain alone; a repeat whose connection came up late left after the memory was over and could run twice. Change: the moment up to which an RPC may be repeated is kept with it and asked in `confirms` too (choice.rs, 285). Test: rules.rs, a_tokened_repeat_is_not_confirmed...; without the line it fails (seen).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -279,7 +279,8 @@
     pub fn confirms(&mut self, now: Moment, id: RpcId, call_out: u32, ix: StoreIx) -> bool {
         self.now = now;
         let Some(rpc) = self.rpcs.get(&id) else { return false };
-        let ours = rpc.out.as_ref().is_some_and(|out| out.number == call_out);
+        let ours = rpc.out.as_ref().is_some_and(|out| out.number == call_out)
+            && rpc.repeat_by.is_none_or(|by| now < by);
         let checked = self.charter.facts.lagging != Lagging::AnswersAnyway;
         let fresh = (checked && !rpc.carries) || self.stores[ix].position >= self.needed(rpc);
         let reads = self.charter.methods[rpc.method].need != Need::Write;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -306,6 +306,46 @@
     }
 }
 
+#[test]
+fn a_tokened_repeat_is_not_confirmed_once_its_memory_is_over_whenever_it_was_decided() {
+    let mut facts = facts(Lagging::AnswersAnyway);
+    let memory = Span::millis(300);
+    facts.methods[WRITE].effect = Effect::Tokened { everywhere: false, memory };
+    let (start, mut actions) = (Moment(1_000_000_000_000), Vec::new());
+    let mut router = Router::new(1, &facts, start, &mut actions);
+    let (store, group, zone, standing) = (0, 0, 0, Standing::Open);
+    let entry = Entry { store, group, zone, standing, primary: true, started: None, presumed: false };
+    router.handle(start, Event::List { whole: true, entries: vec![entry] }, &mut actions);
+    let (session, deadline) = (None, start + Span::millis(3_000));
+    let (rpc, method, last_write, seen, repeat) = (1, WRITE, None, None, false);
+    let new = Arrival { rpc, method, group, session, last_write, seen, came: start, deadline, repeat };
+    router.handle(start, Event::Arrived(new), &mut actions);
+    let broke = start + Span::millis(10);
+    let (outcome, elapsed, closed, wrote) = (Outcome::Broken, Span::millis(10), false, None);
+    let (note, report) = Default::default();
+    let end = End { rpc, call_out: 0, store, outcome, elapsed, closed, wrote, note, report };
+    router.handle(broke, Event::Ended(end), &mut actions);
+    // The store rests for a while after a failure.
+    let mut now = broke;
+    let again = |actions: &[Action]| {
+        actions.iter().filter(|action| matches!(action, Action::Send { .. })).count() == 2
+    };
+    while !again(&actions) && now < start + memory {
+        now = now + TICK;
+        let report = Told { position: Some(now), role: Some(Role::Primary), load: None };
+        let outcome = Outcome::Ok;
+        router.handle(now, Event::Probed { store, outcome, elapsed: TICK, report }, &mut actions);
+        router.handle(now, Event::Timer { tag: 0 }, &mut actions);
+    }
+    assert!(again(&actions), "it is repeated within its memory");
+    assert!(router.confirms(now, 1, 1, 0));
+    assert!(router.confirms(start + memory - TICK * 3, 1, 1, 0), "as long as the store knows the first");
+    assert!(
+        !router.confirms(start + memory - TICK, 1, 1, 0),
+        "its connection took too long: it may run twice"
+    );
+}
+
 #[test]
 fn a_replica_of_another_zone_is_taken_once_the_own_one_has_more_in_flight() {
     let mut bench = Bench::ready(Lagging::AnswersAnyway, 1, 1);
