A client that leaves is seen to leave although the front does not read from it

Saw: two tests on real connections, a write whose connection to its store is held for 0.3 s: it is sent on after its client said Terminate and closed, and after it left 100 queries behind and closed. After an orderly end alone it was not. Checked and ruled out: the owner's part (Gone withdraws what is held or connecting: the first of the three ways passes), and the end being lost: poll(2) tells POLLRDHUP in both. Cause: session.rs, `serve`: "if self.takes_more() && !self.last { match self.read()". Behind Terminate `last` is set, behind the 64th open query takes_more() is false, and nobody looks at the socket again, so Gone is never told. Change: where it may not read, it asks the system whether the client ended the connection, while something of it is open; one look each time it wakes. An end of sending counts as the end, as it did.

--- a/front/src/session.rs
+++ b/front/src/session.rs
@@ -1,6 +1,6 @@
 //! Client sessions: one coroutine each, which owns the socket, takes in what the client sends and writes the
 //! answers in the order of its queries. It goes on reading while RPCs are out, so a client that leaves is
-//! seen.
+//! seen; where it may not read on, it asks the system whether the client has ended the connection.
 
 use crate::admit::{self, Query};
 use crate::carry::{Carried, Carry};
@@ -26,6 +26,7 @@
 use std::collections::VecDeque;
 use std::io::{ErrorKind, IoSlice, Read, Write};
 use std::net::{IpAddr, Shutdown};
+use std::os::fd::AsRawFd;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
@@ -202,7 +203,11 @@
                     continue;
                 }
             }
-            if self.takes_more() && !self.last {
+            if self.last || !self.takes_more() {
+                if self.has_left() {
+                    return false;
+                }
+            } else {
                 match self.read() {
                     Heard::Bytes(many) => {
                         self.stir();
@@ -238,6 +243,17 @@
         self.slots.len() < MOST_PENDING && self.outbox.len() < MOST_PENDING
     }
 
+    /// Whether a client that still waits for something has ended the connection, whatever it sent before that
+    /// is still unread.
+    fn has_left(&self) -> bool {
+        let (events, revents) = (libc::POLLRDHUP, 0);
+        let mut ask = libc::pollfd { fd: self.stream.as_raw_fd(), events, revents };
+        let waits = self.slots.iter().any(|slot| matches!(slot, Slot::Open(..)));
+        // SAFETY: it is told of one entry, and does not wait.
+        let said = waits && unsafe { libc::poll(&mut ask, 1, 0) } > 0;
+        said && ask.revents & (libc::POLLRDHUP | libc::POLLHUP | libc::POLLERR) != 0
+    }
+
     /// Whether the client has owed its next message, or the rest of one, for too long.
     fn overdue(&mut self, now: Moment) -> bool {
         let owes = !self.last && self.takes_more() && !(self.asked && self.inbox.is_empty());
--- /dev/null
+++ b/front/tests/loopback/place.rs
@@ -0,0 +1,357 @@
+//! A front as a child process, a client of it, stand-ins for two stores and for discovery.
+
+use front::pg;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Far longer than anything here takes: reached only where something hangs.
+pub const LIMIT: Duration = Duration::from_secs(10);
+
+pub fn message(out: &mut Vec<u8>, tag: u8, body: &[u8]) {
+    out.push(tag);
+    out.extend((body.len() as u32 + 4).to_be_bytes());
+    out.extend(body);
+}
+
+/// The next message on a stream; none where it ended.
+pub fn next(stream: &mut TcpStream) -> Option<(u8, Vec<u8>)> {
+    let mut head = [0; 5];
+    stream.read_exact(&mut head).ok()?;
+    let mut body = vec![0; u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize - 4];
+    stream.read_exact(&mut body).ok()?;
+    Some((head[0], body))
+}
+
+/// A store that does what the key of a statement says.
+#[derive(Clone)]
+pub struct Store {
+    pub addr: SocketAddr,
+    pub primary: bool,
+    pub seen: Arc<Mutex<Vec<String>>>,
+    /// Where set, a start-up is answered only after a message from the test.
+    pub gate: Arc<Mutex<Option<Receiver<()>>>>,
+    pub knocked: Sender<()>,
+    pub starts: Arc<AtomicUsize>,
+}
+
+impl Store {
+    pub fn start(primary: bool) -> (Store, Receiver<()>) {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let (knocked, knocks) = channel();
+        let addr = listener.local_addr().expect("its address");
+        let (seen, gate, starts) = Default::default();
+        let store = Store { addr, primary, seen, gate, knocked, starts };
+        let serving = store.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let store = serving.clone();
+                thread::spawn(move || store.serve(stream));
+            }
+        });
+        (store, knocks)
+    }
+
+    pub fn serve(&self, mut stream: TcpStream) -> Option<()> {
+        let mut length = [0; 4];
+        stream.read_exact(&mut length).ok()?;
+        stream.read_exact(&mut vec![0; u32::from_be_bytes(length) as usize - 4]).ok()?;
+        self.starts.fetch_add(1, Ordering::AcqRel);
+        let gate = self.gate.lock().expect("no panic").take();
+        if let Some(gate) = gate {
+            self.knocked.send(()).ok()?;
+            gate.recv().ok()?;
+        }
+        let mut out = Vec::new();
+        message(&mut out, b'R', &[0; 4]);
+        message(&mut out, b'Z', b"I");
+        stream.write_all(&out).ok()?;
+        let mut mute = false;
+        while let Some((b'Q', body)) = next(&mut stream) {
+            let text = String::from_utf8(body).expect("text").trim_end_matches('\0').to_string();
+            if text.is_empty() && mute {
+                continue;
+            }
+            if text.is_empty() {
+                // A network's round trip: long enough for another call-out to want the connection.
+                thread::sleep(Duration::from_millis(5));
+                stream.write_all(b"I\0\0\0\x04Z\0\0\0\x05I").ok()?;
+                continue;
+            }
+            let unix = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
+            let mut value = if text == "SHOW health" {
+                let role = u8::from(self.primary);
+                // A tenth of a second behind: a machine that sets its clock forward must not make it the
+                // future.
+                format!("x0={:.3},x1={role},load_share=0.1", unix.as_secs_f64() - 0.1).into_bytes()
+            } else {
+                self.seen.lock().expect("no panic").push(text.clone());
+                vec![0, 255, b'\n', 7]
+            };
+            let key = text.split('\'').nth(1).unwrap_or_default().to_string();
+            mute = key == "mute";
+            let mut out = Vec::new();
+            match key.as_str() {
+                "silent" => continue,
+                "reset" => return None,
+                "full" => pg::error(&mut out, "ERROR", "53300", "full", None),
+                "error" => pg::error(&mut out, "ERROR", "XX000", "broken", None),
+                "spoilt" => out.extend([b'T', 127, 255, 255, 255]),
+                _ => {
+                    match key.as_str() {
+                        "twice" => value.push(2),
+                        "long" => value = vec![9; 400_000],
+                        _ => {}
+                    }
+                    if key == "slow" {
+                        self.knocked.send(()).ok()?;
+                        thread::sleep(Duration::from_millis(700));
+                    }
+                    let row = [&[0, 1], &(value.len() as u32).to_be_bytes()[..], &value].concat();
+                    message(
+                        &mut out,
+                        b'T',
+                        b"\0\x01content\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01",
+                    );
+                    message(&mut out, b'D', &row);
+                    message(&mut out, b'C', b"SELECT 1\0");
+                }
+            }
+            message(&mut out, b'S', if self.primary { b"recovery\0off\0" } else { b"recovery\0on\0" });
+            message(&mut out, b'Z', b"I");
+            stream.write_all(&out).ok()?;
+            if key == "twice" {
+                // What another RPC on this connection would take for its own value.
+                thread::sleep(Duration::from_millis(20));
+                stream.write_all(&out).ok()?;
+            }
+        }
+        Some(())
+    }
+}
+
+/// The file that a front is told by, one for each address.
+pub fn config_at(listen: SocketAddr) -> std::path::PathBuf {
+    std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{listen}.json"))
+}
+
+/// Discovery: one watch, whose lines are what the test sends.
+pub fn discovery() -> (SocketAddr, Sender<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("its address");
+    let (lines, told) = channel::<String>();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let _ = stream.read(&mut [0; 1024]);
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            loop {
+                let line = match told.recv_timeout(Duration::from_secs(1)) {
+                    Ok(line) => line + "\n",
+                    Err(_) => "\n".to_string(),
+                };
+                if stream.write_all(format!("{:x}\r\n{line}\r\n", line.len()).as_bytes()).is_err() {
+                    break;
+                }
+            }
+        }
+    });
+    (addr, lines)
+}
+
+pub const SETTINGS: &str = r#"{"nInstances":2,"zone":0,"azs":["a"],"resolutionNs":5000000,"membershipMode":"push",
+    "classes":[{"name":"read","aimNs":600000000,"deadlineNs":1500000000,"effect":"read_like"},
+        {"name":"order","aimNs":500000000,"deadlineNs":3000000000,"effect":"non_idempotent","lateValue":0.5}],
+    "familyInfo":{"classRead":["recent","update"],"guards":"off","lagAllowedNs":[800000000,0],"sessionMarks":"client"},
+    "allowed":{"maxAttempts":6,"mayCancel":true,"probes":true,"retryAfter":true,"maxRetryAfterNs":2000000000},
+    "report":{"names":["x0","x1","load_share"]},"rules":{}}"#;
+
+pub struct Front {
+    pub child: Child,
+    pub listen: SocketAddr,
+    pub lines: Sender<String>,
+    pub primary: Store,
+    pub replica: Store,
+    pub knocks: Receiver<()>,
+    pub marks: AtomicU32,
+}
+
+pub fn host(store: &Store, name: &str, health: &str) -> String {
+    let role = if store.primary { "off" } else { "on" };
+    format!(
+        r#"{{"host":"{name}","dial":"{}","site":"a","block":3,"health":"{health}","recovery":"{role}"}}"#,
+        store.addr
+    )
+}
+
+pub fn launch(config: &str, listen: SocketAddr, discovery: SocketAddr) -> Child {
+    let path = config_at(listen);
+    std::fs::write(&path, config).expect("a writable folder");
+    Command::new(env!("CARGO_BIN_EXE_gingerwick"))
+        .env("ROUTER_CONFIG", &path)
+        .env("ROUTER_NAME", "n0")
+        .env("ROUTER_LISTEN", listen.to_string())
+        .env("ROUTER_DISCOVERY", discovery.to_string())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the daemon was built")
+}
+
+/// An address of its own for each front. It is not tried first: a listener that another thread's new process
+/// has inherited takes connections until that process has begun its program, and drops them then.
+pub fn free_address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(2);
+    let (pid, next) = (std::process::id(), NEXT.fetch_add(1, Ordering::AcqRel));
+    SocketAddr::from(([127, 10 + (pid % 200) as u8, (pid / 200 % 250) as u8, next as u8], 6543))
+}
+
+impl Front {
+    pub fn start() -> Front {
+        Front::within(1024, 192, SETTINGS)
+    }
+
+    /// All connections are call-outs' then, and may take their time.
+    pub fn without_probes() -> Front {
+        let settings = SETTINGS.replace(r#""probes":true"#, r#""probes":false,"dialTimeoutNs":8000000000"#);
+        Front::within(1024, 192, &settings)
+    }
+
+    /// Tells an entry, and waits until the front has heard it: a group named behind it is known then.
+    pub fn list(&self, seq: u32, entry: &str) {
+        let mark = self.marks.fetch_add(1, Ordering::AcqRel);
+        let marked = host(&self.replica, "m", "DRAINING").replace(":3,", &format!(":{mark},"));
+        for (seq, entry) in [(seq, entry), (mark, &marked)] {
+            self.lines.send(format!(r#"{{"seq":{seq},"hosts":[{entry}]}}"#)).expect("a watch");
+        }
+        let asked = statement("read", "good", 20).replace("cluster=3", &format!("cluster={mark}"));
+        let (mut client, until) = (Client::open(self.listen), Instant::now() + LIMIT);
+        loop {
+            client.send(&asked);
+            if client.got() != error("42704") {
+                return;
+            }
+            assert!(Instant::now() < until, "the list is not heard");
+        }
+    }
+
+    pub fn within(sockets: usize, memory_mb: usize, settings: &str) -> Front {
+        let ((primary, knocks), (replica, _)) = (Store::start(true), Store::start(false));
+        let (discovery, lines) = discovery();
+        let hosts = [host(&primary, "p", "SERVING"), host(&replica, "r", "SERVING")].join(",");
+        let config = format!(
+            r#"{{"seed":"8c1f30d27a5be964","limits":{{"memory_mb":{memory_mb},"sockets":{sockets}}},
+                "known":{{"seq":4,"whole":true,"hosts":[{hosts}]}},"settings":{settings}}}"#
+        );
+        let listen = free_address();
+        let child = launch(&config, listen, discovery);
+        Front { child, listen, lines, primary, replica, knocks, marks: AtomicU32::new(100) }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let done = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+        assert!(done.expect("a kill command").success());
+    }
+
+    pub fn ended(&mut self) -> ExitStatus {
+        let until = Instant::now() + LIMIT;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("a child of ours") {
+                return status;
+            }
+            assert!(Instant::now() < until, "the daemon goes on");
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+impl Drop for Front {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let mut said = String::new();
+        if let Some(log) = self.child.stderr.as_mut().filter(|_| thread::panicking()) {
+            let _ = log.read_to_string(&mut said);
+            eprintln!("the daemon's log:\n{said}");
+        }
+    }
+}
+
+pub struct Client(pub TcpStream);
+
+#[derive(Debug, PartialEq)]
+pub enum Got {
+    Empty,
+    Value(Vec<u8>),
+    Error(String, Option<String>),
+    Ended,
+}
+
+impl Client {
+    /// Sends the first query straight behind the start-up.
+    pub fn open(listen: SocketAddr) -> Client {
+        let until = Instant::now() + LIMIT;
+        let stream = loop {
+            match TcpStream::connect(listen) {
+                Ok(stream) => break stream,
+                Err(why) => assert!(Instant::now() < until, "no connection: {why}"),
+            }
+            thread::sleep(Duration::from_millis(5));
+        };
+        stream.set_read_timeout(Some(LIMIT)).expect("a time-out");
+        let mut client = Client(stream);
+        client.0.write_all(&pg::start_up()).expect("sent");
+        client.send(";");
+        assert_eq!(
+            (client.got(), client.got()),
+            (Got::Empty, Got::Empty),
+            "the greeting and the empty query"
+        );
+        client
+    }
+
+    pub fn send(&mut self, statement: &str) {
+        let mut out = Vec::new();
+        pg::query(&mut out, statement);
+        self.0.write_all(&out).expect("sent");
+    }
+
+    /// What comes up to the next ReadyForQuery.
+    pub fn got(&mut self) -> Got {
+        let mut got = Got::Empty;
+        loop {
+            match next(&mut self.0) {
+                None => return if got == Got::Empty { Got::Ended } else { got },
+                Some((b'Z', _)) => return got,
+                Some((b'D', body)) => got = Got::Value(pg::only_column(&body).expect("a column").to_vec()),
+                Some((b'E', body)) => {
+                    let field = |name| pg::field(&body, name).map(str::to_string);
+                    got = Got::Error(field(b'C').expect("a code"), field(b'D'));
+                }
+                Some(_) => {}
+            }
+        }
+    }
+
+    pub fn ask(&mut self, class: &str, key: &str, d: u32) -> Got {
+        self.send(&statement(class, key, d));
+        self.got()
+    }
+}
+
+pub fn statement(class: &str, key: &str, d: u32) -> String {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let id = NEXT.fetch_add(1, Ordering::AcqRel);
+    format!("/* id={id:08x},c={class},d={d},cluster=3 */ SELECT content FROM kv WHERE name = '{key}'")
+}
+
+pub fn value() -> Got {
+    Got::Value(vec![0, 255, b'\n', 7])
+}
+
+pub fn error(code: &str) -> Got {
+    Got::Error(code.to_string(), None)
+}
