Whoever arrives while the front leaves is a member at once, and the queue is taken before the close

Need: a restart while queries are in flight must lose none that the front's machine has accepted, and let everybody go. Saw: three tests on real connections fail on the tree before: a client whose start-up crosses SIGTERM is closed with no answer; one that always has the next query out is never let go (5 s; SIGKILL would find it); one whose long last answer it is still reading gets it cut off by a reset, since what it sent meanwhile lay unread (400,000 bytes asked). Cause, by reading: door.rs `take` spawned the session and `run` (session.rs) joined later, end_if_empty (shutdown.rs) could end the front between; the end set `closed`, asked and looked by three locks; start.rs connected to the front's own address on the alarms' thread and left the accept queue to be reset; ask_all closed a client that had just arrived; `serve` read on for whoever sent on after the close; close_gently took the ledger's and the end's request for one and the same, and gave a tenth of the time for both. Change: the door makes an accepted connection a member before anything else runs; the listener's waker wakes it, it takes the queue to its end, closes the listener, then marks the close under the members' lock and wakes all. From the close on a session reads no more than what completes a query that has begun; the next one stays unread, its client asks elsewhere. What stays: a connection that comes between the last look at the queue and the listener's close is reset by the system.

--- a/front/src/door.rs
+++ b/front/src/door.rs
@@ -1,18 +1,22 @@
 //! The door: connections are accepted here, and whatever can go wrong with that neither keeps the worker busy
-//! nor the queue standing.
+//! nor the queue standing. Once it is to close it still takes in all who wait in the queue: on this machine
+//! they have been accepted, and what they have asked is taken.
 
 use crate::clock::Alarms;
 use crate::descriptors::{trouble, Spare};
 use crate::ledger::{Entry, Share};
 use crate::log;
-use crate::session::{self, Reception, Shared};
+use crate::session::{self, Reception, Seat, Shared};
 use crate::tasks::spawn;
 use crate::wire::BREATH;
 use admission::door::{Door, Step};
 use gingerwick::time::Span;
+use may::io::WaitIo;
 use may::net::{TcpListener, TcpStream};
-use std::io::Result;
+use std::io::{Error, ErrorKind, Result};
 use std::net::IpAddr;
+use std::os::fd::{FromRawFd, IntoRawFd};
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
@@ -22,8 +26,8 @@
 
 /// What the door stands at.
 pub trait Doorway {
-    /// Waits for the next connection.
-    fn accept(&mut self) -> Result<(TcpStream, IpAddr)>;
+    /// Waits for the next connection; none once it is closed and nobody is in its queue.
+    fn accept(&mut self) -> Result<Option<(TcpStream, IpAddr)>>;
     /// Tells one client that there is no descriptor; false where it could not even be taken for that.
     fn tell_one(&mut self) -> bool;
     fn pause(&self, span: Span);
@@ -34,11 +38,22 @@
     pub listener: TcpListener,
     pub spare: Spare,
     pub alarms: Arc<Alarms>,
+    /// Set before the listener's waker is called.
+    pub closing: Arc<AtomicBool>,
 }
 
 impl Doorway for Listening {
-    fn accept(&mut self) -> Result<(TcpStream, IpAddr)> {
-        self.listener.accept().map(|(stream, from)| (stream, from.ip()))
+    fn accept(&mut self) -> Result<Option<(TcpStream, IpAddr)>> {
+        loop {
+            // Read first: who comes in between is in the queue.
+            let closing = self.closing.load(Ordering::Acquire);
+            match self.listener.inner().accept() {
+                Ok((stream, from)) => return Ok(Some((registered(stream)?, from.ip()))),
+                Err(why) if why.kind() == ErrorKind::WouldBlock && closing => return Ok(None),
+                Err(why) if why.kind() == ErrorKind::WouldBlock => _ = self.listener.wait_io(),
+                Err(why) => return Err(why),
+            }
+        }
     }
 
     fn tell_one(&mut self) -> bool {
@@ -54,12 +69,22 @@
     }
 }
 
+/// Makes the runtime know an accepted connection.
+fn registered(stream: std::net::TcpStream) -> Result<TcpStream> {
+    let descriptor = stream.into_raw_fd();
+    // SAFETY: the descriptor is a stream's and was given up by it.
+    let made = catch_unwind(AssertUnwindSafe(|| unsafe { TcpStream::from_raw_fd(descriptor) }));
+    // It panics where the system has no memory to watch another; the connection is closed then.
+    made.map_err(|_| Error::from_raw_os_error(libc::ENOMEM))
+}
+
 /// Accepts until it is closed.
-pub fn stand(doorway: &mut impl Doorway, closing: &AtomicBool, mut take: impl FnMut(TcpStream, IpAddr)) {
+pub fn stand(doorway: &mut impl Doorway, mut take: impl FnMut(TcpStream, IpAddr)) {
     let (mut door, mut row) = (Door::default(), 0);
-    while !closing.load(Ordering::Acquire) {
+    loop {
         match doorway.accept() {
-            Ok((stream, from)) => {
+            Ok(None) => return,
+            Ok(Some((stream, from))) => {
                 door.opened();
                 take(stream, from);
                 row = (row + 1) % ROW;
@@ -85,8 +110,9 @@
 /// Receives a client and runs its session.
 pub fn take(shared: &Arc<Shared>, stream: TcpStream, from: IpAddr) {
     if let Some((entry, reception)) = receive(shared, &stream, from) {
-        let shared = shared.clone();
-        spawn(move || session::run(shared, stream, entry, from, reception));
+        // Before the coroutine has its turn: the front must not end between the two.
+        let (shared, seat) = (shared.clone(), Seat::take(&shared.leave, stream));
+        spawn(move || session::run(shared, seat, entry, from, reception));
     }
 }
 
--- a/front/src/mailbox.rs
+++ b/front/src/mailbox.rs
@@ -64,6 +64,11 @@
 
     pub fn ask_to_close(&self) {
         self.close.store(true, Ordering::Release);
+        self.wake();
+    }
+
+    /// Has its session look again.
+    pub fn wake(&self) {
         self.waker.wakeup();
     }
 }
--- a/front/src/session.rs
+++ b/front/src/session.rs
@@ -11,7 +11,7 @@
 use crate::mailbox::{Answer, Mailbox, Ticket};
 use crate::news::News;
 use crate::pg::{self, Hello, Statement};
-use crate::shutdown::Leave;
+use crate::shutdown::{Leave, Member};
 use crate::take_in::{Item, TakeIn};
 use crate::wire::{BREATH, BURST, LIGHT};
 use crate::writes::Writes;
@@ -92,6 +92,23 @@
     passage: Option<Passage>,
     /// Whom its RPCs count for.
     client: Option<Client>,
+    /// Dropped last: the front may end with it.
+    member: Member,
+}
+
+/// An accepted connection that is a member of those whom the front waits for.
+pub struct Seat {
+    stream: TcpStream,
+    mailbox: Arc<Mailbox>,
+    member: Member,
+}
+
+impl Seat {
+    pub fn take(leave: &Arc<Leave>, stream: TcpStream) -> Seat {
+        let mailbox = Mailbox::new(stream.waker());
+        let member = leave.join(&mailbox);
+        Seat { stream, mailbox, member }
+    }
 }
 
 enum Heard {
@@ -109,10 +126,9 @@
 }
 
 /// Runs a client's session from its first byte to its close.
-pub fn run(shared: Arc<Shared>, stream: TcpStream, _entry: Entry, from: IpAddr, reception: Reception) {
+pub fn run(shared: Arc<Shared>, seat: Seat, _entry: Entry, from: IpAddr, reception: Reception) {
+    let Seat { stream, mailbox, member } = seat;
     let _ = stream.set_nodelay(true);
-    let mailbox = Mailbox::new(stream.waker());
-    let _member = shared.leave.join(&mailbox);
     let (weight, connected) = (shared.ledger.weight(), shared.alarms.now());
     let client = shared.counts.map(|prefixes| Client::other(from, prefixes));
     let mut session = Session {
@@ -132,6 +148,7 @@
         carried: None,
         passage: None,
         client,
+        member,
     };
     session.wake_at(connected + OWED_WITHIN);
     match reception {
@@ -203,12 +220,12 @@
                     continue;
                 }
             }
-            if self.last || !self.takes_more() {
-                if self.has_left() {
-                    return false;
-                }
-            } else {
-                match self.read() {
+            let most = self.may_read();
+            if most == 0 && self.has_left() {
+                return false;
+            }
+            if most > 0 {
+                match self.read(most) {
                     Heard::Bytes(many) => {
                         self.stir();
                         burst += many;
@@ -243,6 +260,17 @@
         self.slots.len() < MOST_PENDING && self.outbox.len() < MOST_PENDING
     }
 
+    /// How much may be read now. Once the front is closed no more than what completes a query that has begun:
+    /// what is read must be answered, and a client that always sends the next would never be let go. What
+    /// stays unread its client sends again elsewhere.
+    fn may_read(&self) -> usize {
+        match () {
+            () if self.last || !self.takes_more() => 0,
+            () if self.shared.leave.is_closed() => self.inbox.lacks(),
+            () => usize::MAX,
+        }
+    }
+
     /// Whether a client that still waits for something has ended the connection, whatever it sent before that
     /// is still unread.
     fn has_left(&self) -> bool {
@@ -266,7 +294,7 @@
     }
 
     fn should_close(&self) -> bool {
-        self.mailbox.should_close() || (self.served && self.shared.leave.begun())
+        self.mailbox.should_close() || self.member.should_go(self.asked, self.served)
     }
 
     fn wake_at(&self, at: Moment) {
@@ -301,10 +329,11 @@
         }
     }
 
-    fn read(&mut self) -> Heard {
+    fn read(&mut self, most: usize) -> Heard {
         let mut bytes = [0; 4096];
+        let most = most.min(bytes.len());
         loop {
-            match self.stream.inner().read(&mut bytes) {
+            match self.stream.inner().read(&mut bytes[..most]) {
                 Ok(0) => return Heard::Gone,
                 Ok(n) => {
                     self.inbox.feed(&bytes[..n]);
--- a/front/src/start.rs
+++ b/front/src/start.rs
@@ -2,7 +2,7 @@
 
 use crate::admit::Terms;
 use crate::carry::{self, Carry};
-use crate::clock::{duration, Alarms, Clock};
+use crate::clock::{Alarms, Clock};
 use crate::descriptors::{self, Spare};
 use crate::discovery::{Watch, Whereto};
 use crate::door::{self, Listening};
@@ -29,6 +29,7 @@
 use gingerwick::rng::Mwc;
 use gingerwick::time::Span;
 use keep::{Dir, Kept, KeptStore};
+use may::io::WaitIo;
 use may::net::TcpListener;
 use may::sync::mpsc::{channel, Sender};
 use recovery::lives::Lives;
@@ -141,7 +142,11 @@
         sweeper.pause(Span::millis(1_000));
         pool.sweep();
     });
-    let leave = Arc::new(Leave::default());
+    let leave = Leave::new(|| {
+        log!(INFO; "left, nothing open");
+        log::flush();
+        std::process::exit(0);
+    });
     let lasts = Span(operators.session_lasts.as_nanos() as i64);
     let carry = keys.map(|keys| Arc::new(Carry::new(keys, lasts, name_seed())));
     if let Some((path, counts)) = socket {
@@ -166,16 +171,19 @@
         number: AtomicU64::new(1),
     };
     let closing = Arc::new(AtomicBool::new(false));
-    let accepting = closing.clone();
     let spare = if ours { Spare::hold() } else { Spare::default() };
-    let (shared, mut doorway) = (Arc::new(shared), Listening { listener, spare, alarms: alarms.clone() });
-    spawn(move || door::stand(&mut doorway, &accepting, |stream, from| door::take(&shared, stream, from)));
+    let (shared, at_door) = (Arc::new(shared), listener.waker());
+    let mut doorway = Listening { listener, spare, alarms: alarms.clone(), closing: closing.clone() };
+    spawn(move || {
+        door::stand(&mut doorway, |stream, from| door::take(&shared, stream, from));
+        drop(doorway);
+        shared.leave.close();
+    });
     log!(INFO; "{} serves on {listen}", launch.name);
 
     let mut stop_accepting = Some(move || {
         closing.store(true, Ordering::Release);
-        // The listener waits for a connection: one of our own lets it see that it is over.
-        let _ = std::net::TcpStream::connect_timeout(&listen, duration(Span::millis(100)));
+        at_door.wakeup();
     });
     for signal in signals.forever() {
         match (signal, stop_accepting.take()) {
--- a/front/src/take_in.rs
+++ b/front/src/take_in.rs
@@ -117,6 +117,18 @@
         Ok(None)
     }
 
+    /// How many bytes at the least the message lacks that has begun; none where none has.
+    pub fn lacks(&self) -> usize {
+        let rest = &self.bytes[self.at..];
+        let head = if self.phase == Phase::Opening { 4 } else { 5 };
+        if rest.is_empty() || self.phase == Phase::Over {
+            return 0;
+        }
+        let length = rest.get(head - 4..head).and_then(|word| word.try_into().ok()).map(u32::from_be_bytes);
+        let whole = length.map_or(head, |length| head - 4 + length as usize);
+        whole.saturating_sub(rest.len()).max(1)
+    }
+
     /// Whether nothing is half taken in.
     pub fn is_empty(&self) -> bool {
         self.bytes.len() == self.at
--- a/front/tests/loopback/rare.rs
+++ b/front/tests/loopback/rare.rs
@@ -1,12 +1,12 @@
-//! Rare moments, each made to happen: who leaves.
+//! Rare moments, each made to happen: who leaves, what still comes while the front leaves.
 
 use crate::place::*;
 use front::pg;
-use std::io::Write;
-use std::net::Shutdown;
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
 use std::sync::mpsc::{channel, Sender};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// So long after its client has left an RPC that waits may still be sent on.
 const MAY_GO_ON: Duration = Duration::from_millis(300);
@@ -65,3 +65,86 @@
     drop(client);
     assert!(!is_sent_on(&front, open), "what it left behind hid its end");
 }
+
+/// Waits until the front has begun to leave.
+fn leaving(front: &Front) {
+    let mut idle = Client::open(front.listen);
+    front.signal("-TERM");
+    assert_eq!(idle.got(), Got::Ended);
+}
+
+#[test]
+fn a_client_whose_first_words_cross_the_beginning_of_the_leaving_is_served() {
+    let mut front = Front::start();
+    while Client::open(front.listen).ask("order", "good", 1000) != value() {}
+    let mut early = TcpStream::connect(front.listen).expect("a listener");
+    early.set_read_timeout(Some(LIMIT)).expect("a time-out");
+    // Behind it in the queue: once this one is served, the first has been accepted.
+    Client::open(front.listen);
+    leaving(&front);
+    early.write_all(&pg::start_up()).expect("sent");
+    let mut early = Client(early);
+    early.send(&statement("order", "good", 3000));
+    assert_eq!(early.got(), Got::Empty, "its greeting");
+    assert_eq!((early.got(), early.got()), (value(), Got::Ended));
+    assert!(front.ended().success());
+}
+
+#[test]
+fn a_client_that_always_has_the_next_query_out_is_let_go_and_what_it_then_sends_is_not_taken() {
+    let mut front = Front::start();
+    let mut client = Client::open(front.listen);
+    while client.ask("order", "good", 1000) != value() {}
+    let (began, mut sent, mut answered) = (Instant::now(), 0, 0);
+    let slow = || statement("order", "slow", 3000);
+    for _ in 0..2 {
+        client.send(&slow());
+        sent += 1;
+    }
+    front.signal("-TERM");
+    loop {
+        match client.got() {
+            Got::Ended => break,
+            Got::Value(_) => answered += 1,
+            Got::Error(code, _) => {
+                assert_eq!(code, "53300", "what is not answered may be asked again");
+                answered += 1;
+            }
+            Got::Empty => panic!("nothing empty was asked"),
+        }
+        assert!(began.elapsed() < Duration::from_secs(5), "it is never let go");
+        let mut out = Vec::new();
+        pg::query(&mut out, &slow());
+        sent += usize::from(client.0.write_all(&out).is_ok());
+    }
+    assert!(front.ended().success());
+    let ran =
+        front.primary.seen.lock().expect("no panic").iter().filter(|text| text.contains("slow")).count();
+    assert!(answered >= 2 && answered < sent, "{answered} of {sent}");
+    assert!(ran <= answered, "{ran} were sent on, {answered} answered: what was read then was lost");
+}
+
+#[test]
+fn a_long_last_answer_is_not_cut_off_by_what_its_client_sends_meanwhile() {
+    let mut front = Front::start();
+    let mut client = Client::open(front.listen);
+    while client.ask("order", "good", 1000) != value() {}
+    let small = socket2::SockRef::from(&client.0);
+    small.set_recv_buffer_size(4096).expect("a small window");
+    client.send(&statement("read", "long", 1500));
+    // Its head is there, so the front has written it all; most waits in the system for the client to read.
+    client.0.peek(&mut [0]).expect("the answer begins");
+    let mut idle = Client::open(front.listen);
+    front.signal("-TERM");
+    assert_eq!(idle.got(), Got::Ended);
+    // Far beyond a tenth of the time that the client has to read it.
+    thread::sleep(Duration::from_millis(150));
+    client.send(&statement("read", "good", 1500));
+    thread::sleep(Duration::from_millis(50));
+    let Got::Value(value) = client.got() else { panic!("the answer was cut off") };
+    assert_eq!(value.len(), 400_000);
+    let mut rest = Vec::new();
+    let _ = client.0.read_to_end(&mut rest);
+    assert!(rest.is_empty(), "and nothing is said about what crossed the close");
+    assert!(front.ended().success());
+}
