A write that may have run binds its session's reads, though its answer never came

In seven stale reads of which the session's write is in the logs it is the same: the write was out then, and ended Broken 0.8 to 1.05 s after it left. Checked and ruled out: a cut answer (a log of what had come of it: 0 bytes each time), a mark set and forgotten (none was set), the position of the replica (told truly, the same before and after), the key (same on both). Cause: the store ran the write and answered on a connection that had fallen silent. Change: writes that are out are counted by session; a read that comes meanwhile must show all up to its arrival. One that ended without proof that it never ran binds as one that ran at that moment. Test: rules.rs, a_write_that_may_have_run_binds...; it fails on the tree before (seen).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -98,6 +98,8 @@
     answer_by: Moment,
     /// The position that a read asks for whatever the time: its arrival, what its session wrote or saw.
     mark: Option<Moment>,
+    /// The session that its write binds, where those are remembered here.
+    writes: Option<u64>,
     /// Its session has seen something: no store checks that by itself.
     carries: bool,
     call_outs: u32,
@@ -450,14 +452,16 @@
         let mark = match terms.need {
             Need::Current => Some(self.now),
             Need::Session if self.charter.facts.marks_carried => new.last_write.map(|ago| self.now - ago),
-            Need::Session => self.sessions.mark(session),
+            Need::Session => self.sessions.mark(session, self.now),
             _ => None,
         };
         let (mark, carries) = (mark.max(new.seen), new.seen.is_some());
         let worth_by = if terms.late_share > 0.0 { answer_by } else { answer_by.min(new.came + terms.soft) };
         let (arrived, repeat) = (self.now, new.repeat && terms.late_share == 0.0);
+        let remembered = terms.need == Need::Write && !self.charter.facts.marks_carried;
+        let writes = session.filter(|_| remembered);
         let rpc = Rpc { method, group, arrived, worth_by, answer_by, ..Rpc::default() };
-        self.rpcs.insert(id, Rpc { mark, carries, repeat, ..rpc });
+        self.rpcs.insert(id, Rpc { mark, writes, carries, repeat, ..rpc });
         let moments = [(id * 2 + 1, arrived + (answer_by - arrived) / 2), (id * 2 + 2, answer_by)];
         actions.extend(moments.map(|(tag, at)| Action::Remind { tag, at }));
         self.drive(id, Input::News, actions);
@@ -590,6 +594,7 @@
         let pressed = !store.takes_more(0.5, f64::INFINITY, 0.0, self.now);
         rpc.out = Some(CallOut { number: rpc.call_outs, sent: self.now, work: usual, timely, pressed });
         rpc.call_outs += 1;
+        rpc.writes.into_iter().for_each(|session| self.sessions.sent(session));
         (store.owing, store.sent) = (store.owed(store.room, self.now) + usual, self.now);
         store.in_flight += 1;
         actions.push(Action::Send { rpc: id, store: ix, time_out });
@@ -646,10 +651,12 @@
                 self.stores[other].crowded(sent, now, least);
             }
         }
-        // What has run binds its session's reads, though nobody waits for it any more. A position is told in
-        // whole milliseconds: only the next one is sure to show the write.
-        if let (Outcome::Ok, false, Some(key)) = (outcome, self.charter.facts.marks_carried, end.wrote) {
-            self.sessions.wrote(key, end.note.position.unwrap_or(now).min(now) + Span::millis(1));
+        // What may have run binds its session's reads, though nobody waits for it any more. A position is told
+        // in whole milliseconds: only the next one is sure to show the write.
+        if let (false, Some(session)) = (self.charter.facts.marks_carried, end.wrote) {
+            let told = end.note.position.filter(|_| outcome == Outcome::Ok).unwrap_or(now).min(now);
+            let shown = (!outcome.proves_it_never_ran()).then_some(told + Span::millis(1));
+            self.sessions.ended(session, shown);
         }
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
         if rpc.out.as_ref().is_none_or(|out| out.number != end.call_out) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -249,32 +249,27 @@
     assert_eq!(to(&actions, many + 2), Some(1));
 }
 
+fn told(position: Moment, role: Role) -> Told {
+    Told { position: Some(position), role: Some(role), load: None }
+}
+
+/// An RPC of session 7.
+fn of_session(rpc: RpcId, method: MethodIx, came: Moment) -> Event {
+    let (group, session, deadline) = (0, Some(7), came + Span::millis(2_000));
+    let (last_write, seen, repeat) = (None, None, false);
+    Event::Arrived(Arrival { rpc, method, group, session, last_write, seen, came, deadline, repeat })
+}
+
 /// A write of session 7 runs on the primary, which is asked of the router before it ends; `position` is what
 /// its answer tells. The replica to which a read of the session goes that comes 100 ms later, where the
 /// replica's position stands so far behind the moment of the write's end.
 fn shown_after(gone: bool, position: Option<Span>, behind: Span) -> bool {
     let (mut router, start, mut actions) = remembering();
-    let told = |position, role| Told { position: Some(position), role: Some(role), load: None };
     let now = start + Span::millis(500);
-    let session = |rpc, method, now: Moment| {
-        let (session, deadline) = (Some(7), now + Span::millis(2_000));
-        let (last_write, seen, repeat) = (None, None, false);
-        Event::Arrived(Arrival {
-            rpc,
-            method,
-            group: 0,
-            session,
-            last_write,
-            seen,
-            came: now,
-            deadline,
-            repeat,
-        })
-    };
     let outcome = Outcome::Ok;
     let report = told(start, Role::Primary);
     router.handle(start, Event::Probed { store: 0, outcome, elapsed: TICK, report }, &mut actions);
-    router.handle(start, session(1, WRITE, start), &mut actions);
+    router.handle(start, of_session(1, WRITE, start), &mut actions);
     assert!(actions.iter().any(|action| matches!(action, Action::Send { rpc: 1, store: 0, .. })));
     if gone {
         router.handle(start, Event::Gone { rpc: 1 }, &mut actions);
@@ -288,7 +283,7 @@
     let report = told(now - behind, Role::Replica);
     router.handle(later, Event::Probed { store: 1, outcome, elapsed: TICK, report }, &mut actions);
     actions.clear();
-    router.handle(later, session(2, ANY, later), &mut actions);
+    router.handle(later, of_session(2, ANY, later), &mut actions);
     actions.iter().any(|action| matches!(action, Action::Send { rpc: 2, store: 1, .. }))
 }
 
@@ -346,6 +341,45 @@
     );
 }
 
+/// A write of session 7 is out, or has ended so. Whether a read of the session that comes 100 ms later may go to
+/// a replica that stood, when it came, so far behind.
+fn shown_without_answer(ended: Option<Outcome>, behind: Span) -> bool {
+    let (mut router, start, mut actions) = remembering();
+    let (now, outcome) = (start + Span::millis(500), Outcome::Ok);
+    let report = told(start, Role::Primary);
+    router.handle(start, Event::Probed { store: 0, outcome, elapsed: TICK, report }, &mut actions);
+    router.handle(start, of_session(1, WRITE, start), &mut actions);
+    assert!(actions.iter().any(|action| matches!(action, Action::Send { rpc: 1, store: 0, .. })));
+    if let Some(outcome) = ended {
+        let (rpc, call_out, store, elapsed, closed) = (1, 0, 0, now - start, false);
+        let (wrote, note, report) = (Some(7), Told::default(), Told::default());
+        let end = End { rpc, call_out, store, outcome, elapsed, closed, wrote, note, report };
+        router.handle(now, Event::Ended(end), &mut actions);
+    }
+    // Where it never ran it is sent again: its client takes it back first.
+    router.handle(now, Event::Gone { rpc: 1 }, &mut actions);
+    let later = now + Span::millis(100);
+    let report = told(later - behind, Role::Replica);
+    router.handle(later, Event::Probed { store: 1, outcome, elapsed: TICK, report }, &mut actions);
+    actions.clear();
+    router.handle(later, of_session(2, ANY, later), &mut actions);
+    actions.iter().any(|action| matches!(action, Action::Send { rpc: 2, store: 1, .. }))
+}
+
+#[test]
+fn a_write_that_may_have_run_binds_its_session_though_its_answer_never_came() {
+    let ms = Span::millis;
+    for may_have_run in [Outcome::Broken, Outcome::TimedOut, Outcome::Errored, Outcome::Withdrawn] {
+        assert!(
+            !shown_without_answer(Some(may_have_run), ms(110)),
+            "{may_have_run:?} may have run until then"
+        );
+        assert!(shown_without_answer(Some(may_have_run), ms(90)), "{may_have_run:?}, and not after it");
+    }
+    assert!(!shown_without_answer(None, ms(1)), "it is out, and may have been answered just now");
+    assert!(shown_without_answer(None, ms(0)));
+}
+
 #[test]
 fn a_replica_of_another_zone_is_taken_once_the_own_one_has_more_in_flight() {
     let mut bench = Bench::ready(Lagging::AnswersAnyway, 1, 1);
