Lists are taken however they are indented, and a watch has an end by whole words, not by bytes

Need: a list that goes silent, is reset, never ends or comes indented; what was missed counts as told 6 s after the watch fell silent, what the agent has counts at once. Saw: three tests on real connections fail on the tree before: an indented list with empty lines in it is never taken ("a line could not be read"), nor one without a line's end; a watch that drips one byte every 50 ms is kept for ever (10 s and on), and one that never answers for 4.5 s. Checked and ruled out, by reading: a list cut by a reset was never taken as whole (it had no line end), SIGHUP is heard wherever the watch waits but in connecting (1 s of the 4 s that it has). Cause: discovery.rs, `Stream::line` took a line for an object; `watch` set SILENCE anew after each read; the sums did not hold either: 4.5 s, then a pause that had doubled up to 2 s (3 s with its spread) in the past and was only taken back by a new version, then 1 s to connect: over 6 s. The pause stood while an agent that had news was back. Change: Stream gives out whole objects and empty lines, by a scan that looks at each byte once; recovery/src/watch.rs has the clock, without I/O: 3 s from word to word (an empty line comes every 2 s), 1 s for a pushed list's answer to begin, pauses of half of stopSendingWithinNs at most where lists are pushed (from the settings, passed over before), and as short as at first after a watch that stood. The test that lines are the same however split asks the same of objects and empty lines now, with white space and quotes in them.

--- a/front/src/discovery.rs
+++ b/front/src/discovery.rs
@@ -7,21 +7,16 @@
 use crate::ledger::{Ledger, Share};
 use crate::log;
 use crate::news::News;
-use crate::wire::Wire;
+use crate::wire::{Stop, Wire};
 use gingerwick::rng::Mwc;
-use gingerwick::time::Span;
 use may::sync::mpsc::Sender;
 use recovery::lives::{Lives, Offer, Verdict, LONGEST_ANEW};
+use recovery::watch::{Watching, OPENS_WITHIN};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
-/// An empty line comes every two seconds where nothing changes; what was to be told counts as told after six.
-const SILENCE: Span = Span::millis(4_500);
-const CONNECT_WITHIN: Span = Span::millis(1_000);
-/// The shortest and the longest pause before the watch is taken up again; chance spreads each.
-const PAUSES: (Span, Span) = (Span::millis(50), Span::millis(2_000));
-/// A line that is longer than any list.
-const MOST_LINE: usize = 4 << 20;
+/// More than any list takes.
+const MOST_LIST: usize = 4 << 20;
 
 /// Where discovery is asked. It may be turned elsewhere at any time, whatever the watch waits for just then.
 pub struct Whereto(Mutex<(SocketAddr, Arc<Bell>)>);
@@ -59,6 +54,7 @@
     pub ledger: Arc<Ledger>,
     pub owner: Sender<News>,
     pub lives: Lives,
+    pub watching: Watching,
     /// Nothing that discovery said since this start is known: the whole list is fetched before it is watched.
     pub anew: bool,
     pub keeper: Option<Arc<Keeper>>,
@@ -67,54 +63,58 @@
 
 impl Watch {
     pub fn run(mut self) {
-        let mut pause = PAUSES.0;
         loop {
             let before = self.lives.seq();
             let (addr, turned) = self.whereto.now();
             let why = self.watch(addr, &turned).unwrap_or_else(|why| why);
             if before != self.lives.seq() || turned.is_rung() {
-                pause = PAUSES.0;
+                self.watching.anew();
             }
             if turned.is_rung() {
                 continue;
             }
-            log!(WARN; "the watch on discovery ended: {why}");
+            log!(WARN; "the watch on discovery at {addr} ended: {why}");
             let _ = self.owner.send(News::ListFailed);
             let now = self.alarms.now();
             if let Some(again) = self.lives.look_again().filter(|again| *again > now) {
                 self.alarms.pause_unless(again - now, &turned);
                 continue;
             }
-            let chance = self.rng.below(64) as i64;
-            self.alarms.pause_unless(pause / 64 * (32 + chance), &turned);
-            pause = (pause * 2).min(if self.anew { LONGEST_ANEW } else { PAUSES.1 });
+            let (chance, most) = (self.rng.below(32), self.anew.then_some(LONGEST_ANEW));
+            self.alarms.pause_unless(self.watching.ended(chance, most), &turned);
         }
     }
 
     /// One watch from its connection to its end; says why it ended.
     fn watch(&mut self, addr: SocketAddr, turned: &Bell) -> Result<&'static str, &'static str> {
         let entry = self.ledger.enter(Share::Discovery).ok_or("no descriptor is free")?;
-        let now = self.alarms.now();
-        let mut wire =
-            Wire::connect(&self.alarms, &addr, now + CONNECT_WITHIN, entry).map_err(|_| "no connection")?;
+        let opens_by = self.alarms.now() + OPENS_WITHIN;
+        let mut wire = Wire::connect(&self.alarms, &addr, opens_by, entry).map_err(|_| "no connection")?;
         // A list from before this start may stem from another life of discovery: changes since it prove
         // nothing.
         let what = if self.anew { String::new() } else { format!("?watch=1&after={}", self.lives.seq()) };
         let request = format!(
             "GET /discovery/hosts{what} HTTP/1.1\r\nHost: {addr}\r\nAccept: application/json\r\n\r\n"
         );
-        wire.listen_to(now + CONNECT_WITHIN, turned);
-        wire.write(&[request.as_bytes()], now + CONNECT_WITHIN, turned)
-            .map_err(|_| "the request was not taken")?;
+        let mut by = self.watching.asked(self.alarms.now());
+        wire.listen_to(by, turned);
+        wire.write(&[request.as_bytes()], by, turned).map_err(|_| "the request was not taken")?;
         let mut stream = Stream::default();
         loop {
-            let by = self.alarms.now() + SILENCE;
             wire.listen_to(by, turned);
-            wire.read(by, turned).map_err(|_| "it fell silent or was closed")?;
+            wire.read(by, turned).map_err(|stop| match stop {
+                Stop::Late => "it fell silent",
+                Stop::Broken => "it was closed or reset",
+                Stop::Rung => "it is looked for elsewhere",
+            })?;
             stream.take(&wire.buffer)?;
             wire.buffer.clear();
-            while let Some(line) = stream.line() {
-                self.line(&line)?;
+            if stream.has_begun() {
+                by = self.watching.begun();
+            }
+            while let Some(word) = stream.word()? {
+                by = self.watching.heard(self.alarms.now());
+                self.word(&word)?;
             }
             if stream.ended {
                 return Ok("its answer is complete");
@@ -122,19 +122,19 @@
         }
     }
 
-    fn line(&mut self, line: &[u8]) -> Result<(), &'static str> {
-        if line.trim_ascii().is_empty() {
+    fn word(&mut self, word: &Word) -> Result<(), &'static str> {
+        let Word::List(list) = word else {
             if let Some(keeper) = self.keeper.as_ref().filter(|_| !self.anew) {
                 keeper.confirmed();
             }
             return Ok(());
-        }
+        };
         let before = self.lives.seq();
-        let hosts: Hosts = match serde_json::from_slice(line) {
+        let hosts: Hosts = match serde_json::from_slice(list) {
             Ok(hosts) => hosts,
             Err(why) => {
-                log!(WARN; "a line of discovery can't be read: {why}");
-                return Err("a line could not be read");
+                log!(WARN; "a list of discovery can't be read: {why}");
+                return Err("a list could not be read");
             }
         };
         let offer = Offer { seq: hosts.seq, whole: hosts.whole, empty: hosts.hosts.is_empty() };
@@ -157,13 +157,34 @@
     }
 }
 
-/// An HTTP answer taken in pieces split anywhere: its head, its chunks, their lines.
+/// What a watch has to say.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// An empty line: nothing has changed.
+    Still,
+    /// The text of one object, whatever white space stands in it.
+    List(Vec<u8>),
+}
+
+/// How far the text has been looked through for the end of the object that has begun.
+#[derive(Default)]
+struct Scan {
+    at: usize,
+    depth: usize,
+    quoted: bool,
+    escaped: bool,
+    /// An object has ended on this line: the line's end says nothing more.
+    behind: bool,
+}
+
+/// An HTTP answer taken in pieces split anywhere: its head, its chunks, their words.
 #[derive(Default)]
 pub struct Stream {
     raw: Vec<u8>,
     text: Vec<u8>,
-    /// The lines up to here were given out.
+    /// The words up to here were given out.
     told: usize,
+    scan: Scan,
     headed: bool,
     chunked: bool,
     /// What of the present chunk, or of a body of known length, is still to come.
@@ -183,8 +204,8 @@
         let parsed = self.chunks(&mut at);
         self.raw.drain(..at);
         parsed?;
-        if self.text.len() > MOST_LINE || (self.left == 0 && self.raw.len() > MOST_LINE) {
-            return Err("a line has no end");
+        if self.text.len() > MOST_LIST || (self.left == 0 && self.raw.len() > MOST_LIST) {
+            return Err("a list has no end");
         }
         Ok(())
     }
@@ -253,14 +274,43 @@
         Ok(true)
     }
 
-    /// The next whole line; where the answer is complete, what is left of it.
-    pub fn line(&mut self) -> Option<Vec<u8>> {
-        let rest = &self.text[self.told..];
-        if let Some(end) = rest.iter().position(|&byte| byte == b'\n') {
-            self.told += end + 1;
-            return Some(rest[..=end].to_vec());
+    pub fn has_begun(&self) -> bool {
+        self.headed
+    }
+
+    /// The next whole word.
+    pub fn word(&mut self) -> Result<Option<Word>, &'static str> {
+        while let Some(&byte) = self.text.get(self.scan.at) {
+            self.scan.at += 1;
+            match byte {
+                _ if self.scan.escaped => self.scan.escaped = false,
+                b'\\' if self.scan.quoted => self.scan.escaped = true,
+                b'"' if self.scan.depth > 0 => self.scan.quoted = !self.scan.quoted,
+                _ if self.scan.quoted => {}
+                b'{' | b'[' if self.scan.depth > 0 || byte == b'{' => self.scan.depth += 1,
+                b'}' | b']' if self.scan.depth > 1 => self.scan.depth -= 1,
+                b'}' | b']' if self.scan.depth == 1 => {
+                    (self.scan.depth, self.scan.behind) = (0, true);
+                    let object = self.text[self.told..self.scan.at].to_vec();
+                    self.told = self.scan.at;
+                    return Ok(Some(Word::List(object)));
+                }
+                _ if self.scan.depth > 0 => {}
+                b'\n' => {
+                    self.told = self.scan.at;
+                    if !std::mem::take(&mut self.scan.behind) {
+                        return Ok(Some(Word::Still));
+                    }
+                }
+                b' ' | b'\t' | b'\r' => self.told = self.scan.at,
+                _ => return Err("what it says is no list"),
+            }
+        }
+        self.text.drain(..self.told);
+        self.scan.at -= std::mem::take(&mut self.told);
+        if self.ended && self.scan.depth > 0 {
+            return Err("it ended within a list");
         }
-        self.text.drain(..std::mem::take(&mut self.told));
-        (self.ended && !self.text.is_empty()).then(|| std::mem::take(&mut self.text))
+        Ok(None)
     }
 }
--- a/front/src/start.rs
+++ b/front/src/start.rs
@@ -34,6 +34,7 @@
 use may::sync::mpsc::{channel, Sender};
 use recovery::lives::Lives;
 use recovery::trust::Times;
+use recovery::watch::Watching;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::path::Path;
@@ -61,6 +62,7 @@
     log::start(&operators::style(&operators));
     let (listen, seed, facts) = (launch.listen, launch.seed, launch.facts.clone());
     let settings = &launch.settings;
+    let watching = Watching::new(settings.membership_mode == "push", settings.rules.grace());
 
     may::config().set_workers(1).set_pool_capacity(64).set_stack_size(STACK).set_worker_pin(false);
     std::panic::set_hook(Box::new(|panic| log!(WARN; "{panic}")));
@@ -132,6 +134,7 @@
         ledger: ledger.clone(),
         owner: owner.clone(),
         lives,
+        watching,
         anew,
         keeper: keeper.clone(),
         rng: Mwc::new(seed),
--- a/front/tests/loopback/main.rs
+++ b/front/tests/loopback/main.rs
@@ -2,6 +2,7 @@
 
 mod place;
 mod rare;
+mod watch;
 
 use front::pg;
 use place::*;
--- /dev/null
+++ b/front/tests/loopback/watch.rs
@@ -0,0 +1,105 @@
+//! Rare moments of the watch on discovery: lists in an odd shape, a watch that never ends a word, or says none.
+
+use crate::place::*;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\n\r\n";
+
+/// Discovery whose nth watch is answered by the nth script, each later one by the last. Tells when a watch
+/// was asked for.
+fn scripted(scripts: Vec<fn(&mut TcpStream, &str)>, list: String) -> (SocketAddr, Receiver<Instant>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let (addr, (asked, asks)) = (listener.local_addr().expect("its address"), channel());
+    thread::spawn(move || {
+        let nth = (0..).map(|nth: usize| scripts[nth.min(scripts.len() - 1)]);
+        for (mut stream, script) in listener.incoming().flatten().zip(nth) {
+            let (asked, list) = (asked.clone(), list.clone());
+            thread::spawn(move || {
+                if stream.read(&mut [0; 1024]).is_ok_and(|many| many > 0) {
+                    let _ = asked.send(Instant::now());
+                    script(&mut stream, &list);
+                }
+            });
+        }
+    });
+    (addr, asks)
+}
+
+/// A front that knows of nobody but by discovery, which has these stores.
+fn front(scripts: Vec<fn(&mut TcpStream, &str)>, indented: bool) -> (Front, Receiver<Instant>) {
+    let ((primary, knocks), (replica, _)) = (Store::start(true), Store::start(false));
+    let hosts = [host(&primary, "p", "SERVING"), host(&replica, "r", "SERVING")].join(",");
+    let list = format!(r#"{{"seq":4,"whole":true,"hosts":[{hosts}]}}"#);
+    let list = if indented { list.replace(',', ",\n\n  ").replace('{', "{\n\t") } else { list };
+    let (discovery, asks) = scripted(scripts, list);
+    let config = format!(r#"{{"seed":"8c1f30d27a5be964","settings":{SETTINGS}}}"#);
+    let listen = free_address();
+    let child = launch(&config, listen, discovery);
+    let (lines, marks) = (channel().0, Default::default());
+    (Front { child, listen, lines, primary, replica, knocks, marks }, asks)
+}
+
+fn tells(stream: &mut TcpStream, list: &str) {
+    let _ = stream.write_all(format!("{HEAD}{list}").as_bytes());
+    thread::sleep(LIMIT);
+}
+
+fn serves(front: &Front, within: Duration) {
+    let (mut client, until) = (Client::open(front.listen), Instant::now() + within);
+    while client.ask("order", "good", 1000) != value() {
+        assert!(Instant::now() < until, "the list was not taken");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn a_list_over_many_lines_with_empty_ones_in_it_is_taken() {
+    let (front, _asks) = front(vec![tells], true);
+    serves(&front, Duration::from_secs(2));
+}
+
+#[test]
+fn a_list_without_length_or_line_end_is_taken_whole_and_never_in_part() {
+    let (front, asks) = front(
+        vec![
+            |stream, list| {
+                let _ = stream.write_all(format!("{HEAD}{}", &list[..list.len() - 1]).as_bytes());
+            },
+            |stream, list| {
+                let _ = stream.write_all(format!("{HEAD}{list}").as_bytes());
+            },
+            |_, _| thread::sleep(LIMIT),
+        ],
+        false,
+    );
+    (0..3).for_each(|_| _ = asks.recv_timeout(LIMIT).expect("it is asked for again"));
+    serves(&front, Duration::from_secs(2));
+}
+
+#[test]
+fn a_watch_that_never_ends_its_word_or_never_answers_is_opened_anew_in_time() {
+    let (front, asks) = front(
+        vec![
+            |stream, list| {
+                let mut drips = list.bytes().take(20).chain(std::iter::repeat(b' '));
+                let _ = stream.write_all(HEAD.as_bytes());
+                while stream.write_all(&[drips.next().unwrap_or_default()]).is_ok() {
+                    thread::sleep(Duration::from_millis(50));
+                }
+            },
+            |_, _| thread::sleep(LIMIT),
+            tells,
+        ],
+        false,
+    );
+    let ask = || asks.recv_timeout(LIMIT).expect("it is asked for again");
+    let (first, second, third) = (ask(), ask(), ask());
+    // Both together must leave some of the six seconds after which what was missed counts as told.
+    assert!(second - first < Duration::from_millis(3_500), "it drips: {:?}", second - first);
+    assert!(third - second < Duration::from_millis(1_500), "it is mute: {:?}", third - second);
+    serves(&front, Duration::from_secs(2));
+}
--- a/front/tests/messages.rs
+++ b/front/tests/messages.rs
@@ -1,7 +1,7 @@
 //! The message code, the outcome table, the ledger and discovery's stream, without a socket.
 
 use front::clock::{from_unix_ms, from_unix_s};
-use front::discovery::Stream;
+use front::discovery::{Stream, Word};
 use front::hosts::{Host, Hosts};
 use front::ledger::{Ledger, Share};
 use front::pg::{self, Hello, Statement};
@@ -107,7 +107,7 @@
         report(&String::from_utf8_lossy(&bytes));
         let mut stream = Stream::default();
         if stream.take(&bytes).is_ok() {
-            while stream.line().is_some() {}
+            while let Ok(Some(_)) = stream.word() {}
         }
     }
 
@@ -259,12 +259,17 @@
     }
 
     #[test]
-    fn discovery_s_lines_are_the_same_however_the_answer_is_split(
-        lines in prop::collection::vec("[a-z ]{0,30}", 1..10),
+    fn discovery_s_words_are_the_same_however_they_are_indented_and_the_answer_is_split(
+        words in prop::collection::vec(prop::option::of(("[a-z{}\\[\\] ]{0,30}", "[ \t\r\n]{0,4}")), 1..10),
         sizes in prop::collection::vec(1usize..25, 1..40),
         cuts in prop::collection::vec(1usize..40, 0..60),
     ) {
-        let text = lines.join("\n") + "\n";
+        let objects = words.iter().map(|word| word.as_ref().map(|(text, space)| {
+            format!("{{{space}\"seq\":{space}4,\"\\\"{text}\\\\\":[{{{space}}},[]{space}]}}")
+        }));
+        let objects: Vec<Option<String>> = objects.collect();
+        let lines = objects.iter().map(|object| object.clone().unwrap_or_default() + "\n");
+        let text = lines.collect::<String>();
         let mut answer = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
         let mut rest = text.as_bytes();
         for size in sizes.into_iter().chain([usize::MAX]) {
@@ -281,11 +286,38 @@
         for cut in cuts.into_iter().chain([usize::MAX]) {
             let (part, behind) = rest.split_at(cut.min(rest.len()));
             prop_assert_eq!(stream.take(part), Ok(()));
-            seen.extend(std::iter::from_fn(|| stream.line()));
+            while let Some(word) = stream.word().expect("only lists and empty lines") {
+                seen.push(word);
+            }
             rest = behind;
         }
         prop_assert!(stream.ended);
-        prop_assert_eq!(seen.concat(), text.into_bytes());
+        let word = |object: Option<String>| object.map_or(Word::Still, |text| Word::List(text.into_bytes()));
+        let all: Vec<Word> = objects.into_iter().map(word).collect();
+        prop_assert_eq!(seen, all);
+    }
+}
+
+#[test]
+fn a_list_that_is_cut_is_none_and_a_whole_one_needs_neither_length_nor_line_end() {
+    let list = r#"{"seq":4, "hosts":[{"host":"}\"{"}]}"#;
+    for end in 1..=list.len() {
+        let said = |head: String| {
+            let mut stream = Stream::default();
+            stream.take(&[head.as_bytes(), &list.as_bytes()[..end]].concat()).expect("in order");
+            stream.word()
+        };
+        let whole = Ok(Some(Word::List(list.as_bytes().to_vec())));
+        let (length, none) = (format!("HTTP/1.1 200 OK\r\nContent-Length: {end}\r\n\r\n"), Ok(None));
+        let is_whole = end == list.len();
+        assert_eq!(said("HTTP/1.1 200 OK\r\n\r\n".into()), if is_whole { whole.clone() } else { none });
+        let cut = Err("it ended within a list");
+        assert_eq!(said(length), if is_whole { whole } else { cut }, "{end} bytes");
+    }
+    for text in ["[1]", "x", "\"\"", "} {", "4"] {
+        let mut stream = Stream::default();
+        stream.take(format!("HTTP/1.1 200 OK\r\n\r\n{text}").as_bytes()).expect("in order");
+        assert!(stream.word().is_err(), "{text} is no list");
     }
 }
 
@@ -449,7 +481,8 @@
             .concat();
     let (mut stream, began) = (Stream::default(), std::time::Instant::now());
     stream.take(&flood).expect("all of it is in order");
-    assert_eq!(std::iter::from_fn(|| stream.line()).count(), 300_000);
+    let still = std::iter::from_fn(|| stream.word().expect("empty lines"));
+    assert_eq!(still.count(), 300_000);
     // Moving what is left for each chunk is a quarter of a terabyte, some ten seconds at the least.
     assert!(began.elapsed() < std::time::Duration::from_secs(4), "{:?}", began.elapsed());
 }
--- a/hosting/src/facts.rs
+++ b/hosting/src/facts.rs
@@ -107,6 +107,15 @@
     pub overload_for_ns: i64,
     #[serde(default)]
     pub dropped_stay_open: bool,
+    #[serde(default)]
+    pub stop_sending_within_ns: i64,
+}
+
+impl Rules {
+    /// Within which sends to a draining store must cease, where that is said.
+    pub fn grace(&self) -> Option<Span> {
+        Some(Span(self.stop_sending_within_ns)).filter(|grace| grace.0 > 0)
+    }
 }
 
 /// Checks them and puts them in the decisions' own words; a fault names its key.
--- a/recovery/src/lib.rs
+++ b/recovery/src/lib.rs
@@ -4,7 +4,8 @@
 //! carries out the actions.
 //!
 //! [`regain`] holds the state and the loop, [`store`] and [`group`] the two tables, [`proof`] what proves a
-//! primary, [`trust`] the steps of age, [`lives`] discovery's lists, [`pace`] the saving.
+//! primary, [`trust`] the steps of age, [`lives`] discovery's lists, [`watch`] the watch on them, [`pace`] the
+//! saving.
 
 pub mod group;
 pub mod lives;
@@ -13,3 +14,4 @@
 pub mod regain;
 pub mod store;
 pub mod trust;
+pub mod watch;
