What comes on a connection before an RPC leaves on it is no part of its answer

Need: a value must be one that a store made for this RPC; half a line may arrive in the very moment in which a connection is taken up again; connections are closed right after an answer. Saw: a test on real connections in which a store sends a whole answer while the attempt asks whether it may leave (a turn of the owner's lies between the look at the connection and the write): the client gets that answer, "another's", as its own value. A connection that is closed in that moment ends the attempt as Broken, as though it might have run: a write would be aborted. Checked and ruled out, by reading and by the same tests: what was left over of the last answer (the empty query's proof comes behind it), a value cut or behind an error (the grammar), two answers to one RPC. Cause: send.rs, `leave`: pool.reuse looked, then `confirmed` waited for the owner, then wire.write; `answer` read from wire.buffer whatever stood there. Change: right before the write it is looked at once more (wire.rs, `is_quiet`); where something has come or it has ended, nothing of the RPC has left, and it goes out on another one. A connection is not opened any more for an attempt that was called off while it waited for the proof (pool.rs, `open`). What stays: bytes that a store sends between that look and the write can't be told from an answer.

--- a/front/src/pool.rs
+++ b/front/src/pool.rs
@@ -126,6 +126,9 @@
 
     /// Opens a connection and brings its start-up through.
     pub fn open(&self, addr: &SocketAddr, by: Moment, bell: &Bell) -> Result<Wire, NoWire> {
+        if bell.is_rung() {
+            return Err(Outcome::Moot.into());
+        }
         let dialled = self.alarms.now() + self.dial;
         let entry = self.ledger.enter_store(*addr).or_else(|| {
             self.drop_oldest();
--- a/front/src/send.rs
+++ b/front/src/send.rs
@@ -110,6 +110,15 @@
             pool.keep(*addr, wire);
             return Sent::unsent(Outcome::Moot);
         }
+        // What has come by now is no answer to this: nothing of it has left. Read with the answer it would pass
+        // for a part of it, or for all.
+        if !wire.is_quiet() {
+            drop(wire);
+            if again {
+                continue;
+            }
+            return Sent::unsent(Outcome::Unreachable);
+        }
         let patience = ((*by - pool.alarms.now()).0 / 1_000_000).max(1).to_string();
         let (head, tail) = (&query.body[..query.patience.start], &query.body[query.patience.end..]);
         let length = (4 + head.len() + patience.len() + tail.len()) as u32;
--- a/front/src/wire.rs
+++ b/front/src/wire.rs
@@ -164,6 +164,11 @@
         false
     }
 
+    /// Whether it stands, and nothing has come on it that nobody asked for.
+    pub fn is_quiet(&mut self) -> bool {
+        self.read_now() && self.buffer.is_empty()
+    }
+
     /// Writes a few bytes without waiting; false where they did not leave.
     pub fn write_now(&mut self, bytes: &[u8]) -> bool {
         self.stream.inner().write(bytes).is_ok_and(|written| written == bytes.len())
