Test: a burst of leavers, by every way of leaving, takes along what is held and gives all back

Need: what a client left waiting must not be sent on, for every way of leaving, for RPCs held at the router too, and nothing may be kept past it. Change: a test on real connections: four writes fill the room at the store, forty clients with held writes leave by a close, a reset, Terminate, an end of sending; none is sent on, their descriptors come back, what comes behind is served. The test of a connecting write has a reset among its ways.

--- a/front/tests/loopback/rare.rs
+++ b/front/tests/loopback/rare.rs
@@ -37,8 +37,9 @@
     let settings = SETTINGS
         .replace(r#""probes":true"#, r#""probes":false,"dialTimeoutNs":8000000000"#)
         .replace(r#""deadlineNs":3000000000"#, r#""deadlineNs":60000000000"#);
-    let closes: [fn(Client); 3] = [
+    let closes: [fn(Client); 4] = [
         drop,
+        reset,
         // As every well-behaved client does.
         |mut client| client.0.write_all(b"X\0\0\0\x04").expect("sent"),
         |client| client.0.shutdown(Shutdown::Write).expect("still open"),
@@ -51,6 +52,50 @@
     }
 }
 
+fn descriptors(front: &Front) -> usize {
+    std::fs::read_dir(format!("/proc/{}/fd", front.child.id())).expect("a process of ours").count()
+}
+
+fn reset(client: Client) {
+    socket2::SockRef::from(&client.0).set_linger(Some(Duration::ZERO)).expect("a socket");
+}
+
+#[test]
+fn a_burst_of_leavers_takes_along_all_that_is_held_for_them_and_gives_everything_back() {
+    let front = Front::start();
+    while Client::open(front.listen).ask("order", "good", 1000) != value() {}
+    // As much as this store is given at once, each for longer than the leavers have.
+    let mut busy: Vec<Client> = (0..4).map(|_| Client::open(front.listen)).collect();
+    busy.iter_mut().for_each(|client| client.send(&statement("order", "slow", 3000)));
+    (0..4).for_each(|_| front.knocks.recv_timeout(LIMIT).expect("it is at work"));
+    let before = descriptors(&front);
+    let mut leavers: Vec<Client> = (0..40).map(|_| Client::open(front.listen)).collect();
+    leavers.iter_mut().for_each(|client| client.send(&statement("order", "gone", 3000)));
+    // Behind them on the worker: they have been taken in by then.
+    Client::open(front.listen);
+    for (nth, mut client) in leavers.into_iter().enumerate() {
+        match nth % 4 {
+            0 => drop(client),
+            1 => reset(client),
+            2 => client.0.write_all(b"X\0\0\0\x04").expect("sent"),
+            _ => client.0.shutdown(Shutdown::Write).expect("still open"),
+        }
+    }
+    for client in &mut busy {
+        assert_eq!(client.got(), value());
+    }
+    assert_eq!(busy[0].ask("order", "good", 3000), value(), "what comes behind them is served at once");
+    let seen = front.primary.seen.lock().expect("no panic").clone();
+    assert_eq!(seen.iter().filter(|text| text.contains("gone")).count(), 0, "nobody waits for these");
+    drop(seen);
+    let until = Instant::now() + LIMIT;
+    // A few more to stores may stand by now; each way of leaving had ten.
+    while descriptors(&front) >= before + 10 {
+        assert!(Instant::now() < until, "{} descriptors, {before} before", descriptors(&front));
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
 #[test]
 fn a_client_that_leaves_behind_more_than_is_read_at_once_is_seen_to_leave() {
     let settings = SETTINGS
