Test: stores that hang, signals close together, queries half sent while the front leaves

Need: RPCs taken before and during a leaving get their answer in time, a write that may have run is aborted and not pushed back; who rests is let go; what had begun at the close is still taken, and nothing is kept for ever. Change: two tests on real connections.

--- a/front/tests/loopback/rare.rs
+++ b/front/tests/loopback/rare.rs
@@ -193,3 +193,58 @@
     assert!(rest.is_empty(), "and nothing is said about what crossed the close");
     assert!(front.ended().success());
 }
+
+#[test]
+fn stores_that_hang_while_the_front_leaves_cost_nobody_an_answer_in_time() {
+    let mut front = Front::without_probes();
+    while Client::open(front.listen).ask("order", "good", 1000) != value() {}
+    let mut before = Client::open(front.listen);
+    before.send(&statement("order", "silent", 1000));
+    let sent = Instant::now();
+    // Two signals close together: the file is as it was, and the leaving counts all the same.
+    front.signal("-HUP");
+    leaving(&front);
+    let mut during = Client::open(front.listen);
+    during.send(&statement("order", "silent", 800));
+    let mut read = Client::open(front.listen);
+    read.send(&statement("read", "silent", 600));
+    // What may have run is no pushback; a read may always be asked for again.
+    assert_eq!(before.got(), error("58000"));
+    assert!(sent.elapsed() < Duration::from_millis(1_050), "{:?}", sent.elapsed());
+    assert_eq!(during.got(), error("58000"));
+    let Got::Error(code, _) = read.got() else { panic!("nobody answered it") };
+    assert_eq!(code, "53300");
+    assert_eq!((before.got(), during.got(), read.got()), (Got::Ended, Got::Ended, Got::Ended));
+    assert!(front.ended().success());
+    let seen = front.primary.seen.lock().expect("no panic").clone();
+    assert_eq!(seen.iter().filter(|text| text.contains("silent") && text.contains("c=order")).count(), 2);
+}
+
+#[test]
+fn who_rests_is_let_go_at_the_end_at_the_latest_and_a_query_half_sent_is_waited_for() {
+    let mut front = Front::start();
+    while Client::open(front.listen).ask("order", "good", 1000) != value() {}
+    // It has only connected, it has only begun its start-up, it has begun its first query.
+    let plain = || TcpStream::connect(front.listen).expect("a listener");
+    let mut silent = plain();
+    let mut greeting = plain();
+    greeting.write_all(&pg::start_up()[..10]).expect("sent");
+    let mut begun = Client::open(front.listen);
+    let mut query = Vec::new();
+    pg::query(&mut query, &statement("order", "good", 3000));
+    begun.0.write_all(&query[..query.len() / 2]).expect("sent");
+    thread::sleep(Duration::from_millis(50));
+    leaving(&front);
+    let began = Instant::now();
+    // Beyond the close: what had begun by then is still taken.
+    thread::sleep(Duration::from_millis(700));
+    begun.0.write_all(&query[query.len() / 2..]).expect("it is waited for");
+    assert_eq!((begun.got(), begun.got()), (value(), Got::Ended));
+    silent.set_read_timeout(Some(LIMIT)).expect("a time-out");
+    assert_eq!(silent.read(&mut [0; 64]).expect("an orderly end"), 0);
+    // Its start-up is owed for 2.5 s, and then it is told so.
+    greeting.set_read_timeout(Some(LIMIT)).expect("a time-out");
+    let _ = greeting.read_to_end(&mut Vec::new());
+    assert!(front.ended().success());
+    assert!(began.elapsed() < Duration::from_secs(4), "{:?}", began.elapsed());
+}
