Where nobody may be probed, writes find out who is primary, and reads hear everybody first

Cause: nobody is asked, so nobody answers, so nobody is known. choice.rs, `seek`: a write goes only to self.groups[..].primary; that comes from a report, the list or an answer, and without probes and roles in the list only an answer by the primary tells. After a switch of the primary it is the same again. Change: a write of a group of which no primary is known, where probes are barred, goes to a member that has not said lately that it is none (four of the shortest soft deadlines), the longest ago first; who is none turns it away untouched (25006), which proves that it never ran. What any member may answer goes first to who has never spoken. Where probes are allowed nothing changes.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -286,7 +286,10 @@
         let checked = self.charter.facts.lagging != Lagging::AnswersAnyway;
         let fresh = (checked && !rpc.carries) || self.stores[ix].position >= self.needed(rpc);
         let reads = self.charter.methods[rpc.method].need != Need::Write;
-        ours && self.stores[ix].open && (self.groups[rpc.group].primary == Some(ix) || (reads && fresh))
+        let Group { primary, .. } = self.groups[rpc.group];
+        let sought = primary.is_none() && !self.charter.facts.may_probe;
+        let finds_out = !reads && sought && self.groups[rpc.group].clears(ix);
+        ours && self.stores[ix].open && (primary == Some(ix) || (reads && fresh) || finds_out)
     }
 
     // What is believed of stores.
@@ -508,7 +511,9 @@
         }
         let primary = self.groups[rpc.group].primary.filter(|&ix| self.usable(ix, rpc.method));
         if terms.need == Need::Write {
-            return primary.filter(|&ix| self.has_room(ix, 1.0)).map(Input::Placed);
+            let (method, group) = (rpc.method, rpc.group);
+            let taker = primary.or_else(|| self.unheard(group, method));
+            return taker.filter(|&ix| self.has_room(ix, 1.0)).map(Input::Placed);
         }
         // A retry storm must not push out first tries: newest first would favour it.
         let part = if rpc.repeat { 0.25 } else { 1.0 };
@@ -524,6 +529,22 @@
         primary.filter(|&ix| self.has_room(ix, most) && (current || !busy(ix))).map(Input::Placed)
     }
 
+    /// Departure: where nobody may be probed and no primary is known, a write finds it out. Who is none turns
+    /// it away untouched; whoever said so lately is not asked.
+    fn unheard(&mut self, group: GroupIx, method: MethodIx) -> Option<StoreIx> {
+        let (its, lately) = (&self.groups[group], self.now - self.charter.pressing * 4);
+        if self.charter.facts.may_probe || its.primary.is_some() {
+            return None;
+        }
+        let free = |ix: &StoreIx| self.stores[*ix].in_flight == 0 && its.clears(*ix);
+        let may_be = |ix: &StoreIx| self.stores[*ix].denied < lately && free(ix) && self.usable(*ix, method);
+        let members: Vec<StoreIx> = its.members.iter().copied().filter(may_be).collect();
+        let longest = members.iter().map(|&ix| self.stores[ix].denied).min()?;
+        let those: Vec<StoreIx> =
+            members.into_iter().filter(|&ix| self.stores[ix].denied == longest).collect();
+        self.fewest(&those)
+    }
+
     /// The position that a read asks for now.
     fn needed(&self, rpc: &Rpc) -> Option<Moment> {
         match self.charter.methods[rpc.method].need {
@@ -572,9 +593,14 @@
 
     /// The fewest of our call-outs in flight, another zone counts one more; ties by own zone, then chance.
     fn fewest(&mut self, among: &[StoreIx]) -> Option<StoreIx> {
-        let (stores, zone, rng) = (&self.stores, self.charter.facts.zone, &mut self.rng);
-        let away = |ix: &StoreIx| stores[*ix].zone != zone;
-        let rank = |ix: &StoreIx| (stores[*ix].in_flight + u32::from(away(ix)), away(ix), rng.below(1 << 16));
+        let (stores, Facts { zone, may_probe, .. }) = (&self.stores, &self.charter.facts);
+        let away = |ix: &StoreIx| stores[*ix].zone != *zone;
+        // Where nobody may be probed, only an answer tells who is who.
+        let silent = |ix: &StoreIx| stores[*ix].answered == Moment::DAWN && stores[*ix].in_flight == 0;
+        let known = |ix: &StoreIx| *may_probe || !silent(ix);
+        let rng = &mut self.rng;
+        let calls = |ix: &StoreIx| stores[*ix].in_flight + u32::from(away(ix));
+        let rank = |ix: &StoreIx| (known(ix), calls(ix), away(ix), rng.below(1 << 16));
         among.iter().copied().min_by_key(rank)
     }
 
