The list's word on a primary ends with the store's own or the list's; unheard primaries get no reads

Found by reading on the way, three faults of the same kind: choice.rs, `list`: (1) only an answer counted as the store's own word, an error that says "replica" did not, and the next late list made it primary again; (2) a later list that takes its word back did not end it, so two stores were primary and the higher number won; `seek`: (3) where nobody may be probed a primary that fell silent got reads again after its rest, though it may have said meanwhile, on a connection that told nothing, that it is none. Tests: rules.rs, two, both fail without it (seen).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -327,8 +327,9 @@
                 (store.started, store.sent, store.owing) = (entry.started, self.now, owing);
             }
             // The list's word on roles is weakest: it counts only until the store itself has spoken.
-            if entry.primary && store.answered == Moment::DAWN && store.claims.is_none() {
-                store.claims = Some(Moment::DAWN);
+            let spoken = store.answered.max(store.denied).max(store.claims.unwrap_or(Moment::DAWN));
+            if spoken == Moment::DAWN {
+                store.claims = entry.primary.then_some(Moment::DAWN);
             }
             self.find_primary(entry.group);
         }
@@ -515,6 +516,12 @@
             let taker = primary.or_else(|| self.unheard(group, method));
             return taker.filter(|&ix| self.has_room(ix, 1.0)).map(Input::Placed);
         }
+        // Nobody asked a silent primary who it is now: it may have said, unheard, that it is none.
+        let unsure = |ix: &StoreIx| {
+            let store = &self.stores[*ix];
+            !self.charter.facts.may_probe && store.failures > 0 && store.answered <= store.failed
+        };
+        let primary = primary.filter(|ix| !unsure(ix));
         // A retry storm must not push out first tries: newest first would favour it.
         let part = if rpc.repeat { 0.25 } else { 1.0 };
         let current = terms.need == Need::Current;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -424,6 +424,59 @@
     }
 }
 
+#[test]
+fn the_list_s_word_on_a_primary_ends_with_the_list_s_or_the_store_s_own() {
+    let mut bench = Bench::blind(Lagging::AnswersAnyway, 1, 3);
+    let says = |bench: &mut Bench, store: StoreIx, primary: bool| {
+        let entries = vec![Entry { primary, ..bench.entry(store, Standing::Open) }];
+        bench.give(Event::List { whole: false, entries });
+    };
+    says(&mut bench, 1, true);
+    let write = bench.arrive(WRITE, 0, 1.0);
+    assert_eq!(at(&bench, write), Some(1), "the list says so, and nothing else is known");
+    // An error says who gave it, and is no answer; then the list, which is late, says the same again.
+    let Some((call_out, store, sent)) = bench.live.get_mut(&write).and_then(|live| live.out.take()) else {
+        panic!("it is out")
+    };
+    let (rpc, outcome, elapsed, closed) = (write, Outcome::Errored, bench.now - sent, false);
+    let (wrote, report) = (None, Told::default());
+    let note = Told { role: Some(Role::Replica), ..Told::default() };
+    bench.live.get_mut(&write).expect("it is live").ran_from = Some(sent);
+    bench.give(Event::Ended(End { rpc, call_out, store, outcome, elapsed, closed, wrote, note, report }));
+    says(&mut bench, 1, true);
+    let next = bench.arrive(WRITE, 0, 1.0);
+    assert_ne!(at(&bench, next), Some(1), "its own word goes before the list's");
+    // Of two that were never heard the list takes one back.
+    let mut bench = Bench::blind(Lagging::AnswersAnyway, 1, 3);
+    says(&mut bench, 2, true);
+    says(&mut bench, 2, false);
+    says(&mut bench, 0, true);
+    let write = bench.arrive(WRITE, 0, 1.0);
+    assert_eq!(at(&bench, write), Some(0));
+}
+
+#[test]
+fn without_probes_no_read_goes_to_a_primary_that_fell_silent_before_a_write_has_heard_it() {
+    let mut bench = Bench::blind(Lagging::AnswersAnyway, 1, 3);
+    let write = bench.arrive(WRITE, 0, 1.0);
+    let primary = at(&bench, write).expect("somebody has to be asked");
+    bench.end(write, Outcome::Ok, Some(true));
+    let read = bench.arrive(CURRENT, 0, 1.0);
+    assert_eq!(at(&bench, read), Some(primary));
+    bench.pass(Span::millis(100));
+    while at(&bench, read).is_some() {
+        bench.end(read, Outcome::Broken, None);
+    }
+    bench.pass(Span::millis(1_000));
+    let read = bench.arrive(CURRENT, 0, 1.0);
+    assert_eq!(at(&bench, read), None, "it may have said, unheard, that it is none");
+    let write = bench.arrive(WRITE, 0, 1.0);
+    assert_eq!(at(&bench, write), Some(primary), "who is none turns a write away");
+    bench.end(write, Outcome::Ok, Some(true));
+    let read = bench.arrive(CURRENT, 0, 1.0);
+    assert_eq!(at(&bench, read), Some(primary));
+}
+
 #[test]
 fn a_write_that_finds_out_its_primary_is_confirmed_only_while_none_is_known_or_barred() {
     let mut bench = Bench::blind(Lagging::AnswersAnyway, 1, 1);
