What is remembered of RPCs, stores and groups stands in a file of state beside the decisions

No decision, table or value moved, and none changed. Simplifying the decisions themselves is left. Tests: rules.rs 37 and the others pass as before.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,16 +7,18 @@
 //! or here, before it touches the primary. `docs/design.md` says where that is departed from.
 
 mod look;
+mod state;
 
 use crate::iface::*;
 use crate::remembered::Remembered;
 use crate::rng::Mwc;
 use crate::time::{Moment, Span};
 pub use look::StoreLook;
+use state::{CallOut, Group, Rpc, Store};
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum State {
+pub enum State {
     #[default]
     Held,
     Out,
@@ -87,84 +89,6 @@
     stalls: bool,
 }
 
-#[derive(Default)]
-struct Rpc {
-    state: State,
-    method: MethodIx,
-    group: GroupIx,
-    arrived: Moment,
-    /// After this an answer earns nothing.
-    worth_by: Moment,
-    answer_by: Moment,
-    /// The position that a read asks for whatever the time: its arrival, what its session wrote or saw.
-    mark: Option<Moment>,
-    /// The session that its write binds, where those are remembered here.
-    writes: Option<u64>,
-    /// Its session has seen something: no store checks that by itself.
-    carries: bool,
-    call_outs: u32,
-    /// One of them has reached a store, run or not.
-    reached: bool,
-    out: Option<CallOut>,
-    /// It may have run, and until then may be repeated.
-    repeat_by: Option<Moment>,
-    refusals: u32,
-    /// Its client had a try before this one, most likely until nothing could be earned any more.
-    repeat: bool,
-    shunned: Option<StoreIx>,
-}
-
-struct CallOut {
-    number: u32,
-    sent: Moment,
-    work: f64,
-    /// An answer that takes longer than this is a sign of a queue.
-    timely: Span,
-    /// At least half of the store's room was in use.
-    pressed: bool,
-}
-
-#[derive(Default)]
-struct Store {
-    group: GroupIx,
-    zone: usize,
-    open: bool,
-    started: Option<Moment>,
-    presumed: bool,
-    position: Option<Moment>,
-    /// When its position was last told, whatever it said.
-    told: Moment,
-    /// How busy it last said it was, and when.
-    load: Option<(f64, Moment)>,
-    claims: Option<Moment>,
-    denied: Moment,
-    in_flight: u32,
-    answered: Moment,
-    failures: u32,
-    rest_until: Moment,
-    failed: Moment,
-    probe_out: bool,
-    probed: Moment,
-    /// Our call-outs that it may hold; under one a part of the time: many fronts with one each bury it.
-    room: f64,
-    room_cut: Moment,
-    /// Our work at it when the last call-out was sent, in seconds.
-    owing: f64,
-    sent: Moment,
-    done: f64,
-    done_at: Moment,
-}
-
-#[derive(Default)]
-struct Group {
-    members: Vec<StoreIx>,
-    held: Vec<BTreeSet<RpcId>>,
-    primary: Option<StoreIx>,
-    clearance: Clearance,
-    /// Probes that its own RPCs have paid for.
-    credit: f64,
-}
-
 /// One instance's decisions and all that it believes.
 pub struct Router {
     charter: Charter,
