A watch that stood shortens one pause, not all those behind connections that never come up

Saw, in a last reading: recovery/src/watch.rs, `ended`, looked at `heard` of the last watch that was asked for, and one whose connection is refused never is. After one sound watch the pause stayed at 50 ms as long as discovery refused. Change: what was heard counts for one end. Test: recovery/tests/watch.rs, it fails without the change (seen).

--- a/recovery/src/watch.rs
+++ b/recovery/src/watch.rs
@@ -60,7 +60,7 @@
     /// It has ended; so long until it is asked for again, by a `chance` of less than 32. One that stood was sound: what
     /// was wrong before it is no reason to wait.
     pub fn ended(&mut self, chance: usize, most: Option<Span>) -> Span {
-        if self.heard.is_some_and(|heard| heard - self.asked >= SOUND_AFTER) {
+        if self.heard.take().is_some_and(|heard| heard - self.asked >= SOUND_AFTER) {
             self.pause = SHORTEST;
         }
         let longest = most.map_or(self.longest, |most| most.min(self.longest));
--- a/recovery/tests/watch.rs
+++ b/recovery/tests/watch.rs
@@ -98,3 +98,12 @@
     watching.anew();
     assert!(watching.ended(31, None) <= ms(50), "news, or another address, ends that");
 }
+
+#[test]
+fn a_watch_that_stood_shortens_one_pause_and_not_those_behind_connections_that_never_come_up() {
+    let (mut watching, now) = (Watching::new(false, None), Moment(1_000_000_000_000));
+    watching.asked(now);
+    watching.heard(now + BEAT);
+    let pauses: Vec<Span> = (0..8).map(|_| watching.ended(31, None)).collect();
+    assert!(pauses[0] <= ms(50) && pauses[7] > ms(1_500), "{pauses:?}");
+}
