--- /dev/null
+++ b/writes/tests/earlier_build.rs
@@ -0,0 +1,59 @@
+//! A journal of writes that an earlier build made stays readable. `tests/data/journal` was made by the build of
+//! commit 0eda158, not by the code under test; zeros at the end of its log, up to 64 MiB, were cut off.
+
+use std::path::Path;
+use writes::fate::{Fate, Input, Leave, Origin, Token, Uptime};
+use writes::journal::{Bounds, Journal, Now, Op, Reply, Sync};
+
+/// What the log file is set aside as.
+const LOG_BYTES: u64 = 64 << 20;
+
+fn copy(from: &Path, to: &Path) {
+    std::fs::create_dir_all(to).expect("made");
+    for entry in std::fs::read_dir(from).expect("a folder") {
+        let entry = entry.expect("an entry");
+        let target = to.join(entry.file_name());
+        if entry.file_type().expect("a type").is_dir() {
+            copy(&entry.path(), &target);
+        } else {
+            std::fs::copy(entry.path(), &target).expect("copied");
+        }
+    }
+}
+
+#[test]
+fn a_journal_of_an_earlier_build_is_read() {
+    let place = tempfile::tempdir().expect("a folder");
+    let path = place.path().join("writes");
+    copy(&Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/data/journal"), &path);
+    let log = std::fs::OpenOptions::new().write(true).open(path.join("0.jnl")).expect("the log");
+    log.set_len(LOG_BYTES).expect("made as long as it was");
+    drop(log);
+    let bounds = Bounds { most: 1000, age_ms: i64::MAX };
+    let mut journal = Journal::open(&path, Sync::System, bounds, 1).expect("opened");
+    let origin = journal.origin();
+    assert_eq!(origin.journal, "9f3c01aa52e87d14", "its name stays");
+    assert!(origin.serial >= 5, "no serial is handed out again: {origin}");
+    for id in ["open", "ran", "ran-unsaid", "free", "barred"] {
+        assert_eq!(journal.first_sent(id).expect("read"), Some(1_790_000_000_000), "{id}");
+    }
+    // 40 s after they were first sent, within the memory of 60 s, on the same start of the machine.
+    let now = Now { wall_ms: 1_790_000_040_000, up: Some(Uptime { boot: 7, ms: 45_000 }) };
+    let token = Some(Token { scope: Some(3), memory_ms: 60_000 });
+    let again = Op::Record { id: "open".into(), input: Input::Intend, token };
+    let joined = Reply::Leave(Leave::Join { left_ms: 60_000 - 40_000 - 10 });
+    assert_eq!(journal.apply(now, &[again]).expect("applied"), [joined]);
+
+    let origin = Origin::parse("9f3c01aa52e87d14.0");
+    let ask = |id: &str| Op::Ask { id: id.into(), origin: origin.clone(), alive: false };
+    let asked = ["open", "ran", "ran-unsaid", "free", "barred", "never-seen"].map(ask);
+    let fates = [
+        Fate::NotKnown,
+        Fate::Ran(Some(1_790_000_000_005)),
+        Fate::Ran(None),
+        Fate::Never,
+        Fate::Never,
+        Fate::Never,
+    ];
+    assert_eq!(journal.apply(now, &asked).expect("applied"), fates.map(Reply::Fate));
+}
