--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	cargo clippy --workspace --all-targets --locked -- -D warnings
 
 run: build
-	ROUTER_CONFIG=$(CONFIG) exec target/release/gingerwick
+	ROUTER_CONFIG=$(CONFIG) exec target/release/query-router
 
 ci:
 	bash .ci/run
--- a/admission/src/admission.rs
+++ b/admission/src/admission.rs
@@ -5,7 +5,7 @@
 use crate::source::{Prefixes, Source, Sources};
 use crate::spread::Spread;
 use crate::turnstile::Client;
-use gingerwick::time::{Moment, Span};
+use routing::time::{Moment, Span};
 use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::sync::Arc;
--- a/admission/src/class.rs
+++ b/admission/src/class.rs
@@ -1,7 +1,7 @@
 //! Classes of clients, as operators set them.
 
-use gingerwick::time::Span;
 use ipnet::IpNet;
+use routing::time::Span;
 use std::fmt;
 use std::net::IpAddr;
 use std::sync::Arc;
--- a/admission/src/door.rs
+++ b/admission/src/door.rs
@@ -1,7 +1,7 @@
 //! What the door does about a connection that could not be accepted, so that it neither spins nor stands
 //! still.
 
-use gingerwick::time::Span;
+use routing::time::Span;
 
 /// What went wrong, in the operating system's own words.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/admission/src/repeats.rs
+++ b/admission/src/repeats.rs
@@ -1,7 +1,7 @@
 //! A budget for repeats, so that a storm of them can't feed itself: a part of the first tries, a client's and
 //! the whole front's.
 
-use gingerwick::time::{Moment, Span};
+use routing::time::{Moment, Span};
 use std::collections::{BTreeSet, HashMap};
 use std::hash::Hash;
 
--- a/admission/src/source.rs
+++ b/admission/src/source.rs
@@ -2,7 +2,7 @@
 //! pace. Bounded, however many there are.
 
 use crate::class::Rate;
-use gingerwick::time::{Moment, Span};
+use routing::time::{Moment, Span};
 use std::collections::{BTreeSet, HashMap};
 use std::net::{IpAddr, Ipv6Addr};
 
--- a/admission/src/spread.rs
+++ b/admission/src/spread.rs
@@ -1,7 +1,7 @@
 //! When those who are turned away had better come back: the more there are, the later and the wider apart.
 
-use gingerwick::rng::Mwc;
-use gingerwick::time::{Moment, Span};
+use routing::rng::Mwc;
+use routing::time::{Moment, Span};
 
 /// What who is turned away waits at the least, and how many times that at the most.
 const WAIT: Span = Span::millis(200);
--- a/admission/src/turnstile.rs
+++ b/admission/src/turnstile.rs
@@ -11,7 +11,7 @@
 use crate::repeats::Repeats;
 use crate::source::{Prefixes, Source};
 use crate::spread::Spread;
-use gingerwick::time::{Moment, Span};
+use routing::time::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::IpAddr;
 use std::sync::Arc;
--- a/admission/tests/admission.rs
+++ b/admission/tests/admission.rs
@@ -3,9 +3,9 @@
 use admission::class::{check, OTHERS};
 use admission::source::{Source, MOST_REMEMBERED};
 use admission::{Admission, Class, Fault, Pass, Prefixes, Rate, Why};
-use gingerwick::time::{Moment, Span};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use routing::time::{Moment, Span};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr};
 
--- a/admission/tests/entrance.rs
+++ b/admission/tests/entrance.rs
@@ -5,9 +5,9 @@
 use admission::lobby::{Entrance, Lobby, Place};
 use admission::source::Source;
 use admission::{Class, Fault, Prefixes};
-use gingerwick::time::Span;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use routing::time::Span;
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr};
 
--- a/admission/tests/turnstile.rs
+++ b/admission/tests/turnstile.rs
@@ -5,9 +5,9 @@
 use admission::source::{Prefixes, Source};
 use admission::turnstile::{Ask, Client, RpcId, Shed, Turn, Turns, Turnstile, Why, INTERVAL};
 use admission::Class;
-use gingerwick::time::{Moment, Span};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use routing::time::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr};
 
--- a/keep/examples/sizes.rs
+++ b/endpoint-cache/examples/sizes.rs
@@ -1,6 +1,6 @@
 //! What saving and loading cost, by the number of stores: time, bytes, resident memory.
 
-use keep::{Dir, Kept, KeptStore, Said};
+use endpoint_cache::{Dir, Kept, KeptStore, Said};
 use std::time::Instant;
 
 fn resident_kb() -> usize {
--- a/keep/tests/crashes.rs
+++ b/endpoint-cache/tests/crashes.rs
@@ -1,6 +1,6 @@
 //! A save that ends at any point, files that were never whole, directories that can't be used.
 
-use keep::{decode, encode, Dir, Fault, Kept, KeptStore, Unfit, FORMAT};
+use endpoint_cache::{decode, encode, Dir, Fault, Kept, KeptStore, Unfit, FORMAT};
 use std::io::{BufRead, BufReader, Write};
 use std::path::Path;
 use std::process::{Command, Stdio};
--- a/keep/tests/earlier_build.rs
+++ b/endpoint-cache/tests/earlier_build.rs
@@ -1,7 +1,7 @@
 //! A state directory that an earlier build wrote stays readable. `tests/data/state` was made by the build of commit
 //! 0eda158, not by the code under test.
 
-use keep::{Dir, Said};
+use endpoint_cache::{Dir, Said};
 use std::path::Path;
 
 #[test]
--- a/checker/tests/histories.rs
+++ b/history-checker/tests/histories.rs
@@ -1,6 +1,8 @@
 //! The checker itself: honest histories pass, and a history that breaks one guarantee is blamed for that one.
 
-use checker::{judge, Answer, Fate, History, Kind, Offence, Point, Record, Rule, Run, LOST, NOT_KNOWN};
+use history_checker::{
+    judge, Answer, Fate, History, Kind, Offence, Point, Record, Rule, Run, LOST, NOT_KNOWN,
+};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::collections::BTreeMap;
--- a/hosting/src/book.rs
+++ b/host-support/src/book.rs
@@ -1,6 +1,6 @@
 //! The book of open RPCs: each stays known until it is answered and its last call-out has ended.
 
-use gingerwick::iface::RpcId;
+use routing::iface::RpcId;
 use std::collections::HashMap;
 
 struct Page<T> {
--- a/hosting/src/facts.rs
+++ b/host-support/src/facts.rs
@@ -1,7 +1,7 @@
 //! The start facts as the operators word them, read, given defaults and checked here for every host.
 
-use gingerwick::iface::{Effect, Facts, Lagging, Method, Need};
-use gingerwick::time::Span;
+use routing::iface::{Effect, Facts, Lagging, Method, Need};
+use routing::time::Span;
 use serde::Deserialize;
 
 #[derive(Deserialize)]
--- a/conf/src/settings.rs
+++ b/operator-config/src/settings.rs
@@ -3,7 +3,7 @@
 use crate::line::{split, Fault};
 use admission::turnstile::Turns;
 use admission::{Class, Prefixes};
-use gingerwick::time::Span;
+use routing::time::Span;
 use std::path::PathBuf;
 use std::time::Duration;
 
--- a/conf/tests/lines.rs
+++ b/operator-config/tests/lines.rs
@@ -1,6 +1,6 @@
 //! The operators' file: words, units, faults with their lines, and whatever text comes.
 
-use conf::{parse, split, Format, Identity};
+use operator_config::{parse, split, Format, Identity};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::path::PathBuf;
@@ -92,7 +92,7 @@
     let settings = parse(text).expect("all fit");
     let turns = settings.turns().expect("they have");
     assert_eq!((turns.at_once, turns.waiting, turns.repeats), (50, 200, Some(20)));
-    assert_eq!(turns.target, gingerwick::time::Span::millis(5));
+    assert_eq!(turns.target, routing::time::Span::millis(5));
 }
 
 proptest! {
--- a/recovery/src/group.rs
+++ b/recovery/src/group.rs
@@ -1,7 +1,7 @@
 //! What becomes of one group: whom the decision module may take for its primary. One table.
 
 use crate::proof::Verdict;
-use gingerwick::iface::{Clearance, StoreIx};
+use routing::iface::{Clearance, StoreIx};
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
--- a/recovery/src/lives.rs
+++ b/recovery/src/lives.rs
@@ -5,7 +5,7 @@
 //! [`APART`], the second no older than the first, with nothing of our own life in between. An empty one never
 //! is.
 
-use gingerwick::time::{Moment, Span};
+use routing::time::{Moment, Span};
 
 /// An old copy is in flight, or in a cache that is just being filled, for less.
 pub const APART: Span = Span::millis(2_000);
--- a/recovery/src/pace.rs
+++ b/recovery/src/pace.rs
@@ -1,7 +1,7 @@
 //! When what is known is saved: soon after a change, not for each one, and less often while the disk fails.
 
 use crate::store::Word;
-use gingerwick::time::{Moment, Span};
+use routing::time::{Moment, Span};
 
 /// A change waits so long for others that come with it.
 const SETTLE: Span = Span::millis(150);
--- a/recovery/src/proof.rs
+++ b/recovery/src/proof.rs
@@ -7,8 +7,8 @@
 
 use crate::store::{Standing, Store};
 use crate::trust::Step;
-use gingerwick::iface::{Role, StoreIx};
-use gingerwick::time::{Moment, Span};
+use routing::iface::{Role, StoreIx};
+use routing::time::{Moment, Span};
 
 /// What was known of a group before this start: no true primary has less.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/recovery/src/regain.rs
+++ b/recovery/src/regain.rs
@@ -5,8 +5,8 @@
 use crate::proof::{judge, Floor, Verdict};
 use crate::store::{self, Effect, Input, Standing, Store, Word};
 use crate::trust::{step, Step, Times};
-use gingerwick::iface::{Clearance, GroupIx, StoreIx, Told};
-use gingerwick::time::{Moment, Span};
+use routing::iface::{Clearance, GroupIx, StoreIx, Told};
+use routing::time::{Moment, Span};
 use std::collections::BTreeSet;
 
 /// Between two questions to a store of a group that is not proved yet, for the first and for later ones.
--- a/recovery/src/store.rs
+++ b/recovery/src/store.rs
@@ -1,7 +1,7 @@
 //! What becomes of one listed store: the table, and what is known of it since this start.
 
-use gingerwick::iface::{GroupIx, Role, Told};
-use gingerwick::time::Moment;
+use routing::iface::{GroupIx, Role, Told};
+use routing::time::Moment;
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
--- a/recovery/src/trust.rs
+++ b/recovery/src/trust.rs
@@ -1,7 +1,7 @@
 //! How far a kept list is believed at its age: the older, the fewer stores are asked and opened at once, and
 //! the more is asked before anything is sent.
 
-use gingerwick::time::{Moment, Span};
+use routing::time::{Moment, Span};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Age {
--- a/recovery/src/watch.rs
+++ b/recovery/src/watch.rs
@@ -6,7 +6,7 @@
 //! machine, which replies at once; what it has counts as told whether or not a watch is open, so no pause may
 //! be longer than half of the time in which sends to a draining store must cease.
 
-use gingerwick::time::{Moment, Span};
+use routing::time::{Moment, Span};
 
 /// From one word, a list or an empty line, to the next: bytes of a word that never ends are none.
 const SILENCE: Span = Span::millis(3_000);
--- a/recovery/tests/rules.rs
+++ b/recovery/tests/rules.rs
@@ -1,8 +1,6 @@
 //! Recovery under seeded random news, its rules checked after every step, and plain cases for what each guard
 //! is for.
 
-use gingerwick::iface::{Clearance, Role, Told};
-use gingerwick::time::{Moment, Span};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use recovery::group::Standing as GroupStanding;
@@ -12,6 +10,8 @@
 use recovery::regain::{Action, Event, Failure, Identity, Member, Regain};
 use recovery::store::{Standing, Word};
 use recovery::trust::{step, Age, Times};
+use routing::iface::{Clearance, Role, Told};
+use routing::time::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet};
 
 const DAY: i64 = 86_400_000;
--- a/recovery/tests/watch.rs
+++ b/recovery/tests/watch.rs
@@ -1,9 +1,9 @@
 //! The watch on discovery against its clock: what it misses counts as told 6 s after it fell silent.
 
-use gingerwick::time::{Moment, Span};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use recovery::watch::{Watching, OPENS_WITHIN};
+use routing::time::{Moment, Span};
 
 const TOLD: Span = Span::millis(6_000);
 /// An empty line comes so often.
--- a/tests/replay.rs
+++ b/routing/tests/replay.rs
@@ -9,10 +9,10 @@
 #[allow(dead_code)]
 mod support;
 
-use gingerwick::choice::Router;
-use gingerwick::iface::*;
-use gingerwick::rng::Mwc;
-use gingerwick::time::{Moment, Span};
+use routing::choice::Router;
+use routing::iface::*;
+use routing::rng::Mwc;
+use routing::time::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
 
--- a/tests/rules.rs
+++ b/routing/tests/rules.rs
@@ -2,11 +2,11 @@
 
 mod support;
 
-use gingerwick::choice::Router;
-use gingerwick::iface::*;
-use gingerwick::time::{Moment, Span};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use routing::choice::Router;
+use routing::iface::*;
+use routing::time::{Moment, Span};
 use support::*;
 
 const LAGGING: [Lagging; 3] = [Lagging::AnswersAnyway, Lagging::Refuses, Lagging::Holds(Span::millis(100))];
--- a/tests/slow_start.rs
+++ b/routing/tests/slow_start.rs
@@ -4,8 +4,8 @@
 #[allow(dead_code)]
 mod support;
 
-use gingerwick::iface::*;
-use gingerwick::time::{Moment, Span};
+use routing::iface::*;
+use routing::time::{Moment, Span};
 use std::collections::{BTreeSet, VecDeque};
 use support::*;
 
--- a/tests/support/mod.rs
+++ b/routing/tests/support/mod.rs
@@ -1,8 +1,8 @@
 //! A router under scripted events, with the rules checked after each of them.
 
-use gingerwick::choice::Router;
-use gingerwick::iface::*;
-use gingerwick::time::{Moment, Span};
+use routing::choice::Router;
+use routing::iface::*;
+use routing::time::{Moment, Span};
 use std::collections::BTreeMap;
 
 pub const TICK: Span = Span::millis(5);
--- a/front/src/admit.rs
+++ b/server/src/admit.rs
@@ -3,8 +3,8 @@
 use crate::ledger::Weight;
 use crate::pg::Head;
 use admission::turnstile::Client;
-use gingerwick::iface::{Facts, MethodIx, Need};
-use gingerwick::time::{Moment, Span};
+use routing::iface::{Facts, MethodIx, Need};
+use routing::time::{Moment, Span};
 use sessions::marks::Mark;
 use std::collections::HashMap;
 use std::ops::Range;
--- a/front/src/carry.rs
+++ b/server/src/carry.rs
@@ -1,8 +1,8 @@
 //! Sessions that their clients carry: tokens opened and sealed, what this front remembers of them beside.
 
 use crate::mailbox::{Answer, Seen};
-use gingerwick::rng::Mwc;
-use gingerwick::time::{Moment, Span};
+use routing::rng::Mwc;
+use routing::time::{Moment, Span};
 use sessions::kept::{Kept, MOST_KEPT};
 use sessions::marks::{Block, Mark, Marks};
 use sessions::token::{lasts, Keys, SessionId, Token, Unfit};
--- a/front/src/clock.rs
+++ b/server/src/clock.rs
@@ -1,7 +1,7 @@
 //! Time: a monotonic clock set by one look at the wall, and alarms that ring from a thread of their own.
 
 use crate::bell::Bell;
-use gingerwick::time::{Moment, Span};
+use routing::time::{Moment, Span};
 use std::collections::BTreeMap;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::mpsc::{channel, RecvTimeoutError, Sender};
--- a/front/src/command.rs
+++ b/server/src/command.rs
@@ -1,4 +1,4 @@
-//! The command line. `gingerwick` alone serves.
+//! The command line. `routing` alone serves.
 
 use crate::carry;
 use crate::exit::{self, Fault};
@@ -10,16 +10,16 @@
 use clap::builder::{PossibleValue, PossibleValuesParser};
 use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
-use gingerwick::time::Moment;
-use keep::{Dir, Kept, Loaded};
+use endpoint_cache::{Dir, Kept, Loaded};
 use recovery::trust::{step, STEPS};
+use routing::time::Moment;
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::time::{SystemTime, UNIX_EPOCH};
 
 /// A query router for sharded, replicated databases.
 #[derive(Parser)]
-#[command(name = "gingerwick", version, about)]
+#[command(name = "query-router", version, about)]
 struct Line {
     /// The operators' file; without one all that it sets is off
     #[arg(long, value_name = "FILE", env = "GINGERWICK_CONF", global = true)]
@@ -30,7 +30,7 @@
 
 #[derive(Subcommand)]
 enum What {
-    /// Serves until it is told to leave; so does `gingerwick` alone
+    /// Serves until it is told to leave; so does `routing` alone
     Serve,
     /// Reads the start facts and the operators' file and says all that is wrong with them; starts nothing
     Check,
@@ -86,14 +86,14 @@
         Some(What::List { what: ListWhat::Verify { path } }) => verify(&path),
         Some(What::Show { what, socket }) => ask(line.conf.as_deref(), socket, &what),
         Some(What::Completions { shell }) => {
-            clap_complete::generate(shell, &mut Line::command(), "gingerwick", &mut std::io::stdout());
+            clap_complete::generate(shell, &mut Line::command(), "query-router", &mut std::io::stdout());
             Ok(())
         }
     };
     match ended {
         Ok(()) => exit::OK,
         Err((code, words)) => {
-            words.iter().for_each(|line| eprintln!("gingerwick: {line}"));
+            words.iter().for_each(|line| eprintln!("query-router: {line}"));
             code
         }
     }
@@ -177,7 +177,7 @@
 fn show(path: &Path, json: bool) -> Result<(), Fault> {
     let loaded = load(path)?;
     for line in words(&loaded) {
-        eprintln!("gingerwick: {line}");
+        eprintln!("query-router: {line}");
     }
     let Some((kept, from)) = &loaded.kept else {
         return Err((exit::DATA, vec![format!("{}: no list that is whole", path.display())]));
--- a/front/src/discovery.rs
+++ b/server/src/discovery.rs
@@ -8,10 +8,10 @@
 use crate::log;
 use crate::news::News;
 use crate::wire::{Stop, Wire};
-use gingerwick::rng::Mwc;
 use may::sync::mpsc::Sender;
 use recovery::lives::{Lives, Offer, Verdict, LONGEST_ANEW};
 use recovery::watch::{Watching, OPENS_WITHIN};
+use routing::rng::Mwc;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
--- a/front/src/gate.rs
+++ b/server/src/gate.rs
@@ -8,7 +8,7 @@
 use admission::lobby::{Entrance, Lobby, Place};
 use admission::turnstile::Client;
 use admission::{Admission, Class, Fault, Pass, Prefixes, Refusal};
-use gingerwick::time::Span;
+use routing::time::Span;
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
--- a/front/src/hosts.rs
+++ b/server/src/hosts.rs
@@ -1,10 +1,10 @@
 //! The list of stores as discovery words it.
 
 use crate::clock;
-use gingerwick::iface::Standing;
-use gingerwick::time::Moment;
-use keep::{Kept, KeptStore};
+use endpoint_cache::{Kept, KeptStore};
 use recovery::trust::Times;
+use routing::iface::Standing;
+use routing::time::Moment;
 use serde::Deserialize;
 use std::net::SocketAddr;
 
--- a/front/src/keeper.rs
+++ b/server/src/keeper.rs
@@ -4,10 +4,10 @@
 use crate::clock::{duration, Clock};
 use crate::hosts::{Health, Host};
 use crate::log;
-use gingerwick::time::Span;
-use keep::{Dir, Fault, Kept, KeptStore, Said};
+use endpoint_cache::{Dir, Fault, Kept, KeptStore, Said};
 use recovery::pace::{is_news, Pace};
 use recovery::store::Word;
+use routing::time::Span;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
@@ -112,7 +112,7 @@
         }
         row.word = Some(word);
         let said = Said {
-            primary: word.role == Some(gingerwick::iface::Role::Primary),
+            primary: word.role == Some(routing::iface::Role::Primary),
             position_ms: word.position.map(|at| at.0 / 1_000_000),
             timeline: word.timeline,
             at_ms: wall_ms(),
--- a/front/src/launch.rs
+++ b/server/src/launch.rs
@@ -1,8 +1,8 @@
 //! The configuration file: read, checked and given defaults here, at the start and again on SIGHUP.
 
 use crate::hosts::Hosts;
-use gingerwick::iface::Facts;
-use hosting::facts::{self, BootInfo};
+use host_support::facts::{self, BootInfo};
+use routing::iface::Facts;
 use serde::Deserialize;
 use serde_json::{Map, Value};
 use std::collections::BTreeSet;
--- a/front/src/ledger.rs
+++ b/server/src/ledger.rs
@@ -2,7 +2,7 @@
 //! struck out when its entry drops, every buffer is weighed.
 
 use crate::mailbox::Mailbox;
-use gingerwick::time::{Moment, Span};
+use routing::time::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
--- a/front/src/log.rs
+++ b/server/src/log.rs
@@ -134,7 +134,7 @@
     }
 }
 
-/// `gingerwick: words (3 like this left out) rpc=7 store=s-1`
+/// `routing: words (3 like this left out) rpc=7 store=s-1`
 struct Text;
 
 #[derive(Default)]
--- a/front/src/look.rs
+++ b/server/src/look.rs
@@ -1,9 +1,9 @@
 //! What the owner shows of itself to whoever looks after the front: open RPCs and stores, as they stand.
 
 use crate::turns::TurnsLook;
-use gingerwick::choice::StoreLook;
-use gingerwick::iface::MethodIx;
-use gingerwick::time::Moment;
+use routing::choice::StoreLook;
+use routing::iface::MethodIx;
+use routing::time::Moment;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
--- a/front/src/mailbox.rs
+++ b/server/src/mailbox.rs
@@ -1,13 +1,13 @@
 //! A session's mailbox, where its answers are left, and the ticket by which each RPC gets one answer.
 
 use crate::log;
-use gingerwick::iface::RpcId;
-use gingerwick::time::Span;
 use may::io::WaitIoWaker;
+use routing::iface::RpcId;
+use routing::time::Span;
 use sessions::marks::Mark;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use writes::fate::Fate;
+use write_journal::fate::Fate;
 
 /// What an answer shows its session.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/front/src/news.rs
+++ b/server/src/news.rs
@@ -8,14 +8,14 @@
 use crate::pool::NoWire;
 use crate::turns::Set;
 use crate::writes::{Filed, Filing};
-use gingerwick::iface::{Outcome, RpcId, StoreIx, Told};
-use gingerwick::time::{Moment, Span};
-use keep::Kept;
+use endpoint_cache::Kept;
 use may::sync::mpsc::Sender;
+use routing::iface::{Outcome, RpcId, StoreIx, Told};
+use routing::time::{Moment, Span};
 use sessions::epochs::Epoch;
 use std::net::SocketAddr;
 use std::sync::{mpsc, Arc};
-use writes::fate::Origin;
+use write_journal::fate::Origin;
 
 pub enum News {
     Arrived(Admission, Query, Ticket),
--- a/front/src/operators.rs
+++ b/server/src/operators.rs
@@ -1,7 +1,7 @@
 //! The operators' file, read from disk: `--conf` or `GINGERWICK_CONF`. Without one all that it sets is off.
 
 use crate::log::Style;
-use conf::{Format, Settings};
+use operator_config::{Format, Settings};
 use std::path::{Path, PathBuf};
 
 /// More is no file of settings.
@@ -16,7 +16,8 @@
         return Err(vec![format!("{at}: {size} bytes, more than {MOST_BYTES}")]);
     }
     let text = std::fs::read_to_string(path).map_err(|why| vec![format!("{at}: {why}")])?;
-    conf::parse(&text).map_err(|faults| faults.iter().map(|fault| format!("{at}:{fault}")).collect())
+    operator_config::parse(&text)
+        .map_err(|faults| faults.iter().map(|fault| format!("{at}:{fault}")).collect())
 }
 
 pub fn style(settings: &Settings) -> Style {
--- a/front/src/owner.rs
+++ b/server/src/owner.rs
@@ -14,27 +14,27 @@
 use crate::tally::{Ending, Tally};
 use crate::turns::{Coming, Set, Turning};
 use crate::writes::{Filed, Filing, Writes};
-use gingerwick::choice::Router;
-use gingerwick::iface::{
-    Action, Arrival, Effect, End, Entry, Event, Facts, MethodIx, Need, Outcome, RpcId, Standing, StoreIx,
-    Told,
-};
-use gingerwick::time::{Moment, Span};
-use hosting::book::Book;
-use hosting::doors::Doors;
-use keep::Kept;
+use endpoint_cache::Kept;
+use host_support::book::Book;
+use host_support::doors::Doors;
 use may::sync::mpsc::Receiver;
 use recovery::proof::Floor;
 use recovery::regain::{Action as Task, Event as Regained, Failure, Identity, Member, Regain};
 use recovery::store::{Store, Word};
 use recovery::trust::Times;
+use routing::choice::Router;
+use routing::iface::{
+    Action, Arrival, Effect, End, Entry, Event, Facts, MethodIx, Need, Outcome, RpcId, Standing, StoreIx,
+    Told,
+};
+use routing::time::{Moment, Span};
 use sessions::epochs::{Epoch, Epochs, Verdict};
 use sessions::marks::Mark;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::Arc;
-use writes::fate::{Fate, Input, Token};
+use write_journal::fate::{Fate, Input, Token};
 
 /// What the book keeps of an RPC.
 struct Live {
--- a/front/src/pg.rs
+++ b/server/src/pg.rs
@@ -81,7 +81,7 @@
     /// User and database: who a session's token is given to.
     pub audience: String,
     pub user: String,
-    /// `gingerwick.session`: empty or `new` to begin a session, a token to go on with one.
+    /// `routing.session`: empty or `new` to begin a session, a token to go on with one.
     pub session: Option<String>,
 }
 
--- a/front/src/relay.rs
+++ b/server/src/relay.rs
@@ -3,7 +3,7 @@
 
 use crate::clock;
 use crate::pg;
-use gingerwick::iface::{Outcome, Role, Told};
+use routing::iface::{Outcome, Role, Told};
 use sessions::epochs::Epoch;
 use std::ops::Range;
 
--- a/front/src/session.rs
+++ b/server/src/session.rs
@@ -17,11 +17,11 @@
 use crate::writes::Writes;
 use admission::turnstile::Client;
 use admission::Prefixes;
-use gingerwick::iface::RpcId;
-use gingerwick::time::{Moment, Span};
 use may::io::WaitIo;
 use may::net::TcpStream;
 use may::sync::mpsc::Sender;
+use routing::iface::RpcId;
+use routing::time::{Moment, Span};
 use sessions::marks::Block;
 use std::collections::VecDeque;
 use std::io::{ErrorKind, IoSlice, Read, Write};
@@ -30,7 +30,7 @@
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
-use writes::fate::{Fate, Origin};
+use write_journal::fate::{Fate, Origin};
 
 /// Queries of one client answered side by side; what it sends beyond them stays unread.
 const MOST_PENDING: usize = 64;
--- a/front/src/shutdown.rs
+++ b/server/src/shutdown.rs
@@ -5,7 +5,7 @@
 use crate::clock::Alarms;
 use crate::log;
 use crate::mailbox::Mailbox;
-use gingerwick::time::Span;
+use routing::time::Span;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
--- a/front/src/start.rs
+++ b/server/src/start.rs
@@ -25,23 +25,23 @@
 use crate::tasks::{spawn, spawn_long_lived, STACK};
 use crate::turns::Set;
 use crate::writes::Writes;
-use conf::{Identity, Settings};
-use gingerwick::rng::Mwc;
-use gingerwick::time::Span;
-use keep::{Dir, Kept, KeptStore};
+use endpoint_cache::{Dir, Kept, KeptStore};
 use may::io::WaitIo;
 use may::net::TcpListener;
 use may::sync::mpsc::{channel, Sender};
+use operator_config::{Identity, Settings};
 use recovery::lives::Lives;
 use recovery::trust::Times;
 use recovery::watch::Watching;
+use routing::rng::Mwc;
+use routing::time::Span;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
-use writes::journal::{Bounds, Sync};
+use write_journal::journal::{Bounds, Sync};
 
 /// Runs until the front has left; an error is what hindered the start.
 pub fn run(conf: Conf) -> Result<(), Fault> {
@@ -215,9 +215,9 @@
 /// it does not start.
 fn journal(operators: &Settings) -> Result<Option<Arc<Writes>>, Fault> {
     let sync = match operators.write_journal {
-        conf::Journal::Off => return Ok(None),
-        conf::Journal::System => Sync::System,
-        conf::Journal::Disk => Sync::Disk,
+        operator_config::Journal::Off => return Ok(None),
+        operator_config::Journal::System => Sync::System,
+        operator_config::Journal::Disk => Sync::Disk,
     };
     let fault = |why: String| (exit::CONFIG, vec![format!("write-journal: {why}")]);
     let dir = operators.state_dir.as_ref().ok_or_else(|| fault("it needs a state-dir".into()))?;
@@ -235,9 +235,12 @@
 
 /// Descriptors that the front itself holds for what operators have set.
 fn own(operators: &Settings) -> usize {
-    let state = if operators.state_dir.is_some() { keep::DESCRIPTORS } else { 0 };
-    let journal =
-        if operators.write_journal == conf::Journal::Off { 0 } else { writes::journal::DESCRIPTORS };
+    let state = if operators.state_dir.is_some() { endpoint_cache::DESCRIPTORS } else { 0 };
+    let journal = if operators.write_journal == operator_config::Journal::Off {
+        0
+    } else {
+        write_journal::journal::DESCRIPTORS
+    };
     let socket = if operators.operators_socket.is_some() { hatch::DESCRIPTORS } else { 0 };
     state + journal + socket
 }
--- a/front/src/tally.rs
+++ b/server/src/tally.rs
@@ -1,10 +1,10 @@
 //! What is counted, for whoever looks after the front. Where nobody does, nothing is installed that counts,
 //! and each call ends at once.
 
-use gingerwick::iface::{MethodIx, Outcome};
-use gingerwick::time::Span;
 use metrics::{counter, histogram, Counter, Histogram};
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
+use routing::iface::{MethodIx, Outcome};
+use routing::time::Span;
 
 /// How an RPC was answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/front/src/turns.rs
+++ b/server/src/turns.rs
@@ -5,7 +5,7 @@
 use crate::mailbox::{Answer, Ticket};
 use admission::turnstile::{Ask, RpcId, Turn, Turns, Turnstile, Why};
 use admission::Class;
-use gingerwick::time::{Moment, Span};
+use routing::time::{Moment, Span};
 use std::collections::HashMap;
 
 /// An RPC on its way to the decisions.
--- a/front/src/writes.rs
+++ b/server/src/writes.rs
@@ -8,8 +8,8 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
-use writes::fate::{Fate, Input, Leave, Origin, Token, Uptime};
-use writes::journal::{Bounds, Journal, Now, Op, Reply, Sync, MOST_AT_ONCE};
+use write_journal::fate::{Fate, Input, Leave, Origin, Token, Uptime};
+use write_journal::journal::{Bounds, Journal, Now, Op, Reply, Sync, MOST_AT_ONCE};
 
 /// Whether a call-out may leave.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/front/tests/admission.rs
+++ b/server/tests/admission.rs
@@ -1,15 +1,15 @@
 //! Known clients and floods, on loopback's own addresses.
 
-use standins::client::{Answer, Client, Kind};
-use standins::daemon::Daemon;
-use standins::lone::Lone;
-use standins::store::free_address;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
+use test_servers::client::{Answer, Client, Kind};
+use test_servers::daemon::Daemon;
+use test_servers::lone::Lone;
+use test_servers::store::free_address;
 
 /// One primary and a front with few descriptors.
 struct Place {
@@ -20,7 +20,7 @@
 
 impl Place {
     fn new() -> Place {
-        let program = PathBuf::from(env!("CARGO_BIN_EXE_gingerwick"));
+        let program = PathBuf::from(env!("CARGO_BIN_EXE_query-router"));
         Place { lone: Lone::new(1), listen: free_address(), program }
     }
 
@@ -190,7 +190,7 @@
 /// The daemon under a limit of the process's own, by the shell.
 fn limited(place: &Place, descriptors: usize) -> PathBuf {
     let path = place.lone.folder.path().join("limited");
-    let daemon = env!("CARGO_BIN_EXE_gingerwick");
+    let daemon = env!("CARGO_BIN_EXE_query-router");
     let text = format!("#!/bin/sh\nulimit -n {descriptors}\nexec {daemon} \"$@\"\n");
     // By a process of its own: a child that another test starts while this one writes would hold the file open.
     let write = r#"printf %s "$1" > "$2" && chmod 755 "$2""#;
--- a/front/tests/attempts.rs
+++ b/server/tests/attempts.rs
@@ -1,18 +1,18 @@
 //! Attempts on real connections, with the owner taken away: what comes between the last look at a connection and
 //! the moment at which an RPC leaves on it.
 
-use front::admit::Query;
-use front::bell::Bell;
-use front::clock::{Alarms, Clock};
-use front::ledger::Ledger;
-use front::news::{CallOut, End, News};
-use front::pg;
-use front::pool::Pool;
-use front::send::call_out;
-use front::tasks::spawn;
-use gingerwick::iface::Outcome;
-use gingerwick::time::Span;
 use may::sync::mpsc::{channel, Receiver, Sender};
+use routing::iface::Outcome;
+use routing::time::Span;
+use server::admit::Query;
+use server::bell::Bell;
+use server::clock::{Alarms, Clock};
+use server::ledger::Ledger;
+use server::news::{CallOut, End, News};
+use server::pg;
+use server::pool::Pool;
+use server::send::call_out;
+use server::tasks::spawn;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
--- a/front/tests/fates.rs
+++ b/server/tests/fates.rs
@@ -1,16 +1,16 @@
 //! What a client is told of a write that it asks about again, through kills of the front that had it.
 
-use gingerwick::rng::Mwc;
-use standins::client::{Answer, Client, Kind};
-use standins::daemon::Daemon;
-use standins::lone::Lone;
-use standins::store::{free_address, MEMORY_MS};
+use routing::rng::Mwc;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
+use test_servers::client::{Answer, Client, Kind};
+use test_servers::daemon::Daemon;
+use test_servers::lone::Lone;
+use test_servers::store::{free_address, MEMORY_MS};
 
 /// One primary, which takes a few milliseconds for each write, and two fronts with journals of their own.
 struct Place {
@@ -26,7 +26,7 @@
     fn start(&self, nth: usize) -> Daemon {
         let folder = self.lone.folder.path().join(format!("front-{nth}"));
         let conf = format!("state-dir {}\nwrite-journal system\n", folder.join("state").display());
-        let program = Path::new(env!("CARGO_BIN_EXE_gingerwick"));
+        let program = Path::new(env!("CARGO_BIN_EXE_query-router"));
         self.lone.start(program, &folder, self.listen[nth], 512, &conf)
     }
 
--- a/front/tests/histories.rs
+++ b/server/tests/histories.rs
@@ -1,13 +1,13 @@
 //! Sessions and writes through kills of fronts, moves, lag and a switch that loses the tail of a log: the
 //! checker judges what clients saw by what stores ran.
 
-use standins::sessions::{play, Plan, Played};
-use standins::starts::Build;
 use std::path::Path;
+use test_servers::sessions::{play, Plan, Played};
+use test_servers::starts::Build;
 
 #[test]
 fn through_kills_moves_lag_and_a_switch_no_guarantee_breaks() {
-    let build = Build { program: Path::new(env!("CARGO_BIN_EXE_gingerwick")), keeps: true };
+    let build = Build { program: Path::new(env!("CARGO_BIN_EXE_query-router")), keeps: true };
     let mut sum = Played::default();
     for seed in 1..=6 {
         let plan = Plan::draw(seed, 8);
--- a/front/tests/loopback/main.rs
+++ b/server/tests/loopback/main.rs
@@ -4,8 +4,8 @@
 mod rare;
 mod watch;
 
-use front::pg;
 use place::*;
+use server::pg;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
--- a/front/tests/loopback/place.rs
+++ b/server/tests/loopback/place.rs
@@ -1,6 +1,6 @@
 //! A front as a child process, a client of it, stand-ins for two stores and for discovery.
 
-use front::pg;
+use server::pg;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -191,7 +191,7 @@
 pub fn launch(config: &str, listen: SocketAddr, discovery: SocketAddr) -> Child {
     let path = config_at(listen);
     std::fs::write(&path, config).expect("a writable folder");
-    Command::new(env!("CARGO_BIN_EXE_gingerwick"))
+    Command::new(env!("CARGO_BIN_EXE_query-router"))
         .env("ROUTER_CONFIG", &path)
         .env("ROUTER_NAME", "n0")
         .env("ROUTER_LISTEN", listen.to_string())
--- a/front/tests/loopback/rare.rs
+++ b/server/tests/loopback/rare.rs
@@ -1,7 +1,7 @@
 //! Rare moments, each made to happen: who leaves, what still comes while the front leaves.
 
 use crate::place::*;
-use front::pg;
+use server::pg;
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::sync::mpsc::{channel, Sender};
--- a/front/tests/messages.rs
+++ b/server/tests/messages.rs
@@ -1,16 +1,16 @@
 //! The message code, the outcome table, the ledger and discovery's stream, without a socket.
 
-use front::clock::{from_unix_ms, from_unix_s};
-use front::discovery::{Stream, Word};
-use front::hosts::{Host, Hosts};
-use front::ledger::{Ledger, Share};
-use front::pg::{self, Hello, Statement};
-use front::relay::{report, Reply};
-use front::take_in::{Item, TakeIn};
-use gingerwick::iface::{Outcome, Role, Standing};
-use gingerwick::time::Moment;
-use hosting::book::Book;
+use host_support::book::Book;
 use proptest::prelude::*;
+use routing::iface::{Outcome, Role, Standing};
+use routing::time::Moment;
+use server::clock::{from_unix_ms, from_unix_s};
+use server::discovery::{Stream, Word};
+use server::hosts::{Host, Hosts};
+use server::ledger::{Ledger, Share};
+use server::pg::{self, Hello, Statement};
+use server::relay::{report, Reply};
+use server::take_in::{Item, TakeIn};
 use std::collections::BTreeMap;
 
 const GET: &str = "/* id=9b1f03aa5c7e2d41,c=basket,d=480,cluster=2,after=1767225600123,r=1 */ \
--- a/front/tests/owner.rs
+++ b/server/tests/owner.rs
@@ -1,21 +1,21 @@
 //! The router's owner with the sockets taken away: what it answers, and what a panic leaves behind.
 
-use front::admit::{Admission, Query};
-use front::clock::{Alarms, Clock};
-use front::hosts::{Health, Host};
-use front::ledger::Ledger;
-use front::mailbox::{Answer, Mailbox, Ticket};
-use front::news::News;
-use front::owner::Owner;
-use front::pool::Pool;
-use front::send::Outlet;
-use front::tally::Tally;
-use front::tasks::spawn;
-use gingerwick::time::Span;
-use hosting::facts::{facts, BootInfo};
+use host_support::facts::{facts, BootInfo};
 use may::io::WaitIo;
 use may::net::TcpStream;
 use may::sync::mpsc::{channel, Sender};
+use routing::time::Span;
+use server::admit::{Admission, Query};
+use server::clock::{Alarms, Clock};
+use server::hosts::{Health, Host};
+use server::ledger::Ledger;
+use server::mailbox::{Answer, Mailbox, Ticket};
+use server::news::News;
+use server::owner::Owner;
+use server::pool::Pool;
+use server::send::Outlet;
+use server::tally::Tally;
+use server::tasks::spawn;
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
--- a/front/tests/sessions.rs
+++ b/server/tests/sessions.rs
@@ -1,17 +1,17 @@
 //! Sessions that their clients carry, over two fronts, lag, restarts and a switch that loses the tail of a
 //! log.
 
-use standins::client::{Answer, Client, Kind, Record};
-use standins::daemon::{Daemon, Start};
-use standins::discovery::{host, Discovery, Mode};
-use standins::starts::settings;
-use standins::store::{free_address, serve, Served};
-use standins::world::{Branch, Cold, Machine, Reach, World};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
+use test_servers::client::{Answer, Client, Kind, Record};
+use test_servers::daemon::{Daemon, Start};
+use test_servers::discovery::{host, Discovery, Mode};
+use test_servers::starts::settings;
+use test_servers::store::{free_address, serve, Served};
+use test_servers::world::{Branch, Cold, Machine, Reach, World};
 
 const KEYS: [&str; 2] = [
     "1 000102030405060708090a0b0c0d0e0f\n",
@@ -58,7 +58,7 @@
         let facts = format!(r#"{{"seed":"{nth}","settings":{}}}"#, settings());
         let conf = format!("session-keys {}\nsession-lasts 10s\n", self.folder.path().join("keys").display());
         let start = Start {
-            program: Path::new(env!("CARGO_BIN_EXE_gingerwick")),
+            program: Path::new(env!("CARGO_BIN_EXE_query-router")),
             facts: &facts,
             conf: Some(&conf),
             folder: &folder,
@@ -170,7 +170,7 @@
     // The heir lacks the last 400 ms, the session's write among them; the former primary is gone.
     {
         let mut truth = place.world.lock();
-        let now = standins::world::unix_ms();
+        let now = test_servers::world::unix_ms();
         let fork = truth.position(1, now);
         truth.promote(1, false, fork);
         truth.machines[0].reach = Reach::Silent;
--- a/front/tests/starts.rs
+++ b/server/tests/starts.rs
@@ -1,22 +1,22 @@
 //! Starts with and without discovery, on sockets: drawn faults, a state directory through kills, what the
 //! command line and the log say.
 
-use keep::{Dir, Kept, KeptStore};
-use standins::client::{Answer, Client, Kind};
-use standins::daemon::{Daemon, Start};
-use standins::discovery::{host, Discovery, Mode};
-use standins::each_seed;
-use standins::starts::{play, settings, Build, Plan, Times};
-use standins::store::{free_address, serve, Served};
-use standins::world::{unix_ms, Branch, Cold, Machine, World};
+use endpoint_cache::{Dir, Kept, KeptStore};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
+use test_servers::client::{Answer, Client, Kind};
+use test_servers::daemon::{Daemon, Start};
+use test_servers::discovery::{host, Discovery, Mode};
+use test_servers::each_seed;
+use test_servers::starts::{play, settings, Build, Plan, Times};
+use test_servers::store::{free_address, serve, Served};
+use test_servers::world::{unix_ms, Branch, Cold, Machine, World};
 
-const DAEMON: &str = env!("CARGO_BIN_EXE_gingerwick");
+const DAEMON: &str = env!("CARGO_BIN_EXE_query-router");
 
 #[test]
 fn with_discovery_down_and_an_untrue_list_no_rule_breaks_and_writes_flow_once_they_may() {
@@ -251,7 +251,7 @@
 
     assert_eq!(run(&["frobnicate"], &facts).0, Some(64));
     assert_eq!(run(&["--help"], &facts).0, Some(0));
-    assert!(run(&["completions", "bash"], &facts).1.contains("gingerwick"));
+    assert!(run(&["completions", "bash"], &facts).1.contains("query-router"));
     let state = folder.path().to_str().expect("text");
     assert_eq!(run(&["list", "show", "/nowhere/at/all"], &facts).0, Some(66));
     assert_eq!(run(&["list", "verify", state], &facts).0, Some(65));
--- a/sessions/src/epochs.rs
+++ b/sessions/src/epochs.rs
@@ -2,7 +2,7 @@
 //! lies on it.
 
 use crate::marks::{Block, Mark};
-use gingerwick::time::Moment;
+use routing::time::Moment;
 use std::collections::BTreeMap;
 
 /// Epochs kept a group, the latest ones. A mark from an earlier one is judged by the oldest that is kept.
--- a/sessions/src/kept.rs
+++ b/sessions/src/kept.rs
@@ -4,7 +4,7 @@
 
 use crate::marks::Marks;
 use crate::token::SessionId;
-use gingerwick::time::{Moment, Span};
+use routing::time::{Moment, Span};
 use std::collections::{BTreeSet, HashMap};
 
 /// Sessions that a front remembers at most, some 200 bytes each.
--- a/sessions/src/marks.rs
+++ b/sessions/src/marks.rs
@@ -1,7 +1,7 @@
 //! What a session has seen of each group: the furthest position that a read showed it or a write of its own
 //! got.
 
-use gingerwick::time::Moment;
+use routing::time::Moment;
 
 /// A group as every front names it: the list's own number.
 pub type Block = i64;
--- a/sessions/src/token.rs
+++ b/sessions/src/token.rs
@@ -8,8 +8,8 @@
 use crate::marks::{Block, Mark, Marks, MOST_MARKS};
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use base64::Engine;
-use gingerwick::time::{Moment, Span};
 use hmac::{Hmac, Mac};
+use routing::time::{Moment, Span};
 use sha2::Sha256;
 use std::collections::BTreeMap;
 use std::fmt;
--- a/sessions/tests/earlier_build.rs
+++ b/sessions/tests/earlier_build.rs
@@ -1,7 +1,7 @@
 //! A session's token that an earlier build gave out stays valid. `tests/data/token` was sealed by the build of commit
 //! 0eda158 with the keys in `tests/data/keys`, not by the code under test.
 
-use gingerwick::time::Moment;
+use routing::time::Moment;
 use sessions::marks::Mark;
 use sessions::token::{Keys, Unfit};
 
--- a/sessions/tests/guarantees.rs
+++ b/sessions/tests/guarantees.rs
@@ -1,9 +1,9 @@
 //! Marks, epochs, tokens: what each refuses, and a random life of sessions over fronts, judged by a history
 //! of its own.
 
-use gingerwick::time::{Moment, Span};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use routing::time::{Moment, Span};
 use sessions::epochs::{Epoch, Epochs, Verdict};
 use sessions::kept::Kept;
 use sessions::marks::{Mark, Marks, MOST_MARKS};
--- a/simhost/src/host.rs
+++ b/simulator-adapter/src/host.rs
@@ -1,12 +1,12 @@
 //! One [`Front`] an instance: a router, and the maps between the wire's ids and its indices.
 
 use crate::wire::{self, Availability, How, In, Out, Record, Status};
-use gingerwick::choice::Router;
-use gingerwick::iface::{Action, Arrival, End, Entry, Event, Need, Outcome, Role, RpcId, Standing, Told};
-use gingerwick::time::{Moment, Span};
-use hosting::book::Book;
-use hosting::doors::Doors;
-use hosting::facts::{self, BootInfo};
+use host_support::book::Book;
+use host_support::doors::Doors;
+use host_support::facts::{self, BootInfo};
+use routing::choice::Router;
+use routing::iface::{Action, Arrival, End, Entry, Event, Need, Outcome, Role, RpcId, Standing, Told};
+use routing::time::{Moment, Span};
 use std::collections::{BTreeMap, HashMap};
 use std::io::Write;
 
--- a/simhost/src/main.rs
+++ b/simulator-adapter/src/main.rs
@@ -34,6 +34,6 @@
 }
 
 fn broken(line: u64, why: &str) -> ExitCode {
-    eprintln!("gingerwick-simhost: line {line}: {why}");
+    eprintln!("simulator-adapter: line {line}: {why}");
     ExitCode::FAILURE
 }
--- a/simhost/src/wire.rs
+++ b/simulator-adapter/src/wire.rs
@@ -1,6 +1,6 @@
 //! The wire's messages, by its own names.
 
-use hosting::facts::BootInfo;
+use host_support::facts::BootInfo;
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 
--- a/standins/src/bin/sessions.rs
+++ b/test-servers/src/bin/sessions.rs
@@ -1,12 +1,12 @@
 //! Plays sessions through kills, moves, lag and a switch against one build or two, and says which guarantees
 //! broke.
 
-use checker::Verdict;
 use clap::Parser;
-use standins::each_seed;
-use standins::sessions::{play, Plan, Played};
-use standins::starts::Build;
+use history_checker::Verdict;
 use std::path::PathBuf;
+use test_servers::each_seed;
+use test_servers::sessions::{play, Plan, Played};
+use test_servers::starts::Build;
 
 /// Sessions and writes while fronts are killed.
 #[derive(Parser)]
--- a/standins/src/bin/starts.rs
+++ b/test-servers/src/bin/starts.rs
@@ -1,11 +1,11 @@
 //! Plays starts with discovery down against one build or two, and says what broke.
 
-use checker::Verdict;
 use clap::{Parser, ValueEnum};
-use standins::each_seed;
-use standins::starts::{play, rate, Build, Plan, Times};
+use history_checker::Verdict;
 use std::path::PathBuf;
 use std::time::Duration;
+use test_servers::each_seed;
+use test_servers::starts::{play, rate, Build, Plan, Times};
 
 #[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
 enum What {
--- a/standins/src/bin/writes.rs
+++ b/test-servers/src/bin/writes.rs
@@ -3,19 +3,19 @@
 
 use clap::Parser;
 use hdrhistogram::Histogram;
-use standins::client::{Answer, Client, Kind};
-use standins::daemon::Daemon;
-use standins::lone::Lone;
-use standins::store::free_address;
-use standins::world::unix_ms;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
-use writes::fate::Input;
-use writes::journal::{Bounds, Journal, Op, Sync};
+use test_servers::client::{Answer, Client, Kind};
+use test_servers::daemon::Daemon;
+use test_servers::lone::Lone;
+use test_servers::store::free_address;
+use test_servers::world::unix_ms;
+use write_journal::fate::Input;
+use write_journal::journal::{Bounds, Journal, Op, Sync};
 
 /// The cost of keeping writes on record.
 #[derive(Parser)]
--- a/standins/src/client.rs
+++ b/test-servers/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::message::{self, field};
 use crate::world::unix_ms;
-pub use checker::{Answer, Kind, Record};
+pub use history_checker::{Answer, Kind, Record};
 use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::time::Duration;
--- a/standins/src/store.rs
+++ b/test-servers/src/store.rs
@@ -2,7 +2,7 @@
 
 use crate::message::{self, error, parameter, ready, row};
 use crate::world::{unix_ms, Reach, StoreIx, Truth, World};
-use checker::{Rule, Run};
+use history_checker::{Rule, Run};
 use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
--- a/standins/src/world.rs
+++ b/test-servers/src/world.rs
@@ -4,7 +4,7 @@
 //! stood so long ago as it lags, and stands still while its link is cut or its upstream is dead. A promotion
 //! forks a branch: what the former primary goes on writing is on a branch that is dead.
 
-use checker::{includes, Fate, History, Offence, Point, Record, Rule, Run};
+use history_checker::{includes, Fate, History, Offence, Point, Record, Rule, Run};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
--- a/writes/tests/earlier_build.rs
+++ b/write-journal/tests/earlier_build.rs
@@ -2,8 +2,8 @@
 //! commit 0eda158, not by the code under test; zeros at the end of its log, up to 64 MiB, were cut off.
 
 use std::path::Path;
-use writes::fate::{Fate, Input, Leave, Origin, Token, Uptime};
-use writes::journal::{Bounds, Journal, Now, Op, Reply, Sync};
+use write_journal::fate::{Fate, Input, Leave, Origin, Token, Uptime};
+use write_journal::journal::{Bounds, Journal, Now, Op, Reply, Sync};
 
 /// What the log file is set aside as.
 const LOG_BYTES: u64 = 64 << 20;
--- a/writes/tests/fates.rs
+++ b/write-journal/tests/fates.rs
@@ -7,8 +7,8 @@
 use std::io::{BufRead, BufReader, Write};
 use std::path::Path;
 use std::process::{Command, Stdio};
-use writes::fate::{fate, next, Fate, Input, Known, Leave, Origin, State, Token, Uptime};
-use writes::journal::{Bounds, Journal, Now, Op, Reply, Sync};
+use write_journal::fate::{fate, next, Fate, Input, Known, Leave, Origin, State, Token, Uptime};
+use write_journal::journal::{Bounds, Journal, Now, Op, Reply, Sync};
 
 const BOUNDS: Bounds = Bounds { most: 1_000, age_ms: 60_000 };
 
