--- /dev/null
+++ b/admission/src/concurrency_limiter/mod.rs
@@ -0,0 +1,559 @@
+//! How many requests are in flight at once, which is next if there are more, and which are shed before anything was spent on
+//! them.
+//!
+//! While there is capacity every request is admitted. Once the server is full, each class has the share of it that its weight
+//! gives, and within a class each client has the same; what one does not use is the others'. A request that waits for too long
+//! is shed at once: for a client whose requests have waited without a break for [`INTERVAL`], the target counts, so a standing
+//! queue is short, and one that came by chance may be worked off. That rule is controlled delay (CoDel) as in Maurer, *Fail at
+//! Scale* (ACM Queue 13:8, 2015), kept for each client by itself.
+
+mod fair_queue;
+
+use crate::client_address::{AddressPrefixes, ClientAddress};
+use crate::client_class::{ClientClass, DEFAULT_CLASS};
+use crate::retry_after_jitter::RetryAfterJitter;
+use crate::retry_budget::RetryBudgets;
+use fair_queue::{ClassQueue, Flow, FlowChange, VIRTUAL_SERVICE};
+use routing::time::{TimeDelta, Timestamp};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::IpAddr;
+use std::sync::Arc;
+
+/// A number that the host gives each request, never twice.
+pub type RequestId = u64;
+
+/// Whom requests are counted for: an address, as a client of a class.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClientKey {
+    /// The class.
+    pub class: Arc<str>,
+    /// The address.
+    pub address: ClientAddress,
+}
+
+impl ClientKey {
+    /// A client of the default class.
+    pub fn unclassified(from: IpAddr, prefixes: AddressPrefixes) -> ClientKey {
+        ClientKey { class: DEFAULT_CLASS.into(), address: ClientAddress::new(from, prefixes) }
+    }
+}
+
+/// How the limiter is set.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConcurrencyLimits {
+    /// Requests in flight: 1 to 100,000.
+    pub max_in_flight: usize,
+    /// Requests that wait at most.
+    pub max_waiting: usize,
+    /// How long a request may wait whose client's requests have waited without a break.
+    pub target_wait: TimeDelta,
+    /// Retries per hundred first attempts, if they have a budget.
+    pub retry_percent: Option<u32>,
+}
+
+/// How long a queue may stand before it is kept short.
+pub const INTERVAL: TimeDelta = TimeDelta::from_millis(100);
+
+/// Why a request is shed. It was not worked on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ShedReason {
+    /// The retry budget is used up.
+    RetryBudget,
+    /// Its class has as many requests here as it may.
+    ClassLimit,
+    /// The queue is full, and its client has most of it.
+    QueueFull,
+    /// Another request has its place: its client had most of the queue.
+    Displaced,
+    /// It waited as long as it may.
+    WaitedTooLong,
+}
+
+impl ShedReason {
+    /// All reasons.
+    pub const ALL: [ShedReason; 5] = [
+        ShedReason::RetryBudget,
+        ShedReason::ClassLimit,
+        ShedReason::QueueFull,
+        ShedReason::Displaced,
+        ShedReason::WaitedTooLong,
+    ];
+
+    /// Its label in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            ShedReason::RetryBudget => "repeats",
+            ShedReason::ClassLimit => "rpcs",
+            ShedReason::QueueFull => "crowd",
+            ShedReason::Displaced => "displaced",
+            ShedReason::WaitedTooLong => "waited",
+        }
+    }
+}
+
+/// A request that was shed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoadShed {
+    /// The request.
+    pub request: RequestId,
+    /// The class of its client.
+    pub class: Arc<str>,
+    /// Why.
+    pub reason: ShedReason,
+    /// When its client may come back.
+    pub retry_after: TimeDelta,
+}
+
+/// A request has come.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// The request.
+    pub request: RequestId,
+    /// Its client.
+    pub client: ClientKey,
+    /// Its client says that it sent the request before.
+    pub is_retry: bool,
+    /// When its client gives it up.
+    pub deadline: Timestamp,
+}
+
+/// What the limiter has decided. Each request that has come is admitted or shed, once, unless it is removed before.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// The request is in flight from now on.
+    Admit {
+        /// The request.
+        request: RequestId,
+        /// How long it waited.
+        waited: TimeDelta,
+    },
+    /// The request is shed.
+    Shed(LoadShed),
+}
+
+/// What the decision on a request that has come is made from.
+struct Case {
+    is_retry: bool,
+    within_retry_budget: bool,
+    class_requests: usize,
+    max_class_requests: usize,
+    in_flight: usize,
+    max_in_flight: usize,
+    waiting: usize,
+    max_waiting: usize,
+    /// Requests of its client that wait, in proportion to the client's weight, with this one.
+    queue_share: u64,
+    /// The greatest of any client.
+    max_queue_share: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    Admit,
+    Wait,
+    /// It waits in place of another.
+    Displace,
+    Shed(ShedReason),
+}
+
+type Row = (fn(&Case) -> bool, Step);
+
+/// The first row that fits counts.
+const TABLE: &[Row] = &[
+    (|case| case.is_retry && !case.within_retry_budget, Step::Shed(ShedReason::RetryBudget)),
+    (|case| case.class_requests >= case.max_class_requests, Step::Shed(ShedReason::ClassLimit)),
+    (|case| case.in_flight < case.max_in_flight, Step::Admit),
+    (|case| case.waiting < case.max_waiting, Step::Wait),
+    (|case| case.queue_share < case.max_queue_share, Step::Displace),
+    (|_| true, Step::Shed(ShedReason::QueueFull)),
+];
+
+/// A request that is here.
+#[derive(Debug)]
+enum Request {
+    Waiting {
+        client: ClientKey,
+        since: Timestamp,
+        /// Whatever other requests do, it is shed then.
+        until: Timestamp,
+    },
+    InFlight(ClientKey),
+}
+
+/// A client that was served is remembered for this time: otherwise one that sends few requests, or was told that it waited
+/// for too long, would be served behind one that is always here.
+const IDLE_CLIENT_TTL: TimeDelta = TimeDelta::from_millis(5_000);
+/// Idle clients that are remembered at most, some 150 bytes each. A client that comes from so many other addresses in that
+/// time can have the share that it has used forgotten, once per address.
+pub const MAX_IDLE_CLIENTS: usize = 1 << 16;
+
+/// The requests that are in flight, and those that wait.
+pub struct ConcurrencyLimiter {
+    limits: ConcurrencyLimits,
+    classes: Vec<ClientClass>,
+    requests: HashMap<RequestId, Request>,
+    queues: BTreeMap<Arc<str>, ClassQueue>,
+    in_flight: usize,
+    waiting: usize,
+    /// The virtual time of the classes.
+    virtual_time: u64,
+    /// Changes of clients, counted: ties in the order of clients go to the one that came first.
+    changes: u64,
+    /// When each request that waits is shed, whatever others do.
+    expiries: BTreeSet<(Timestamp, RequestId)>,
+    /// When the first request of each client has waited for too long by the target.
+    head_expiries: BTreeSet<(Timestamp, ClientKey)>,
+    /// Clients without requests here, by since when.
+    idle: BTreeSet<(Timestamp, ClientKey)>,
+    /// Clients with requests that wait, by their share of the queue.
+    queue_shares: BTreeSet<(u64, ClientKey)>,
+    retry_budgets: Option<RetryBudgets<ClientKey>>,
+    jitter: RetryAfterJitter,
+    /// Requests shed since the start, by class and reason.
+    shed: BTreeMap<(Arc<str>, ShedReason), u64>,
+}
+
+fn retry_budgets(limits: ConcurrencyLimits) -> Option<RetryBudgets<ClientKey>> {
+    limits.retry_percent.map(|percent| RetryBudgets::new(percent, limits.max_in_flight))
+}
+
+impl ConcurrencyLimiter {
+    /// For a server that may tell clients to stay away for `max_retry_after` at most.
+    pub fn new(
+        limits: ConcurrencyLimits,
+        classes: Vec<ClientClass>,
+        max_retry_after: TimeDelta,
+        seed: u64,
+    ) -> ConcurrencyLimiter {
+        ConcurrencyLimiter {
+            limits,
+            classes,
+            requests: HashMap::new(),
+            queues: BTreeMap::new(),
+            in_flight: 0,
+            waiting: 0,
+            virtual_time: 0,
+            changes: 0,
+            expiries: BTreeSet::new(),
+            head_expiries: BTreeSet::new(),
+            idle: BTreeSet::new(),
+            queue_shares: BTreeSet::new(),
+            retry_budgets: retry_budgets(limits),
+            jitter: RetryAfterJitter::new(limits.max_in_flight, max_retry_after, seed),
+            shed: BTreeMap::new(),
+        }
+    }
+
+    /// Changes the limits. No request that is here is shed for it.
+    pub fn set_limits(
+        &mut self,
+        now: Timestamp,
+        limits: ConcurrencyLimits,
+        classes: Vec<ClientClass>,
+        decisions: &mut Vec<Decision>,
+    ) {
+        let budget_changed = limits.retry_percent != self.limits.retry_percent
+            || limits.max_in_flight != self.limits.max_in_flight;
+        if budget_changed {
+            self.retry_budgets = retry_budgets(limits);
+        }
+        self.limits = limits;
+        self.classes = classes;
+        let classes = &self.classes;
+        let class = |name: &Arc<str>| classes.iter().find(|class| class.name == *name);
+        self.queues.retain(|name, queue| !queue.is_idle() || class(name).is_some());
+        for (name, queue) in &mut self.queues {
+            queue.set_limits(class(name));
+        }
+        let clients = std::mem::take(&mut self.queue_shares);
+        let with_new_shares = clients.into_iter().map(|(_, client)| (self.queue_share(&client), client));
+        self.queue_shares = with_new_shares.collect();
+        self.admit_next(now, decisions);
+    }
+
+    /// The limits.
+    pub fn limits(&self) -> ConcurrencyLimits {
+        self.limits
+    }
+
+    fn queue(&mut self, class: &Arc<str>) -> &mut ClassQueue {
+        let classes = &self.classes;
+        let new_queue = || ClassQueue::new(classes.iter().find(|known| known.name == *class));
+        self.queues.entry(class.clone()).or_insert_with(new_queue)
+    }
+
+    fn flow(&self, client: &ClientKey) -> Option<&Flow> {
+        self.queues.get(&client.class)?.flow(client.address)
+    }
+
+    fn queue_share(&self, client: &ClientKey) -> u64 {
+        let waiting = self.flow(client).map_or(0, Flow::waiting);
+        self.queues.get(&client.class).map_or(0, |queue| queue.queue_share(waiting))
+    }
+
+    /// A request has come.
+    pub fn arrive(&mut self, now: Timestamp, arrival: Arrival, decisions: &mut Vec<Decision>) {
+        self.tick(now, decisions);
+        let case = self.case(now, &arrival);
+        let step = TABLE.iter().find(|(fits, _)| fits(&case)).map_or(Step::Admit, |(_, step)| *step);
+        let Arrival { request, client, is_retry, deadline } = arrival;
+        if let Step::Shed(reason) = step {
+            return self.shed(now, request, client.class, reason, decisions);
+        }
+        if let Some(budgets) = &mut self.retry_budgets {
+            budgets.admitted(now, &client, is_retry);
+        }
+        if step == Step::Displace {
+            self.displace(now, decisions);
+        }
+        if step == Step::Admit {
+            self.start(now, &client);
+            self.requests.insert(request, Request::InFlight(client));
+            decisions.push(Decision::Admit { request, waited: TimeDelta::ZERO });
+        } else {
+            self.enqueue(now, request, client, deadline);
+        }
+    }
+
+    fn case(&mut self, now: Timestamp, arrival: &Arrival) -> Case {
+        let client = &arrival.client;
+        let budgets = self.retry_budgets.as_ref();
+        let within_retry_budget = budgets.is_none_or(|budgets| budgets.allows_retry(now, client));
+        let max_queue_share = self.queue_shares.last().map_or(0, |(share, _)| *share);
+        let (limits, in_flight, waiting) = (self.limits, self.in_flight, self.waiting);
+        let queue = self.queue(&client.class);
+        let client_waiting = queue.flow(client.address).map_or(0, Flow::waiting);
+        Case {
+            is_retry: arrival.is_retry,
+            within_retry_budget,
+            class_requests: queue.requests(),
+            max_class_requests: queue.max_requests(),
+            in_flight,
+            max_in_flight: limits.max_in_flight,
+            waiting,
+            max_waiting: limits.max_waiting,
+            queue_share: queue.queue_share(client_waiting + 1),
+            max_queue_share,
+        }
+    }
+
+    fn enqueue(&mut self, now: Timestamp, request: RequestId, client: ClientKey, deadline: Timestamp) {
+        // No more than a quarter of what its client waits: what follows takes its time as well.
+        let until = now + INTERVAL.min((deadline - now) / 4);
+        self.expiries.insert((until, request));
+        self.requests.insert(request, Request::Waiting { client: client.clone(), since: now, until });
+        self.update_client(now, &client, |flow| flow.push(request, now));
+    }
+
+    /// The newest request of the client with the greatest share of the queue is shed.
+    fn displace(&mut self, now: Timestamp, decisions: &mut Vec<Decision>) {
+        let Some((_, client)) = self.queue_shares.last().cloned() else { return };
+        if let Some(request) = self.flow(&client).and_then(Flow::newest) {
+            self.dequeue(now, request);
+            self.shed(now, request, client.class, ShedReason::Displaced, decisions);
+        }
+    }
+
+    /// A request has ended, or its client is gone.
+    pub fn remove(&mut self, now: Timestamp, request: RequestId, decisions: &mut Vec<Decision>) {
+        match self.requests.get(&request) {
+            None => return,
+            Some(Request::Waiting { .. }) => self.dequeue(now, request),
+            Some(Request::InFlight(client)) => {
+                let client = client.clone();
+                self.requests.remove(&request);
+                self.in_flight -= 1;
+                self.queue(&client.class).in_flight -= 1;
+                self.update_client(now, &client, |flow| flow.in_flight -= 1);
+            }
+        }
+        self.tick(now, decisions);
+        self.admit_next(now, decisions);
+    }
+
+    /// Sheds requests that have waited for too long.
+    pub fn tick(&mut self, now: Timestamp, decisions: &mut Vec<Decision>) {
+        while let Some(request) = self.expired(now) {
+            let Some(Request::Waiting { client, .. }) = self.requests.get(&request) else { return };
+            let class = client.class.clone();
+            self.dequeue(now, request);
+            self.shed(now, request, class, ShedReason::WaitedTooLong, decisions);
+        }
+    }
+
+    fn expired(&self, now: Timestamp) -> Option<RequestId> {
+        if let Some((_, request)) = self.expiries.first().filter(|(at, _)| *at <= now) {
+            return Some(*request);
+        }
+        let (_, client) = self.head_expiries.first().filter(|(at, _)| *at <= now)?;
+        self.flow(client)?.oldest()
+    }
+
+    /// When [`ConcurrencyLimiter::tick`] is due next.
+    pub fn due(&self) -> Option<Timestamp> {
+        let expiry = self.expiries.first().map(|(at, _)| *at);
+        let head_expiry = self.head_expiries.first().map(|(at, _)| *at);
+        expiry.into_iter().chain(head_expiry).min()
+    }
+
+    fn admit_next(&mut self, now: Timestamp, decisions: &mut Vec<Decision>) {
+        while self.in_flight < self.limits.max_in_flight {
+            let Some((client, request)) = self.next_waiting() else { return };
+            let waited = match self.requests.get(&request) {
+                Some(Request::Waiting { since, .. }) => now - *since,
+                _ => TimeDelta::ZERO,
+            };
+            self.account_service(now, &client);
+            self.dequeue(now, request);
+            self.requests.insert(request, Request::InFlight(client));
+            decisions.push(Decision::Admit { request, waited });
+        }
+    }
+
+    /// The next request by the shares of classes, and of clients within the class.
+    fn next_waiting(&self) -> Option<(ClientKey, RequestId)> {
+        let waiting = self.queues.iter().filter(|(_, queue)| queue.waiting > 0);
+        let (class, queue) = waiting.min_by_key(|(_, queue)| (queue.in_flight_share(), queue.start_tag))?;
+        let client = ClientKey { class: class.clone(), address: queue.next_client()? };
+        let request = self.flow(&client)?.oldest()?;
+        Some((client, request))
+    }
+
+    /// The class and the client are served: virtual times advance, and their next turn comes by the weight.
+    fn account_service(&mut self, now: Timestamp, client: &ClientKey) {
+        let client_tag = self.flow(client).map_or(0, |flow| flow.start_tag);
+        let class_tag = self.queue(&client.class).start_tag;
+        self.virtual_time = self.virtual_time.max(class_tag);
+        self.start(now, client);
+        self.queue(&client.class).served(class_tag, client_tag);
+        self.update_client(now, client, |flow| flow.start_tag += VIRTUAL_SERVICE);
+    }
+
+    fn start(&mut self, now: Timestamp, client: &ClientKey) {
+        self.in_flight += 1;
+        self.queue(&client.class).in_flight += 1;
+        self.update_client(now, client, |flow| flow.in_flight += 1);
+    }
+
+    /// Takes a request that waits out of the queue.
+    fn dequeue(&mut self, now: Timestamp, request: RequestId) {
+        let Some(Request::Waiting { client, until, .. }) = self.requests.remove(&request) else { return };
+        self.expiries.remove(&(until, request));
+        self.update_client(now, &client, |flow| flow.remove(request));
+    }
+
+    /// Changes a client's flow, and all orders that it stands in.
+    fn update_client(&mut self, now: Timestamp, client: &ClientKey, change: impl FnOnce(&mut Flow)) {
+        self.changes += 1;
+        let (changes, virtual_time) = (self.changes, self.virtual_time);
+        let queue = self.queue(&client.class);
+        let changed = queue.update_flow(now, client.address, changes, virtual_time, change);
+        self.waiting = self.waiting + changed.waiting_after - changed.waiting_before;
+        self.update_queue_share(client, &changed);
+        self.update_idle(client, &changed);
+        self.update_head_expiry(client, &changed);
+        self.expire_idle(now);
+    }
+
+    fn update_queue_share(&mut self, client: &ClientKey, changed: &FlowChange) {
+        if changed.waiting_before > 0 {
+            self.queue_shares.remove(&(changed.share_before, client.clone()));
+        }
+        if changed.waiting_after > 0 {
+            self.queue_shares.insert((changed.share_after, client.clone()));
+        }
+    }
+
+    fn update_idle(&mut self, client: &ClientKey, changed: &FlowChange) {
+        if let Some(since) = changed.idle_before {
+            self.idle.remove(&(since, client.clone()));
+        }
+        if let Some(since) = changed.idle_after {
+            self.idle.insert((since, client.clone()));
+        }
+    }
+
+    fn update_head_expiry(&mut self, client: &ClientKey, changed: &FlowChange) {
+        if let Some(at) = changed.head_expiry_before {
+            self.head_expiries.remove(&(at, client.clone()));
+        }
+        let Some(oldest) = changed.oldest else { return };
+        let Some(Request::Waiting { since, .. }) = self.requests.get(&oldest) else { return };
+        let expiry = (*since + self.limits.target_wait).max(changed.waiting_since + INTERVAL);
+        self.head_expiries.insert((expiry, client.clone()));
+        self.queue(&client.class).set_head_expiry(client.address, expiry);
+    }
+
+    fn expire_idle(&mut self, now: Timestamp) {
+        while let Some((since, _)) = self.idle.first() {
+            if now - *since < IDLE_CLIENT_TTL && self.idle.len() <= MAX_IDLE_CLIENTS {
+                return;
+            }
+            let Some((_, client)) = self.idle.pop_first() else { return };
+            if let Some(queue) = self.queues.get_mut(&client.class) {
+                queue.remove_flow(client.address);
+            }
+        }
+    }
+
+    fn shed(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        class: Arc<str>,
+        reason: ShedReason,
+        decisions: &mut Vec<Decision>,
+    ) {
+        *self.shed.entry((class.clone(), reason)).or_default() += 1;
+        let retry_after = self.jitter.next(now, TimeDelta::ZERO);
+        decisions.push(Decision::Shed(LoadShed { request, class, reason, retry_after }));
+    }
+
+    /// Requests by class, if there are any.
+    pub fn requests_by_class(&self) -> impl Iterator<Item = (&str, RequestCounts)> {
+        let busy = self.queues.iter().filter(|(_, queue)| !queue.is_idle());
+        busy.map(|(name, queue)| {
+            (&**name, RequestCounts { in_flight: queue.in_flight, waiting: queue.waiting })
+        })
+    }
+
+    /// The clients with most requests, `count` at most.
+    pub fn top_clients(&self, count: usize) -> Vec<(ClientKey, RequestCounts)> {
+        let mut clients: Vec<(ClientKey, RequestCounts)> = Vec::new();
+        for (class, queue) in &self.queues {
+            clients.extend(queue.busy_flows().map(|(address, flow)| {
+                let counts = RequestCounts { in_flight: flow.in_flight, waiting: flow.waiting() };
+                (ClientKey { class: class.clone(), address }, counts)
+            }));
+        }
+        clients.sort_by(|a, b| (b.1.total(), &a.0).cmp(&(a.1.total(), &b.0)));
+        clients.truncate(count);
+        clients
+    }
+
+    /// Clients of which anything is remembered.
+    pub fn remembered_clients(&self) -> usize {
+        self.queues.values().map(ClassQueue::flows).sum()
+    }
+
+    /// Requests shed since the start, by class and reason.
+    pub fn shed_counts(&self) -> impl Iterator<Item = (&str, ShedReason, u64)> {
+        self.shed.iter().map(|((name, reason), count)| (&**name, *reason, *count))
+    }
+}
+
+/// How many requests are here.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RequestCounts {
+    /// In flight.
+    pub in_flight: usize,
+    /// Waiting.
+    pub waiting: usize,
+}
+
+impl RequestCounts {
+    /// All of them.
+    pub fn total(self) -> usize {
+        self.in_flight + self.waiting
+    }
+}
--- a/admission/src/lib.rs
+++ b/admission/src/lib.rs
@@ -1,21 +1,25 @@
-//! Admission: who gets a connection, whose RPCs are worked on, who is turned away and why, and when those had
-//! better come back. No I/O and no clock: the caller says what time it is.
+//! Admission control: which connections and requests of clients are admitted, which are rejected and why, and when those
+//! may come back. No I/O and no clock: the caller passes the time.
 //!
-//! [`class`] has what operators say of their clients, [`source`] what is remembered of single addresses,
-//! [`admission`] the decisions on connections and [`lobby`] those on who has not said yet who he is,
-//! [`turnstile`] the decisions on RPCs, [`repeats`] their budget, [`door`] what is done where a connection
-//! can't be accepted.
+//! - [`client_class`]: classes of clients, as operators set them
+//! - [`client_address`]: what is remembered of single addresses
+//! - [`connection_limiter`]: the decisions on connections
+//! - [`handshake_queue`]: connections whose client is not known yet
+//! - [`concurrency_limiter`]: the decisions on requests
+//! - [`retry_budget`]: how many of them may be retries
+//! - [`accept_backoff`]: what is done if a connection cannot be accepted
 
-pub mod admission;
-pub mod class;
-pub mod door;
-pub mod lobby;
-pub mod repeats;
-pub mod source;
-mod spread;
-pub mod turnstile;
+#![warn(missing_docs)]
 
-/// What the admission of connections decides by, and where it stands.
-pub use admission::{Admission, Pass, Refusal, Why};
-pub use class::{Class, Fault, Rate};
-pub use source::Prefixes;
+pub mod accept_backoff;
+pub mod client_address;
+pub mod client_class;
+pub mod concurrency_limiter;
+pub mod connection_limiter;
+pub mod handshake_queue;
+mod retry_after_jitter;
+pub mod retry_budget;
+
+pub use client_address::{AddressPrefixes, ClientAddress};
+pub use client_class::{ClassError, ClientClass, ConnectionRate};
+pub use connection_limiter::{AdmittedConnection, ConnectionLimiter, Rejection, RejectionReason};
--- a/endpoint-cache/examples/sizes.rs
+++ b/endpoint-cache/examples/sizes.rs
@@ -1,6 +1,6 @@
 //! What saving and loading cost, by the number of stores: time, bytes, resident memory.
 
-use endpoint_cache::{Dir, Kept, KeptStore, Said};
+use endpoint_cache::{CacheDirectory, CachedEndpoint, CachedEndpointList, CachedReport};
 use std::time::Instant;
 
 fn resident_kb() -> usize {
@@ -18,8 +18,13 @@
         "stores", "bytes", "save ms (med)", "load ms (med)", "resident kB"
     );
     for many in [10, 1_000, 10_000] {
-        let said = Said { primary: false, position_ms: Some(1_790_000_000_000), timeline: Some(7), at_ms: 1 };
-        let store = |nth: usize| KeptStore {
+        let report = CachedReport {
+            primary: false,
+            position_ms: Some(1_790_000_000_000),
+            timeline: Some(7),
+            at_ms: 1,
+        };
+        let store = |nth: usize| CachedEndpoint {
             host: format!("s-{nth:08x}"),
             dial: format!("10.1.{}.{}:6543", nth / 250, nth % 250),
             site: "a".into(),
@@ -27,19 +32,23 @@
             health: "SERVING".into(),
             born_ms: 1_790_000_000_000.0,
             recovery: "on".into(),
-            said: Some(said),
+            report: Some(report),
+        };
+        let mut list = CachedEndpointList {
+            version: 9,
+            endpoints: (0..many).map(store).collect(),
+            ..CachedEndpointList::default()
         };
-        let mut kept = Kept { seq: 9, stores: (0..many).map(store).collect(), ..Kept::default() };
-        let (mut dir, _) = Dir::open(&folder).expect("it opens");
+        let (mut dir, _) = CacheDirectory::open(&folder).expect("it opens");
         let (mut saves, mut loads, mut bytes) = (Vec::new(), Vec::new(), 0);
         for _ in 0..21 {
             let began = Instant::now();
-            bytes = dir.save(&mut kept).expect("saved");
+            bytes = dir.save(&mut list).expect("saved");
             saves.push(began.elapsed().as_secs_f64() * 1e3);
             let began = Instant::now();
-            let loaded = Dir::read(&folder).kept.expect("a whole one");
+            let loaded = CacheDirectory::read(&folder).list.expect("a whole one");
             loads.push(began.elapsed().as_secs_f64() * 1e3);
-            assert_eq!(loaded.0.stores.len(), many);
+            assert_eq!(loaded.0.endpoints.len(), many);
         }
         saves.sort_by(f64::total_cmp);
         loads.sort_by(f64::total_cmp);
--- a/endpoint-cache/src/lib.rs
+++ b/endpoint-cache/src/lib.rs
@@ -1,58 +1,75 @@
-//! The list of stores kept on disk: storage only. What is believed of it is decided elsewhere.
+//! The endpoint list, cached on disk over a restart. Storage only: how far it is trusted is decided elsewhere.
 //!
-//! A generation is one file, written whole beside the others, synced, and renamed into place; the one before
-//! stays until the next has done so. A file counts only if its first line, its length and its checksum fit:
-//! it is never half believed. `docs/recovery.md` weighs this against embedded stores.
+//! A generation is one file, written whole beside the others, synced, and renamed into place; the one before stays until the
+//! next has done so. A file counts only if its head line, its length and its checksum fit. `docs/recovery.md` weighs this
+//! against embedded stores.
 
-mod dir;
-mod file;
+#![warn(missing_docs)]
 
-pub use dir::{Dir, Fault, Loaded};
-pub use file::{decode, encode, Unfit, FORMAT, MOST_BYTES};
+mod directory;
+mod encoding;
+
+pub use directory::{CacheDirectory, CacheError, LoadedCache};
+pub use encoding::{decode, encode, FileError, FORMAT, MAX_FILE_BYTES};
 
 use serde::{Deserialize, Serialize};
 
-/// Descriptors that a directory takes at the most: its lock, the file that is written, the folder itself.
+/// Descriptors that a directory needs at most: its lock, the file that is written, the directory itself.
 pub const DESCRIPTORS: usize = 3;
 
-/// All that is kept. Times are Unix milliseconds by the wall clock of the front that wrote them.
+/// All that is cached. Times are Unix milliseconds by the wall clock of the instance that wrote them.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Kept {
-    /// Rises by one with every save; which of two files is the newer, whatever the clocks said.
+pub struct CachedEndpointList {
+    /// Rises by one with every save: which of two files is the newer, whatever the clocks said.
     pub generation: u64,
     /// Discovery's version of the list.
-    pub seq: i64,
-    /// When discovery last stood by the list.
+    #[serde(rename = "seq")]
+    pub version: i64,
+    /// When discovery last confirmed the list.
     pub confirmed_ms: i64,
+    /// When it was saved.
     pub saved_ms: i64,
-    pub stores: Vec<KeptStore>,
+    /// Its endpoints.
+    #[serde(rename = "stores")]
+    pub endpoints: Vec<CachedEndpoint>,
 }
 
-/// A store as the list had it, under discovery's own names.
+/// An endpoint as the list had it, under discovery's own names.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct KeptStore {
+pub struct CachedEndpoint {
+    /// Its name.
     pub host: String,
+    /// Its address.
     pub dial: String,
+    /// Its zone.
     #[serde(default)]
     pub site: String,
+    /// Its group.
     pub block: i64,
+    /// Whether it may be used.
     pub health: String,
-    /// The last start known, 0 where none is.
+    /// Its last start, 0 if none is known.
     #[serde(default)]
     pub born_ms: f64,
+    /// Its role: `off` for the primary, `on` for a replica.
     #[serde(default)]
     pub recovery: String,
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub said: Option<Said>,
+    /// What it last reported.
+    #[serde(default, rename = "said", skip_serializing_if = "Option::is_none")]
+    pub report: Option<CachedReport>,
 }
 
-/// What the store itself last said.
+/// What an endpoint itself last reported.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Said {
+pub struct CachedReport {
+    /// It said that it is primary.
     pub primary: bool,
+    /// Its position.
     #[serde(default)]
     pub position_ms: Option<i64>,
+    /// The timeline of its log.
     #[serde(default)]
     pub timeline: Option<u32>,
+    /// When.
     pub at_ms: i64,
 }
--- a/endpoint-cache/tests/earlier_build.rs
+++ b/endpoint-cache/tests/earlier_build.rs
@@ -1,7 +1,7 @@
 //! A state directory that an earlier build wrote stays readable. `tests/data/state` was made by the build of commit
 //! 0eda158, not by the code under test.
 
-use endpoint_cache::{Dir, Said};
+use endpoint_cache::{CacheDirectory, CachedReport};
 use std::path::Path;
 
 #[test]
@@ -11,29 +11,29 @@
     for name in ["list", "list.before", "lock"] {
         std::fs::copy(earlier.join(name), place.path().join(name)).expect("copied");
     }
-    let (mut dir, loaded) = Dir::open(place.path()).expect("taken");
-    assert!(loaded.faults.is_empty(), "{:?}", loaded.faults);
-    let (mut kept, from) = loaded.kept.expect("a list");
+    let (mut dir, loaded) = CacheDirectory::open(place.path()).expect("taken");
+    assert!(loaded.errors.is_empty(), "{:?}", loaded.errors);
+    let (mut list, from) = loaded.list.expect("a list");
     assert_eq!(from, place.path().join("list"));
-    assert_eq!((kept.generation, kept.seq), (2, 42));
-    assert_eq!((kept.confirmed_ms, kept.saved_ms), (1_790_000_100_000, 1_790_000_100_500));
-    let [primary, replica] = &kept.stores[..] else { panic!("{:?}", kept.stores) };
+    assert_eq!((list.generation, list.version), (2, 42));
+    assert_eq!((list.confirmed_ms, list.saved_ms), (1_790_000_100_000, 1_790_000_100_500));
+    let [primary, replica] = &list.endpoints[..] else { panic!("{:?}", list.endpoints) };
     assert_eq!((primary.host.as_str(), primary.dial.as_str()), ("p-1", "127.0.0.1:6001"));
     assert_eq!((primary.site.as_str(), primary.block, primary.born_ms), ("a", 3, 1_790_000_000_000.0));
     assert_eq!((primary.health.as_str(), primary.recovery.as_str()), ("SERVING", "off"));
-    let said = Said {
+    let report = CachedReport {
         primary: true,
         position_ms: Some(1_790_000_099_000),
         timeline: Some(2),
         at_ms: 1_790_000_100_100,
     };
-    assert_eq!(primary.said, Some(said));
-    let said = Said { primary: false, position_ms: None, timeline: None, at_ms: 1_790_000_100_200 };
-    assert_eq!((replica.health.as_str(), replica.said), ("DRAINING", Some(said)));
+    assert_eq!(primary.report, Some(report));
+    let report = CachedReport { primary: false, position_ms: None, timeline: None, at_ms: 1_790_000_100_200 };
+    assert_eq!((replica.health.as_str(), replica.report), ("DRAINING", Some(report)));
 
     // The next generation goes on from it, byte for byte but for its number.
-    dir.save(&mut kept).expect("saved");
-    assert_eq!(kept.generation, 3);
+    dir.save(&mut list).expect("saved");
+    assert_eq!(list.generation, 3);
     let body = |path: &Path| {
         let text = std::fs::read_to_string(path).expect("a file");
         let (_, body) = text.split_once('\n').expect("a head line");
--- a/host-support/src/lib.rs
+++ b/host-support/src/lib.rs
@@ -1,6 +1,13 @@
-//! What every host of the decisions needs, whatever its wire: the start facts read and checked in one place,
-//! ids mapped to small indices, and the book of open RPCs. No decision stands here.
+//! What every host of the routing policy needs, whatever its wire. No decision is made here.
+//!
+//! - [`bootstrap_config`]: the configuration that an instance is started with, as the operators' pages word it
+//! - [`routing_settings`]: the same, checked and converted to the policy's own settings
+//! - [`id_interner`]: identifiers to dense indices and back
+//! - [`request_registry`]: what a host keeps of each open request
 
-pub mod book;
-pub mod doors;
-pub mod facts;
+#![warn(missing_docs)]
+
+pub mod bootstrap_config;
+pub mod id_interner;
+pub mod request_registry;
+pub mod routing_settings;
--- /dev/null
+++ b/host-support/src/routing_settings.rs
@@ -0,0 +1,133 @@
+//! The bootstrap configuration, checked and converted to the settings of the routing policy.
+
+use crate::bootstrap_config::{BootstrapConfig, MethodConfig};
+use routing::time::TimeDelta;
+use routing::{Access, Idempotency, LagHandling, MethodSettings, RoutingSettings};
+use thiserror::Error;
+
+/// What is wrong with a bootstrap configuration. Each names the key at fault.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum SettingsError {
+    /// A value must be above 0.
+    #[error("{0}: must be above 0")]
+    NotPositive(&'static str),
+    /// A word is not one of those that the key takes.
+    #[error("{key}: {word:?} is not known")]
+    UnknownWord {
+        /// The key.
+        key: &'static str,
+        /// The word.
+        word: String,
+    },
+    /// A list does not have one entry per method.
+    #[error("{0}: not one entry a class")]
+    NotOnePerMethod(&'static str),
+    /// The latency objective of a method is not between 0 and its deadline.
+    #[error("classes[{0}].aimNs: not between 0 and deadlineNs")]
+    ObjectiveOutOfRange(usize),
+}
+
+fn unknown(key: &'static str, word: &str) -> SettingsError {
+    SettingsError::UnknownWord { key, word: word.to_string() }
+}
+
+/// Converts a bootstrap configuration.
+///
+/// # Errors
+/// The first thing that is wrong with it.
+pub fn routing_settings(config: &BootstrapConfig) -> Result<RoutingSettings, SettingsError> {
+    check_positive(config)?;
+    let replication = &config.family_info;
+    if replication.class_read.len() != config.classes.len() {
+        return Err(SettingsError::NotOnePerMethod("familyInfo.classRead"));
+    }
+    let methods = (0..config.classes.len()).map(|index| method_settings(config, index));
+    Ok(RoutingSettings {
+        methods: methods.collect::<Result<_, _>>()?,
+        instances: config.n_instances,
+        zone: config.zone,
+        clock_resolution: TimeDelta(config.resolution_ns),
+        lag_handling: lag_handling(config)?,
+        clients_carry_positions: replication.session_marks == "client",
+        list_poll_within: list_poll_within(config)?,
+        max_attempts: config.allowed.max_attempts,
+        may_cancel: config.allowed.may_cancel,
+        may_check_health: config.allowed.probes,
+        max_retry_after: config.allowed.retry_after.then_some(TimeDelta(config.allowed.max_retry_after_ns)),
+        slow_start_fraction: config.rules.cold_from,
+        slow_start_duration: TimeDelta(config.rules.cold_ns),
+        overload_multiple: config.rules.fall_multiple,
+        overload_window: TimeDelta(config.rules.overload_for_ns),
+        unlisted_stay_usable: config.rules.dropped_stay_open,
+    })
+}
+
+fn check_positive(config: &BootstrapConfig) -> Result<(), SettingsError> {
+    let values = [
+        ("nInstances", i64::from(config.n_instances)),
+        ("resolutionNs", config.resolution_ns),
+        ("allowed.dialTimeoutNs", config.allowed.dial_timeout_ns),
+        ("allowed.connIdleNs", config.allowed.conn_idle_ns),
+    ];
+    match values.iter().find(|(_, value)| *value <= 0) {
+        Some((key, _)) => Err(SettingsError::NotPositive(key)),
+        None => Ok(()),
+    }
+}
+
+fn method_settings(config: &BootstrapConfig, index: usize) -> Result<MethodSettings, SettingsError> {
+    let method = &config.classes[index];
+    if method.aim_ns <= 0 || method.deadline_ns < method.aim_ns {
+        return Err(SettingsError::ObjectiveOutOfRange(index));
+    }
+    let bound_ns = config.family_info.lag_allowed_ns.get(index).copied().unwrap_or(0);
+    Ok(MethodSettings {
+        access: access(&config.family_info.class_read[index], TimeDelta(bound_ns))?,
+        idempotency: idempotency(method)?,
+        latency_objective: TimeDelta(method.aim_ns),
+        deadline: TimeDelta(method.deadline_ns),
+        priority_weight: method.gain,
+        late_value_fraction: method.late_value,
+    })
+}
+
+fn access(word: &str, bound: TimeDelta) -> Result<Access, SettingsError> {
+    match word {
+        "update" => Ok(Access::Write),
+        "latest" => Ok(Access::StrongRead),
+        "own_writes" => Ok(Access::SessionRead),
+        "recent" => Ok(Access::BoundedRead(bound)),
+        "loose" => Ok(Access::AnyRead),
+        other => Err(unknown("familyInfo.classRead", other)),
+    }
+}
+
+fn idempotency(method: &MethodConfig) -> Result<Idempotency, SettingsError> {
+    let dedup_window = TimeDelta(method.memory_span_ns);
+    match (method.effect.as_str(), method.key_scope.as_str()) {
+        ("read_like", _) => Ok(Idempotency::Idempotent),
+        ("idempotency_key", "all") => Ok(Idempotency::Keyed { all_groups: true, dedup_window }),
+        ("idempotency_key", "cell") => Ok(Idempotency::Keyed { all_groups: false, dedup_window }),
+        // A zone that drops duplicates is no group of endpoints here: nobody is known to remember.
+        ("idempotency_key", _) => Ok(Idempotency::Keyed { all_groups: false, dedup_window: TimeDelta::ZERO }),
+        ("non_idempotent", _) => Ok(Idempotency::NonIdempotent),
+        (other, _) => Err(unknown("classes[].effect", other)),
+    }
+}
+
+fn lag_handling(config: &BootstrapConfig) -> Result<LagHandling, SettingsError> {
+    match config.family_info.guards.as_str() {
+        "off" => Ok(LagHandling::ServeStale),
+        "reject" => Ok(LagHandling::Reject),
+        "hold" => Ok(LagHandling::Wait(TimeDelta(config.family_info.patience_ns))),
+        other => Err(unknown("familyInfo.guards", other)),
+    }
+}
+
+fn list_poll_within(config: &BootstrapConfig) -> Result<Option<TimeDelta>, SettingsError> {
+    match config.membership_mode.as_str() {
+        "push" => Ok(None),
+        "ask" => Ok(Some(TimeDelta(config.rules.ask_within_ns))),
+        other => Err(unknown("membershipMode", other)),
+    }
+}
--- /dev/null
+++ b/operator-config/src/client_class_line.rs
@@ -0,0 +1,113 @@
+//! A line on one class of clients: `admit NAME`, then pairs of a property and its value.
+
+use crate::error::{Problem, ValueError};
+use crate::values::{number, unreadable_item};
+use admission::{ClientClass, ConnectionRate};
+use ipnet::IpNet;
+use std::net::IpAddr;
+use std::sync::Arc;
+
+const MAX_NUMBER: usize = 100_000;
+const MAX_WEIGHT: u32 = 1_000;
+const MAX_USER_BYTES: usize = 63;
+const MAX_NAME_BYTES: usize = 32;
+
+/// A property and how its value is taken.
+struct Property {
+    name: &'static str,
+    set: fn(&mut ClientClass, &str) -> Result<(), ValueError>,
+}
+
+const fn property(name: &'static str, set: fn(&mut ClientClass, &str) -> Result<(), ValueError>) -> Property {
+    Property { name, set }
+}
+
+const PROPERTIES: &[Property] = &[
+    property("from", |class, value| {
+        class.networks = value.split(',').map(network).collect::<Result<_, _>>()?;
+        Ok(())
+    }),
+    property("user", |class, value| {
+        class.users = value.split(',').map(user).collect::<Result<_, _>>()?;
+        Ok(())
+    }),
+    property("keep", |class, value| {
+        class.reserved = number(value, 0..=MAX_NUMBER)?;
+        Ok(())
+    }),
+    property("most", |class, value| {
+        class.max_connections = Some(number(value, 1..=MAX_NUMBER)?);
+        Ok(())
+    }),
+    property("each", |class, value| {
+        class.max_per_address = Some(number(value, 1..=MAX_NUMBER)?);
+        Ok(())
+    }),
+    property("rate", |class, value| {
+        let per_second = number(value, 1..=MAX_NUMBER)? as u32;
+        let burst = class.rate.map_or(per_second, |rate| rate.burst);
+        class.rate = Some(ConnectionRate { per_second, burst });
+        Ok(())
+    }),
+    property("burst", |class, value| {
+        let burst = number(value, 1..=MAX_NUMBER)? as u32;
+        class.rate.as_mut().ok_or(ValueError::BurstWithoutRate)?.burst = burst;
+        Ok(())
+    }),
+    property("weight", |class, value| {
+        let weight = number(value, 1..=MAX_NUMBER)? as u32;
+        if weight > MAX_WEIGHT {
+            return Err(ValueError::WeightTooLarge);
+        }
+        class.weight = weight;
+        Ok(())
+    }),
+    property("rpcs", |class, value| {
+        class.max_requests = Some(number(value, 1..=MAX_NUMBER)?);
+        Ok(())
+    }),
+];
+
+/// A network, or a single address.
+fn network(word: &str) -> Result<IpNet, ValueError> {
+    let network = word.parse().or_else(|_| word.parse::<IpAddr>().map(IpNet::from));
+    network.map_err(|error| unreadable_item(word, error))
+}
+
+fn user(word: &str) -> Result<Arc<str>, ValueError> {
+    let fits = (1..=MAX_USER_BYTES).contains(&word.len()) && !word.contains(char::is_control);
+    fits.then(|| word.into()).ok_or_else(|| ValueError::BadUser(word.to_string()))
+}
+
+fn is_class_name(name: &str) -> bool {
+    let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_';
+    (1..=MAX_NAME_BYTES).contains(&name.len()) && name.bytes().all(is_plain)
+}
+
+/// Reads what stands behind the keyword.
+pub fn parse_class(values: &[String]) -> Result<ClientClass, Problem> {
+    let (name, pairs) = values.split_first().ok_or(Problem::NoClassName)?;
+    if !is_class_name(name) {
+        return Err(Problem::BadClassName(name.clone()));
+    }
+    let mut class = ClientClass::named(name);
+    let mut seen = Vec::new();
+    for pair in pairs.chunks(2) {
+        let [word, value] = pair else { return Err(Problem::MissingValue(pair[0].clone())) };
+        let property = find_property(word)?;
+        if seen.contains(&property.name) {
+            return Err(Problem::RepeatedProperty(property.name));
+        }
+        seen.push(property.name);
+        let set = (property.set)(&mut class, value);
+        set.map_err(|error| Problem::Property { property: property.name, error })?;
+    }
+    Ok(class)
+}
+
+fn find_property(word: &str) -> Result<&'static Property, Problem> {
+    PROPERTIES.iter().find(|property| property.name == word).ok_or_else(|| {
+        let known: Vec<&str> = PROPERTIES.iter().map(|property| property.name).collect();
+        Problem::UnknownProperty { word: word.to_string(), known: known.join(", ") }
+    })
+}
--- a/operator-config/src/lib.rs
+++ b/operator-config/src/lib.rs
@@ -1,9 +1,17 @@
-//! The operators' file: a keyword and its values on each line, `#` begins a comment, quotes keep blanks.
-//! Pure: text in, settings out, all faults at once with their lines.
+//! The operators' file: a keyword and its values on each line, `#` begins a comment, quotes keep blanks. Free of I/O: text in,
+//! settings out, or everything that is wrong with their lines.
 
-mod admit;
-mod line;
+#![warn(missing_docs)]
+
+mod client_class_line;
+mod error;
+mod keywords;
+mod parser;
 mod settings;
+mod values;
+mod words;
 
-pub use line::{split, Fault};
-pub use settings::{parse, Format, Identity, Journal, Settings};
+pub use error::{ConfigError, Problem, ValueError};
+pub use parser::parse;
+pub use settings::{EndpointIdentity, JournalMode, LogFormat, OperatorSettings};
+pub use words::{split, QuoteError};
--- /dev/null
+++ b/operator-config/src/words.rs
@@ -0,0 +1,78 @@
+//! The words of a line.
+
+use std::iter::Peekable;
+use std::str::Chars;
+use thiserror::Error;
+
+/// Why the words of a line cannot be told apart.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum QuoteError {
+    /// A backslash in quotes stands before anything else.
+    #[error("in quotes a \\ stands before a quote or another \\ only")]
+    BadEscape,
+    /// A quote is not closed.
+    #[error("a quote is not closed")]
+    Unclosed,
+    /// Something stands right behind a closing quote.
+    #[error("a blank must stand behind a closing quote")]
+    NoBlankBehind,
+    /// A quote stands within a word.
+    #[error("a quote may only stand at the beginning of a word")]
+    WithinWord,
+}
+
+/// Splits a line into words. A word may be quoted, with `\"` and `\\` inside; outside quotes `#` begins a comment.
+///
+/// # Errors
+/// A quote is misplaced.
+pub fn split(line: &str) -> Result<Vec<String>, QuoteError> {
+    let mut words = Vec::new();
+    let mut chars = line.chars().peekable();
+    while let Some(&first) = chars.peek() {
+        match first {
+            '#' => break,
+            blank if blank.is_whitespace() => {
+                chars.next();
+            }
+            '"' => words.push(quoted_word(&mut chars)?),
+            _ => words.push(plain_word(&mut chars)?),
+        }
+    }
+    Ok(words)
+}
+
+fn ends_word(char: char) -> bool {
+    char.is_whitespace() || char == '#'
+}
+
+fn quoted_word(chars: &mut Peekable<Chars>) -> Result<String, QuoteError> {
+    chars.next();
+    let mut word = String::new();
+    loop {
+        match chars.next() {
+            Some('"') => break,
+            Some('\\') => match chars.next() {
+                Some(escaped @ ('"' | '\\')) => word.push(escaped),
+                _ => return Err(QuoteError::BadEscape),
+            },
+            Some(char) => word.push(char),
+            None => return Err(QuoteError::Unclosed),
+        }
+    }
+    match chars.peek() {
+        Some(&next) if !ends_word(next) => Err(QuoteError::NoBlankBehind),
+        _ => Ok(word),
+    }
+}
+
+fn plain_word(chars: &mut Peekable<Chars>) -> Result<String, QuoteError> {
+    let mut word = String::new();
+    while let Some(&char) = chars.peek().filter(|char| !ends_word(**char)) {
+        if char == '"' {
+            return Err(QuoteError::WithinWord);
+        }
+        word.push(char);
+        chars.next();
+    }
+    Ok(word)
+}
--- a/operator-config/tests/lines.rs
+++ b/operator-config/tests/lines.rs
@@ -1,6 +1,6 @@
 //! The operators' file: words, units, faults with their lines, and whatever text comes.
 
-use operator_config::{parse, split, Format, Identity};
+use operator_config::{parse, split, EndpointIdentity, LogFormat};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::path::PathBuf;
@@ -12,11 +12,14 @@
         store-identity postgres\nlog-format json\nlog-level warn\nlog-buffer 1MB\n";
     let settings = parse(text).expect("all fit");
     assert_eq!(settings.state_dir, Some(PathBuf::from("/var/lib/ginger wick")));
-    assert_eq!(settings.save_gap, Duration::from_millis(250));
-    assert_eq!((settings.store_identity, settings.log_format), (Identity::Postgres, Format::Json));
+    assert_eq!(settings.save_interval, Duration::from_millis(250));
+    assert_eq!(
+        (settings.endpoint_identity, settings.log_format),
+        (EndpointIdentity::Postgres, LogFormat::Json)
+    );
     assert_eq!(settings.log_buffer, 1_000_000);
     let none = parse("").expect("an empty file is one");
-    assert_eq!((none.state_dir, none.store_identity), (None, Identity::None));
+    assert_eq!((none.state_dir, none.endpoint_identity), (None, EndpointIdentity::None));
 }
 
 #[test]
@@ -44,13 +47,19 @@
     let text = "admit desk from 10.20.0.0/16,10.30.4.7,2001:db8::/32 keep 40 most 80\n\
         admit others each 20 rate 50 burst 200\nadmit-prefix-4 24\n";
     let settings = parse(text).expect("all fit");
-    let [desk, others] = &settings.admit[..] else { panic!("two classes") };
-    let from: Vec<String> = desk.from.iter().map(|range| range.to_string()).collect();
-    assert_eq!(from, ["10.20.0.0/16", "10.30.4.7/32", "2001:db8::/32"]);
-    assert_eq!((desk.keep, desk.most, desk.each, desk.rate), (40, Some(80), None, None));
-    assert_eq!((others.each, others.rate.map(|rate| (rate.per_s, rate.burst))), (Some(20), Some((50, 200))));
-    assert_eq!((settings.admit_prefixes.v4, settings.admit_prefixes.v6), (24, 64));
-    let rate = parse("admit others rate 7\n").expect("fits").admit[0].rate;
+    let [desk, others] = &settings.client_classes[..] else { panic!("two classes") };
+    let networks: Vec<String> = desk.networks.iter().map(|range| range.to_string()).collect();
+    assert_eq!(networks, ["10.20.0.0/16", "10.30.4.7/32", "2001:db8::/32"]);
+    assert_eq!(
+        (desk.reserved, desk.max_connections, desk.max_per_address, desk.rate),
+        (40, Some(80), None, None)
+    );
+    assert_eq!(
+        (others.max_per_address, others.rate.map(|rate| (rate.per_second, rate.burst))),
+        (Some(20), Some((50, 200)))
+    );
+    assert_eq!((settings.address_prefixes.v4, settings.address_prefixes.v6), (24, 64));
+    let rate = parse("admit others rate 7\n").expect("fits").client_classes[0].rate;
     assert_eq!(rate.map(|rate| rate.burst), Some(7), "a second's worth at once");
     for (line, why) in [
         ("admit", "names no class"),
@@ -85,14 +94,22 @@
 
 #[test]
 fn rpcs_have_turns_once_a_line_says_so() {
-    assert_eq!(parse("admit others each 4 weight 2\n").expect("fits").turns(), None);
-    let turns = parse("admit desk user clerk from 10.0.0.0/8 rpcs 5\n").expect("fits").turns();
-    assert_eq!(turns.map(|turns| (turns.at_once, turns.repeats)), Some((100_000, None)));
+    assert_eq!(parse("admit others each 4 weight 2\n").expect("fits").concurrency_limits(), None);
+    let concurrency_limits =
+        parse("admit desk user clerk from 10.0.0.0/8 rpcs 5\n").expect("fits").concurrency_limits();
+    assert_eq!(
+        concurrency_limits
+            .map(|concurrency_limits| (concurrency_limits.max_in_flight, concurrency_limits.retry_percent)),
+        Some((100_000, None))
+    );
     let text = "rpcs-at-once 50\nrepeats 20%\nrpcs-target 5ms\noperators-socket /run/g.sock\n";
     let settings = parse(text).expect("all fit");
-    let turns = settings.turns().expect("they have");
-    assert_eq!((turns.at_once, turns.waiting, turns.repeats), (50, 200, Some(20)));
-    assert_eq!(turns.target, routing::time::Span::millis(5));
+    let concurrency_limits = settings.concurrency_limits().expect("they have");
+    assert_eq!(
+        (concurrency_limits.max_in_flight, concurrency_limits.max_waiting, concurrency_limits.retry_percent),
+        (50, 200, Some(20))
+    );
+    assert_eq!(concurrency_limits.target_wait, routing::time::TimeDelta::from_millis(5));
 }
 
 proptest! {
--- /dev/null
+++ b/recovery/src/primary_discovery.rs
@@ -0,0 +1,541 @@
+//! Which endpoints are queried after a start from a cached list, and what follows from the answers: an event loop over the
+//! states of endpoints and groups.
+
+use crate::endpoint_state::{self, Effect, EndpointEvent, EndpointState, RecoveringEndpoint, RoleReport};
+use crate::group_state::{self, GroupEvent, GroupState};
+use crate::primary_verification::{verify, GroupEvidence, MinimumPosition, Verification};
+use crate::query_schedule::QuerySchedule;
+use crate::staleness::{trust_level, CacheTimes, TrustLevel};
+use routing::time::{TimeDelta, Timestamp};
+use routing::{EndpointIndex, EndpointReport, GroupIndex, PrimaryEligibility};
+use std::collections::BTreeSet;
+
+/// A pause that doubles, up to a limit.
+struct Backoff {
+    first: TimeDelta,
+    longest: TimeDelta,
+}
+
+const MAX_DOUBLINGS: u32 = 16;
+
+impl Backoff {
+    fn after(&self, doublings: u32) -> TimeDelta {
+        let pause = self.first.0.saturating_mul(1 << doublings.min(MAX_DOUBLINGS));
+        TimeDelta(pause).min(self.longest)
+    }
+}
+
+/// Between two queries to an endpoint of a group whose primary is not verified.
+const UNVERIFIED: Backoff =
+    Backoff { first: TimeDelta::from_millis(40), longest: TimeDelta::from_millis(1_000) };
+/// Rounds of queries to a group before that pause grows.
+const ROUNDS_WITHOUT_BACKOFF: u32 = 4;
+/// Between two queries in a group whose primary is verified, while discovery is silent or another member claims it.
+const VERIFIED_INTERVAL: TimeDelta = TimeDelta::from_millis(2_000);
+/// After a query that failed, if a request waits for the group.
+const FAILED_URGENT: Backoff =
+    Backoff { first: TimeDelta::from_millis(100), longest: TimeDelta::from_millis(3_000) };
+/// The same, if none waits.
+const FAILED: Backoff =
+    Backoff { first: TimeDelta::from_millis(100), longest: TimeDelta::from_millis(20_000) };
+
+/// An endpoint of a list, as the host numbers it.
+#[derive(Clone, Copy, Debug)]
+pub struct Member {
+    /// The endpoint.
+    pub endpoint: EndpointIndex,
+    /// Its group.
+    pub group: GroupIndex,
+}
+
+/// Who an endpoint says that it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Identity {
+    /// The one that the list names.
+    Confirmed,
+    /// Another one.
+    Mismatch,
+    /// It cannot be asked, or does not say.
+    Unknown,
+}
+
+/// Why a query has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QueryFailure {
+    /// Nothing listens there, says its machine.
+    Refused,
+    /// Nothing came back.
+    NoAnswer,
+    /// It was not sent, or rejected for lack of capacity: that says nothing of the endpoint.
+    NotSent,
+}
+
+/// Something that has happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A list was loaded that discovery has not confirmed since this start.
+    CachedList {
+        /// Its endpoints.
+        members: Vec<Member>,
+        /// What its groups were known to have.
+        minimum_positions: Vec<(GroupIndex, MinimumPosition)>,
+    },
+    /// Discovery has given a list, complete or changes to it.
+    Listed {
+        /// It is the whole list.
+        complete: bool,
+        /// Endpoints that are listed.
+        members: Vec<Member>,
+        /// Endpoints that are not listed any more.
+        removed: Vec<EndpointIndex>,
+    },
+    /// A query was answered.
+    Answered {
+        /// By this endpoint.
+        endpoint: EndpointIndex,
+        /// When the query was sent.
+        queried_at: Timestamp,
+        /// Who the endpoint says that it is.
+        identity: Identity,
+        /// What it reported.
+        report: RoleReport,
+    },
+    /// A query failed.
+    Failed {
+        /// To this endpoint.
+        endpoint: EndpointIndex,
+        /// Why.
+        failure: QueryFailure,
+    },
+    /// A report came with the answer to a request or a health check.
+    Observed {
+        /// From this endpoint.
+        endpoint: EndpointIndex,
+        /// When the request was sent.
+        queried_at: Timestamp,
+        /// The report.
+        report: EndpointReport,
+    },
+    /// A request waits for a group.
+    RequestWaiting {
+        /// The group.
+        group: GroupIndex,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// Something for the host to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Query an endpoint; to be answered by one `Answered` or `Failed`.
+    Query {
+        /// The endpoint.
+        endpoint: EndpointIndex,
+    },
+    /// Tell the routing policy that an endpoint may be used, started when this instance started at the latest.
+    Admit {
+        /// The endpoint.
+        endpoint: EndpointIndex,
+    },
+    /// Tell the routing policy that an endpoint may not be used any more, whatever else the rules of the list allow.
+    Withdraw {
+        /// The endpoint.
+        endpoint: EndpointIndex,
+    },
+    /// Tell the routing policy which member of a group may be taken for its primary.
+    SetEligibility {
+        /// The group.
+        group: GroupIndex,
+        /// The member.
+        eligibility: PrimaryEligibility,
+    },
+}
+
+#[derive(Default)]
+struct Group {
+    members: Vec<EndpointIndex>,
+    minimum: MinimumPosition,
+    state: GroupState,
+    request_waiting: bool,
+    /// Queries without a verified primary, for the backoff.
+    unverified_queries: u32,
+}
+
+impl Group {
+    fn has_primary(&self) -> bool {
+        matches!(self.state, GroupState::Verified(_) | GroupState::Settled)
+    }
+}
+
+/// How primary discovery is set up.
+#[derive(Clone, Copy, Debug)]
+pub struct DiscoverySettings {
+    /// The times of the cached list; none if its age is not known.
+    pub cache_times: Option<CacheTimes>,
+    /// Endpoints may be queried.
+    pub may_query: bool,
+    /// Descriptors for endpoints; half of them are left to requests.
+    pub descriptors: usize,
+}
+
+/// The discovery of primaries after a start.
+pub struct PrimaryDiscovery {
+    endpoints: Vec<RecoveringEndpoint>,
+    groups: Vec<Group>,
+    queries: QuerySchedule,
+    cache_times: Option<CacheTimes>,
+    /// The latest position reported since this start.
+    latest_report: Option<Timestamp>,
+    /// Discovery has given a list since this start.
+    list_confirmed: bool,
+    may_query: bool,
+    /// Queries at a time for which there are descriptors.
+    max_queries: usize,
+    actions: Vec<Action>,
+}
+
+impl PrimaryDiscovery {
+    /// Nothing is known yet.
+    pub fn new(settings: DiscoverySettings) -> PrimaryDiscovery {
+        PrimaryDiscovery {
+            endpoints: Vec::new(),
+            groups: Vec::new(),
+            queries: QuerySchedule::default(),
+            cache_times: settings.cache_times,
+            latest_report: None,
+            list_confirmed: false,
+            may_query: settings.may_query,
+            max_queries: (settings.descriptors / 2).max(1),
+            actions: Vec::new(),
+        }
+    }
+
+    /// How far the list is trusted.
+    pub fn trust_level(&self, now: Timestamp) -> &'static TrustLevel {
+        trust_level(self.cache_times, now, self.latest_report)
+    }
+
+    /// Whether discovery has given a list since this start.
+    pub fn is_list_confirmed(&self) -> bool {
+        self.list_confirmed
+    }
+
+    /// Whether nothing is left to do: the ordinary rules hold everywhere. Only a list of discovery ends it.
+    pub fn is_over(&self) -> bool {
+        self.list_confirmed && self.groups.iter().all(|group| group.state == GroupState::Settled)
+    }
+
+    /// The state of a group, if it is known.
+    pub fn group_state(&self, group: GroupIndex) -> Option<GroupState> {
+        self.groups.get(group).map(|group| group.state)
+    }
+
+    /// What is known of an endpoint, if anything.
+    pub fn endpoint(&self, endpoint: EndpointIndex) -> Option<&RecoveringEndpoint> {
+        self.endpoints.get(endpoint)
+    }
+
+    /// When it needs a `Tick` next.
+    pub fn due(&self, now: Timestamp) -> Option<Timestamp> {
+        self.queries.due(self.max_in_flight(now))
+    }
+
+    fn max_in_flight(&self, now: Timestamp) -> usize {
+        self.trust_level(now).max_queries.min(self.max_queries)
+    }
+
+    /// Handles an event that happened at `now`. What is to be done is appended to `actions`, in order.
+    pub fn on_event(&mut self, now: Timestamp, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::CachedList { members, minimum_positions } => {
+                self.on_cached_list(now, &members, minimum_positions);
+            }
+            Event::Listed { complete, members, removed } => self.on_listed(now, complete, &members, removed),
+            Event::Answered { endpoint, queried_at, identity, report } => {
+                self.on_answered(now, endpoint, queried_at, identity, report);
+            }
+            Event::Failed { endpoint, failure } => self.on_failed(now, endpoint, failure),
+            Event::Observed { endpoint, queried_at, report } => {
+                self.on_observed(now, endpoint, queried_at, report);
+            }
+            Event::RequestWaiting { group } => self.on_request_waiting(now, group),
+            Event::Tick => {}
+        }
+        self.start_queries(now);
+        actions.append(&mut self.actions);
+    }
+
+    fn on_cached_list(
+        &mut self,
+        now: Timestamp,
+        members: &[Member],
+        minimum_positions: Vec<(GroupIndex, MinimumPosition)>,
+    ) {
+        for member in members {
+            self.add_member(now, *member);
+        }
+        for (group, minimum) in minimum_positions {
+            self.ensure_group(group);
+            self.groups[group].minimum = minimum;
+        }
+    }
+
+    fn ensure_group(&mut self, index: GroupIndex) {
+        while self.groups.len() <= index {
+            let group = self.groups.len();
+            self.groups.push(Group::default());
+            let eligibility = PrimaryEligibility::Nobody;
+            self.actions.push(Action::SetEligibility { group, eligibility });
+        }
+    }
+
+    fn add_member(&mut self, now: Timestamp, member: Member) {
+        let Member { endpoint: index, group } = member;
+        self.ensure_group(group);
+        if self.endpoints.len() <= index {
+            self.endpoints.resize_with(index + 1, RecoveringEndpoint::default);
+        }
+        if self.groups[group].members.contains(&index) {
+            return;
+        }
+        let group_before = self.endpoints[index].group;
+        self.groups[group_before].members.retain(|&member| member != index);
+        self.groups[group].members.push(index);
+        // One that changes its group is another endpoint, whatever its name.
+        let query_in_flight = self.endpoints[index].query_in_flight;
+        self.endpoints[index] =
+            RecoveringEndpoint { group, query_in_flight, ..RecoveringEndpoint::default() };
+        self.schedule_query(index, now);
+    }
+
+    fn on_listed(&mut self, now: Timestamp, complete: bool, members: &[Member], removed: Vec<EndpointIndex>) {
+        // Changes build on a complete list: alone they confirm nothing.
+        self.list_confirmed |= complete;
+        let mut removed: BTreeSet<EndpointIndex> = removed.into_iter().collect();
+        if complete {
+            removed.extend(self.unlisted(members));
+        }
+        for member in members.iter().filter(|member| !removed.contains(&member.endpoint)) {
+            self.add_member(now, *member);
+            let index = member.endpoint;
+            if self.endpoints[index].state == EndpointState::Removed {
+                self.endpoint_event(index, EndpointEvent::Listed);
+                self.schedule_query(index, now);
+            }
+            // Discovery itself names it: the policy's own rule, to check its health before use, is enough.
+            self.endpoints[index].admitted = true;
+        }
+        for index in removed {
+            self.endpoint_event(index, EndpointEvent::Unlisted);
+        }
+        for group in 0..self.groups.len() {
+            self.verify_group(now, group);
+        }
+    }
+
+    /// The endpoints that are known and not among these.
+    fn unlisted(&self, members: &[Member]) -> Vec<EndpointIndex> {
+        let listed: BTreeSet<EndpointIndex> = members.iter().map(|member| member.endpoint).collect();
+        let known = self.groups.iter().flat_map(|group| group.members.iter().copied());
+        known.filter(|index| !listed.contains(index)).collect()
+    }
+
+    fn on_answered(
+        &mut self,
+        now: Timestamp,
+        index: EndpointIndex,
+        queried_at: Timestamp,
+        identity: Identity,
+        report: RoleReport,
+    ) {
+        let trusts_addresses = self.trust_level(now).trusts_addresses || self.list_confirmed;
+        if !self.end_query(index) {
+            return;
+        }
+        let endpoint = &mut self.endpoints[index];
+        endpoint.queried = true;
+        endpoint.query_ended_at = now;
+        endpoint.consecutive_failures = 0;
+        if identity != Identity::Mismatch {
+            self.latest_report = self.latest_report.max(report.position);
+            endpoint.take_report(report, queried_at, now);
+        }
+        let event = match identity {
+            Identity::Confirmed => EndpointEvent::Answered,
+            Identity::Mismatch => EndpointEvent::AnsweredAsAnother,
+            Identity::Unknown if trusts_addresses => EndpointEvent::Answered,
+            Identity::Unknown => EndpointEvent::AnsweredAnonymously,
+        };
+        self.endpoint_event(index, event);
+        self.verify_group(now, self.endpoints[index].group);
+        self.schedule_next_query(index, now);
+    }
+
+    fn on_failed(&mut self, now: Timestamp, index: EndpointIndex, failure: QueryFailure) {
+        if !self.end_query(index) {
+            return;
+        }
+        let endpoint = &mut self.endpoints[index];
+        if failure != QueryFailure::NotSent {
+            endpoint.queried = true;
+            endpoint.query_ended_at = now;
+        }
+        endpoint.consecutive_failures = endpoint.consecutive_failures.saturating_add(1);
+        match failure {
+            QueryFailure::Refused => self.endpoint_event(index, EndpointEvent::ConnectionRefused),
+            QueryFailure::NoAnswer => self.endpoint_event(index, EndpointEvent::NoAnswer),
+            QueryFailure::NotSent => {}
+        }
+        self.verify_group(now, self.endpoints[index].group);
+        self.schedule_next_query(index, now);
+    }
+
+    fn on_observed(
+        &mut self,
+        now: Timestamp,
+        index: EndpointIndex,
+        queried_at: Timestamp,
+        report: EndpointReport,
+    ) {
+        let Some(endpoint) = self.endpoints.get_mut(index) else { return };
+        if endpoint.is_identified() && report.role.is_some() {
+            let timeline = endpoint.report.timeline;
+            endpoint.take_report(RoleReport::new(report, timeline), queried_at, now);
+            let group = endpoint.group;
+            self.verify_group(now, group);
+        }
+    }
+
+    /// A query has ended; false if none was in flight.
+    fn end_query(&mut self, index: EndpointIndex) -> bool {
+        let Some(endpoint) = self.endpoints.get_mut(index) else { return false };
+        let was_in_flight = std::mem::take(&mut endpoint.query_in_flight);
+        if was_in_flight {
+            self.queries.ended();
+        }
+        was_in_flight
+    }
+
+    fn on_request_waiting(&mut self, now: Timestamp, group: GroupIndex) {
+        let Some(waiting) = self.groups.get_mut(group) else { return };
+        if waiting.has_primary() || std::mem::replace(&mut waiting.request_waiting, true) {
+            return;
+        }
+        for index in waiting.members.clone() {
+            if let Some(due) = self.unschedule_query(index) {
+                // One that was not queried yet is so at once.
+                let unheard = self.endpoints[index].state == EndpointState::Unheard;
+                self.schedule_query(index, if unheard { due.min(now) } else { due });
+            }
+        }
+    }
+
+    fn endpoint_event(&mut self, index: EndpointIndex, event: EndpointEvent) {
+        let Some(endpoint) = self.endpoints.get_mut(index) else { return };
+        let Some((state, effect)) = endpoint_state::next(endpoint.state, event) else { return };
+        endpoint.state = state;
+        match effect {
+            Effect::Nothing => {}
+            Effect::Admit => {
+                if !std::mem::replace(&mut endpoint.admitted, true) {
+                    self.actions.push(Action::Admit { endpoint: index });
+                }
+            }
+            Effect::Withdraw => {
+                endpoint.admitted = false;
+                self.actions.push(Action::Withdraw { endpoint: index });
+            }
+        }
+        if state == EndpointState::Removed {
+            self.unschedule_query(index);
+        }
+    }
+
+    fn verify_group(&mut self, now: Timestamp, index: GroupIndex) {
+        let group = &self.groups[index];
+        // Discovery's list is later than all that was cached.
+        let position = group.minimum.position.filter(|_| !self.list_confirmed);
+        let verification = verify(GroupEvidence {
+            members: &group.members,
+            endpoints: &self.endpoints,
+            minimum: MinimumPosition { position, ..group.minimum },
+            trust: self.trust_level(now),
+            list_confirmed: self.list_confirmed,
+            now,
+        });
+        let claims = group.members.iter().filter(|&&member| self.endpoints[member].claims_primary()).count();
+        self.group_event(index, GroupEvent::Verification(verification));
+        let verified = matches!(verification, Verification::Verified(_));
+        if self.list_confirmed && !self.may_query {
+            self.group_event(index, GroupEvent::Unverifiable);
+        } else if self.list_confirmed && claims == 1 && verified {
+            self.group_event(index, GroupEvent::Undisputed);
+        }
+    }
+
+    fn group_event(&mut self, index: GroupIndex, event: GroupEvent) {
+        let group = &mut self.groups[index];
+        let transition = group_state::next(group.state, event);
+        group.state = transition.state;
+        group.request_waiting &= !group.has_primary();
+        if transition.eligibility_changed {
+            let eligibility = group_state::eligibility(transition.state);
+            self.actions.push(Action::SetEligibility { group: index, eligibility });
+        }
+        if transition.state == GroupState::Settled {
+            for member in self.groups[index].members.clone() {
+                self.unschedule_query(member);
+            }
+        }
+    }
+
+    /// Schedules the next query to an endpoint that was just queried.
+    fn schedule_next_query(&mut self, index: EndpointIndex, now: Timestamp) {
+        let endpoint = &self.endpoints[index];
+        let group = &mut self.groups[endpoint.group];
+        if group.state == GroupState::Settled || endpoint.state == EndpointState::Removed {
+            return;
+        }
+        let pause = if endpoint.consecutive_failures > 0 {
+            let backoff = if group.request_waiting { FAILED_URGENT } else { FAILED };
+            backoff.after(endpoint.consecutive_failures - 1)
+        } else if matches!(group.state, GroupState::Verified(_)) {
+            VERIFIED_INTERVAL
+        } else {
+            group.unverified_queries = group.unverified_queries.saturating_add(1);
+            let rounds = group.unverified_queries / group.members.len().max(1) as u32;
+            UNVERIFIED.after(rounds.saturating_sub(ROUNDS_WITHOUT_BACKOFF))
+        };
+        self.schedule_query(index, now + pause);
+    }
+
+    fn schedule_query(&mut self, index: EndpointIndex, at: Timestamp) {
+        self.unschedule_query(index);
+        let endpoint = &mut self.endpoints[index];
+        endpoint.query_due = Some(at);
+        self.queries.insert(at, index, self.groups[endpoint.group].request_waiting);
+    }
+
+    fn unschedule_query(&mut self, index: EndpointIndex) -> Option<Timestamp> {
+        let due = self.endpoints[index].query_due.take()?;
+        self.queries.remove(due, index);
+        Some(due)
+    }
+
+    /// Starts the queries that are due, as many at a time as the trust in the list allows.
+    fn start_queries(&mut self, now: Timestamp) {
+        if !self.may_query {
+            return self.queries.clear();
+        }
+        let max_in_flight = self.max_in_flight(now);
+        self.queries.refresh_burst(now);
+        while let Some(index) = self.queries.next(now, max_in_flight) {
+            self.unschedule_query(index);
+            if !std::mem::replace(&mut self.endpoints[index].query_in_flight, true) {
+                self.queries.started();
+                self.actions.push(Action::Query { endpoint: index });
+            }
+        }
+    }
+}
--- a/recovery/tests/watch.rs
+++ b/recovery/tests/watch_schedule.rs
@@ -2,12 +2,12 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use recovery::watch::{Watching, OPENS_WITHIN};
-use routing::time::{Moment, Span};
+use recovery::watch_schedule::{WatchSchedule, OPEN_TIMEOUT};
+use routing::time::{TimeDelta, Timestamp};
 
-const TOLD: Span = Span::millis(6_000);
+const TOLD: TimeDelta = TimeDelta::from_millis(6_000);
 /// An empty line comes so often.
-const BEAT: Span = Span::millis(2_000);
+const BEAT: TimeDelta = TimeDelta::from_millis(2_000);
 
 /// What becomes of one attempt to open a watch anew.
 #[derive(Clone, Copy, Debug)]
@@ -19,8 +19,8 @@
     Mute,
 }
 
-fn ms(ms: i64) -> Span {
-    Span::millis(ms)
+fn ms(ms: i64) -> TimeDelta {
+    TimeDelta::from_millis(ms)
 }
 
 proptest! {
@@ -38,27 +38,27 @@
         grace in prop::option::of(1i64..10_000),
         chance in 0usize..32,
     ) {
-        let mut watching = Watching::new(true, grace.map(ms));
-        let mut now = Moment(1_000_000_000_000);
+        let mut watching = WatchSchedule::new(true, grace.map(ms));
+        let mut now = Timestamp(1_000_000_000_000);
         for (chance, lasts) in before {
-            watching.asked(now);
+            watching.requested(now);
             now = now + ms(lasts);
             now = now + watching.ended(chance, None);
         }
-        watching.asked(now);
-        let mut by = watching.begun();
+        watching.requested(now);
+        let mut by = watching.next_event_due();
         for _ in 0..beats {
             now = now + BEAT;
             prop_assert!(now < by, "a watch on which all is well is given up");
-            by = watching.heard(now);
+            by = watching.event_received(now);
         }
         let silent = now + ms(since_beat);
         now = by + watching.ended(chance, None);
         for (hindered, chance) in tries {
             now = match hindered {
                 Try::Refused => now,
-                Try::Swallowed => now + OPENS_WITHIN,
-                Try::Mute => watching.asked(now),
+                Try::Swallowed => now + OPEN_TIMEOUT,
+                Try::Mute => watching.requested(now),
             };
             now = now + watching.ended(chance, None);
         }
@@ -72,12 +72,12 @@
         grace in 100i64..3_000,
         chances in prop::collection::vec(0usize..32, 1..20),
     ) {
-        let mut watching = Watching::new(true, Some(ms(grace)));
-        let mut asked = Watching::new(false, Some(ms(grace)));
-        let mut last = Span::ZERO;
+        let mut watching = WatchSchedule::new(true, Some(ms(grace)));
+        let mut queried_at = WatchSchedule::new(false, Some(ms(grace)));
+        let mut last = TimeDelta::ZERO;
         for chance in chances {
             prop_assert!(watching.ended(chance, None) <= ms(grace) / 2);
-            let pause = asked.ended(0, None);
+            let pause = queried_at.ended(0, None);
             prop_assert!(pause >= last && pause <= BEAT);
             last = pause;
         }
@@ -86,24 +86,24 @@
 
 #[test]
 fn a_watch_that_opens_and_ends_at_once_is_not_asked_for_without_pause() {
-    let (mut watching, now) = (Watching::new(false, None), Moment(1_000_000_000_000));
-    let pauses: Vec<Span> = (0..8)
+    let (mut watching, now) = (WatchSchedule::new(false, None), Timestamp(1_000_000_000_000));
+    let pauses: Vec<TimeDelta> = (0..8)
         .map(|_| {
-            watching.asked(now);
-            watching.heard(now);
+            watching.requested(now);
+            watching.event_received(now);
             watching.ended(31, None)
         })
         .collect();
     assert!(pauses[7] > ms(1_500), "{pauses:?}");
-    watching.anew();
+    watching.reset_backoff();
     assert!(watching.ended(31, None) <= ms(50), "news, or another address, ends that");
 }
 
 #[test]
 fn a_watch_that_stood_shortens_one_pause_and_not_those_behind_connections_that_never_come_up() {
-    let (mut watching, now) = (Watching::new(false, None), Moment(1_000_000_000_000));
-    watching.asked(now);
-    watching.heard(now + BEAT);
-    let pauses: Vec<Span> = (0..8).map(|_| watching.ended(31, None)).collect();
+    let (mut watching, now) = (WatchSchedule::new(false, None), Timestamp(1_000_000_000_000));
+    watching.requested(now);
+    watching.event_received(now + BEAT);
+    let pauses: Vec<TimeDelta> = (0..8).map(|_| watching.ended(31, None)).collect();
     assert!(pauses[0] <= ms(50) && pauses[7] > ms(1_500), "{pauses:?}");
 }
--- /dev/null
+++ b/routing/src/policy/attempts.rs
@@ -0,0 +1,95 @@
+//! Attempts: their start, the check right before their bytes leave, and what follows from how they ended.
+
+use crate::state::request::{InFlightAttempt, RequestEvent};
+use crate::time::{TimeDelta, Timestamp};
+use crate::{Action, AttemptEnd, AttemptOutcome, EndpointIndex, LagHandling, RequestId, RoutingPolicy};
+
+impl RoutingPolicy {
+    pub(super) fn start_attempt(&mut self, id: RequestId, index: EndpointIndex) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let method = &self.settings.methods[request.method];
+        // An endpoint does not begin what is past its timeout, so work without value is not done.
+        let until = if method.is_write() { request.answer_by } else { request.useful_until };
+        let timeout = (until - self.now).max(TimeDelta(1));
+        // The queue that any method leaves must suit the tightest objective, or patient methods crowd it out.
+        let quick = self.quick_latency[request.method];
+        let suits_all = TimeDelta::from_secs_f64(quick) + self.settings.tightest_objective / 2;
+        let queue = if method.delays_replication { timeout } else { suits_all };
+        let endpoint = &mut self.endpoints[index];
+        request.in_flight = Some(InFlightAttempt {
+            number: request.attempts,
+            started_at: self.now,
+            work: quick,
+            queue_threshold: queue.min(timeout * 3 / 4),
+            under_pressure: !endpoint.accepts(endpoint.concurrency_limit * 0.5, 0.0, self.now),
+        });
+        request.attempts += 1;
+        if let Some(session) = request.recorded_session {
+            self.session_writes.started(session);
+        }
+        endpoint.start_work(quick, self.now);
+        self.actions.push(Action::StartAttempt { request: id, endpoint: index, timeout });
+    }
+
+    /// Whether what an attempt was started for still holds right before its bytes leave. A bound on staleness
+    /// that endpoints check is theirs to keep.
+    pub fn confirm_attempt(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        number: u32,
+        index: EndpointIndex,
+    ) -> bool {
+        self.now = now;
+        let Some(request) = self.requests.get(&id) else { return false };
+        let (endpoint, group) = (&self.endpoints[index], &self.groups[request.group]);
+        let is_current = request.in_flight.as_ref().is_some_and(|attempt| attempt.number == number);
+        let may_run = request.retry_until.is_none_or(|until| now < until);
+        if !is_current || !may_run || !endpoint.serving {
+            return false;
+        }
+        if group.primary == Some(index) {
+            return true;
+        }
+        if self.settings.methods[request.method].is_write() {
+            let discovers = group.primary.is_none() && !self.settings.settings.may_check_health;
+            return discovers && group.is_eligible(index);
+        }
+        let checked_there = self.settings.settings.lag_handling != LagHandling::ServeStale;
+        (checked_there && !request.carries_position) || endpoint.position >= self.required_position(request)
+    }
+
+    pub(crate) fn finish_attempt(&mut self, end: &AttemptEnd) {
+        self.record_session_write(end);
+        let Some(request) = self.requests.get_mut(&end.request) else { return };
+        let Some(attempt) = request.in_flight.take_if(|attempt| attempt.number == end.attempt) else {
+            return;
+        };
+        if end.outcome == AttemptOutcome::Succeeded {
+            let quick = &mut self.quick_latency[request.method];
+            *quick *= if end.elapsed.as_secs_f64() > *quick { 1.02 } else { 0.95 };
+        } else {
+            let not_sent = matches!(end.outcome, AttemptOutcome::NotSent | AttemptOutcome::Unreachable);
+            request.eligibility_rejections += u32::from(end.outcome == AttemptOutcome::NotEligible);
+            request.avoid_endpoint = Some(end.endpoint);
+            request.reached_endpoint |= !not_sent;
+            if !end.outcome.proves_not_executed() {
+                let until = attempt.started_at + self.settings.methods[request.method].retry_window;
+                request.retry_until = request.retry_until.or(Some(until));
+            }
+        }
+        let event = if end.request_closed { RequestEvent::Closed } else { RequestEvent::AttemptFailed };
+        self.transition(end.request, event);
+    }
+
+    /// A write that may have run binds its session's reads, even if nobody waits for its answer any more.
+    /// Positions are reported in whole milliseconds: only the next one is sure to show the write.
+    fn record_session_write(&mut self, end: &AttemptEnd) {
+        if let (false, Some(session)) = (self.settings.settings.clients_carry_positions, end.write_session) {
+            let succeeded = end.outcome == AttemptOutcome::Succeeded;
+            let reported = end.answer_report.position.filter(|_| succeeded).unwrap_or(self.now).min(self.now);
+            let may_have_run = !end.outcome.proves_not_executed();
+            self.session_writes.ended(session, may_have_run.then_some(reported + TimeDelta::from_millis(1)));
+        }
+    }
+}
--- /dev/null
+++ b/routing/src/policy/replica_selection.rs
@@ -0,0 +1,159 @@
+//! Which endpoint a request goes to now, if any.
+
+use crate::state::request::{Request, RequestEvent};
+use crate::time::{TimeDelta, Timestamp};
+use crate::{Access, EndpointIndex, GroupIndex, LagHandling, MethodIndex, RequestId, RoutingPolicy};
+
+/// The fraction of its cores up to which a primary helps out with reads.
+const PRIMARY_MAX_LOAD: f64 = 0.7;
+/// The fraction of its limit that a primary gives to reads which replicas could serve.
+const PRIMARY_READ_SHARE: f64 = 0.5;
+/// The fraction of a limit that is given to clients' retries: newest first would favour a retry storm.
+const CLIENT_RETRY_SHARE: f64 = 0.25;
+
+type Candidates = Vec<EndpointIndex>;
+
+impl RoutingPolicy {
+    pub(super) fn select_endpoint(&mut self, id: RequestId) -> Option<RequestEvent> {
+        let request = &self.requests[&id];
+        if self.has_no_prospect(request) {
+            return Some(RequestEvent::NoProspect);
+        }
+        let (method, group) = (request.method, request.group);
+        let primary = self.groups[group].primary.filter(|&index| self.is_usable(index, method));
+        let selected = if self.settings.methods[method].is_write() {
+            let candidate = primary.or_else(|| self.primary_candidate(group, method));
+            candidate.filter(|&index| self.has_capacity(index, 1.0))
+        } else {
+            self.select_for_read(id, primary)
+        };
+        selected.map(RequestEvent::EndpointSelected)
+    }
+
+    fn select_for_read(&mut self, id: RequestId, primary: Option<EndpointIndex>) -> Option<EndpointIndex> {
+        let request = &self.requests[&id];
+        let share = if request.client_retry { CLIENT_RETRY_SHARE } else { 1.0 };
+        let is_strong = self.settings.methods[request.method].access == Access::StrongRead;
+        let replicas = self.qualifying_replicas(request, share)?;
+        if let Some(replica) = self.fewest_in_flight(&replicas) {
+            return Some(replica);
+        }
+        // Departure: if every replica that would do is at its limit, the primary helps out within its own,
+        // unless it has lately reported that it is busy. Half of its limit stays free for writes and strong
+        // reads.
+        let primary = primary?;
+        // Without health checks nobody asks a silent primary who it is: it may have said, unnoticed, that it
+        // is none.
+        if !self.settings.settings.may_check_health && self.endpoints[primary].is_silent() {
+            return None;
+        }
+        let primary_share = if is_strong { share } else { PRIMARY_READ_SHARE * share };
+        let since = self.now - self.settings.max_report_age * 4;
+        let is_busy = self.endpoints[primary].reported_busier_than(PRIMARY_MAX_LOAD, since);
+        (self.has_capacity(primary, primary_share) && (is_strong || !is_busy)).then_some(primary)
+    }
+
+    /// Departure: without health checks and without a known primary, a write discovers the primary. A member
+    /// that is none rejects it untouched; one that lately said so is not tried.
+    fn primary_candidate(&mut self, group: GroupIndex, method: MethodIndex) -> Option<EndpointIndex> {
+        let group = &self.groups[group];
+        if self.settings.settings.may_check_health || group.primary.is_some() {
+            return None;
+        }
+        let lately = self.now - self.settings.tightest_objective * 4;
+        let denied_at = |index: EndpointIndex| self.endpoints[index].primary_denied_at;
+        let is_free = |index: EndpointIndex| self.endpoints[index].in_flight == 0 && group.is_eligible(index);
+        let mut candidates = group.members.clone();
+        candidates
+            .retain(|&index| denied_at(index) < lately && is_free(index) && self.is_usable(index, method));
+        let longest_ago = candidates.iter().map(|&index| denied_at(index)).min()?;
+        candidates.retain(|&index| denied_at(index) == longest_ago);
+        self.fewest_in_flight(&candidates)
+    }
+
+    /// The position that a read must see now.
+    pub(super) fn required_position(&self, request: &Request) -> Option<Timestamp> {
+        match self.settings.methods[request.method].access {
+            Access::BoundedRead(bound) => Some(self.now - bound).max(request.required_position),
+            _ => request.required_position,
+        }
+    }
+
+    /// The replicas that will do for a read. An empty list leaves it to the primary, `None` makes it wait.
+    fn qualifying_replicas(&self, request: &Request, share: f64) -> Option<Candidates> {
+        let method = &self.settings.methods[request.method];
+        let group = &self.groups[request.group];
+        let mut replicas = group.members.clone();
+        replicas.retain(|&index| group.primary != Some(index) && self.is_usable(index, request.method));
+        if method.delays_replication && !request.carries_position && !replicas.is_empty() {
+            return self.replica_for_long_read(replicas, share);
+        }
+        let only_one = replicas.len() == 1 && request.eligibility_rejections == 0;
+        replicas.retain(|&index| {
+            (only_one || Some(index) != request.avoid_endpoint) && self.has_capacity(index, share)
+        });
+        let required = self.required_position(request);
+        let is_fresh =
+            |index: &EndpointIndex| required.is_none() || self.endpoints[*index].position >= required;
+        if replicas.iter().any(is_fresh) {
+            replicas.retain(is_fresh);
+            return Some(replicas);
+        }
+        self.stale_replicas(request, replicas)
+    }
+
+    /// As [`Self::qualifying_replicas`], if no replica is known to be fresh enough.
+    fn stale_replicas(&self, request: &Request, mut replicas: Candidates) -> Option<Candidates> {
+        let method = &self.settings.methods[request.method];
+        let half_objective = method.latency_objective / 2;
+        let catches_up = |index: &EndpointIndex, within| self.may_catch_up(request, *index, within);
+        let is_strong = method.access == Access::StrongRead;
+        let may_wait = !is_strong && self.now - request.arrived_at < half_objective;
+        let worth_waiting = may_wait && replicas.iter().any(|index| catches_up(index, half_objective));
+        let first_try = request.eligibility_rejections == 0;
+        match self.settings.settings.lag_handling {
+            _ if request.carries_position && worth_waiting => return None,
+            _ if request.carries_position => replicas.clear(),
+            // An endpoint's wait is worth trying only if the lag it last reported could be made up within it.
+            LagHandling::Wait(patience) if first_try => replicas.retain(|index| catches_up(index, patience)),
+            LagHandling::Reject if first_try && !is_strong => {
+                let freshest = replicas.into_iter().max_by_key(|&index| self.endpoints[index].position);
+                replicas = freshest.into_iter().collect();
+            }
+            // Departure: if every replica is too far behind to make it up by then, the wait is left out.
+            LagHandling::ServeStale if worth_waiting => return None,
+            _ => replicas.clear(),
+        }
+        Some(replicas)
+    }
+
+    /// Whether an endpoint's data may become fresh enough within this time, by the lag that it last reported.
+    fn may_catch_up(&self, request: &Request, index: EndpointIndex, within: TimeDelta) -> bool {
+        let endpoint = &self.endpoints[index];
+        let required = self.required_position(request);
+        let allowed = required.map(|at| self.now - at + within + self.settings.max_report_age);
+        endpoint.position.is_some_and(|position| allowed >= Some(endpoint.reported_at - position))
+    }
+
+    /// Departure: a read without a bound that may take longer than others' bounds keeps to the half of the
+    /// replicas that is most behind: long reads on all of them would let none apply its log.
+    fn replica_for_long_read(&self, mut replicas: Candidates, share: f64) -> Option<Candidates> {
+        replicas.sort_by_key(|&index| self.endpoints[index].position);
+        replicas.truncate(replicas.len().div_ceil(2));
+        replicas.into_iter().find(|&index| self.has_capacity(index, share)).map(|index| vec![index])
+    }
+
+    /// The one with the fewest of this instance's attempts in flight, where another zone counts as one more;
+    /// ties go to the own zone, then to chance.
+    fn fewest_in_flight(&mut self, candidates: &[EndpointIndex]) -> Option<EndpointIndex> {
+        let (settings, endpoints, rng) = (&self.settings.settings, &self.endpoints, &mut self.rng);
+        candidates.iter().copied().min_by_key(|&index| {
+            let endpoint = &endpoints[index];
+            let other_zone = endpoint.zone != settings.zone;
+            // Without health checks only an answer tells who is who: first those that were never tried.
+            let untried = !endpoint.has_answered() && endpoint.in_flight == 0;
+            let known = settings.may_check_health || !untried;
+            (known, endpoint.in_flight + u32::from(other_zone), other_zone, rng.below(1 << 16))
+        })
+    }
+}
--- /dev/null
+++ b/routing/src/policy/request_lifecycle.rs
@@ -0,0 +1,157 @@
+//! The lifecycle of a request: a table of transitions, its arrival, its final answer, and requests that wait.
+
+use crate::state::request::{Request, RequestEvent, RequestPhase};
+use crate::state::timer_tag::TimerTag;
+use crate::time::TimeDelta;
+use crate::{Access, Action, GroupIndex, RequestArrival, RequestId, RoutingPolicy};
+use std::collections::BTreeSet;
+use RequestPhase::{Done, InFlight, Waiting};
+
+#[derive(Clone, Copy)]
+enum Step {
+    SelectEndpoint,
+    StartAttempt,
+    GiveUp,
+    Nothing,
+}
+
+/// From this phase, on an event that matches, to that phase, with this step.
+type Transition = (RequestPhase, fn(RequestEvent) -> bool, RequestPhase, Step);
+
+const TRANSITIONS: &[Transition] = &[
+    (Waiting, |event| event == RequestEvent::Progress, Waiting, Step::SelectEndpoint),
+    (Waiting, |event| matches!(event, RequestEvent::EndpointSelected(_)), InFlight, Step::StartAttempt),
+    (
+        Waiting,
+        |event| matches!(event, RequestEvent::NoProspect | RequestEvent::AnswerDue),
+        Done,
+        Step::GiveUp,
+    ),
+    (Waiting, |event| event == RequestEvent::Closed, Done, Step::Nothing),
+    (InFlight, |event| event == RequestEvent::AttemptFailed, Waiting, Step::SelectEndpoint),
+    (InFlight, |event| event == RequestEvent::AnswerDue, Done, Step::GiveUp),
+    (InFlight, |event| event == RequestEvent::Closed, Done, Step::Nothing),
+];
+
+impl RoutingPolicy {
+    pub(crate) fn on_arrival(&mut self, arrival: &RequestArrival) {
+        let (id, group) = (arrival.request, arrival.group);
+        self.ensure_group(group);
+        let Some(method) = self.settings.methods.get(arrival.method) else {
+            self.actions.push(Action::Reject { request: id, retry_after: None });
+            return;
+        };
+        let is_read = !method.is_write();
+        let request = self.new_request(arrival);
+        self.set_timer(TimerTag::HalfTime(id), request.half_time());
+        self.set_timer(TimerTag::AnswerDue(id), request.answer_by);
+        self.requests.insert(id, request);
+        self.transition(id, RequestEvent::Progress);
+        self.earn_health_check(group, arrival.client_retry);
+        self.schedule_health_checks(group, is_read);
+    }
+
+    fn new_request(&self, arrival: &RequestArrival) -> Request {
+        let method = &self.settings.methods[arrival.method];
+        let clients_carry_positions = self.settings.settings.clients_carry_positions;
+        let required = match method.access {
+            Access::StrongRead => Some(self.now),
+            Access::SessionRead if clients_carry_positions => arrival.last_write.map(|ago| self.now - ago),
+            Access::SessionRead => self.session_writes.required_position(arrival.session, self.now),
+            _ => None,
+        };
+        let answer_by = arrival.deadline - self.settings.answer_margin;
+        let objective = arrival.received_at + method.latency_objective;
+        Request {
+            method: arrival.method,
+            group: arrival.group,
+            arrived_at: self.now,
+            useful_until: if method.useful_when_late { answer_by } else { answer_by.min(objective) },
+            answer_by,
+            required_position: required.max(arrival.seen_position),
+            recorded_session: arrival.session.filter(|_| method.is_write() && !clients_carry_positions),
+            carries_position: arrival.seen_position.is_some(),
+            client_retry: arrival.client_retry && !method.useful_when_late,
+            ..Request::default()
+        }
+    }
+
+    /// Applies the table of transitions until no event follows.
+    pub(crate) fn transition(&mut self, id: RequestId, first: RequestEvent) {
+        let mut next = Some(first);
+        while let Some(event) = next {
+            let Some(request) = self.requests.get_mut(&id) else { return };
+            let phase = request.phase;
+            let row = TRANSITIONS.iter().find(|(from, on, ..)| *from == phase && on(event));
+            let Some((_, _, to, step)) = row else { return };
+            request.phase = *to;
+            let (method, group) = (request.method, request.group);
+            next = match (step, event) {
+                (Step::SelectEndpoint, _) => self.select_endpoint(id),
+                _ => None,
+            };
+            match (step, event) {
+                (Step::StartAttempt, RequestEvent::EndpointSelected(endpoint)) => {
+                    self.start_attempt(id, endpoint)
+                }
+                (Step::GiveUp, _) => self.give_up(id),
+                _ => {}
+            }
+            let waiting = &mut self.groups[group].waiting[method];
+            if *to == Waiting && next.is_none() {
+                waiting.insert(id);
+            } else {
+                waiting.remove(&id);
+            }
+            if *to == Done {
+                self.requests.remove(&id);
+            }
+        }
+    }
+
+    /// Whether no attempt that could still start would be of use.
+    pub(super) fn has_no_prospect(&self, request: &Request) -> bool {
+        let twice_quick = TimeDelta::from_secs_f64(self.quick_latency[request.method] * 2.0);
+        // Never more than a third: a method that is no longer attempted would be taken for slow for ever.
+        let needed = twice_quick.min(self.settings.methods[request.method].latency_objective / 3);
+        let too_late = self.now + needed >= request.useful_until;
+        let retry_over = request.retry_until.is_some_and(|until| self.now >= until);
+        // A client that has waited half of its time for nothing had better ask elsewhere.
+        let unsent = !request.reached_endpoint && self.now >= request.half_time();
+        retry_over || too_late || unsent || request.attempts >= self.settings.settings.max_attempts
+    }
+
+    /// Gives the final answer, at once. It invites a retry only if that does no harm.
+    fn give_up(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let may_have_run = request.retry_until.is_some() || request.in_flight.is_some();
+        if self.settings.methods[request.method].client_may_retry || !may_have_run {
+            let left = (request.answer_by - self.now).max(TimeDelta::ZERO);
+            let retry_after = self.settings.settings.max_retry_after.map(|longest| left.min(longest));
+            self.actions.push(Action::Reject { request: id, retry_after });
+        } else {
+            self.actions.push(Action::Abort { request: id });
+        }
+        if let Some(attempt) = request.in_flight.as_ref().filter(|_| self.settings.settings.may_cancel) {
+            self.actions.push(Action::CancelAttempt { request: id, attempt: attempt.number });
+        }
+    }
+
+    /// Tries a group's waiting requests again, the most urgent methods first; behind one that still has to
+    /// wait, the others of its method wait too.
+    pub(crate) fn retry_waiting(&mut self, group: GroupIndex) {
+        for nth in 0..self.settings.retry_order.len() {
+            let method = self.settings.retry_order[nth];
+            // Newest first, so that under overload some are answered in time rather than all late; then
+            // oldest first, for what only waiting makes possible.
+            for end in [BTreeSet::last, BTreeSet::first] {
+                while let Some(&next) = end(&self.groups[group].waiting[method]) {
+                    self.transition(next, RequestEvent::Progress);
+                    if end(&self.groups[group].waiting[method]) == Some(&next) {
+                        break;
+                    }
+                }
+            }
+        }
+    }
+}
--- a/routing/src/rng.rs
+++ b/routing/src/rng.rs
@@ -1,18 +1,21 @@
-//! Chance, from a seed alone: Marsaglia's multiply-with-carry with a 32-bit word.
+//! Pseudo-random numbers from a seed: Marsaglia's multiply-with-carry generator with a 32-bit word.
 
-/// A multiply-with-carry generator; equal seeds give equal runs.
+/// A multiply-with-carry generator; equal seeds give equal sequences.
 #[derive(Clone, Debug)]
 pub struct Mwc(u64);
 
 impl Mwc {
     const FACTOR: u64 = 4_294_957_665;
+    /// Outputs discarded after seeding: seeds that differ in few bits begin alike.
+    const WARM_UP: usize = 4;
 
+    /// A generator for a seed.
     pub fn new(seed: u64) -> Mwc {
         // The two fixed points (0 and FACTOR * 2^32 - 1) would repeat for ever.
         let state = seed % (Self::FACTOR << 32).wrapping_sub(1);
         let mut rng = Mwc(if state == 0 { Self::FACTOR } else { state });
-        for _ in 0..4 {
-            rng.next(); // Seeds that differ in few bits start alike otherwise.
+        for _ in 0..Self::WARM_UP {
+            rng.next();
         }
         rng
     }
@@ -22,7 +25,7 @@
         self.0 as u32
     }
 
-    /// A whole number under `end`; 0 where `end` is 0.
+    /// A whole number below `end`; 0 if `end` is 0.
     pub fn below(&mut self, end: usize) -> usize {
         ((u64::from(self.next()) * end as u64) >> 32) as usize
     }
--- /dev/null
+++ b/routing/src/routing_policy.rs
@@ -0,0 +1,178 @@
+//! The routing policy as a state machine: what it knows, and which decision each event leads to. The decisions
+//! themselves are made in `policy`.
+
+use crate::events::{Action, AttemptEnd, EndpointIndex, Event, GroupIndex, RequestId};
+use crate::rng::Mwc;
+use crate::settings::RoutingSettings;
+use crate::state::compiled_settings::CompiledSettings;
+use crate::state::endpoint::Endpoint;
+use crate::state::group::Group;
+use crate::state::request::{Request, RequestEvent};
+use crate::state::session_writes::SessionWrites;
+use crate::state::timer_tag::TimerTag;
+use crate::time::Timestamp;
+use std::collections::BTreeMap;
+
+/// The decisions of one instance and all that it knows.
+pub struct RoutingPolicy {
+    pub(crate) settings: CompiledSettings,
+    pub(crate) rng: Mwc,
+    pub(crate) now: Timestamp,
+    pub(crate) requests: BTreeMap<RequestId, Request>,
+    pub(crate) endpoints: Vec<Endpoint>,
+    pub(crate) groups: Vec<Group>,
+    pub(crate) session_writes: SessionWrites,
+    /// By method, in seconds: about three in ten answers take less.
+    pub(crate) quick_latency: Vec<f64>,
+    pub(crate) next_list_poll: Option<Timestamp>,
+    /// What is to be done, since the last event began.
+    pub(crate) actions: Vec<Action>,
+}
+
+impl RoutingPolicy {
+    /// A policy that knows no endpoint yet. What it asks for at its start is appended to `actions`.
+    pub fn new(seed: u64, settings: &RoutingSettings, now: Timestamp, actions: &mut Vec<Action>) -> Self {
+        let settings = CompiledSettings::new(settings);
+        let mut policy = RoutingPolicy {
+            quick_latency: settings.methods.iter().map(|method| method.initial_quick_latency()).collect(),
+            next_list_poll: settings.list_poll_interval.map(|_| now),
+            settings,
+            rng: Mwc::new(seed),
+            now,
+            requests: BTreeMap::new(),
+            endpoints: Vec::new(),
+            groups: Vec::new(),
+            session_writes: SessionWrites::default(),
+            actions: Vec::new(),
+        };
+        policy.schedule_tick();
+        policy.poll_endpoint_list();
+        actions.append(&mut policy.actions);
+        policy
+    }
+
+    /// Handles an event that happened at `now`. What is to be done is appended to `actions`, in order.
+    pub fn on_event(&mut self, now: Timestamp, event: Event, actions: &mut Vec<Action>) {
+        self.now = now;
+        self.dispatch(event);
+        actions.append(&mut self.actions);
+    }
+
+    fn dispatch(&mut self, event: Event) {
+        match event {
+            Event::EndpointList { complete, records } => self.apply_endpoint_list(complete, &records),
+            Event::PrimaryEligibility { group, eligibility } => {
+                self.ensure_group(group);
+                self.groups[group].eligibility = eligibility;
+                self.update_primary(group);
+                self.retry_waiting(group);
+            }
+            Event::EndpointListFailed => self.postpone_list_poll(),
+            Event::RequestArrived(arrival) => self.on_arrival(&arrival),
+            Event::ResponseStarted { request } | Event::ClientGone { request } => {
+                self.transition(request, RequestEvent::Closed);
+            }
+            Event::AttemptEnded(end) => self.on_attempt_ended(&end),
+            Event::TimerFired { tag } => match TimerTag::decode(tag) {
+                TimerTag::Tick => self.on_tick(),
+                TimerTag::HalfTime(request) => self.transition(request, RequestEvent::Progress),
+                TimerTag::AnswerDue(request) => self.transition(request, RequestEvent::AnswerDue),
+            },
+            Event::HealthCheckEnded { endpoint, outcome, report, .. } => {
+                let Some(group) = self.group_of(endpoint) else { return };
+                self.apply_report(endpoint, report, false);
+                self.on_health_check_ended(endpoint, outcome);
+                self.retry_waiting(group);
+                self.schedule_health_checks(group, false);
+            }
+            Event::PeerMessage { .. } => {}
+        }
+    }
+
+    fn on_attempt_ended(&mut self, end: &AttemptEnd) {
+        let Some(group) = self.group_of(end.endpoint) else { return };
+        self.apply_report(end.endpoint, end.load_report, false);
+        self.apply_report(end.endpoint, end.answer_report, true);
+        self.update_endpoint_load(end);
+        self.finish_attempt(end);
+        self.retry_waiting(group);
+    }
+
+    fn on_tick(&mut self) {
+        self.schedule_tick();
+        self.poll_endpoint_list();
+        self.expire_session_writes();
+        for group in 0..self.groups.len() {
+            self.retry_waiting(group);
+            self.accrue_health_check_credit(group);
+            self.schedule_health_checks(group, false);
+        }
+    }
+
+    fn schedule_tick(&mut self) {
+        let at = self.now + self.settings.tick_interval;
+        self.set_timer(TimerTag::Tick, at);
+    }
+
+    /// Positions that every usable endpoint has reached bind no session any more.
+    fn expire_session_writes(&mut self) {
+        let serving = self.endpoints.iter().filter(|endpoint| endpoint.serving);
+        let reached_by_all = serving.map(|endpoint| endpoint.position).min().flatten();
+        self.session_writes.expire(reached_by_all);
+    }
+
+    pub(crate) fn set_timer(&mut self, tag: TimerTag, at: Timestamp) {
+        self.actions.push(Action::SetTimer { tag: tag.encode(), at });
+    }
+
+    /// Makes a group known.
+    pub(crate) fn ensure_group(&mut self, group: GroupIndex) {
+        let methods = self.settings.methods.len();
+        let groups = self.groups.len().max(group + 1);
+        self.groups.resize_with(groups, || Group::new(methods));
+    }
+
+    /// Makes an endpoint known, as a member of a group.
+    pub(crate) fn ensure_endpoint(&mut self, index: EndpointIndex, group: GroupIndex, zone: usize) {
+        self.ensure_group(group);
+        if self.endpoints.len() <= index {
+            self.endpoints.resize_with(index + 1, Endpoint::default);
+        }
+        if !self.groups[group].members.contains(&index) {
+            self.groups[group].members.push(index);
+            let endpoint = &mut self.endpoints[index];
+            endpoint.group = group;
+            endpoint.zone = zone;
+            endpoint.concurrency_limit = self.settings.initial_limit;
+        }
+    }
+
+    /// Whether a group's primary is known, serving, and has not failed lately.
+    pub(crate) fn has_healthy_primary(&self, group: &Group) -> bool {
+        let primary = group.primary.map(|index| &self.endpoints[index]);
+        primary.is_some_and(|primary| primary.consecutive_failures == 0 && primary.serving)
+    }
+
+    /// The group of an endpoint, if any list has named it.
+    fn group_of(&self, index: EndpointIndex) -> Option<GroupIndex> {
+        self.endpoints.get(index).map(|endpoint| endpoint.group)
+    }
+
+    /// Work done lately for this instance at the mean warm endpoint, in seconds.
+    pub(crate) fn mean_warm_work(&self) -> f64 {
+        let window = self.settings.settings.overload_window;
+        let is_warm = |endpoint: &&Endpoint| endpoint.serving && self.slow_start_fraction(endpoint).is_none();
+        let warm = self.endpoints.iter().filter(is_warm);
+        let work: Vec<f64> = warm.map(|endpoint| endpoint.recent_work(window, self.now)).collect();
+        work.iter().sum::<f64>() / work.len().max(1) as f64
+    }
+
+    /// The fraction of its capacity that an endpoint in slow start has, by the settings; none if it is warm.
+    pub(crate) fn slow_start_fraction(&self, endpoint: &Endpoint) -> Option<f64> {
+        let settings = &self.settings.settings;
+        let age = self.now - endpoint.started_at?;
+        let warmed = age.as_secs_f64() / settings.slow_start_duration.as_secs_f64().max(1e-9);
+        let fraction = settings.slow_start_fraction + (1.0 - settings.slow_start_fraction) * warmed;
+        (age < settings.slow_start_duration).then_some(fraction)
+    }
+}
--- /dev/null
+++ b/routing/src/state/group.rs
@@ -0,0 +1,38 @@
+//! What is known of one replication group.
+
+use crate::events::{EndpointIndex, PrimaryEligibility, RequestId};
+use std::collections::BTreeSet;
+
+/// One group.
+#[derive(Clone, Default)]
+pub struct Group {
+    pub members: Vec<EndpointIndex>,
+    /// Requests that wait, by method.
+    pub waiting: Vec<BTreeSet<RequestId>>,
+    /// The member that is taken for the primary.
+    pub primary: Option<EndpointIndex>,
+    pub eligibility: PrimaryEligibility,
+    /// Health checks that its own requests have earned.
+    pub health_check_credit: f64,
+}
+
+impl Group {
+    /// A group without members, for this many methods.
+    pub fn new(methods: usize) -> Group {
+        Group { waiting: vec![BTreeSet::new(); methods], ..Group::default() }
+    }
+
+    /// Whether a member may be taken for the primary.
+    pub fn is_eligible(&self, endpoint: EndpointIndex) -> bool {
+        match self.eligibility {
+            PrimaryEligibility::Any => true,
+            PrimaryEligibility::Nobody => false,
+            PrimaryEligibility::Only(only) => only == endpoint,
+        }
+    }
+
+    /// Whether any request waits.
+    pub fn has_waiting(&self) -> bool {
+        self.waiting.iter().any(|requests| !requests.is_empty())
+    }
+}
--- /dev/null
+++ b/routing/src/state/request.rs
@@ -0,0 +1,86 @@
+//! A request that is open, and its attempt in flight.
+
+use crate::events::{EndpointIndex, GroupIndex, MethodIndex};
+use crate::time::{TimeDelta, Timestamp};
+
+/// How far a request has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RequestPhase {
+    /// It waits for an endpoint.
+    #[default]
+    Waiting,
+    /// An attempt is in flight.
+    InFlight,
+    /// It has its final answer, or needs none.
+    Done,
+}
+
+/// What can happen to a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestEvent {
+    /// Something that may let it go on: its arrival, or a change in its group.
+    Progress,
+    /// An endpoint was selected for its next attempt.
+    EndpointSelected(EndpointIndex),
+    /// No attempt that could still start would be of use.
+    NoProspect,
+    /// Its attempt ended without an answer for the client.
+    AttemptFailed,
+    /// It needs no answer any more.
+    Closed,
+    /// The last moment for a final answer.
+    AnswerDue,
+}
+
+/// An open request.
+#[derive(Default)]
+pub struct Request {
+    pub phase: RequestPhase,
+    pub method: MethodIndex,
+    pub group: GroupIndex,
+    pub arrived_at: Timestamp,
+    /// An answer after this time has no value.
+    pub useful_until: Timestamp,
+    /// Its final answer must be given by then.
+    pub answer_by: Timestamp,
+    /// The position that a read must see however stale it may be: that of its arrival, or of what its session wrote or
+    /// saw.
+    pub required_position: Option<Timestamp>,
+    /// The session that a write is recorded for, if sessions are remembered here.
+    pub recorded_session: Option<u64>,
+    /// Its session has seen a position that no endpoint checks by itself.
+    pub carries_position: bool,
+    /// Attempts started.
+    pub attempts: u32,
+    /// One of them has reached an endpoint, whether or not it ran.
+    pub reached_endpoint: bool,
+    pub in_flight: Option<InFlightAttempt>,
+    /// Set once it may have run: until then it may be retried.
+    pub retry_until: Option<Timestamp>,
+    /// Attempts rejected because the endpoint was not the primary or too stale.
+    pub eligibility_rejections: u32,
+    /// Its client sent it before, most likely until an answer had no value any more.
+    pub client_retry: bool,
+    /// The endpoint of the last failed attempt, used again only if it is the only one.
+    pub avoid_endpoint: Option<EndpointIndex>,
+}
+
+impl Request {
+    /// When half of the time that it has is over.
+    pub fn half_time(&self) -> Timestamp {
+        self.arrived_at + (self.answer_by - self.arrived_at) / 2
+    }
+}
+
+/// An attempt that is in flight.
+pub struct InFlightAttempt {
+    /// Among the attempts of its request, from 0.
+    pub number: u32,
+    pub started_at: Timestamp,
+    /// Expected work at the endpoint, in seconds.
+    pub work: f64,
+    /// An answer that takes longer than this is a sign of a queue at the endpoint.
+    pub queue_threshold: TimeDelta,
+    /// At least half of the endpoint's concurrency limit was in use when it started.
+    pub under_pressure: bool,
+}
--- a/routing/tests/replay.rs
+++ b/routing/tests/replay.rs
@@ -9,10 +9,10 @@
 #[allow(dead_code)]
 mod support;
 
-use routing::choice::Router;
-use routing::iface::*;
 use routing::rng::Mwc;
-use routing::time::{Moment, Span};
+use routing::time::{TimeDelta, Timestamp};
+use routing::RoutingPolicy;
+use routing::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
 
@@ -22,55 +22,61 @@
 const STEPS: usize = 6_000;
 
 /// Settings under which the same draws are played.
-fn mixtures() -> Vec<(&'static str, Facts)> {
-    let usual = || support::facts(Lagging::AnswersAnyway);
+fn mixtures() -> Vec<(&'static str, RoutingSettings)> {
+    let usual = || support::routing_settings(LagHandling::ServeStale);
     vec![
         ("usual", usual()),
-        ("refuses", support::facts(Lagging::Refuses)),
-        ("holds", support::facts(Lagging::Holds(Span::millis(100)))),
-        ("many-instances", Facts { instances: 300, ..usual() }),
-        ("one-instance", Facts { instances: 1, ..usual() }),
-        ("no-probes", Facts { may_probe: false, ..usual() }),
-        ("no-probes-refuses", Facts { may_probe: false, ..support::facts(Lagging::Refuses) }),
-        ("pushed-lists", Facts { ask_within: None, ..usual() }),
-        ("marks-remembered", Facts { marks_carried: false, may_withdraw: false, ..usual() }),
-        ("gone-stays-open", Facts { gone_stays_open: true, max_come_back: None, ..usual() }),
-        ("few-attempts", Facts { max_call_outs: 2, instances: 30, ..usual() }),
+        ("refuses", support::routing_settings(LagHandling::Reject)),
+        ("holds", support::routing_settings(LagHandling::Wait(TimeDelta::from_millis(100)))),
+        ("many-instances", RoutingSettings { instances: 300, ..usual() }),
+        ("one-instance", RoutingSettings { instances: 1, ..usual() }),
+        ("no-probes", RoutingSettings { may_check_health: false, ..usual() }),
+        (
+            "no-probes-refuses",
+            RoutingSettings { may_check_health: false, ..support::routing_settings(LagHandling::Reject) },
+        ),
+        ("pushed-lists", RoutingSettings { list_poll_within: None, ..usual() }),
+        (
+            "marks-remembered",
+            RoutingSettings { clients_carry_positions: false, may_cancel: false, ..usual() },
+        ),
+        ("gone-stays-open", RoutingSettings { unlisted_stay_usable: true, max_retry_after: None, ..usual() }),
+        ("few-attempts", RoutingSettings { max_attempts: 2, instances: 30, ..usual() }),
     ]
 }
 
 /// An attempt that is out.
 struct Attempt {
-    rpc: RpcId,
+    request: RequestId,
     number: u32,
-    store: StoreIx,
-    sent: Moment,
+    endpoint: EndpointIndex,
+    sent: Timestamp,
 }
 
 /// A host that plays drawn events.
 struct Player {
-    router: Router,
-    facts: Facts,
-    now: Moment,
+    router: RoutingPolicy,
+    routing_settings: RoutingSettings,
+    now: Timestamp,
     draws: Mwc,
-    next_rpc: RpcId,
+    next_rpc: RequestId,
     attempts: Vec<Attempt>,
     /// Attempts made, by RPC that is still open.
-    open: BTreeMap<RpcId, u32>,
-    timers: BTreeSet<(Moment, u64)>,
-    probes: Vec<StoreIx>,
+    open: BTreeMap<RequestId, u32>,
+    timers: BTreeSet<(Timestamp, u64)>,
+    probes: Vec<EndpointIndex>,
     actions: usize,
     checksum: u64,
 }
 
 impl Player {
-    fn new(facts: Facts, seed: u64) -> Player {
-        let now = Moment(1_000_000_000_000);
+    fn new(routing_settings: RoutingSettings, seed: u64) -> Player {
+        let now = Timestamp(1_000_000_000_000);
         let mut actions = Vec::new();
-        let router = Router::new(seed, &facts, now, &mut actions);
+        let router = RoutingPolicy::new(seed, &routing_settings, now, &mut actions);
         let mut player = Player {
             router,
-            facts,
+            routing_settings,
             now,
             draws: Mwc::new(seed ^ 0x5eed),
             next_rpc: 0,
@@ -82,8 +88,8 @@
             checksum: 0xcbf2_9ce4_8422_2325,
         };
         player.carry_out(actions);
-        let entries = (0..STORES).map(|store| player.entry(store, Standing::Open)).collect();
-        player.give(Event::List { whole: true, entries });
+        let records = (0..STORES).map(|endpoint| player.entry(endpoint, EndpointStatus::Serving)).collect();
+        player.give(Event::EndpointList { complete: true, records });
         player
     }
 
@@ -91,48 +97,50 @@
         self.draws.below(end)
     }
 
-    fn entry(&mut self, store: StoreIx, standing: Standing) -> Entry {
-        let started = (self.draw(8) == 0).then(|| self.now - Span::millis(self.draw(4_000) as i64));
-        Entry {
-            store,
-            group: store / 3,
-            zone: store % 2,
-            standing,
-            primary: store.is_multiple_of(3),
-            started,
-            presumed: self.draw(16) == 0,
+    fn entry(&mut self, endpoint: EndpointIndex, status: EndpointStatus) -> EndpointRecord {
+        let started_at =
+            (self.draw(8) == 0).then(|| self.now - TimeDelta::from_millis(self.draw(4_000) as i64));
+        EndpointRecord {
+            endpoint,
+            group: endpoint / 3,
+            zone: endpoint % 2,
+            status,
+            primary: endpoint.is_multiple_of(3),
+            started_at,
+            start_presumed: self.draw(16) == 0,
         }
     }
 
     /// What a store says of itself: often right, sometimes old, in part, or of a time to come.
-    fn told(&mut self, store: StoreIx) -> Told {
+    fn told(&mut self, endpoint: EndpointIndex) -> EndpointReport {
         let lag = [0, 5, 40, 300, 1_200, -400][self.draw(6)];
-        let position = (self.draw(5) > 0).then(|| self.now - Span::millis(lag));
-        let primary = store.is_multiple_of(3) != (self.draw(12) == 0);
+        let position = (self.draw(5) > 0).then(|| self.now - TimeDelta::from_millis(lag));
+        let primary = endpoint.is_multiple_of(3) != (self.draw(12) == 0);
         let role = (self.draw(4) > 0).then_some(if primary { Role::Primary } else { Role::Replica });
         let load = (self.draw(3) == 0).then(|| self.draw(100) as f64 / 100.0);
-        Told { position, role, load }
+        EndpointReport { position, role, load }
     }
 
     fn arrive(&mut self) {
-        let method = self.draw(self.facts.methods.len());
-        let deadline =
-            self.now + self.facts.methods[method].deadline.times(0.3 + self.draw(70) as f64 / 100.0);
-        let rpc = self.next_rpc;
+        let method = self.draw(self.routing_settings.methods.len());
+        let deadline = self.now
+            + self.routing_settings.methods[method].deadline.mul_f64(0.3 + self.draw(70) as f64 / 100.0);
+        let request = self.next_rpc;
         self.next_rpc += 1;
-        self.open.insert(rpc, 0);
-        let arrival = Arrival {
-            rpc,
+        self.open.insert(request, 0);
+        let arrival = RequestArrival {
+            request,
             method,
             group: self.draw(GROUPS),
             session: (self.draw(2) == 0).then(|| self.draw(5) as u64),
-            last_write: (self.draw(4) == 0).then(|| Span::millis(self.draw(400) as i64)),
-            seen: (self.draw(8) == 0).then(|| self.now - Span::millis(self.draw(900) as i64)),
-            came: self.now - Span::millis(self.draw(3) as i64),
+            last_write: (self.draw(4) == 0).then(|| TimeDelta::from_millis(self.draw(400) as i64)),
+            seen_position: (self.draw(8) == 0)
+                .then(|| self.now - TimeDelta::from_millis(self.draw(900) as i64)),
+            received_at: self.now - TimeDelta::from_millis(self.draw(3) as i64),
             deadline,
-            repeat: self.draw(6) == 0,
+            client_retry: self.draw(6) == 0,
         };
-        self.give(Event::Arrived(arrival));
+        self.give(Event::RequestArrived(arrival));
     }
 
     fn end_attempt(&mut self) {
@@ -140,66 +148,94 @@
             return;
         }
         let nth = self.draw(self.attempts.len());
-        let Attempt { rpc, number, store, sent } = self.attempts.remove(nth);
-        let confirmed = self.router.confirms(self.now, rpc, number, store);
-        self.record(&format!("confirms {rpc} {number} {store} {confirmed}"));
+        let Attempt { request, number, endpoint, sent } = self.attempts.remove(nth);
+        let confirmed = self.router.confirm_attempt(self.now, request, number, endpoint);
+        self.record(&format!("confirms {request} {number} {endpoint} {confirmed}"));
         let outcomes = [
-            Outcome::Errored,
-            Outcome::Full,
-            Outcome::TimedOut,
-            Outcome::Unreachable,
-            Outcome::Broken,
-            Outcome::Withdrawn,
-            Outcome::Moot,
-            Outcome::Lagged,
+            AttemptOutcome::Failed,
+            AttemptOutcome::Rejected,
+            AttemptOutcome::TimedOut,
+            AttemptOutcome::Unreachable,
+            AttemptOutcome::ConnectionLost,
+            AttemptOutcome::Cancelled,
+            AttemptOutcome::NotSent,
+            AttemptOutcome::NotEligible,
         ];
-        let outcome = if self.draw(4) > 0 { Outcome::Ok } else { outcomes[self.draw(outcomes.len())] };
-        let closed = outcome == Outcome::Ok || !self.open.contains_key(&rpc);
-        if closed {
-            self.open.remove(&rpc);
+        let outcome =
+            if self.draw(4) > 0 { AttemptOutcome::Succeeded } else { outcomes[self.draw(outcomes.len())] };
+        let request_closed = outcome == AttemptOutcome::Succeeded || !self.open.contains_key(&request);
+        if request_closed {
+            self.open.remove(&request);
         }
-        let (note, report) = (self.told(store), self.told(store));
-        let wrote = (self.draw(3) == 0).then(|| self.draw(5) as u64);
+        let (answer_report, load_report) = (self.told(endpoint), self.told(endpoint));
+        let write_session = (self.draw(3) == 0).then(|| self.draw(5) as u64);
         let elapsed = self.now - sent;
-        let end = End { rpc, call_out: number, store, outcome, elapsed, closed, wrote, note, report };
-        self.give(Event::Ended(end));
+        let end = AttemptEnd {
+            request,
+            attempt: number,
+            endpoint,
+            outcome,
+            elapsed,
+            request_closed,
+            write_session,
+            answer_report,
+            load_report,
+        };
+        self.give(Event::AttemptEnded(end));
     }
 
     fn end_probe(&mut self) {
-        let Some(store) = self.probes.pop() else { return };
-        let outcome = [Outcome::Ok, Outcome::Ok, Outcome::Ok, Outcome::Full, Outcome::TimedOut][self.draw(5)];
-        let report = if outcome == Outcome::Ok { self.told(store) } else { Told::default() };
-        self.give(Event::Probed { store, outcome, elapsed: support::TICK, report });
+        let Some(endpoint) = self.probes.pop() else { return };
+        let outcome = [
+            AttemptOutcome::Succeeded,
+            AttemptOutcome::Succeeded,
+            AttemptOutcome::Succeeded,
+            AttemptOutcome::Rejected,
+            AttemptOutcome::TimedOut,
+        ][self.draw(5)];
+        let load_report = if outcome == AttemptOutcome::Succeeded {
+            self.told(endpoint)
+        } else {
+            EndpointReport::default()
+        };
+        self.give(Event::HealthCheckEnded { endpoint, outcome, elapsed: support::TICK, report: load_report });
     }
 
     fn change_list(&mut self) {
-        let store = self.draw(STORES);
-        let standing = [Standing::Open, Standing::Open, Standing::Draining, Standing::Gone][self.draw(4)];
-        let entries = vec![self.entry(store, standing)];
-        self.give(Event::List { whole: false, entries });
+        let endpoint = self.draw(STORES);
+        let status = [
+            EndpointStatus::Serving,
+            EndpointStatus::Serving,
+            EndpointStatus::Draining,
+            EndpointStatus::Removed,
+        ][self.draw(4)];
+        let records = vec![self.entry(endpoint, status)];
+        self.give(Event::EndpointList { complete: false, records });
     }
 
     fn clear(&mut self) {
         let group = self.draw(GROUPS);
-        let only = Clearance::Only(group * 3 + self.draw(3));
-        let clearance = [Clearance::Free, Clearance::Free, Clearance::Barred, only][self.draw(4)];
-        self.give(Event::Cleared { group, clearance });
+        let only = PrimaryEligibility::Only(group * 3 + self.draw(3));
+        let eligibility =
+            [PrimaryEligibility::Any, PrimaryEligibility::Any, PrimaryEligibility::Nobody, only]
+                [self.draw(4)];
+        self.give(Event::PrimaryEligibility { group, eligibility });
     }
 
     fn leave(&mut self) {
-        let open: Vec<RpcId> = self.open.keys().copied().collect();
-        if let Some(&rpc) = open.get(self.draw(open.len().max(1))) {
-            self.open.remove(&rpc);
-            self.give(Event::Gone { rpc });
+        let open: Vec<RequestId> = self.open.keys().copied().collect();
+        if let Some(&request) = open.get(self.draw(open.len().max(1))) {
+            self.open.remove(&request);
+            self.give(Event::ClientGone { request });
         }
     }
 
-    fn pass(&mut self, span: Span) {
+    fn pass(&mut self, span: TimeDelta) {
         let until = self.now + span;
         while let Some(&due) = self.timers.first().filter(|due| due.0 <= until) {
             self.timers.remove(&due);
             self.now = self.now.max(due.0);
-            self.give(Event::Timer { tag: due.1 });
+            self.give(Event::TimerFired { tag: due.1 });
         }
         self.now = until;
     }
@@ -212,9 +248,9 @@
             18 => self.leave(),
             19 if self.draw(4) == 0 => self.change_list(),
             19 if self.draw(4) == 0 => self.clear(),
-            19 if self.draw(4) == 0 => self.give(Event::ListFailed),
+            19 if self.draw(4) == 0 => self.give(Event::EndpointListFailed),
             _ => {
-                let span = Span::millis([0, 1, 4, 20, 90][self.draw(5)]);
+                let span = TimeDelta::from_millis([0, 1, 4, 20, 90][self.draw(5)]);
                 self.pass(span);
             }
         }
@@ -222,39 +258,39 @@
 
     fn give(&mut self, event: Event) {
         let mut actions = Vec::new();
-        self.router.handle(self.now, event, &mut actions);
+        self.router.on_event(self.now, event, &mut actions);
         self.carry_out(actions);
     }
 
     fn carry_out(&mut self, actions: Vec<Action>) {
         for action in actions {
             let line = match action {
-                Action::Send { rpc, store, time_out } => {
-                    let made = self.open.entry(rpc).or_default();
-                    self.attempts.push(Attempt { rpc, number: *made, store, sent: self.now });
+                Action::StartAttempt { request, endpoint, timeout } => {
+                    let made = self.open.entry(request).or_default();
+                    self.attempts.push(Attempt { request, number: *made, endpoint, sent: self.now });
                     *made += 1;
-                    format!("send {rpc} {store} {}", time_out.0)
+                    format!("send {request} {endpoint} {}", timeout.0)
                 }
-                Action::PushBack { rpc, come_back } => {
-                    self.open.remove(&rpc);
-                    format!("reject {rpc} {}", come_back.map_or(-1, |span| span.0))
+                Action::Reject { request, retry_after } => {
+                    self.open.remove(&request);
+                    format!("reject {request} {}", retry_after.map_or(-1, |span| span.0))
                 }
-                Action::Abort { rpc } => {
-                    self.open.remove(&rpc);
-                    format!("abort {rpc}")
+                Action::Abort { request } => {
+                    self.open.remove(&request);
+                    format!("abort {request}")
                 }
-                Action::Withdraw { rpc, call_out } => format!("withdraw {rpc} {call_out}"),
-                Action::Remind { tag, at } => {
+                Action::CancelAttempt { request, attempt } => format!("withdraw {request} {attempt}"),
+                Action::SetTimer { tag, at } => {
                     self.timers.insert((at, tag));
                     format!("remind {tag} {}", at.0)
                 }
-                Action::Probe { store } => {
-                    self.probes.push(store);
-                    format!("probe {store}")
+                Action::CheckHealth { endpoint } => {
+                    self.probes.push(endpoint);
+                    format!("probe {endpoint}")
                 }
-                Action::Watch => "watch".to_string(),
-                Action::FetchList => "fetch".to_string(),
-                Action::Remark(_) => "remark".to_string(),
+                Action::WatchEndpointList => "watch".to_string(),
+                Action::FetchEndpointList => "fetch".to_string(),
+                Action::Log(_) => "remark".to_string(),
             };
             self.record(&line);
         }
@@ -271,9 +307,9 @@
 
 fn play() -> String {
     let mut text = String::new();
-    for (name, facts) in mixtures() {
+    for (name, routing_settings) in mixtures() {
         for seed in 1..=6 {
-            let mut player = Player::new(facts.clone(), seed);
+            let mut player = Player::new(routing_settings.clone(), seed);
             for _ in 0..STEPS {
                 player.step();
             }
--- a/routing/tests/slow_start.rs
+++ b/routing/tests/slow_start.rs
@@ -4,12 +4,12 @@
 #[allow(dead_code)]
 mod support;
 
-use routing::iface::*;
-use routing::time::{Moment, Span};
+use routing::time::{TimeDelta, Timestamp};
+use routing::*;
 use std::collections::{BTreeSet, VecDeque};
 use support::*;
 
-const STEP: Span = Span::millis(5);
+const STEP: TimeDelta = TimeDelta::from_millis(5);
 
 /// The requests that a server may get in one window, `allowed` being what its settings allow it then.
 fn budget(allowed: f64) -> f64 {
@@ -22,23 +22,23 @@
 
 /// Plays instances whose writes all wait for one primary that has just started and works on one core at its own pace.
 /// The greatest part of its budget that came within any window.
-fn worst_part_of_budget(instances: u32, work: Span) -> f64 {
+fn worst_part_of_budget(instances: u32, work: TimeDelta) -> f64 {
     let mut benches: Vec<Bench> = (0..instances)
-        .map(|instance| Bench::one_of(instances, Lagging::AnswersAnyway, 1, u64::from(instance)))
+        .map(|instance| Bench::one_of(instances, LagHandling::ServeStale, 1, u64::from(instance)))
         .collect();
     // Each knows what its writes take on a warm server, which is half busy by all of them together.
     let gap = work * 2 * i64::from(instances);
     for bench in &mut benches {
         for _ in 0..10 {
             let write = bench.arrive(WRITE, 0, 1.0);
-            let mut waited = Span::ZERO;
+            let mut waited = TimeDelta::ZERO;
             while bench.live.get(&write).is_some_and(|live| live.out.is_none()) {
                 bench.pass(STEP);
                 waited += STEP;
             }
             bench.pass(work);
-            bench.end(write, Outcome::Ok, Some(true));
-            bench.pass((gap - work - waited).max(Span::ZERO));
+            bench.end(write, AttemptOutcome::Succeeded, Some(true));
+            bench.pass((gap - work - waited).max(TimeDelta::ZERO));
         }
         assert!(bench.live.is_empty(), "nothing is out or held when the server starts anew");
     }
@@ -48,30 +48,30 @@
         bench.pass(behind);
     }
     let start = benches[0].now;
-    let facts = benches[0].facts.clone();
+    let routing_settings = benches[0].routing_settings.clone();
     for bench in &mut benches {
         assert_eq!(bench.now, start);
-        bench.started[0] = Some(start);
-        bench.list(0, Standing::Open);
+        bench.started_at[0] = Some(start);
+        bench.list(0, EndpointStatus::Serving);
     }
-    let part = |now: Moment| {
-        let warmed = (now - start).secs() / facts.cold_for.secs();
-        facts.cold_from + (1.0 - facts.cold_from) * warmed.min(1.0)
+    let part = |now: Timestamp| {
+        let warmed = (now - start).as_secs_f64() / routing_settings.slow_start_duration.as_secs_f64();
+        routing_settings.slow_start_fraction + (1.0 - routing_settings.slow_start_fraction) * warmed.min(1.0)
     };
-    let mut queue: VecDeque<(usize, RpcId, f64)> = VecDeque::new();
-    let mut queued: Vec<BTreeSet<RpcId>> = vec![BTreeSet::new(); benches.len()];
+    let mut queue: VecDeque<(usize, RequestId, f64)> = VecDeque::new();
+    let mut queued: Vec<BTreeSet<RequestId>> = vec![BTreeSet::new(); benches.len()];
     let (mut arrivals, mut worst) = (VecDeque::new(), 0.0f64);
-    let window = facts.fall_window;
-    while benches[0].now - start < Span::millis(4_000) {
+    let window = routing_settings.overload_window;
+    while benches[0].now - start < TimeDelta::from_millis(4_000) {
         let now = benches[0].now;
         for (instance, bench) in benches.iter_mut().enumerate() {
             // There is always one that waits.
             if bench.live.values().filter(|live| live.out.is_none()).count() < 2 {
                 bench.arrive(WRITE, 0, 1.0);
             }
-            for (&rpc, live) in &bench.live {
-                if live.out.is_some() && queued[instance].insert(rpc) {
-                    queue.push_back((instance, rpc, work.secs()));
+            for (&request, live) in &bench.live {
+                if live.out.is_some() && queued[instance].insert(request) {
+                    queue.push_back((instance, request, work.as_secs_f64()));
                     arrivals.push_back(now);
                 }
             }
@@ -79,9 +79,10 @@
         while arrivals.front().is_some_and(|&at| now - at > window) {
             arrivals.pop_front();
         }
-        let allowed = part(now) * facts.fall_multiple * window.secs() / work.secs();
+        let allowed =
+            part(now) * routing_settings.overload_multiple * window.as_secs_f64() / work.as_secs_f64();
         worst = worst.max(arrivals.len() as f64 / budget(allowed));
-        let mut capacity = STEP.secs() * part(now);
+        let mut capacity = STEP.as_secs_f64() * part(now);
         while let Some(first) = queue.front_mut() {
             let done = capacity.min(first.2);
             capacity -= done;
@@ -89,9 +90,9 @@
             if first.2 > 1e-9 {
                 break;
             }
-            let (instance, rpc, _) = queue.pop_front().expect("the first");
-            queued[instance].remove(&rpc);
-            benches[instance].end(rpc, Outcome::Ok, Some(true));
+            let (instance, request, _) = queue.pop_front().expect("the first");
+            queued[instance].remove(&request);
+            benches[instance].end(request, AttemptOutcome::Succeeded, Some(true));
         }
         benches.iter_mut().for_each(|bench| bench.pass(STEP));
     }
@@ -100,7 +101,7 @@
 
 #[test]
 fn all_instances_together_stay_within_the_budget_of_a_server_in_slow_start() {
-    for work in [Span::millis(10), Span::millis(100)] {
+    for work in [TimeDelta::from_millis(10), TimeDelta::from_millis(100)] {
         for instances in [2, 6, 30, 300] {
             let part = worst_part_of_budget(instances, work);
             let work_ms = work.0 / 1_000_000;
--- /dev/null
+++ b/server/src/admin/client_page.rs
@@ -0,0 +1,115 @@
+//! The page `clients`: connections and requests by class and address, and what was rejected.
+
+use crate::admin::table::{cell_or_empty, Table};
+use crate::admin::view::{AdminView, PageError};
+use crate::clients::admission_control::AdmissionSnapshot;
+use crate::messages::snapshot::{QueueSnapshot, MAX_CLIENTS};
+use admission::concurrency_limiter::RequestCounts;
+
+const CLASS_COLUMNS: [&str; 6] = ["class", "connections", "kept", "most", "rpcs under way", "waiting"];
+
+/// One line of the table of classes.
+struct ClassRow<'a> {
+    name: &'a str,
+    reserved: usize,
+    max_connections: Option<usize>,
+}
+
+impl AdminView {
+    /// The page.
+    ///
+    /// # Errors
+    /// The control loop gives no snapshot.
+    pub fn client_page(&self) -> Result<String, PageError> {
+        let queue = self.snapshot()?.queue;
+        let admission = self.admission.as_ref().map(|admission| admission.snapshot(MAX_CLIENTS));
+        let classes = class_table(admission.as_ref(), queue.as_ref());
+        let mut page = format!("{} sessions\n\n{classes}", self.shutdown.connections());
+        if let Some(admission) = &admission {
+            page += &connection_tables(admission);
+        }
+        if let Some(queue) = &queue {
+            page += &request_tables(queue);
+        }
+        Ok(page)
+    }
+}
+
+fn class_table(admission: Option<&AdmissionSnapshot>, queue: Option<&QueueSnapshot>) -> Table {
+    let mut table = Table::new(&CLASS_COLUMNS);
+    for row in class_rows(admission, queue) {
+        let requests = requests_of(queue, row.name);
+        table.push([
+            row.name.into(),
+            connections_of(admission, row.name).to_string(),
+            row.reserved.to_string(),
+            cell_or_empty(row.max_connections),
+            requests.in_flight.to_string(),
+            requests.waiting.to_string(),
+        ]);
+    }
+    table
+}
+
+/// The classes that are set, then others of which there are connections or requests still.
+fn class_rows<'a>(
+    admission: Option<&'a AdmissionSnapshot>,
+    queue: Option<&'a QueueSnapshot>,
+) -> Vec<ClassRow<'a>> {
+    let configured = admission.into_iter().flat_map(|admission| &admission.classes);
+    let mut rows: Vec<ClassRow> = configured
+        .map(|class| ClassRow {
+            name: &class.name,
+            reserved: class.reserved,
+            max_connections: class.max_connections,
+        })
+        .collect();
+    let connected = admission.into_iter().flat_map(|admission| &admission.connections);
+    let requesting = queue.into_iter().flat_map(|queue| &queue.classes);
+    let names = connected.map(|(class, _)| class).chain(requesting.map(|(class, _)| class));
+    for name in names {
+        if !rows.iter().any(|row| row.name == name) {
+            rows.push(ClassRow { name, reserved: 0, max_connections: None });
+        }
+    }
+    rows
+}
+
+fn connections_of(admission: Option<&AdmissionSnapshot>, class: &str) -> usize {
+    let connections = admission.into_iter().flat_map(|admission| &admission.connections);
+    let mut of_class = connections.filter(|(name, _)| name == class);
+    of_class.next().map_or(0, |(_, count)| *count)
+}
+
+fn requests_of(queue: Option<&QueueSnapshot>, class: &str) -> RequestCounts {
+    let requests = queue.into_iter().flat_map(|queue| &queue.classes);
+    let mut of_class = requests.filter(|(name, _)| name == class);
+    of_class.next().map(|(_, counts)| *counts).unwrap_or_default()
+}
+
+fn connection_tables(admission: &AdmissionSnapshot) -> String {
+    let mut top = Table::new(&["address", "connections"]);
+    for (address, connections) in &admission.top_addresses {
+        top.push([address.to_string(), connections.to_string()]);
+    }
+    let mut rejected = Table::new(&["class", "connections turned away", "why"]);
+    for (class, reason, count) in &admission.rejections {
+        rejected.push([class.clone(), count.to_string(), reason.to_string()]);
+    }
+    let (handshakes, remembered) = (admission.handshakes, admission.remembered_addresses);
+    format!("\n{handshakes} in the lobby, {remembered} addresses remembered\n\n{top}\n{rejected}")
+}
+
+fn request_tables(queue: &QueueSnapshot) -> String {
+    let mut top = Table::new(&["class", "address", "rpcs under way", "waiting"]);
+    for client in &queue.top_clients {
+        let (in_flight, waiting) = (client.requests.in_flight, client.requests.waiting);
+        let address = client.address.to_string();
+        top.push([client.class.clone(), address, in_flight.to_string(), waiting.to_string()]);
+    }
+    let mut shed = Table::new(&["class", "rpcs turned away", "why"]);
+    for (class, reason, count) in &queue.shed {
+        shed.push([class.clone(), count.to_string(), reason.label().into()]);
+    }
+    format!("\n{top}\n{shed}")
+}
--- /dev/null
+++ b/server/src/admin/metrics_page.rs
@@ -0,0 +1,41 @@
+//! The page `metrics`: everything that is counted, in the text format of Prometheus.
+
+use crate::admin::view::{AdminView, DESCRIPTOR_CLASSES};
+use crate::messages::snapshot::ServerSnapshot;
+use metrics::gauge;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+impl AdminView {
+    /// The page, with gauges as they stand now.
+    pub fn metrics_page(&self, recorder: &PrometheusHandle) -> String {
+        self.set_resource_gauges();
+        self.set_connection_gauges();
+        if let Ok(snapshot) = self.snapshot() {
+            set_request_gauges(snapshot);
+        }
+        recorder.render()
+    }
+
+    fn set_resource_gauges(&self) {
+        for (name, class) in DESCRIPTOR_CLASSES {
+            gauge!("gingerwick_descriptors", "share" => name).set(self.resources.in_use(class) as f64);
+        }
+        gauge!("gingerwick_buffer_bytes").set(self.resources.buffer_bytes() as f64);
+    }
+
+    fn set_connection_gauges(&self) {
+        gauge!("gingerwick_sessions").set(self.shutdown.connections() as f64);
+        let Some(admission) = &self.admission else { return };
+        for (class, connections) in admission.snapshot(0).connections {
+            gauge!("gingerwick_connections", "class" => class).set(connections as f64);
+        }
+    }
+}
+
+fn set_request_gauges(snapshot: ServerSnapshot) {
+    gauge!("gingerwick_rpcs_open").set(snapshot.open_requests as f64);
+    for (class, requests) in snapshot.queue.into_iter().flat_map(|queue| queue.classes) {
+        gauge!("gingerwick_rpcs_under_way", "class" => class.clone()).set(requests.in_flight as f64);
+        gauge!("gingerwick_rpcs_waiting", "class" => class).set(requests.waiting as f64);
+    }
+}
--- /dev/null
+++ b/server/src/admin/socket.rs
@@ -0,0 +1,212 @@
+//! The admin socket: a client sends the name of a page on one line and gets the page. One thread serves one client after the
+//! other, each with a limit in time and bytes, so that whoever looks at the server holds up no request.
+
+use crate::admin::view::{AdminView, PageError, PAGE_TIMEOUT};
+use crate::log;
+use metrics_exporter_prometheus::PrometheusHandle;
+use std::fs;
+use std::io::{self, ErrorKind, Read, Write};
+use std::os::unix::fs::{FileTypeExt, PermissionsExt};
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::{Path, PathBuf};
+use std::thread;
+use std::time::{Duration, Instant};
+use thiserror::Error;
+
+const MAX_REQUEST_BYTES: usize = 1 << 10;
+/// Characters of an unknown page's name that are repeated to whoever asked for it.
+const MAX_NAME_SHOWN: usize = 40;
+/// How often samples of histograms are folded together, whether or not anybody asks.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+/// How long the thread waits after a failed accept(2).
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Only the user that runs the server may connect.
+const SOCKET_MODE: u32 = 0o600;
+const ERROR_PREFIX: &str = "error: ";
+const HTTP_NOT_FOUND: &str = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+/// The page of counters, which HTTP clients can get too.
+const METRICS_PAGE: &str = "metrics";
+/// Descriptors at most: the listener, the client that is served, and the next one.
+pub const DESCRIPTORS: usize = 4;
+
+/// One page.
+pub struct Page {
+    /// The name by which it is asked for.
+    pub name: &'static str,
+    /// What it shows, for the help of the command line.
+    pub description: &'static str,
+    render: fn(&AdminView) -> Result<String, PageError>,
+}
+
+/// The pages beside `metrics`.
+pub const PAGES: [Page; 4] = [
+    Page {
+        name: "clients",
+        description: "connections and requests by class and address, and what was rejected",
+        render: AdminView::client_page,
+    },
+    Page {
+        name: "limits",
+        description: "what there is of each resource, and what of it is in use",
+        render: AdminView::limits_page,
+    },
+    Page {
+        name: "stores",
+        description: "the endpoints as the routing policy sees them",
+        render: AdminView::endpoint_page,
+    },
+    Page { name: "rpcs", description: "open requests, the oldest first", render: AdminView::request_page },
+];
+
+/// Why there is no admin socket, or no answer from one.
+#[derive(Debug, Error)]
+pub enum AdminSocketError {
+    /// The path is taken by something else.
+    #[error("{}: not a socket", .0.display())]
+    NotASocket(PathBuf),
+    /// Another server listens there.
+    #[error("{}: another server listens there", .0.display())]
+    InUse(PathBuf),
+    /// The system says why.
+    #[error("{}: {error}", path.display())]
+    Io {
+        /// The path.
+        path: PathBuf,
+        /// The system's error.
+        error: io::Error,
+    },
+    /// The server that was asked has no such page, or cannot make it now.
+    #[error("{0}")]
+    Page(String),
+}
+
+fn io_error(path: &Path) -> impl Fn(io::Error) -> AdminSocketError + '_ {
+    |error| AdminSocketError::Io { path: path.to_path_buf(), error }
+}
+
+/// Listens at a path and serves pages from a thread of its own.
+///
+/// # Errors
+/// The path cannot be used.
+pub fn serve(path: &Path, recorder: PrometheusHandle, view: AdminView) -> Result<(), AdminSocketError> {
+    remove_stale_socket(path)?;
+    let listener = UnixListener::bind(path).map_err(io_error(path))?;
+    let permissions = fs::Permissions::from_mode(SOCKET_MODE);
+    fs::set_permissions(path, permissions).map_err(io_error(path))?;
+    let upkeep = recorder.clone();
+    spawn_thread("metrics-upkeep", move || run_upkeep(&upkeep)).map_err(io_error(path))?;
+    spawn_thread("admin-socket", move || serve_clients(&listener, &recorder, &view)).map_err(io_error(path))
+}
+
+/// A socket that nobody listens on was left by a process that was killed.
+fn remove_stale_socket(path: &Path) -> Result<(), AdminSocketError> {
+    match fs::symlink_metadata(path) {
+        Ok(found) if !found.file_type().is_socket() => Err(AdminSocketError::NotASocket(path.to_path_buf())),
+        Ok(_) if UnixStream::connect(path).is_ok() => Err(AdminSocketError::InUse(path.to_path_buf())),
+        Ok(_) => fs::remove_file(path).map_err(io_error(path)),
+        Err(error) if error.kind() == ErrorKind::NotFound => Ok(()),
+        Err(error) => Err(io_error(path)(error)),
+    }
+}
+
+fn spawn_thread(name: &str, run: impl FnOnce() + Send + 'static) -> io::Result<()> {
+    thread::Builder::new().name(name.into()).spawn(run).map(drop)
+}
+
+fn run_upkeep(recorder: &PrometheusHandle) {
+    loop {
+        thread::sleep(UPKEEP_INTERVAL);
+        recorder.run_upkeep();
+    }
+}
+
+fn serve_clients(listener: &UnixListener, recorder: &PrometheusHandle, view: &AdminView) {
+    for stream in listener.incoming() {
+        match stream {
+            // A client that does not read its page has no use for an error either.
+            Ok(stream) => _ = serve_client(stream, recorder, view),
+            Err(error) => {
+                log!(WARN, reason = error; "client of the admin socket not accepted");
+                thread::sleep(ACCEPT_RETRY_DELAY);
+            }
+        }
+    }
+}
+
+fn serve_client(mut stream: UnixStream, recorder: &PrometheusHandle, view: &AdminView) -> io::Result<()> {
+    stream.set_write_timeout(Some(PAGE_TIMEOUT))?;
+    let request = read_line(&mut stream)?;
+    stream.write_all(response(&request, recorder, view).as_bytes())
+}
+
+fn response(request: &str, recorder: &PrometheusHandle, view: &AdminView) -> String {
+    let words: Vec<&str> = request.split_ascii_whitespace().collect();
+    match words[..] {
+        [METRICS_PAGE] => view.metrics_page(recorder),
+        ["GET", "/metrics", ..] => http_response(&view.metrics_page(recorder)),
+        ["GET", ..] => HTTP_NOT_FOUND.into(),
+        [name] => page(name, view),
+        _ => unknown_page(&words.join(" ")),
+    }
+}
+
+fn http_response(body: &str) -> String {
+    let length = body.len();
+    format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: text/plain; version=0.0.4\r\nContent-Length: {length}\r\n\
+         Connection: close\r\n\r\n{body}"
+    )
+}
+
+fn page(name: &str, view: &AdminView) -> String {
+    match PAGES.iter().find(|page| page.name == name) {
+        Some(page) => (page.render)(view).unwrap_or_else(|error| format!("{ERROR_PREFIX}{error}\n")),
+        None => unknown_page(name),
+    }
+}
+
+fn unknown_page(name: &str) -> String {
+    let known = PAGES.map(|page| page.name).join(", ");
+    let name: String = name.chars().take(MAX_NAME_SHOWN).collect();
+    format!("{ERROR_PREFIX}{name:?} is none of {known}, {METRICS_PAGE}\n")
+}
+
+/// The line that a client sends, or what there is of it when it ends its side.
+fn read_line(stream: &mut UnixStream) -> io::Result<String> {
+    let deadline = Instant::now() + PAGE_TIMEOUT;
+    let mut bytes = Vec::new();
+    while !bytes.contains(&b'\n') {
+        let remaining = deadline.saturating_duration_since(Instant::now());
+        if remaining.is_zero() {
+            return Err(ErrorKind::TimedOut.into());
+        }
+        stream.set_read_timeout(Some(remaining))?;
+        let mut chunk = [0; 256];
+        let length = stream.read(&mut chunk)?;
+        if length == 0 {
+            break;
+        }
+        bytes.extend_from_slice(&chunk[..length]);
+        if bytes.len() > MAX_REQUEST_BYTES {
+            return Err(ErrorKind::InvalidData.into());
+        }
+    }
+    let end = bytes.iter().position(|byte| *byte == b'\n').unwrap_or(bytes.len());
+    Ok(String::from_utf8_lossy(&bytes[..end]).trim().to_string())
+}
+
+/// Asks a running server for a page.
+///
+/// # Errors
+/// Nobody listens at the path, what listens there does not answer in time, or there is no such page.
+pub fn request_page(path: &Path, name: &str) -> Result<String, AdminSocketError> {
+    let mut stream = UnixStream::connect(path).map_err(io_error(path))?;
+    stream.set_read_timeout(Some(PAGE_TIMEOUT * 3)).map_err(io_error(path))?;
+    stream.write_all(format!("{name}\n").as_bytes()).map_err(io_error(path))?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).map_err(io_error(path))?;
+    match text.strip_prefix(ERROR_PREFIX) {
+        Some(reason) => Err(AdminSocketError::Page(reason.trim_end().to_string())),
+        None => Ok(text),
+    }
+}
--- /dev/null
+++ b/server/src/cli/check.rs
@@ -0,0 +1,37 @@
+//! `query-router check`: everything that is wrong with the configuration, at once.
+
+use crate::cli::run::print;
+use crate::config::bootstrap::ReadAt;
+use crate::config::operator_file;
+use crate::exit_status::{ExitStatus, Failure};
+use crate::startup::configuration::{read_bootstrap, read_session_keys};
+use operator_config::OperatorSettings;
+use std::path::Path;
+
+/// Checks both files, and what they name.
+pub fn run(operator_file: Option<&Path>) -> Result<(), Failure> {
+    let bootstrap = read_bootstrap(ReadAt::Start);
+    let mut problems: Vec<String> = Vec::new();
+    problems.extend(bootstrap.err().into_iter().flatten().map(|error| error.to_string()));
+    match operator_file::read(operator_file) {
+        Ok(settings) => {
+            problems.extend(state_dir_problem(&settings));
+            problems.extend(settings.session_keys.as_deref().and_then(|path| read_session_keys(path).err()));
+        }
+        Err(errors) => problems.extend(errors.iter().map(|error| error.to_string())),
+    }
+    if !problems.is_empty() {
+        return Err(Failure::all(ExitStatus::ConfigError, problems));
+    }
+    print("all fit");
+    Ok(())
+}
+
+fn state_dir_problem(settings: &OperatorSettings) -> Option<String> {
+    let path = settings.state_dir.as_ref()?;
+    match std::fs::metadata(path) {
+        Ok(found) if found.is_dir() => None,
+        Ok(_) => Some(format!("state-dir: {}: no directory", path.display())),
+        Err(error) => Some(format!("state-dir: {}: {error}", path.display())),
+    }
+}
--- /dev/null
+++ b/server/src/cli/run.rs
@@ -0,0 +1,56 @@
+//! The entry point: arguments are parsed, the command runs, and its result becomes an exit status.
+
+use crate::cli::arguments::{Arguments, Command, ListCommand};
+use crate::cli::{cached_list, check, show};
+use crate::exit_status::{ExitStatus, Failure};
+use crate::startup;
+use clap::{CommandFactory, Parser};
+use clap_complete::Shell;
+use std::io::Write;
+
+/// Runs the command that the arguments of the process name.
+pub fn run() -> ExitStatus {
+    let arguments = match Arguments::try_parse() {
+        Ok(arguments) => arguments,
+        Err(error) => {
+            // If not even this can be written, the status still tells.
+            let _ = error.print();
+            return if error.use_stderr() { ExitStatus::Usage } else { ExitStatus::Success };
+        }
+    };
+    match run_command(arguments) {
+        Ok(()) => ExitStatus::Success,
+        Err(failure) => {
+            failure.messages.iter().for_each(|message| print_error(message));
+            failure.status
+        }
+    }
+}
+
+fn run_command(arguments: Arguments) -> Result<(), Failure> {
+    let Arguments { conf, command } = arguments;
+    match command.unwrap_or(Command::Serve) {
+        Command::Serve => startup::run(conf),
+        Command::Check => check::run(conf.as_deref()),
+        Command::List { command: ListCommand::Show { path, json } } => cached_list::show(&path, json),
+        Command::List { command: ListCommand::Verify { path } } => cached_list::verify(&path),
+        Command::Show { page, socket } => show::run(conf.as_deref(), socket, &page),
+        Command::Completions { shell } => {
+            print_completions(shell);
+            Ok(())
+        }
+    }
+}
+
+fn print_completions(shell: Shell) {
+    clap_complete::generate(shell, &mut Arguments::command(), "query-router", &mut std::io::stdout());
+}
+
+/// Prints to standard output. A reader that has closed it has seen what it wanted.
+pub(super) fn print(text: &str) {
+    let _ = writeln!(std::io::stdout(), "{text}");
+}
+
+pub(super) fn print_error(message: &str) {
+    eprintln!("query-router: {message}");
+}
--- /dev/null
+++ b/server/src/cli/show.rs
@@ -0,0 +1,25 @@
+//! `query-router show`: a page of a running server.
+
+use crate::admin::socket::request_page;
+use crate::cli::run::print;
+use crate::config::operator_file;
+use crate::exit_status::{ExitStatus, Failure};
+use std::path::{Path, PathBuf};
+
+/// Prints the page that is asked for.
+pub fn run(operator_file: Option<&Path>, socket: Option<PathBuf>, page: &str) -> Result<(), Failure> {
+    let path = match socket {
+        Some(path) => path,
+        None => configured_socket(operator_file)?,
+    };
+    let text = request_page(&path, page).map_err(|error| Failure::new(ExitStatus::Unavailable, error))?;
+    print(text.trim_end());
+    Ok(())
+}
+
+fn configured_socket(operator_file: Option<&Path>) -> Result<PathBuf, Failure> {
+    let settings = operator_file::read(operator_file);
+    let settings = settings.map_err(|errors| Failure::all(ExitStatus::ConfigError, errors))?;
+    let missing = "no --socket, and no operators-socket in the operators' file";
+    settings.admin_socket.ok_or_else(|| Failure::new(ExitStatus::Usage, missing))
+}
--- /dev/null
+++ b/server/src/clients/connection.rs
@@ -0,0 +1,428 @@
+//! A client's connection: one coroutine, which owns the socket, takes what the client sends and writes the responses in the
+//! order of its queries. It goes on reading while requests are open, so a client that closes is noticed; where it may not read
+//! on, it asks the system whether the client has ended the connection.
+
+use crate::clients::admission_control::{AdmissionControl, ConnectionPermit};
+use crate::clients::graceful_shutdown::{ConnectionGuard, GracefulShutdown};
+use crate::clients::response_encoding::encode_response;
+use crate::clients::response_queue::ResponseQueue;
+use crate::clients::session_tokens::{ClientSession, SessionTokens};
+use crate::clients::socket::{ClientSocket, FlushOutcome, ReadOutcome};
+use crate::endpoints::connection::{BURST_PAUSE, MAX_BURST_BYTES, SMALL_BUFFER_BYTES};
+use crate::log;
+use crate::messages::control::ControlMessage;
+use crate::messages::request::MethodTable;
+use crate::messages::response::{Response, ResponseChannel};
+use crate::protocol::frontend_codec::FrontendCodec;
+use crate::protocol::sqlstate::SqlState;
+use crate::runtime::clock::Timers;
+use crate::runtime::resource_limits::{BufferCharge, Descriptor, IdleRank, IdleRegistration, ResourceLimits};
+use crate::storage::journal::WriteJournal;
+use admission::concurrency_limiter::ClientKey;
+use admission::{AddressPrefixes, Rejection};
+use may::io::WaitIo;
+use may::net::TcpStream;
+use may::sync::mpsc::Sender;
+use routing::time::{TimeDelta, Timestamp};
+use std::net::IpAddr;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::sync::atomic::AtomicU64;
+use std::sync::Arc;
+
+/// Queries of one client that are answered side by side; what it sends beyond them stays unread.
+const MAX_PIPELINED_QUERIES: usize = 64;
+/// How long a client may take for its startup and first query from when it connects, for the rest of a message from when it
+/// began it, and for reading its responses.
+pub(super) const CLIENT_TIMEOUT: TimeDelta = TimeDelta::from_millis(2_500);
+
+/// What all connections share.
+pub struct ClientContext {
+    /// The timers.
+    pub timers: Arc<Timers>,
+    /// The limits.
+    pub resources: Arc<ResourceLimits>,
+    /// The control loop.
+    pub control: Sender<ControlMessage>,
+    /// The methods by their names.
+    pub methods: MethodTable,
+    /// The longest Retry-After, if one may be told.
+    pub max_retry_after: Option<TimeDelta>,
+    /// The shutdown.
+    pub shutdown: Arc<GracefulShutdown>,
+    /// Tokens, if clients may carry their sessions.
+    pub session_tokens: Option<Arc<SessionTokens>>,
+    /// Admission control, if clients have classes.
+    pub admission: Option<Arc<AdmissionControl>>,
+    /// Whom the requests of an address are counted for, if clients have no classes and requests are limited.
+    pub client_prefixes: Option<AddressPrefixes>,
+    /// The journal, if writes are recorded.
+    pub journal: Option<Arc<WriteJournal>>,
+    /// The number of the next request.
+    pub next_request: AtomicU64,
+    /// The number of the next connection.
+    pub next_connection: AtomicU64,
+}
+
+/// An accepted connection that the shutdown waits for.
+pub struct NewConnection {
+    stream: TcpStream,
+    channel: Arc<ResponseChannel>,
+    guard: ConnectionGuard,
+    from: IpAddr,
+    descriptor: Descriptor,
+}
+
+impl NewConnection {
+    /// Registers a connection with the shutdown.
+    pub fn register(
+        context: &ClientContext,
+        stream: TcpStream,
+        from: IpAddr,
+        descriptor: Descriptor,
+    ) -> NewConnection {
+        let channel = ResponseChannel::new(stream.waker());
+        let guard = context.shutdown.register(&channel);
+        NewConnection { stream, channel, guard, from, descriptor }
+    }
+}
+
+/// How a client is received.
+pub enum Reception {
+    /// With its place in its class, if it has one.
+    Admitted(Option<ConnectionPermit>),
+    /// It is told why it is rejected.
+    Rejected {
+        /// Why.
+        reason: &'static str,
+        /// When to come back, if that may be told.
+        retry_after: Option<TimeDelta>,
+    },
+}
+
+/// How a connection ends.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum ConnectionEnd {
+    /// The client has time to read what it was sent.
+    Graceful,
+    /// The connection is dead.
+    Immediate,
+}
+
+/// Whether the loop goes on at once.
+enum ReadStep {
+    GoOn,
+    Wait,
+    Closed,
+}
+
+/// A client's connection.
+pub(super) struct ClientConnection {
+    pub context: Arc<ClientContext>,
+    pub socket: ClientSocket,
+    pub channel: Arc<ResponseChannel>,
+    pub codec: FrontendCodec,
+    pub responses: ResponseQueue,
+    /// Nothing more is taken; what is pending is still answered.
+    pub is_last: bool,
+    /// A request of it was answered.
+    served: bool,
+    /// It has sent a query, if only an empty one.
+    pub has_asked: bool,
+    /// Since when the client has owed its next message.
+    pub message_due_since: Option<Timestamp>,
+    /// Since when the client does not read its responses.
+    stalled_since: Option<Timestamp>,
+    /// Bytes read since it last waited.
+    burst_bytes: usize,
+    pub idle: Option<IdleRegistration>,
+    charge: BufferCharge,
+    /// The session that its client carries, if it asked for one.
+    pub session: Option<ClientSession>,
+    pub permit: Option<ConnectionPermit>,
+    /// Whom its requests are counted for.
+    pub client: Option<ClientKey>,
+    /// Dropped last: the process may end with it.
+    guard: ConnectionGuard,
+}
+
+/// Runs a connection from its first byte to its close.
+pub fn run(context: Arc<ClientContext>, connection: NewConnection, reception: Reception) {
+    // The descriptor is given back once the socket is closed.
+    let NewConnection { stream, channel, guard, from, descriptor: _descriptor } = connection;
+    let connected_at = context.timers.now();
+    let client = context.client_prefixes.map(|prefixes| ClientKey::unclassified(from, prefixes));
+    let mut connection = ClientConnection {
+        charge: context.resources.buffer_charge(),
+        context,
+        socket: ClientSocket::new(stream),
+        channel,
+        codec: FrontendCodec::default(),
+        responses: ResponseQueue::default(),
+        is_last: false,
+        served: false,
+        has_asked: false,
+        message_due_since: Some(connected_at),
+        stalled_since: None,
+        burst_bytes: 0,
+        idle: None,
+        session: None,
+        permit: None,
+        client,
+        guard,
+    };
+    connection.wake_at(connected_at + CLIENT_TIMEOUT);
+    match reception {
+        Reception::Admitted(permit) => connection.take_permit(permit),
+        Reception::Rejected { reason, retry_after } => connection.reject(reason, retry_after),
+    }
+    let end = catch_unwind(AssertUnwindSafe(|| connection.serve()));
+    let end = end.unwrap_or_else(|_| connection.end_after_panic());
+    if end == ConnectionEnd::Graceful {
+        connection.close_gracefully();
+    }
+}
+
+impl Drop for ClientConnection {
+    /// However the connection ends, the control loop is told of what it still waited for.
+    fn drop(&mut self) {
+        self.unregister_idle();
+        for pending in self.responses.pending() {
+            let request = pending.request;
+            let _ = self.context.control.send(ControlMessage::ClientGone { request });
+        }
+    }
+}
+
+impl ClientConnection {
+    fn take_permit(&mut self, permit: Option<ConnectionPermit>) {
+        let Some(permit) = permit else { return };
+        if !permit.set_channel(&self.channel) {
+            self.reject_displaced(&permit);
+        }
+        self.set_client(permit.client());
+        self.permit = Some(permit);
+    }
+
+    pub fn set_client(&mut self, client: Option<ClientKey>) {
+        if client.is_some() {
+            self.client = client;
+        }
+    }
+
+    /// Others come, and its client has not identified itself yet.
+    fn reject_displaced(&mut self, permit: &ConnectionPermit) {
+        self.reject_with(&permit.displacement());
+    }
+
+    pub fn reject_with(&mut self, rejection: &Rejection) {
+        let retry_after = self.context.max_retry_after.map(|_| rejection.retry_after);
+        self.reject(rejection.reason.message(), retry_after);
+    }
+
+    fn serve(&mut self) -> ConnectionEnd {
+        loop {
+            self.take_messages();
+            self.leave_if_displaced();
+            self.collect_responses();
+            let Ok(flushed) = self.socket.flush() else { return ConnectionEnd::Immediate };
+            let now = self.context.timers.now();
+            if self.is_stalled(flushed, now) {
+                return ConnectionEnd::Immediate;
+            }
+            if self.exceeds_memory() {
+                if flushed == FlushOutcome::Blocked {
+                    log!(WARN, reason = "buffer memory used up"; "connection of a client that does not read closed");
+                    return ConnectionEnd::Immediate;
+                }
+                if self.codec.buffer_bytes() > SMALL_BUFFER_BYTES {
+                    self.fail(SqlState::OUT_OF_MEMORY, "the memory for buffers is used up");
+                    continue;
+                }
+            }
+            match self.read() {
+                ReadStep::GoOn => continue,
+                ReadStep::Closed => return ConnectionEnd::Immediate,
+                ReadStep::Wait => {}
+            }
+            if self.is_message_overdue(now) {
+                self.fail(SqlState::PROTOCOL_VIOLATION, "what was begun did not come to its end in time");
+                continue;
+            }
+            if self.responses.is_empty() && self.socket.queued() == 0 {
+                // Without a message: one behind the last response would be a second one to that request. A query that crosses
+                // the close did not run, and its client sends it again elsewhere.
+                if self.is_last || (self.codec.is_empty() && self.should_close()) {
+                    return ConnectionEnd::Graceful;
+                }
+                self.rest();
+            }
+            self.burst_bytes = 0;
+            self.socket.wait();
+        }
+    }
+
+    fn leave_if_displaced(&mut self) {
+        let close_requested = !self.is_last && self.channel.is_close_requested();
+        if let Some(permit) = self.permit.take_if(|permit| close_requested && permit.is_handshake()) {
+            self.reject_displaced(&permit);
+        }
+    }
+
+    /// Whether the client has not read its responses for too long.
+    fn is_stalled(&mut self, flushed: FlushOutcome, now: Timestamp) -> bool {
+        if flushed == FlushOutcome::Complete {
+            self.stalled_since = None;
+            return false;
+        }
+        if self.stalled_since.is_none() {
+            self.wake_at(now + CLIENT_TIMEOUT);
+        }
+        let since = *self.stalled_since.get_or_insert(now);
+        now >= since + CLIENT_TIMEOUT
+    }
+
+    fn read(&mut self) -> ReadStep {
+        let max_bytes = self.max_read_bytes();
+        if max_bytes == 0 {
+            return if self.has_client_left() { ReadStep::Closed } else { ReadStep::Wait };
+        }
+        let codec = &mut self.codec;
+        match self.socket.read(max_bytes, |bytes| codec.feed(bytes)) {
+            ReadOutcome::Bytes(count) => {
+                self.unregister_idle();
+                self.burst_bytes += count;
+                if self.burst_bytes >= MAX_BURST_BYTES {
+                    self.burst_bytes = 0;
+                    self.context.timers.sleep(BURST_PAUSE);
+                }
+                ReadStep::GoOn
+            }
+            ReadOutcome::WouldBlock => ReadStep::Wait,
+            ReadOutcome::Closed => ReadStep::Closed,
+        }
+    }
+
+    /// Whether more of what the client sends may be taken.
+    pub fn may_take_more(&self) -> bool {
+        self.responses.len() < MAX_PIPELINED_QUERIES && self.socket.queued() < MAX_PIPELINED_QUERIES
+    }
+
+    /// Whether the next message may be answered beside the others.
+    pub fn may_take_message(&self) -> bool {
+        !self.is_last && self.responses.len() < MAX_PIPELINED_QUERIES
+    }
+
+    /// How much may be read now. Once the server is closed no more than what completes a query that has begun: what is read
+    /// must be answered, and a client that always sends the next one would never be closed. What stays unread its client sends
+    /// again elsewhere.
+    fn max_read_bytes(&self) -> usize {
+        if self.is_last || !self.may_take_more() {
+            0
+        } else if self.context.shutdown.is_closed() {
+            self.codec.missing_bytes()
+        } else {
+            usize::MAX
+        }
+    }
+
+    /// Whether a client that still waits for something has ended the connection.
+    fn has_client_left(&self) -> bool {
+        self.responses.pending().next().is_some() && self.socket.has_ended()
+    }
+
+    /// Whether the client has owed its next message, or the rest of one, for too long.
+    fn is_message_overdue(&mut self, now: Timestamp) -> bool {
+        let between_queries = self.has_asked && self.codec.is_empty();
+        if self.is_last || !self.may_take_more() || between_queries {
+            self.message_due_since = None;
+            return false;
+        }
+        if self.message_due_since.is_none() {
+            self.wake_at(now + CLIENT_TIMEOUT);
+        }
+        let since = *self.message_due_since.get_or_insert(now);
+        now >= since + CLIENT_TIMEOUT
+    }
+
+    fn should_close(&self) -> bool {
+        self.channel.is_close_requested() || self.guard.should_close(self.has_asked, self.served)
+    }
+
+    pub fn wake_at(&self, at: Timestamp) {
+        let waker = self.socket.waker();
+        self.context.timers.call_at(at, move || waker.wakeup());
+    }
+
+    /// Charges its buffers; true if all connections' are too much and this one's are no small part of that.
+    fn exceeds_memory(&mut self) -> bool {
+        let bytes = self.codec.buffer_bytes() + self.responses.ready_bytes() + self.socket.queued_bytes();
+        self.charge.set(bytes);
+        bytes > SMALL_BUFFER_BYTES && !self.is_last && self.context.resources.is_memory_short()
+    }
+
+    /// There is nothing to do: buffers are freed, and the connection may be asked to close.
+    fn rest(&mut self) {
+        if self.idle.is_none() {
+            let rank = if self.has_asked { IdleRank::Idle } else { IdleRank::NeverAsked };
+            let class = self.permit.as_ref().and_then(ConnectionPermit::class);
+            self.register_idle(rank, class);
+        }
+        self.codec.free_buffer();
+        self.socket.free_outbox();
+        self.charge.set(self.codec.buffer_bytes());
+    }
+
+    pub fn register_idle(&mut self, rank: IdleRank, class: Option<Arc<str>>) {
+        let now = self.context.timers.now();
+        let registration = self.context.resources.register_idle(rank, now, self.channel.clone(), class);
+        self.idle = Some(registration);
+    }
+
+    pub fn unregister_idle(&mut self) {
+        if let Some(registration) = self.idle.take() {
+            self.context.resources.unregister_idle(registration);
+        }
+    }
+
+    /// Puts responses that have come in their places, and those whose turn it is in the outbox.
+    fn collect_responses(&mut self) {
+        let now = self.context.timers.now();
+        let tokens = self.context.session_tokens.clone();
+        for (request, response) in self.channel.take() {
+            let session = self.session.as_mut();
+            // In the order in which responses come: a token may show more than its response, never less.
+            let completed = self.responses.complete(request, |group| {
+                let carried = tokens.as_ref().zip(session);
+                let token = carried
+                    .and_then(|(tokens, session)| tokens.record_response(now, session, group, &response));
+                encode_response(response, token.as_deref())
+            });
+            self.served |= completed;
+        }
+        while let Some(response) = self.responses.pop_ready() {
+            self.socket.push(response);
+        }
+    }
+
+    /// A fault of this program: all that is pending is aborted, as far as the client still takes it.
+    fn end_after_panic(&mut self) -> ConnectionEnd {
+        self.fail(SqlState::INTERNAL_ERROR, "internal fault");
+        self.collect_responses();
+        match self.socket.flush() {
+            Ok(FlushOutcome::Complete) => ConnectionEnd::Graceful,
+            _ => ConnectionEnd::Immediate,
+        }
+    }
+
+    /// A fatal error, and nothing is taken behind it. What is pending is aborted, or a request that takes its time would hold
+    /// the error back.
+    pub fn fail(&mut self, code: SqlState, reason: &str) {
+        let aborted = encode_response(Response::Aborted, None);
+        for pending in self.responses.complete_all(&aborted) {
+            let request = pending.request;
+            let _ = self.context.control.send(ControlMessage::ClientGone { request });
+        }
+        self.push_fatal(code, reason);
+        self.is_last = true;
+    }
+}
--- /dev/null
+++ b/server/src/clients/mod.rs
@@ -0,0 +1,13 @@
+//! Connections of clients: how they are accepted and admitted, their protocol, and how they end.
+
+pub mod acceptor;
+pub mod admission_control;
+mod closing;
+pub mod connection;
+pub mod graceful_shutdown;
+mod rejection;
+mod requests;
+mod response_encoding;
+mod response_queue;
+pub mod session_tokens;
+mod socket;
--- /dev/null
+++ b/server/src/clients/requests.rs
@@ -0,0 +1,189 @@
+//! A client's messages: its startup and its queries.
+
+use crate::clients::connection::ClientConnection;
+use crate::clients::response_encoding::{encode_rejection, encode_response};
+use crate::clients::session_tokens::rejection_code;
+use crate::messages::control::{ControlMessage, FateQuery, IncomingRequest};
+use crate::messages::request::{ClientRequest, RequestText};
+use crate::messages::response::{Response, ResponseTicket};
+use crate::protocol::decode::StartupParameters;
+use crate::protocol::encode::{self, Greeting, Severity};
+use crate::protocol::frontend_codec::FrontendMessage;
+use crate::protocol::sqlstate::{ClientError, SqlState};
+use crate::protocol::statement::{self, RequestHeader, Statement};
+use routing::time::TimeDelta;
+use routing::RequestId;
+use sessions::token::TokenError;
+use std::sync::atomic::Ordering;
+use write_journal::record_state::Origin;
+
+/// The answer to SSLRequest and GSSENCRequest: no.
+const NO_ENCRYPTION: u8 = b'N';
+const ONLY_SIMPLE_QUERIES: &str = "only simple queries are taken";
+
+impl ClientConnection {
+    /// Takes the complete messages that were read.
+    pub fn take_messages(&mut self) {
+        while self.may_take_message() {
+            match self.codec.next_message() {
+                Some(message) => self.take_message(message),
+                None => return,
+            }
+        }
+    }
+
+    fn take_message(&mut self, message: FrontendMessage) {
+        match message {
+            FrontendMessage::EncryptionRequest => self.responses.push_ready(vec![NO_ENCRYPTION]),
+            FrontendMessage::Startup { minor_version, parameters } => {
+                self.start_session(minor_version, &parameters);
+            }
+            FrontendMessage::Query(body) => {
+                self.has_asked = true;
+                self.message_due_since = None;
+                self.take_query(body);
+            }
+            FrontendMessage::Sync => self.push(encode::ready_for_query),
+            FrontendMessage::Unsupported { standalone } => self.reject_unsupported(standalone),
+            FrontendMessage::CancelRequest | FrontendMessage::Terminate => self.is_last = true,
+            FrontendMessage::Invalid(error) => self.fail(error.code, error.message),
+        }
+    }
+
+    fn reject_unsupported(&mut self, standalone: bool) {
+        self.push(|out| {
+            let code = SqlState::FEATURE_NOT_SUPPORTED;
+            encode::error_response(out, Severity::Error, code, ONLY_SIMPLE_QUERIES, None);
+            if standalone {
+                encode::ready_for_query(out);
+            }
+        });
+    }
+
+    fn start_session(&mut self, minor_version: u16, parameters: &StartupParameters) {
+        if let Some(permit) = &mut self.permit {
+            if let Err(rejection) = permit.identify(&parameters.user) {
+                return self.reject_with(&rejection);
+            }
+            let client = permit.client();
+            self.set_client(client);
+        }
+        let token = match self.open_session(parameters) {
+            Ok(token) => token,
+            Err(error) => {
+                let reason = format!("the session's token is not taken: {error}");
+                return self.fail(rejection_code(error), &reason);
+            }
+        };
+        let wants_session = parameters.session.is_some();
+        let journal = self.context.journal.as_ref().filter(|_| wants_session);
+        let origin = journal.map(|journal| journal.origin());
+        let connection = self.context.next_connection.fetch_add(1, Ordering::Relaxed) as u32;
+        self.push(|out| {
+            let session_token = token.as_deref();
+            let origin = origin.as_deref();
+            encode::greeting(out, &Greeting { minor_version, connection, session_token, origin });
+        });
+    }
+
+    /// Starts or resumes the session that the client carries, if it asked for one and there are any; its token.
+    fn open_session(&mut self, parameters: &StartupParameters) -> Result<Option<String>, TokenError> {
+        let (Some(tokens), Some(token)) = (&self.context.session_tokens, &parameters.session) else {
+            return Ok(None);
+        };
+        let now = self.context.timers.now();
+        let session = tokens.open(now, token, &parameters.audience)?;
+        let token = tokens.issue(now, &session);
+        self.session = Some(session);
+        Ok(token)
+    }
+
+    fn take_query(&mut self, body: Vec<u8>) {
+        let now = self.context.timers.now();
+        let request = match statement::parse(&body) {
+            Statement::Empty => return self.push_with_ready(encode::empty_query_response),
+            Statement::NoEffect(command) => {
+                return self.push_with_ready(|out| encode::command_complete(out, command));
+            }
+            Statement::QueryFate { id, origin } => {
+                let origin = origin.and_then(Origin::parse);
+                return self.query_fate(id.to_string(), origin);
+            }
+            Statement::Invalid(error) => Err(error),
+            Statement::Request(header) => self.request(now, &header),
+        };
+        match request {
+            Ok(request) => self.send_request(request, body),
+            Err(error) => self.push_error(error),
+        }
+    }
+
+    fn request(
+        &self,
+        now: routing::time::Timestamp,
+        header: &RequestHeader,
+    ) -> Result<ClientRequest, ClientError> {
+        ClientRequest::new(&self.context.methods, now, header)
+    }
+
+    fn next_request_id(&self) -> RequestId {
+        self.context.next_request.fetch_add(1, Ordering::Relaxed)
+    }
+
+    fn query_fate(&mut self, id: String, origin: Option<Origin>) {
+        let request = self.next_request_id();
+        self.responses.push_pending(request, 0);
+        let ticket = ResponseTicket::new(request, self.channel.clone());
+        let _ = self.context.control.send(ControlMessage::QueryFate(FateQuery { id, origin, ticket }));
+    }
+
+    fn send_request(&mut self, mut header: ClientRequest, body: Vec<u8>) {
+        if self.context.resources.is_memory_short() {
+            let response = Response::Rejected { retry_after: self.context.max_retry_after };
+            return self.responses.push_ready(encode_response(response, None));
+        }
+        if let (Some(tokens), Some(session)) = (&self.context.session_tokens, &mut self.session) {
+            header.seen = tokens.seen(self.context.timers.now(), session, header.group);
+        }
+        header.client.clone_from(&self.client);
+        let request = self.next_request_id();
+        self.responses.push_pending(request, header.group);
+        let mut charge = self.context.resources.buffer_charge();
+        charge.set(body.len());
+        let text = RequestText { body, timeout_digits: header.timeout_digits.clone(), charge };
+        let ticket = ResponseTicket::new(request, self.channel.clone());
+        // If the control loop is gone, the ticket is dropped and aborts.
+        let incoming = IncomingRequest { header, text, ticket };
+        let _ = self.context.control.send(ControlMessage::Request(Box::new(incoming)));
+    }
+
+    /// Queues messages as a response.
+    fn push(&mut self, write: impl FnOnce(&mut Vec<u8>)) {
+        let mut out = Vec::new();
+        write(&mut out);
+        self.responses.push_ready(out);
+    }
+
+    fn push_with_ready(&mut self, write: impl FnOnce(&mut Vec<u8>)) {
+        self.push(|out| {
+            write(out);
+            encode::ready_for_query(out);
+        });
+    }
+
+    fn push_error(&mut self, error: ClientError) {
+        self.push_with_ready(|out| {
+            encode::error_response(out, Severity::Error, error.code, error.message, None);
+        });
+    }
+
+    pub fn push_fatal(&mut self, code: SqlState, reason: &str) {
+        self.push(|out| encode::error_response(out, Severity::Fatal, code, reason, None));
+    }
+
+    /// Rejects the connection: it was never admitted.
+    pub fn reject(&mut self, reason: &str, retry_after: Option<TimeDelta>) {
+        self.push(|out| encode_rejection(out, reason, retry_after));
+        self.is_last = true;
+    }
+}
--- /dev/null
+++ b/server/src/control/actions.rs
@@ -0,0 +1,117 @@
+//! Carries out what the routing policy asks for, in order.
+
+use crate::control::active_request::{Location, StartedAttempt};
+use crate::control::control_loop::ControlLoop;
+use crate::log;
+use crate::messages::control::{AttemptJob, AttemptReport};
+use crate::messages::response::Response;
+use crate::runtime::cancellation::CancellationToken;
+use routing::time::{TimeDelta, Timestamp};
+use routing::{Action, AttemptOutcome, EndpointIndex, EndpointReport, Event, RequestId};
+use std::sync::Arc;
+
+impl ControlLoop {
+    pub(super) fn carry_out_actions(&mut self, now: Timestamp) {
+        while !self.state.actions.is_empty() {
+            let mut not_sent = Vec::new();
+            for action in std::mem::take(&mut self.state.actions) {
+                self.carry_out(now, action, &mut not_sent);
+            }
+            for report in not_sent {
+                self.on_attempt_not_sent(now, report);
+            }
+        }
+    }
+
+    /// Attempts that cannot be started are appended to `not_sent`.
+    fn carry_out(&mut self, now: Timestamp, action: Action, not_sent: &mut Vec<AttemptReport>) {
+        match action {
+            Action::StartAttempt { request, endpoint, timeout } => {
+                not_sent.extend(self.start_attempt(now, request, endpoint, timeout));
+            }
+            Action::Reject { request, retry_after } => self.reject(now, request, retry_after),
+            Action::Abort { request } => {
+                self.state.trace(request, "abort", now);
+                self.state.answer(now, request, Response::Aborted);
+            }
+            Action::CancelAttempt { request, attempt } => self.cancel_attempt(request, attempt),
+            Action::SetTimer { tag, at } => self.state.deadlines.set_timer(at, tag),
+            Action::CheckHealth { endpoint } => self.check_health(now, endpoint),
+            // The watch is kept up by itself.
+            Action::WatchEndpointList | Action::FetchEndpointList => {}
+            Action::Log(message) => log!(INFO; "routing policy: {message}"),
+        }
+    }
+
+    /// Starts an attempt; its report if the endpoint has no address.
+    fn start_attempt(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        endpoint: EndpointIndex,
+        timeout: TimeDelta,
+    ) -> Option<AttemptReport> {
+        let state = &mut self.state;
+        let number = state.requests.start_attempt(request);
+        state.trace(request, "attempt", now);
+        let addr = state.addr(endpoint);
+        let active = state.requests.get_mut(request)?;
+        let cancellation = Arc::new(CancellationToken::default());
+        active.attempt = Some(StartedAttempt { number, cancellation: cancellation.clone() });
+        active.in_flight = Some(Location { endpoint, since: now });
+        let Some(addr) = addr else {
+            return Some(AttemptReport::not_sent(request, number, endpoint, now));
+        };
+        self.dispatcher.start_attempt(AttemptJob {
+            request,
+            number,
+            endpoint,
+            addr,
+            started_at: now,
+            deadline: now + timeout,
+            text: active.text.clone(),
+            cancellation,
+            journal_entry: active.journal_entry(),
+            needs_epoch: active.needs_epoch(),
+        });
+        None
+    }
+
+    fn on_attempt_not_sent(&mut self, now: Timestamp, report: AttemptReport) {
+        self.state.end_attempt(now, report, self.settings.max_retry_after);
+    }
+
+    /// A duplicate of what may have run in an earlier request is aborted: that it did not run is not known any more.
+    fn reject(&mut self, now: Timestamp, request: RequestId, retry_after: Option<TimeDelta>) {
+        let is_duplicate = self.state.requests.get(request).is_some_and(|active| active.is_duplicate);
+        if is_duplicate {
+            self.state.trace(request, "abort", now);
+            self.state.answer(now, request, Response::Aborted);
+        } else {
+            self.state.trace(request, "reject", now);
+            self.state.answer(now, request, Response::Rejected { retry_after });
+        }
+    }
+
+    fn cancel_attempt(&mut self, request: RequestId, number: u32) {
+        let started = self.state.requests.get(request).and_then(|active| active.attempt.as_ref());
+        if let Some(attempt) = started.filter(|attempt| attempt.number == number) {
+            attempt.cancellation.cancel();
+        }
+    }
+
+    fn check_health(&mut self, now: Timestamp, endpoint: EndpointIndex) {
+        match self.state.addr(endpoint) {
+            Some(addr) => self.dispatcher.check_health(endpoint, addr),
+            None => {
+                let event = Event::HealthCheckEnded {
+                    endpoint,
+                    outcome: AttemptOutcome::Unreachable,
+                    elapsed: TimeDelta::ZERO,
+                    report: EndpointReport::default(),
+                };
+                self.state.report(now, event);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/server/src/control/control_loop.rs
@@ -0,0 +1,222 @@
+//! The control loop. Messages are handled in batches under one clock reading; what follows from them goes out as messages.
+
+use crate::control::request_queue::{QueuedRequest, RequestQueue};
+use crate::control::router_state::{RouterSetup, RouterState};
+use crate::endpoints::dispatcher::AttemptDispatcher;
+use crate::log;
+use crate::messages::control::{ControlMessage, QueueLimits};
+use crate::messages::endpoint_list::ListedEndpoint;
+use crate::storage::endpoint_cache_writer::EndpointCacheWriter;
+use may::sync::mpsc::Receiver;
+use recovery::primary_discovery::{self, PrimaryDiscovery};
+use recovery::staleness::CacheTimes;
+use routing::time::Timestamp;
+use routing::{Event, RoutingSettings};
+use std::collections::BTreeMap;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::sync::Arc;
+
+/// How primaries are discovered, if the endpoint list is cached over a restart.
+pub struct RecoveryOptions {
+    /// The times of the cached list; none if its age is not known.
+    pub cache_times: Option<CacheTimes>,
+    /// Endpoints can say who they are.
+    pub asks_identity: bool,
+    /// Descriptors for endpoints.
+    pub descriptors: usize,
+    /// The cache, if it can be written.
+    pub cache: Option<Arc<EndpointCacheWriter>>,
+}
+
+/// What a control loop is made from.
+pub struct ControlSetup {
+    /// The settings of the routing policy.
+    pub settings: RoutingSettings,
+    /// For randomness.
+    pub seed: u64,
+    /// The names of the zones.
+    pub zones: Vec<String>,
+    /// Open requests at most.
+    pub max_open_requests: usize,
+    /// Starts attempts.
+    pub dispatcher: AttemptDispatcher,
+    /// What comes.
+    pub messages: Receiver<ControlMessage>,
+    /// How primaries are discovered after a start.
+    pub recovery: Option<RecoveryOptions>,
+}
+
+/// The control loop.
+pub struct ControlLoop {
+    pub(super) settings: RoutingSettings,
+    seed: u64,
+    pub(super) zones: Vec<String>,
+    pub(super) max_open_requests: usize,
+    pub(super) dispatcher: AttemptDispatcher,
+    messages: Receiver<ControlMessage>,
+    /// The endpoint list as it was given last, by name: what a new router state starts with.
+    pub(super) listed: BTreeMap<String, ListedEndpoint>,
+    /// The next wake-up that is set and has not come yet.
+    pub(super) wake_up: Option<Timestamp>,
+    /// The router state is new and does not know the list.
+    needs_list: bool,
+    /// The state that was lost had a list that discovery had confirmed.
+    list_was_confirmed: bool,
+    pub(super) recovery: Option<RecoveryOptions>,
+    pub(super) queue_limits: Option<QueueLimits>,
+    pub(super) state: RouterState,
+}
+
+impl ControlLoop {
+    /// A control loop that has handled nothing yet.
+    pub fn new(setup: ControlSetup) -> ControlLoop {
+        let ControlSetup { settings, seed, zones, max_open_requests, dispatcher, messages, recovery } = setup;
+        let state = RouterState::new(RouterSetup {
+            seed,
+            settings: &settings,
+            dispatcher: &dispatcher,
+            recovery: recovery.as_ref(),
+            queue_limits: None,
+        });
+        ControlLoop {
+            settings,
+            seed,
+            zones,
+            max_open_requests,
+            dispatcher,
+            messages,
+            listed: BTreeMap::new(),
+            wake_up: None,
+            needs_list: false,
+            list_was_confirmed: false,
+            recovery,
+            queue_limits: None,
+            state,
+        }
+    }
+
+    /// Runs for the life of the process. A panic of the routing policy loses its state: what was open is aborted by its ticket,
+    /// and a new policy starts from the list, as after a restart.
+    pub fn run(mut self) {
+        loop {
+            if catch_unwind(AssertUnwindSafe(|| self.handle_batch())).is_err() {
+                log!(WARN; "routing policy panicked, restarting it from the endpoint list");
+                self.reset();
+            }
+        }
+    }
+
+    fn reset(&mut self) {
+        self.seed = self.seed.wrapping_add(1);
+        self.list_was_confirmed =
+            self.state.discovery.as_ref().is_some_and(PrimaryDiscovery::is_list_confirmed);
+        self.state = RouterState::new(RouterSetup {
+            seed: self.seed,
+            settings: &self.settings,
+            dispatcher: &self.dispatcher,
+            recovery: self.recovery.as_ref(),
+            queue_limits: self.queue_limits.clone(),
+        });
+        self.needs_list = true;
+        // The message that it had come may have been lost with the batch.
+        self.wake_up = None;
+        let at = self.dispatcher.timers().now();
+        let _ = self.dispatcher.control.send(ControlMessage::WakeUp { at });
+    }
+
+    /// Waits for a message, then handles all that have come.
+    fn handle_batch(&mut self) {
+        let Ok(first) = self.messages.recv() else { return };
+        let now = self.dispatcher.timers().now();
+        if std::mem::take(&mut self.needs_list) {
+            self.restore_list(now);
+        }
+        self.state.fire_deadlines(now);
+        let mut admitted = Vec::new();
+        if let Some(queue) = &mut self.state.queue {
+            queue.tick(now, &mut admitted);
+        }
+        self.admit(now, admitted);
+        let mut next = Some(first);
+        while let Some(message) = next {
+            self.handle_message(now, message);
+            self.carry_out_discovery(now);
+            next = self.messages.try_recv().ok();
+        }
+        self.carry_out_actions(now);
+        while !self.state.finished.is_empty() {
+            self.admit(now, Vec::new());
+            self.carry_out_actions(now);
+        }
+        self.schedule_wake_up(now);
+    }
+
+    fn restore_list(&mut self, now: Timestamp) {
+        let endpoints: Vec<ListedEndpoint> = self.listed.values().cloned().collect();
+        if self.recovery.is_some() && !self.list_was_confirmed {
+            self.state.take_cached_list(endpoints, Vec::new(), now);
+        } else {
+            self.state.take_list(true, &endpoints, &self.zones, now);
+        }
+    }
+
+    fn handle_message(&mut self, now: Timestamp, message: ControlMessage) {
+        match message {
+            ControlMessage::Request(incoming) => {
+                self.on_request(now, QueuedRequest { incoming, received_at: now });
+            }
+            ControlMessage::ClientGone { request } => self.on_client_gone(now, request),
+            ControlMessage::Confirm(question) => self.on_confirm(now, &question),
+            ControlMessage::EpochReported { request, epoch } => self.on_epoch_reported(request, epoch),
+            ControlMessage::AttemptEnded(report) => self.on_attempt_ended(now, *report),
+            ControlMessage::HealthCheckEnded(end) => self.on_health_check_ended(now, end),
+            ControlMessage::EndpointList { complete, endpoints } => {
+                self.on_endpoint_list(now, complete, endpoints);
+            }
+            ControlMessage::EndpointListFailed => self.state.report(now, Event::EndpointListFailed),
+            ControlMessage::QueryFate(query) => self.on_fate_query(query),
+            ControlMessage::CachedList(list) => self.on_cached_list(now, &list),
+            ControlMessage::QueryEnded(end) => self.on_query_ended(now, end),
+            ControlMessage::SetQueueLimits(limits) => self.on_queue_limits(now, limits),
+            // Whoever asked may be gone.
+            ControlMessage::Snapshot { reply } => _ = reply.send(self.state.snapshot(now)),
+            ControlMessage::WakeUp { at } => {
+                self.wake_up = self.wake_up.filter(|set| *set != at);
+                self.state.report_to_discovery(now, primary_discovery::Event::Tick);
+            }
+        }
+    }
+
+    fn on_queue_limits(&mut self, now: Timestamp, limits: Option<QueueLimits>) {
+        self.queue_limits.clone_from(&limits);
+        let mut admitted = Vec::new();
+        match (self.state.queue.take(), limits) {
+            (Some(mut queue), Some(limits)) => {
+                queue.set_limits(now, limits, &mut admitted);
+                self.state.queue = Some(queue);
+            }
+            (None, Some(limits)) => {
+                let queue = RequestQueue::new(limits, self.settings.max_retry_after, self.seed);
+                self.state.queue = Some(queue);
+            }
+            (Some(queue), None) => admitted = queue.into_waiting(),
+            (None, None) => {}
+        }
+        self.admit(now, admitted);
+    }
+
+    /// Sets a wake-up for what is due next. One that comes while its batch is under way meets a clock reading from before it:
+    /// only its own message says that it has come, or what is due behind it would wait for a message that may never come.
+    fn schedule_wake_up(&mut self, now: Timestamp) {
+        let state = &self.state;
+        let discovery = state.discovery.as_ref().and_then(|discovery| discovery.due(now));
+        let queue = state.queue.as_ref().and_then(RequestQueue::due);
+        let due = state.deadlines.due().into_iter().chain(queue).chain(discovery).min();
+        let Some(due) = due.filter(|due| self.wake_up.is_none_or(|set| *due < set)) else { return };
+        self.wake_up = Some(due);
+        let control = self.dispatcher.control.clone();
+        self.dispatcher.timers().call_at(due, move || {
+            let _ = control.send(ControlMessage::WakeUp { at: due });
+        });
+    }
+}
