--- /dev/null
+++ b/server/src/control/mod.rs
@@ -0,0 +1,12 @@
+//! The control loop: one coroutine that owns the routing policy, primary discovery, the open requests and their timers.
+//! Everything that happens comes to it as a [`ControlMessage`](crate::messages::control::ControlMessage).
+
+mod actions;
+mod active_request;
+pub mod control_loop;
+mod deadlines;
+mod primary_discovery;
+mod request_handling;
+pub mod request_queue;
+mod response_check;
+mod router_state;
--- /dev/null
+++ b/server/src/control/primary_discovery.rs
@@ -0,0 +1,255 @@
+//! Endpoint lists, cached and discovery's, and what primary discovery asks for and is told.
+
+use crate::control::control_loop::ControlLoop;
+use crate::control::router_state::RouterState;
+use crate::messages::control::{ConnectError, QueryAnswer, QueryEnd};
+use crate::messages::endpoint_list::ListedEndpoint;
+use endpoint_cache::CachedEndpointList;
+use recovery::endpoint_state::{RecoveringEndpoint, RoleReport};
+use recovery::primary_discovery::{Action, Event as DiscoveryEvent, Identity, QueryFailure};
+use recovery::primary_verification::MinimumPosition;
+use routing::time::Timestamp;
+use routing::{AttemptOutcome, EndpointIndex, EndpointRecord, EndpointReport, EndpointStatus, Event};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+const NANOS_PER_MILLI: i64 = 1_000_000;
+
+impl ControlLoop {
+    pub(super) fn on_cached_list(&mut self, now: Timestamp, list: &CachedEndpointList) {
+        let endpoints: Vec<ListedEndpoint> = list.endpoints.iter().map(ListedEndpoint::from).collect();
+        self.listed = endpoints.iter().map(|listed| (listed.name.clone(), listed.clone())).collect();
+        self.state.take_cached_list(endpoints, minimum_positions(list), now);
+    }
+
+    pub(super) fn on_endpoint_list(
+        &mut self,
+        now: Timestamp,
+        complete: bool,
+        endpoints: Vec<ListedEndpoint>,
+    ) {
+        self.state.report_list_to_discovery(complete, &endpoints, now);
+        self.carry_out_discovery(now);
+        if complete {
+            self.listed.clear();
+        }
+        for listed in &endpoints {
+            self.listed.insert(listed.name.clone(), listed.clone());
+        }
+        for addr in self.state.take_list(complete, &endpoints, &self.zones, now) {
+            self.dispatcher.pool.close_idle(&addr);
+        }
+        let addrs: BTreeSet<SocketAddr> = self.state.listed.iter().filter_map(|listed| listed.addr).collect();
+        self.dispatcher.pool.retain_addresses(&addrs);
+    }
+
+    pub(super) fn on_query_ended(&mut self, now: Timestamp, end: QueryEnd) {
+        let QueryEnd { endpoint, queried_at, answer } = end;
+        let succeeded = match answer {
+            Ok(QueryAnswer { outcome: AttemptOutcome::Succeeded, report, identity }) => {
+                self.on_query_answered(now, endpoint, queried_at, report, identity.as_deref());
+                Some(report)
+            }
+            answer => {
+                let failure = query_failure(&answer);
+                self.state.report_to_discovery(now, DiscoveryEvent::Failed { endpoint, failure });
+                None
+            }
+        };
+        self.carry_out_discovery(now);
+        // An answer that another endpoint gave is no health check of this one.
+        let is_identified = self.recovering(endpoint).is_some_and(RecoveringEndpoint::is_identified);
+        if let Some(report) = succeeded.filter(|_| is_identified) {
+            let outcome = AttemptOutcome::Succeeded;
+            let elapsed = now - queried_at;
+            self.state.report(now, Event::HealthCheckEnded { endpoint, outcome, elapsed, report });
+            self.cache_report(endpoint);
+        }
+    }
+
+    fn on_query_answered(
+        &mut self,
+        now: Timestamp,
+        endpoint: EndpointIndex,
+        queried_at: Timestamp,
+        report: EndpointReport,
+        identity: Option<&str>,
+    ) {
+        let name = self.state.endpoints.id(endpoint);
+        let (identity, timeline) = identify(identity.filter(|_| self.asks_identity()), name);
+        let report = RoleReport::new(report, timeline);
+        let event = DiscoveryEvent::Answered { endpoint, queried_at, identity, report };
+        self.state.report_to_discovery(now, event);
+    }
+
+    fn asks_identity(&self) -> bool {
+        self.recovery.as_ref().is_some_and(|options| options.asks_identity)
+    }
+
+    fn recovering(&self, endpoint: EndpointIndex) -> Option<&RecoveringEndpoint> {
+        self.state.discovery.as_ref()?.endpoint(endpoint)
+    }
+
+    /// What an endpoint reported to the routing policy is primary discovery's too.
+    pub(super) fn observe_report(
+        &mut self,
+        now: Timestamp,
+        endpoint: EndpointIndex,
+        queried_at: Timestamp,
+        report: EndpointReport,
+    ) {
+        if report.role.is_some() && self.state.discovery.is_some() {
+            let event = DiscoveryEvent::Observed { endpoint, queried_at, report };
+            self.state.report_to_discovery(now, event);
+            self.cache_report(endpoint);
+        }
+    }
+
+    fn cache_report(&self, endpoint: EndpointIndex) {
+        let cache = self.recovery.as_ref().and_then(|options| options.cache.as_ref());
+        if let (Some(cache), Some(recovering)) = (cache, self.recovering(endpoint)) {
+            cache.reported(self.state.endpoints.id(endpoint), recovering.report);
+        }
+    }
+
+    /// Carries out what primary discovery asks for, in order.
+    pub(super) fn carry_out_discovery(&mut self, now: Timestamp) {
+        for action in std::mem::take(&mut self.state.discovery_actions) {
+            match action {
+                Action::Query { endpoint } => self.query(now, endpoint),
+                Action::Admit { endpoint } => self.admit_endpoint(now, endpoint),
+                Action::Withdraw { endpoint } => self.withdraw_endpoint(now, endpoint),
+                Action::SetEligibility { group, eligibility } => {
+                    self.state.report(now, Event::PrimaryEligibility { group, eligibility });
+                }
+            }
+        }
+    }
+
+    fn query(&mut self, now: Timestamp, endpoint: EndpointIndex) {
+        match self.state.addr(endpoint) {
+            Some(addr) => self.dispatcher.query(endpoint, addr, self.asks_identity()),
+            None => {
+                let failure = QueryFailure::NoAnswer;
+                self.state.report_to_discovery(now, DiscoveryEvent::Failed { endpoint, failure });
+            }
+        }
+    }
+
+    /// An endpoint of a cached list may be used. It may have started only just now: nobody has seen it before.
+    fn admit_endpoint(&mut self, now: Timestamp, endpoint: EndpointIndex) {
+        let Some(listed) = self.state.not_admitted.remove(&endpoint) else { return };
+        let record = self.state.record(&listed, &self.zones);
+        let record = EndpointRecord { started_at: Some(now), start_presumed: true, primary: false, ..record };
+        self.state.report(now, Event::EndpointList { complete: false, records: vec![record] });
+    }
+
+    fn withdraw_endpoint(&mut self, now: Timestamp, endpoint: EndpointIndex) {
+        let Some(listed) = self.listed.get(self.state.endpoints.id(endpoint)) else { return };
+        let record = self.state.record(listed, &self.zones);
+        let record = EndpointRecord { status: EndpointStatus::Draining, ..record };
+        self.state.not_admitted.insert(endpoint, listed.clone());
+        self.state.report(now, Event::EndpointList { complete: false, records: vec![record] });
+        if let Some(addr) = self.state.addr(endpoint) {
+            self.dispatcher.pool.close_idle(&addr);
+        }
+    }
+}
+
+impl RouterState {
+    /// Takes a list from before this start: its endpoints get their indices, and primary discovery decides from when on the
+    /// routing policy may know of them.
+    pub(super) fn take_cached_list(
+        &mut self,
+        endpoints: Vec<ListedEndpoint>,
+        minimum_positions: Vec<(i64, MinimumPosition)>,
+        now: Timestamp,
+    ) {
+        let mut members = Vec::with_capacity(endpoints.len());
+        for listed in endpoints {
+            let member = self.member(&listed);
+            members.push(member);
+            self.not_admitted.insert(member.endpoint, listed);
+        }
+        let minimum_positions =
+            minimum_positions.into_iter().map(|(group, minimum)| (self.groups.intern(group), minimum));
+        let minimum_positions = minimum_positions.collect();
+        self.report_to_discovery(now, DiscoveryEvent::CachedList { members, minimum_positions });
+    }
+
+    /// What discovery's list is to primary discovery, before the routing policy is told of it.
+    fn report_list_to_discovery(&mut self, complete: bool, endpoints: &[ListedEndpoint], now: Timestamp) {
+        if self.discovery.is_none() || (complete && endpoints.is_empty()) {
+            return;
+        }
+        let (mut members, mut removed) = (Vec::with_capacity(endpoints.len()), Vec::new());
+        for listed in endpoints {
+            let member = self.member(listed);
+            if listed.status() == EndpointStatus::Removed {
+                removed.push(member.endpoint);
+            } else {
+                members.push(member);
+                self.not_admitted.remove(&member.endpoint);
+            }
+        }
+        self.report_to_discovery(now, DiscoveryEvent::Listed { complete, members, removed });
+    }
+
+    /// Reports a list to the routing policy; the addresses to which earlier connections are of no use any more.
+    pub(super) fn take_list(
+        &mut self,
+        complete: bool,
+        endpoints: &[ListedEndpoint],
+        zones: &[String],
+        now: Timestamp,
+    ) -> Vec<SocketAddr> {
+        let (mut records, mut outdated) = (Vec::with_capacity(endpoints.len()), Vec::new());
+        for listed in endpoints {
+            let endpoint = self.member(listed).endpoint;
+            let started_at = &mut self.listed[endpoint].started_at;
+            if listed.status() != EndpointStatus::Serving || *started_at != listed.started_at() {
+                outdated.extend(listed.socket_addr());
+            }
+            *started_at = listed.started_at();
+            records.push(self.record(listed, zones));
+        }
+        self.report(now, Event::EndpointList { complete, records });
+        outdated
+    }
+}
+
+/// An endpoint's own word that it is overloaded, is starting or does not know the query: it runs, and reported nothing.
+fn query_failure(answer: &Result<QueryAnswer, ConnectError>) -> QueryFailure {
+    match answer {
+        Err(ConnectError { refused: true, .. }) => QueryFailure::Refused,
+        Err(ConnectError { outcome: AttemptOutcome::NotSent | AttemptOutcome::Rejected, .. }) => {
+            QueryFailure::NotSent
+        }
+        Ok(_) | Err(_) => QueryFailure::NoAnswer,
+    }
+}
+
+/// Who an endpoint says that it is, and its timeline, given the name that the list has for it.
+fn identify(said: Option<&str>, name: &str) -> (Identity, Option<u32>) {
+    let Some(said) = said else { return (Identity::Unknown, None) };
+    match said.rsplit_once(',') {
+        Some((own_name, timeline)) if own_name == name => (Identity::Confirmed, timeline.parse().ok()),
+        _ => (Identity::Mismatch, None),
+    }
+}
+
+/// What a group's true primary has at the least, by what its members reported before this start.
+fn minimum_positions(list: &CachedEndpointList) -> Vec<(i64, MinimumPosition)> {
+    let mut minimums: BTreeMap<i64, MinimumPosition> = BTreeMap::new();
+    for endpoint in &list.endpoints {
+        let minimum = minimums.entry(endpoint.block).or_default();
+        let Some(report) = endpoint.report else { continue };
+        let position = report.position_ms.map(|millis| Timestamp(millis.saturating_mul(NANOS_PER_MILLI)));
+        if report.timeline > minimum.timeline {
+            *minimum = MinimumPosition { timeline: report.timeline, position };
+        } else if report.timeline == minimum.timeline {
+            minimum.position = minimum.position.max(position);
+        }
+    }
+    minimums.into_iter().collect()
+}
--- /dev/null
+++ b/server/src/control/router_state.rs
@@ -0,0 +1,242 @@
+//! The state of the control loop that is lost with a routing policy that panicked.
+
+use crate::control::active_request::ActiveRequest;
+use crate::control::control_loop::RecoveryOptions;
+use crate::control::deadlines::Deadlines;
+use crate::control::request_queue::RequestQueue;
+use crate::endpoints::dispatcher::AttemptDispatcher;
+use crate::log;
+use crate::messages::control::QueueLimits;
+use crate::messages::endpoint_list::ListedEndpoint;
+use crate::messages::response::Response;
+use crate::messages::snapshot::{
+    EndpointRow, InFlightAt, RequestSnapshot, ServerSnapshot, MAX_CLIENTS, MAX_REQUESTS,
+};
+use crate::runtime::metrics::Metrics;
+use crate::storage::journal::WriteJournal;
+use host_support::id_interner::IdInterner;
+use host_support::request_registry::RequestRegistry;
+use recovery::primary_discovery::{self, DiscoverySettings, Member, PrimaryDiscovery};
+use routing::time::Timestamp;
+use routing::{Action, EndpointIndex, EndpointRecord, Event, RequestId, RoutingPolicy, RoutingSettings};
+use sessions::epochs::EpochHistory;
+use std::collections::{BTreeMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use write_journal::record_state::RecordEvent;
+
+/// What the list says of an endpoint.
+#[derive(Clone, Copy, Default)]
+pub struct ListedState {
+    pub addr: Option<SocketAddr>,
+    pub started_at: Option<Timestamp>,
+}
+
+/// The routing policy and everything that goes with it.
+pub struct RouterState {
+    pub policy: RoutingPolicy,
+    /// What the policy asks for and was not done yet.
+    pub actions: Vec<Action>,
+    pub deadlines: Deadlines,
+    pub requests: RequestRegistry<ActiveRequest>,
+    /// The ids of those requests.
+    pub ids: HashSet<Arc<str>>,
+    pub endpoints: IdInterner<String>,
+    /// By endpoint.
+    pub listed: Vec<ListedState>,
+    pub groups: IdInterner<i64>,
+    /// Requests that wait for admission, if requests are limited.
+    pub queue: Option<RequestQueue>,
+    /// Admitted requests of which nothing more can come.
+    pub finished: Vec<RequestId>,
+    /// What is known of the groups' logs.
+    pub epochs: EpochHistory,
+    pub journal: Option<Arc<WriteJournal>>,
+    pub metrics: Arc<Metrics>,
+    pub discovery: Option<PrimaryDiscovery>,
+    /// What primary discovery asks for and was not done yet.
+    pub discovery_actions: Vec<primary_discovery::Action>,
+    /// The list's entries of endpoints that primary discovery has not admitted yet.
+    pub not_admitted: BTreeMap<EndpointIndex, ListedEndpoint>,
+}
+
+/// What a router state is made from.
+pub struct RouterSetup<'a> {
+    pub seed: u64,
+    pub settings: &'a RoutingSettings,
+    pub dispatcher: &'a AttemptDispatcher,
+    pub recovery: Option<&'a RecoveryOptions>,
+    pub queue_limits: Option<QueueLimits>,
+}
+
+impl RouterState {
+    pub fn new(setup: RouterSetup) -> RouterState {
+        let RouterSetup { seed, settings, dispatcher, recovery, queue_limits } = setup;
+        let mut actions = Vec::new();
+        let policy = RoutingPolicy::new(seed, settings, dispatcher.timers().now(), &mut actions);
+        let discovery = recovery.map(|options| {
+            PrimaryDiscovery::new(DiscoverySettings {
+                cache_times: options.cache_times,
+                may_query: settings.may_check_health,
+                descriptors: options.descriptors,
+            })
+        });
+        RouterState {
+            policy,
+            actions,
+            deadlines: Deadlines::default(),
+            requests: RequestRegistry::default(),
+            ids: HashSet::new(),
+            endpoints: IdInterner::default(),
+            listed: Vec::new(),
+            groups: IdInterner::default(),
+            queue: queue_limits.map(|limits| RequestQueue::new(limits, settings.max_retry_after, seed)),
+            finished: Vec::new(),
+            epochs: EpochHistory::default(),
+            journal: dispatcher.journal.clone(),
+            metrics: dispatcher.metrics.clone(),
+            discovery,
+            discovery_actions: Vec::new(),
+            not_admitted: BTreeMap::new(),
+        }
+    }
+
+    /// Reports an event to the routing policy.
+    pub fn report(&mut self, now: Timestamp, event: Event) {
+        self.policy.on_event(now, event, &mut self.actions);
+    }
+
+    /// Reports an event to primary discovery.
+    pub fn report_to_discovery(&mut self, now: Timestamp, event: primary_discovery::Event) {
+        if let Some(discovery) = &mut self.discovery {
+            discovery.on_event(now, event, &mut self.discovery_actions);
+        }
+    }
+
+    /// Fires the timers and last resorts that are due.
+    pub fn fire_deadlines(&mut self, now: Timestamp) {
+        while let Some(tag) = self.deadlines.next_timer(now) {
+            self.report(now, Event::TimerFired { tag });
+        }
+        while let Some(request) = self.deadlines.next_last_resort(now) {
+            if self.requests.is_open(request) && !self.is_answer_pending(request) {
+                log!(WARN, request = request; "request still open at its last resort, aborted");
+                self.answer(now, request, Response::Aborted);
+                self.report(now, Event::ClientGone { request });
+            }
+        }
+    }
+
+    /// Whether the actions that were not done yet answer a request.
+    fn is_answer_pending(&self, request: RequestId) -> bool {
+        self.actions.iter().any(|action| match action {
+            Action::Reject { request: answered, .. } | Action::Abort { request: answered } => {
+                *answered == request
+            }
+            _ => false,
+        })
+    }
+
+    /// An endpoint's index, once its address is known.
+    pub fn member(&mut self, listed: &ListedEndpoint) -> Member {
+        let endpoint = self.endpoints.intern(listed.name.clone());
+        if self.listed.len() <= endpoint {
+            self.listed.resize(endpoint + 1, ListedState::default());
+        }
+        self.listed[endpoint].addr = listed.socket_addr();
+        Member { endpoint, group: self.groups.intern(listed.group) }
+    }
+
+    /// The list's entry as the routing policy has it.
+    pub fn record(&mut self, listed: &ListedEndpoint, zones: &[String]) -> EndpointRecord {
+        EndpointRecord {
+            endpoint: self.endpoints.intern(listed.name.clone()),
+            group: self.groups.intern(listed.group),
+            zone: zones.iter().position(|zone| *zone == listed.zone).unwrap_or(zones.len()),
+            status: listed.status(),
+            primary: listed.is_primary(),
+            started_at: listed.started_at(),
+            start_presumed: false,
+        }
+    }
+
+    /// The address of an endpoint, if it has one.
+    pub fn addr(&self, endpoint: EndpointIndex) -> Option<SocketAddr> {
+        self.listed[endpoint].addr
+    }
+
+    /// Answers a request and closes it.
+    pub fn answer(&mut self, now: Timestamp, request: RequestId, response: Response) {
+        if let Some(active) = self.requests.get_mut(request) {
+            active.answer(&self.metrics, now, response);
+        }
+        self.close(request);
+    }
+
+    /// A request was answered, or its client is gone.
+    pub fn close(&mut self, request: RequestId) {
+        let removed = self.requests.close(request);
+        self.finish(request, removed);
+    }
+
+    /// Nothing more can come of a request that was removed: what was kept of it is given back.
+    pub fn finish(&mut self, request: RequestId, removed: Option<ActiveRequest>) {
+        let Some(active) = removed else { return };
+        self.ids.remove(&active.id);
+        if let Some(journal) = self.journal.as_ref().filter(|_| active.recorded && !active.may_have_run) {
+            journal.record_end(&active.id, RecordEvent::NotExecuted);
+        }
+        self.deadlines.remove_last_resort(active.last_resort, request);
+        if self.queue.is_some() {
+            self.finished.push(request);
+        }
+    }
+
+    /// One debug line per decision on a request, by which it can be followed.
+    pub fn trace(&self, request: RequestId, decision: &str, now: Timestamp) {
+        if !tracing::enabled!(tracing::Level::DEBUG) {
+            return;
+        }
+        let Some(active) = self.requests.get(request) else { return };
+        let (group, is_read) = (active.group, active.is_read);
+        let held_us = (now - active.received_at).0 / 1_000;
+        tracing::debug!(request, request_id = %active.id, group, is_read, held_us, decision, "decided");
+    }
+
+    /// What there is, the oldest requests first.
+    pub fn snapshot(&self, now: Timestamp) -> ServerSnapshot {
+        let requests = self.requests.iter().map(|(request, active)| self.request_snapshot(request, active));
+        let mut requests: Vec<RequestSnapshot> = requests.collect();
+        requests.sort_by(|a, b| (a.received_at, &a.id).cmp(&(b.received_at, &b.id)));
+        requests.truncate(MAX_REQUESTS);
+        let endpoints = (0..self.listed.len()).map(|endpoint| EndpointRow {
+            name: self.endpoints.id(endpoint).clone(),
+            addr: self.addr(endpoint),
+            state: self.policy.endpoint_snapshot(now, endpoint),
+        });
+        ServerSnapshot {
+            now,
+            open_requests: self.requests.len(),
+            requests,
+            endpoints: endpoints.collect(),
+            groups: self.groups.len(),
+            queue: self.queue.as_ref().map(|queue| queue.snapshot(MAX_CLIENTS)),
+        }
+    }
+
+    fn request_snapshot(&self, request: RequestId, active: &ActiveRequest) -> RequestSnapshot {
+        let in_flight = active.in_flight.as_ref().map(|location| InFlightAt {
+            endpoint: self.endpoints.id(location.endpoint).clone(),
+            since: location.since,
+        });
+        RequestSnapshot {
+            id: active.id.clone(),
+            method: active.method,
+            group: active.group,
+            received_at: active.received_at,
+            attempts: active.attempt.as_ref().map_or(0, |attempt| attempt.number + 1),
+            in_flight,
+            closed: !self.requests.is_open(request),
+        }
+    }
+}
--- /dev/null
+++ b/server/src/discovery/watch.rs
@@ -0,0 +1,226 @@
+//! The watch on discovery: opened again whenever it ends, at the address that is set then.
+
+use crate::discovery::stream::{StreamError, WatchEvent, WatchStream};
+use crate::endpoints::connection::{IoLimits, IoStop, PeerConnection};
+use crate::log;
+use crate::messages::control::ControlMessage;
+use crate::messages::endpoint_list::EndpointListUpdate;
+use crate::runtime::cancellation::CancellationToken;
+use crate::runtime::clock::Timers;
+use crate::runtime::resource_limits::{DescriptorClass, ResourceLimits};
+use crate::storage::endpoint_cache_writer::EndpointCacheWriter;
+use may::sync::mpsc::Sender;
+use recovery::discovery_incarnation::{
+    IncarnationTracker, ListDecision, OfferedList, MAX_PAUSE_WITHOUT_LIST,
+};
+use recovery::watch_schedule::{WatchSchedule, JITTER_RANGE, OPEN_TIMEOUT};
+use routing::rng::Mwc;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use thiserror::Error;
+
+/// Where discovery is. It may change at any time, whatever the watch waits for.
+pub struct DiscoveryTarget(Mutex<Target>);
+
+#[derive(Clone)]
+struct Target {
+    addr: SocketAddr,
+    /// Cancelled once the address has changed.
+    changed: Arc<CancellationToken>,
+}
+
+impl DiscoveryTarget {
+    /// At an address.
+    pub fn new(addr: SocketAddr) -> DiscoveryTarget {
+        DiscoveryTarget(Mutex::new(Target { addr, changed: Arc::default() }))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Target> {
+        self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// Changes the address; false if it is the present one.
+    pub fn set(&self, addr: SocketAddr) -> bool {
+        let mut target = self.lock();
+        if target.addr == addr {
+            return false;
+        }
+        let before = std::mem::replace(&mut *target, Target { addr, changed: Arc::default() });
+        drop(target);
+        before.changed.cancel();
+        true
+    }
+}
+
+/// Why a watch has ended.
+#[derive(Debug, Error)]
+enum WatchEnd {
+    #[error("no descriptor for discovery is free")]
+    NoDescriptor,
+    #[error("no connection")]
+    NoConnection,
+    #[error("request not sent: {0}")]
+    RequestNotSent(IoStop),
+    #[error("{0}")]
+    Io(#[from] IoStop),
+    #[error("{0}")]
+    Stream(#[from] StreamError),
+    #[error("unreadable list")]
+    UnreadableList,
+    #[error("empty list ignored")]
+    EmptyList,
+    #[error("list older than the present one")]
+    OlderList,
+    #[error("response complete")]
+    Complete,
+}
+
+/// The watch on discovery.
+pub struct DiscoveryWatch {
+    /// Where discovery is.
+    pub target: Arc<DiscoveryTarget>,
+    /// The timers.
+    pub timers: Arc<Timers>,
+    /// The descriptors.
+    pub resources: Arc<ResourceLimits>,
+    /// Who is told of lists.
+    pub control: Sender<ControlMessage>,
+    /// Which lists are accepted.
+    pub incarnation: IncarnationTracker,
+    /// When the watch is opened again.
+    pub schedule: WatchSchedule,
+    /// No list of discovery is known since this start: the complete list is fetched before it is watched.
+    pub needs_complete_list: bool,
+    /// The cache, if there is one.
+    pub cache: Option<Arc<EndpointCacheWriter>>,
+    /// Jitter.
+    pub rng: Mwc,
+}
+
+impl DiscoveryWatch {
+    /// Watches for the life of the process.
+    pub fn run(mut self) {
+        loop {
+            let version_before = self.incarnation.version();
+            let target = self.target.lock().clone();
+            let end = self.watch_once(&target);
+            let target_changed = target.changed.is_cancelled();
+            if version_before != self.incarnation.version() || target_changed {
+                self.schedule.reset_backoff();
+            }
+            if !target_changed {
+                log!(WARN, discovery = target.addr, reason = end; "discovery watch ended");
+                let _ = self.control.send(ControlMessage::EndpointListFailed);
+                self.pause(&target);
+            }
+        }
+    }
+
+    fn pause(&mut self, target: &Target) {
+        let now = self.timers.now();
+        let pause = match self.incarnation.poll_again_at() {
+            Some(at) if at > now => at - now,
+            _ => {
+                let jitter = self.rng.below(JITTER_RANGE);
+                let max_pause = self.needs_complete_list.then_some(MAX_PAUSE_WITHOUT_LIST);
+                self.schedule.ended(jitter, max_pause)
+            }
+        };
+        self.timers.sleep_unless_cancelled(pause, &target.changed);
+    }
+
+    /// One watch, from its connection to its end.
+    fn watch_once(&mut self, target: &Target) -> WatchEnd {
+        match self.open(target).and_then(|connection| self.follow(connection, target)) {
+            Ok(()) => WatchEnd::Complete,
+            Err(end) => end,
+        }
+    }
+
+    fn open(&mut self, target: &Target) -> Result<PeerConnection, WatchEnd> {
+        let descriptor = self.resources.acquire(DescriptorClass::Discovery).ok_or(WatchEnd::NoDescriptor)?;
+        let deadline = self.timers.now() + OPEN_TIMEOUT;
+        let connection = PeerConnection::connect(&self.timers, &target.addr, deadline, descriptor);
+        let mut connection = connection.map_err(|_| WatchEnd::NoConnection)?;
+        let deadline = self.schedule.requested(self.timers.now());
+        let limits = IoLimits { deadline, cancellation: &target.changed };
+        connection.arm(limits);
+        let request = self.request(target.addr);
+        connection.write(&[request.as_bytes()], limits).map_err(WatchEnd::RequestNotSent)?;
+        Ok(connection)
+    }
+
+    /// A list from before this start may stem from another incarnation of discovery: changes since it prove nothing.
+    fn request(&self, addr: SocketAddr) -> String {
+        let query = if self.needs_complete_list {
+            String::new()
+        } else {
+            format!("?watch=1&after={}", self.incarnation.version())
+        };
+        format!("GET /discovery/hosts{query} HTTP/1.1\r\nHost: {addr}\r\nAccept: application/json\r\n\r\n")
+    }
+
+    /// Follows the answer to its end.
+    fn follow(&mut self, mut connection: PeerConnection, target: &Target) -> Result<(), WatchEnd> {
+        let mut stream = WatchStream::default();
+        let mut deadline = self.schedule.answer_due();
+        loop {
+            let limits = IoLimits { deadline, cancellation: &target.changed };
+            connection.arm(limits);
+            connection.read(limits)?;
+            stream.feed(&connection.buffer)?;
+            connection.buffer.clear();
+            if stream.has_begun() {
+                deadline = self.schedule.next_event_due();
+            }
+            while let Some(event) = stream.next_event()? {
+                deadline = self.schedule.event_received(self.timers.now());
+                self.handle_event(&event)?;
+            }
+            if stream.has_ended() {
+                return Ok(());
+            }
+        }
+    }
+
+    fn handle_event(&mut self, event: &WatchEvent) -> Result<(), WatchEnd> {
+        match event {
+            WatchEvent::Unchanged => {
+                if let Some(cache) = self.cache.as_ref().filter(|_| !self.needs_complete_list) {
+                    cache.confirmed();
+                }
+                Ok(())
+            }
+            WatchEvent::List(text) => self.handle_list(text),
+        }
+    }
+
+    fn handle_list(&mut self, text: &[u8]) -> Result<(), WatchEnd> {
+        let list: EndpointListUpdate = serde_json::from_slice(text).map_err(|error| {
+            log!(WARN, reason = error; "unreadable endpoint list");
+            WatchEnd::UnreadableList
+        })?;
+        let version_before = self.incarnation.version();
+        let offered =
+            OfferedList { version: list.version, complete: list.complete, empty: list.endpoints.is_empty() };
+        match self.incarnation.offer(self.timers.now(), offered) {
+            ListDecision::Accept => {}
+            ListDecision::Ignore if offered.complete && offered.empty => return Err(WatchEnd::EmptyList),
+            ListDecision::Ignore => return Ok(()),
+            ListDecision::Suspect => return Err(WatchEnd::OlderList),
+        }
+        if self.incarnation.version() < version_before {
+            log!(
+                INFO, version = list.version, previous = version_before;
+                "endpoint list of a new discovery incarnation accepted"
+            );
+        }
+        self.needs_complete_list &= !list.complete;
+        if let Some(cache) = &self.cache {
+            cache.update(list.version, list.complete, &list.endpoints);
+        }
+        let message = ControlMessage::EndpointList { complete: list.complete, endpoints: list.endpoints };
+        let _ = self.control.send(message);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/server/src/endpoints/mod.rs
@@ -0,0 +1,10 @@
+//! Connections to endpoints, and the attempts, health checks and queries that use them.
+
+pub mod attempt;
+pub mod connection;
+pub mod dispatcher;
+pub mod health_check;
+pub mod load_report;
+pub mod pool;
+pub mod query;
+pub mod response_parser;
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -1,39 +1,32 @@
-//! The front on sockets: it takes RPCs in, puts them before gingerwick's decisions, and does what they say.
+//! The daemon: client connections, endpoint connections and discovery round the routing policy.
 //!
-//! Stages, in the order in which an RPC passes them: [`take_in`] takes it in, [`admit`] admits it, [`owner`]
-//! has it routed and keeps it in the book, [`send`] sends its call-outs, [`relay`] reads their answers.
+//! Modules from the bottom up; each uses only those before it:
+//!
+//! - [`runtime`]: clock, coroutines, cancellation, resource limits, log, counters
+//! - [`protocol`]: the wire protocol, without I/O
+//! - [`messages`]: what the parts tell each other
+//! - [`storage`]: the threads that write to disk
+//! - [`endpoints`]: connections to endpoints, attempts, health checks
+//! - [`discovery`]: the watch on the endpoint list
+//! - [`control`]: the control loop round the routing policy
+//! - [`clients`]: client connections
+//! - [`admin`]: the admin socket
+//! - [`config`]: the two configuration files
+//! - [`exit_status`]: exit statuses of the process
+//! - [`startup`]: from the start to the end of the process
+//! - [`cli`]: the command line
+
+pub mod runtime;
 
-pub mod admit;
-pub mod bell;
-pub mod carry;
-pub mod clock;
-pub mod command;
-pub mod descriptors;
+pub mod admin;
+pub mod cli;
+pub mod clients;
+pub mod config;
+pub mod control;
 pub mod discovery;
-pub mod door;
-pub mod exit;
-pub mod gate;
-pub mod hatch;
-pub mod hosts;
-pub mod keeper;
-pub mod launch;
-pub mod ledger;
-pub mod log;
-pub mod look;
-pub mod mailbox;
-pub mod news;
-pub mod operators;
-pub mod owner;
-pub mod pg;
-pub mod pool;
-pub mod relay;
-pub mod send;
-pub mod session;
-pub mod shutdown;
-pub mod start;
-pub mod take_in;
-pub mod tally;
-pub mod tasks;
-pub mod turns;
-pub mod wire;
-pub mod writes;
+pub mod endpoints;
+pub mod exit_status;
+pub mod messages;
+pub mod protocol;
+pub mod startup;
+pub mod storage;
--- a/server/src/main.rs
+++ b/server/src/main.rs
@@ -1,7 +1,7 @@
-//! `routing`, the daemon and its command line.
+//! `query-router`, the daemon and its command line.
 
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    server::command::run().into()
+    server::cli::run().into()
 }
--- a/server/src/log.rs
+++ b/server/src/runtime/log.rs
@@ -1,5 +1,5 @@
-//! The log: events of `tracing`, each place's held to a few a second, as text or JSON lines on standard
-//! error. A thread writes them, so that a reader of the log who stalls never stalls the worker.
+//! The log: events of `tracing`, as text or JSON lines on standard error, a few a second from each place in the code. A thread
+//! writes them, so that a reader of the log that stalls never stalls the worker.
 
 use std::fmt;
 use std::io::Write;
@@ -14,45 +14,50 @@
 use tracing_subscriber::fmt::{FmtContext, FormatEvent, FormatFields, MakeWriter};
 use tracing_subscriber::registry::LookupSpan;
 
-/// Lines a second from one place; more would cost the worker time when everything fails alike.
-const LINES: u32 = 5;
+/// Lines a second from one place in the code; more would cost the worker time when everything fails alike.
+const MAX_LINES_PER_SECOND: u32 = 5;
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// How the log is written, from the operators' file.
 #[derive(Clone, Debug)]
-pub struct Style {
+pub struct LogStyle {
+    /// As JSON.
     pub json: bool,
+    /// The least severe level that is written.
     pub level: Level,
-    /// Bytes that wait for the writer at most; what comes on top is left out.
-    pub waiting: usize,
+    /// Bytes that wait for the writer at most; what comes beyond is dropped.
+    pub max_queued_bytes: usize,
 }
 
-pub struct Limit(Mutex<Option<(Instant, u32)>>);
+/// The limit on lines from one place in the code.
+pub struct RateLimit(Mutex<Option<(Instant, u32)>>);
 
-impl Limit {
-    pub const fn new() -> Limit {
-        Limit(Mutex::new(None))
+impl RateLimit {
+    /// A limit that no line has used yet.
+    pub const fn new() -> RateLimit {
+        RateLimit(Mutex::new(None))
     }
 
-    /// How many lines were left out before this one, where this one may be written.
-    pub fn pass(&self) -> Option<u32> {
+    /// How many lines were dropped before this one, if this one may be written.
+    pub fn admit(&self) -> Option<u32> {
         let mut state = self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
         match &mut *state {
             Some((since, written)) if since.elapsed() < Duration::from_secs(1) => {
                 *written += 1;
-                (*written <= LINES).then_some(0)
+                (*written <= MAX_LINES_PER_SECOND).then_some(0)
             }
             state => {
-                let left_out = state.map_or(0, |(_, written)| written.saturating_sub(LINES));
+                let dropped = state.map_or(0, |(_, written)| written.saturating_sub(MAX_LINES_PER_SECOND));
                 *state = Some((Instant::now(), 1));
-                Some(left_out)
+                Some(dropped)
             }
         }
     }
 }
 
-impl Default for Limit {
-    fn default() -> Limit {
-        Limit::new()
+impl Default for RateLimit {
+    fn default() -> RateLimit {
+        RateLimit::new()
     }
 }
 
@@ -61,48 +66,48 @@
     Flush(SyncSender<()>),
 }
 
-/// The way to the thread that writes, and how many bytes are on it.
+/// The queue to the thread that writes.
 struct Queue {
-    lines: Mutex<Sender<Entry>>,
-    waiting: &'static AtomicUsize,
-    most: usize,
+    entries: Mutex<Sender<Entry>>,
+    max_bytes: usize,
 }
 
 static QUEUE: OnceLock<Queue> = OnceLock::new();
-static WAITING: AtomicUsize = AtomicUsize::new(0);
+/// Bytes in the queue.
+static QUEUED_BYTES: AtomicUsize = AtomicUsize::new(0);
 
 impl Queue {
-    fn start(most: usize) -> Queue {
-        let (lines, entries) = channel();
+    fn start(max_bytes: usize) -> Queue {
+        let (sender, entries) = channel();
         thread::spawn(move || {
             for entry in entries {
                 match entry {
                     Entry::Line(line) => {
                         let _ = std::io::stderr().write_all(&line);
-                        WAITING.fetch_sub(line.len(), Ordering::AcqRel);
+                        QUEUED_BYTES.fetch_sub(line.len(), Ordering::AcqRel);
                     }
                     Entry::Flush(done) => drop(done),
                 }
             }
         });
-        Queue { lines: Mutex::new(lines), waiting: &WAITING, most }
+        Queue { entries: Mutex::new(sender), max_bytes }
     }
 
     fn put(&self, line: Vec<u8>) {
         let bytes = line.len();
-        if self.waiting.fetch_add(bytes, Ordering::AcqRel) + bytes > self.most {
-            self.waiting.fetch_sub(bytes, Ordering::AcqRel);
+        if QUEUED_BYTES.fetch_add(bytes, Ordering::AcqRel) + bytes > self.max_bytes {
+            QUEUED_BYTES.fetch_sub(bytes, Ordering::AcqRel);
             return;
         }
         self.send(Entry::Line(line));
     }
 
     fn send(&self, entry: Entry) {
-        let _ = self.lines.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).send(entry);
+        let _ = self.entries.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).send(entry);
     }
 }
 
-/// Gathers one event's bytes and hands them to the queue when it is dropped.
+/// Collects one event's bytes and queues them when it is dropped.
 pub struct Line(Vec<u8>);
 
 impl Write for Line {
@@ -124,9 +129,9 @@
     }
 }
 
-struct Lines;
+struct QueueWriter;
 
-impl MakeWriter<'_> for Lines {
+impl MakeWriter<'_> for QueueWriter {
     type Writer = Line;
 
     fn make_writer(&self) -> Line {
@@ -134,20 +139,20 @@
     }
 }
 
-/// `routing: words (3 like this left out) rpc=7 store=s-1`
-struct Text;
+/// `gingerwick: message (3 dropped) request_id=7 endpoint=s-1`
+struct TextFormat;
 
 #[derive(Default)]
-struct Words {
+struct TextVisitor {
     message: String,
-    left_out: u64,
+    dropped: u64,
     fields: String,
 }
 
-impl Visit for Words {
+impl Visit for TextVisitor {
     fn record_u64(&mut self, field: &Field, value: u64) {
-        if field.name() == "left_out" {
-            self.left_out = value;
+        if field.name() == "dropped" {
+            self.dropped = value;
         } else {
             self.record_debug(field, &value);
         }
@@ -167,50 +172,50 @@
 }
 
 impl<S: Subscriber + for<'a> LookupSpan<'a>, N: for<'a> FormatFields<'a> + 'static> FormatEvent<S, N>
-    for Text
+    for TextFormat
 {
     fn format_event(&self, _: &FmtContext<'_, S, N>, mut out: Writer<'_>, event: &Event<'_>) -> fmt::Result {
-        let mut words = Words::default();
-        event.record(&mut words);
-        write!(out, "gingerwick: {}", words.message)?;
-        if words.left_out > 0 {
-            write!(out, " ({} like this left out)", words.left_out)?;
+        let mut visitor = TextVisitor::default();
+        event.record(&mut visitor);
+        write!(out, "gingerwick: {}", visitor.message)?;
+        if visitor.dropped > 0 {
+            write!(out, " ({} dropped)", visitor.dropped)?;
         }
-        writeln!(out, "{}", words.fields)
+        writeln!(out, "{}", visitor.fields)
     }
 }
 
-/// Once a process. Before it, and where it was never called, nothing is written.
-pub fn start(style: &Style) {
-    QUEUE.get_or_init(|| Queue::start(style.waiting));
-    let fmt = tracing_subscriber::fmt().with_max_level(style.level).with_writer(Lines).with_ansi(false);
+/// Starts the log, once per process. Before that nothing is written.
+pub fn start(style: &LogStyle) {
+    QUEUE.get_or_init(|| Queue::start(style.max_queued_bytes));
+    let fmt = tracing_subscriber::fmt().with_max_level(style.level).with_writer(QueueWriter).with_ansi(false);
     // A second call finds the first one's in place: that one stays.
     let _ = if style.json {
         tracing::subscriber::set_global_default(fmt.json().flatten_event(true).finish())
     } else {
-        tracing::subscriber::set_global_default(fmt.event_format(Text).finish())
+        tracing::subscriber::set_global_default(fmt.event_format(TextFormat).finish())
     };
 }
 
-/// Waits a moment for what was logged to be written, before the process ends.
+/// Waits a short time for what was logged to be written, before the process ends.
 pub fn flush() {
     let Some(queue) = QUEUE.get() else { return };
     let (done, written) = sync_channel(0);
     queue.send(Entry::Flush(done));
-    let _ = written.recv_timeout(Duration::from_millis(100));
+    let _ = written.recv_timeout(FLUSH_TIMEOUT);
 }
 
-/// An event of a level, `log!(INFO, rpc = 7; "words")`; from one place five a second at most.
+/// Logs an event, `log!(INFO, request_id = 7; "message")`; from one place in the code five a second at most.
 #[macro_export]
 macro_rules! log {
-    ($level:ident $(, $field:ident = $value:expr)*; $($words:tt)*) => {{
-        static LIMIT: $crate::log::Limit = $crate::log::Limit::new();
-        match LIMIT.pass() {
+    ($level:ident $(, $field:ident = $value:expr)*; $($message:tt)*) => {{
+        static LIMIT: $crate::runtime::log::RateLimit = $crate::runtime::log::RateLimit::new();
+        match LIMIT.admit() {
             Some(0) => tracing::event!(
-                tracing::Level::$level, $($field = tracing::field::display(&$value),)* $($words)*
+                tracing::Level::$level, $($field = tracing::field::display(&$value),)* $($message)*
             ),
-            Some(left_out) => tracing::event!(
-                tracing::Level::$level, left_out, $($field = tracing::field::display(&$value),)* $($words)*
+            Some(dropped) => tracing::event!(
+                tracing::Level::$level, dropped, $($field = tracing::field::display(&$value),)* $($message)*
             ),
             None => {}
         }
--- /dev/null
+++ b/server/src/runtime/metrics.rs
@@ -0,0 +1,113 @@
+//! What is counted for operators. If nobody asks for it, no recorder is installed, and each call returns at once.
+
+use metrics::{counter, histogram, Counter, Histogram};
+use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
+use routing::time::TimeDelta;
+use routing::{AttemptOutcome, MethodIndex};
+
+/// How a request was answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResponseKind {
+    /// By a value.
+    Value,
+    /// It did not run, or may be sent again.
+    Rejected,
+    /// It may have run.
+    Aborted,
+    /// It cannot be taken.
+    Error,
+    /// Its client closed before it was.
+    ClientGone,
+}
+
+const RESPONSE_KINDS: [(ResponseKind, &str); 5] = [
+    (ResponseKind::Value, "ok"),
+    (ResponseKind::Rejected, "pushed back"),
+    (ResponseKind::Aborted, "aborted"),
+    (ResponseKind::Error, "refused"),
+    (ResponseKind::ClientGone, "gone"),
+];
+
+const OUTCOMES: [(AttemptOutcome, &str); 9] = [
+    (AttemptOutcome::Succeeded, "ok"),
+    (AttemptOutcome::Failed, "errored"),
+    (AttemptOutcome::Rejected, "full"),
+    (AttemptOutcome::TimedOut, "timed out"),
+    (AttemptOutcome::Unreachable, "unreachable"),
+    (AttemptOutcome::ConnectionLost, "broken"),
+    (AttemptOutcome::Cancelled, "withdrawn"),
+    (AttemptOutcome::NotSent, "moot"),
+    (AttemptOutcome::NotEligible, "lagged"),
+];
+
+/// Seconds: from a tenth of a millisecond to the longest that clients wait.
+const LATENCY_BUCKETS: [f64; 13] = [1e-4, 3e-4, 1e-3, 3e-3, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0];
+
+struct MethodMetrics {
+    responses: [Counter; RESPONSE_KINDS.len()],
+    latency: Histogram,
+}
+
+/// The counters of requests, attempts and health checks.
+pub struct Metrics {
+    methods: Vec<MethodMetrics>,
+    attempts: [Counter; OUTCOMES.len()],
+    attempt_latency: Histogram,
+    health_checks: [Counter; OUTCOMES.len()],
+}
+
+impl MethodMetrics {
+    fn new(name: &str) -> MethodMetrics {
+        let response = |label: &'static str| counter!("gingerwick_rpcs_total", "method" => name.to_string(), "answer" => label);
+        MethodMetrics {
+            responses: RESPONSE_KINDS.map(|(_, label)| response(label)),
+            latency: histogram!("gingerwick_rpc_seconds", "method" => name.to_string()),
+        }
+    }
+}
+
+impl Metrics {
+    /// For methods of these names. A recorder must be installed before.
+    pub fn new(methods: &[String]) -> Metrics {
+        Metrics {
+            methods: methods.iter().map(|name| MethodMetrics::new(name)).collect(),
+            attempts: OUTCOMES.map(|(_, label)| counter!("gingerwick_call_outs_total", "outcome" => label)),
+            attempt_latency: histogram!("gingerwick_call_out_seconds"),
+            health_checks: OUTCOMES.map(|(_, label)| counter!("gingerwick_probes_total", "outcome" => label)),
+        }
+    }
+
+    /// A request was answered.
+    pub fn request_answered(&self, method: MethodIndex, kind: ResponseKind, latency: TimeDelta) {
+        let Some(method) = self.methods.get(method) else { return };
+        if let Some(index) = RESPONSE_KINDS.iter().position(|(known, _)| *known == kind) {
+            method.responses[index].increment(1);
+        }
+        method.latency.record(latency.as_secs_f64());
+    }
+
+    /// An attempt has ended.
+    pub fn attempt_ended(&self, outcome: AttemptOutcome, latency: TimeDelta) {
+        count(&self.attempts, outcome);
+        self.attempt_latency.record(latency.as_secs_f64());
+    }
+
+    /// A health check has ended.
+    pub fn health_check_ended(&self, outcome: AttemptOutcome) {
+        count(&self.health_checks, outcome);
+    }
+}
+
+fn count(counters: &[Counter; OUTCOMES.len()], outcome: AttemptOutcome) {
+    if let Some(index) = OUTCOMES.iter().position(|(known, _)| *known == outcome) {
+        counters[index].increment(1);
+    }
+}
+
+/// Installs the recorder of everything that is counted from now on.
+///
+/// # Errors
+/// Another one is installed.
+pub fn install_recorder() -> Result<PrometheusHandle, BuildError> {
+    PrometheusBuilder::new().set_buckets(&LATENCY_BUCKETS)?.install_recorder()
+}
--- /dev/null
+++ b/server/src/runtime/mod.rs
@@ -0,0 +1,9 @@
+//! What everything else stands on: time, coroutines, cancellation, resources, the log and metrics.
+
+pub mod cancellation;
+pub mod clock;
+pub mod descriptors;
+pub mod log;
+pub mod metrics;
+pub mod resource_limits;
+pub mod tasks;
--- /dev/null
+++ b/server/src/startup/reload.rs
@@ -0,0 +1,98 @@
+//! SIGHUP: both files are read again. A file that cannot be used changes nothing.
+
+use crate::clients::admission_control::ClassSettings;
+use crate::clients::session_tokens::read_keys;
+use crate::config::bootstrap::{Bootstrap, BootstrapError, ReadAt};
+use crate::config::operator_file::{self, OperatorFileError};
+use crate::log;
+use crate::messages::control::ControlMessage;
+use crate::startup::configuration::read_bootstrap;
+use crate::startup::server::{queue_limits, Server};
+use admission::ClassError;
+use operator_config::OperatorSettings;
+use std::fmt::Display;
+
+impl Server {
+    /// Reads both files again and applies what can be applied while the server runs.
+    pub fn reload(&self) {
+        match read_bootstrap(ReadAt::Reload) {
+            Ok(newer) => self.apply_bootstrap(&newer),
+            Err(errors) => log_bootstrap_errors(&errors),
+        }
+        if !self.configuration.has_operator_file() {
+            return;
+        }
+        match operator_file::read(self.configuration.operator_file.as_deref()) {
+            Ok(newer) => self.apply_operator_settings(&newer),
+            Err(errors) => log_operator_errors(&errors),
+        }
+    }
+
+    fn apply_bootstrap(&self, newer: &Bootstrap) {
+        for key in self.configuration.bootstrap.changed_keys(newer) {
+            log_needs_restart(&key);
+        }
+        let changed = self.discovery_target.set(newer.discovery);
+        log!(INFO, discovery = newer.discovery, changed = changed; "bootstrap file reloaded");
+    }
+
+    fn apply_operator_settings(&self, newer: &OperatorSettings) {
+        for keyword in self.configuration.operators.changed_keywords(newer) {
+            log_needs_restart(keyword);
+        }
+        if let Some(cache) = &self.endpoint_cache {
+            cache.set_min_interval(newer.save_interval);
+        }
+        match self.apply_classes(newer) {
+            Ok(()) => {
+                let limits = queue_limits(newer);
+                let _ = self.control.send(ControlMessage::SetQueueLimits(limits));
+            }
+            Err(errors) => log_class_errors(&errors),
+        }
+        self.apply_session_keys();
+    }
+
+    fn apply_classes(&self, newer: &OperatorSettings) -> Result<(), Vec<ClassError>> {
+        let Some(admission) = self.admission.as_ref().filter(|_| !newer.client_classes.is_empty()) else {
+            return Ok(());
+        };
+        let classes = newer.client_classes.clone();
+        admission.set_classes(ClassSettings { classes, prefixes: newer.address_prefixes })?;
+        log!(INFO; "client classes reloaded: {}", admission.summary());
+        Ok(())
+    }
+
+    /// The file of keys is the one that the start was told of; its content may have changed.
+    fn apply_session_keys(&self) {
+        let path = self.configuration.operators.session_keys.as_ref();
+        let (Some(tokens), Some(path)) = (&self.session_tokens, path) else { return };
+        match read_keys(path) {
+            Ok(keys) => tokens.set_keys(keys),
+            Err(error) => log!(WARN, reason = error; "reload: session-keys not changed"),
+        }
+    }
+}
+
+fn log_needs_restart(setting: &str) {
+    log!(INFO, setting = setting; "reload: changed setting takes effect at the next start");
+}
+
+fn log_bootstrap_errors(errors: &[BootstrapError]) {
+    log!(WARN, reason = join(errors); "reload: bootstrap file not usable, nothing changed");
+}
+
+fn log_operator_errors(errors: &[OperatorFileError]) {
+    log!(WARN, reason = join(errors); "reload: operators' file not usable, nothing changed");
+}
+
+fn log_class_errors(errors: &[ClassError]) {
+    for error in errors {
+        log!(WARN, reason = error; "reload: client classes not changed");
+    }
+}
+
+fn join(errors: &[impl Display]) -> String {
+    let errors: Vec<String> = errors.iter().map(|error| error.to_string()).collect();
+    errors.join("; ")
+}
--- /dev/null
+++ b/server/src/startup/server.rs
@@ -0,0 +1,335 @@
+//! The parts of the server, made and put to work.
+
+use crate::admin::socket;
+use crate::admin::view::AdminView;
+use crate::clients::acceptor::{self, ListenerQueue};
+use crate::clients::admission_control::AdmissionControl;
+use crate::clients::connection::ClientContext;
+use crate::clients::graceful_shutdown::GracefulShutdown;
+use crate::clients::session_tokens::SessionTokens;
+use crate::control::control_loop::{ControlLoop, ControlSetup, RecoveryOptions};
+use crate::discovery::watch::{DiscoveryTarget, DiscoveryWatch};
+use crate::endpoints::dispatcher::AttemptDispatcher;
+use crate::endpoints::pool::ConnectionPool;
+use crate::exit_status::{ExitStatus, Failure};
+use crate::log;
+use crate::messages::control::{ControlMessage, QueueLimits};
+use crate::messages::request::MethodTable;
+use crate::runtime::clock::{Clock, Timers};
+use crate::runtime::descriptors::ReserveDescriptor;
+use crate::runtime::resource_limits::DescriptorClass;
+use crate::runtime::tasks::{spawn, spawn_long_lived};
+use crate::startup::configuration::Configuration;
+use crate::startup::foundation::{admin_socket_failure, unpredictable_seed, Foundation};
+use crate::startup::initial_list::{EndpointCache, InitialList};
+use crate::storage::endpoint_cache_writer::EndpointCacheWriter;
+use crate::storage::journal::WriteJournal;
+use may::io::{WaitIo, WaitIoWaker};
+use may::net::TcpListener;
+use may::sync::mpsc::{channel, Receiver, Sender};
+use operator_config::{EndpointIdentity, JournalMode, OperatorSettings};
+use recovery::discovery_incarnation::IncarnationTracker;
+use recovery::watch_schedule::WatchSchedule;
+use routing::rng::Mwc;
+use routing::time::TimeDelta;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use write_journal::journal::{Durability, Retention};
+
+/// How often connections are looked for that have been idle for too long.
+const POOL_CLEANUP_INTERVAL: TimeDelta = TimeDelta::from_millis(1_000);
+/// How long a last save of the endpoint list may take. Clients are served meanwhile.
+const LAST_SAVE_TIMEOUT: Duration = Duration::from_millis(50);
+/// The journal of writes, within the state directory.
+const JOURNAL_DIRECTORY: &str = "writes";
+/// The word of the bootstrap file for an agent on this machine that pushes endpoint lists.
+const PUSHED_LISTS: &str = "push";
+
+/// Stops the accept loop.
+struct AcceptStop {
+    stopping: Arc<AtomicBool>,
+    listener: WaitIoWaker,
+}
+
+impl AcceptStop {
+    fn stop(self) {
+        self.stopping.store(true, Ordering::Release);
+        self.listener.wakeup();
+    }
+}
+
+/// A server that runs.
+pub struct Server {
+    pub(super) configuration: Configuration,
+    pub(super) discovery_target: Arc<DiscoveryTarget>,
+    pub(super) endpoint_cache: Option<Arc<EndpointCacheWriter>>,
+    pub(super) session_tokens: Option<Arc<SessionTokens>>,
+    pub(super) admission: Option<Arc<AdmissionControl>>,
+    pub(super) control: Sender<ControlMessage>,
+    timers: Arc<Timers>,
+    shutdown: Arc<GracefulShutdown>,
+    /// None once the shutdown has begun.
+    accept_stop: Option<AcceptStop>,
+}
+
+/// What the parts of one start are made from.
+struct Builder {
+    clock: Clock,
+    configuration: Configuration,
+    foundation: Foundation,
+    control: Sender<ControlMessage>,
+    journal: Option<Arc<WriteJournal>>,
+    cache: Option<EndpointCache>,
+}
+
+impl Server {
+    /// Makes all parts and starts to accept connections.
+    ///
+    /// # Errors
+    /// A part could not be made.
+    pub fn start(clock: Clock, configuration: Configuration) -> Result<Server, Failure> {
+        let foundation = Foundation::new(clock, &configuration)?;
+        let listener = bind(configuration.bootstrap.listen)?;
+        let journal = open_journal(&configuration.operators)?;
+        let operators = &configuration.operators;
+        let open_cache =
+            |path: &std::path::PathBuf| EndpointCache::open(path, clock, operators.save_interval);
+        let cache = operators.state_dir.as_ref().map(open_cache);
+        let (control, messages) = channel();
+        let builder = Builder { clock, configuration, foundation, control, journal, cache };
+        builder.start(listener, messages)
+    }
+
+    /// Begins the shutdown; later calls change nothing.
+    pub fn shut_down(&mut self) {
+        let Some(accept_stop) = self.accept_stop.take() else { return };
+        if let Some(cache) = &self.endpoint_cache {
+            cache.stop(LAST_SAVE_TIMEOUT);
+        }
+        self.shutdown.begin(&self.timers, move || accept_stop.stop());
+    }
+}
+
+impl Builder {
+    fn start(mut self, listener: TcpListener, messages: Receiver<ControlMessage>) -> Result<Server, Failure> {
+        let initial_list = self.take_initial_list();
+        let incarnation = initial_list.incarnation();
+        self.start_control_loop(messages, initial_list)?;
+        let discovery_target = self.start_discovery(incarnation)?;
+        let shutdown = GracefulShutdown::new(end_process);
+        let session_tokens = self.session_tokens();
+        self.serve_admin_socket(&shutdown)?;
+        let accept_stop = self.accept_connections(listener, &shutdown, session_tokens.clone());
+        let bootstrap = &self.configuration.bootstrap;
+        log!(INFO, name = bootstrap.name, listen = bootstrap.listen; "serving");
+        Ok(Server {
+            discovery_target,
+            endpoint_cache: self.cache_writer(),
+            session_tokens,
+            admission: self.foundation.admission,
+            control: self.control,
+            timers: self.foundation.timers,
+            shutdown,
+            accept_stop: Some(accept_stop),
+            configuration: self.configuration,
+        })
+    }
+
+    fn cache_writer(&self) -> Option<Arc<EndpointCacheWriter>> {
+        self.cache.as_ref().and_then(|cache| cache.writer.clone())
+    }
+
+    fn take_initial_list(&mut self) -> InitialList {
+        let bootstrap = self.configuration.bootstrap.known_endpoints.take();
+        match &mut self.cache {
+            Some(cache) => cache.initial_list(bootstrap, self.clock),
+            None => bootstrap.map_or(InitialList::Unknown, InitialList::Bootstrap),
+        }
+    }
+
+    fn start_control_loop(
+        &self,
+        messages: Receiver<ControlMessage>,
+        initial_list: InitialList,
+    ) -> Result<(), Failure> {
+        let Foundation { timers, resources, metrics, .. } = &self.foundation;
+        let bootstrap = &self.configuration.bootstrap;
+        let allowed = &bootstrap.config.allowed;
+        let connect_timeout = TimeDelta(allowed.dial_timeout_ns);
+        let closed_after = TimeDelta(allowed.conn_idle_ns);
+        let pool =
+            Arc::new(ConnectionPool::new(timers.clone(), resources.clone(), connect_timeout, closed_after));
+        let dispatcher = AttemptDispatcher {
+            pool: pool.clone(),
+            control: self.control.clone(),
+            health_check_timeout: connect_timeout,
+            journal: self.journal.clone(),
+            metrics: metrics.clone(),
+        };
+        let control_loop = ControlLoop::new(ControlSetup {
+            settings: bootstrap.settings.clone(),
+            seed: bootstrap.seed,
+            zones: bootstrap.config.azs.clone(),
+            max_open_requests: allowed.most_held,
+            dispatcher,
+            messages,
+            recovery: self.recovery_options(&initial_list),
+        });
+        if let Some(message) = initial_list.into_message() {
+            let _ = self.control.send(message);
+        }
+        if let Some(limits) = queue_limits(&self.configuration.operators) {
+            let _ = self.control.send(ControlMessage::SetQueueLimits(Some(limits)));
+        }
+        spawn_part(move || control_loop.run())?;
+        clean_up_pool(timers.clone(), pool);
+        Ok(())
+    }
+
+    fn recovery_options(&self, initial_list: &InitialList) -> Option<RecoveryOptions> {
+        let cache = self.cache.as_ref()?;
+        Some(RecoveryOptions {
+            cache_times: initial_list.cache_times(),
+            asks_identity: self.configuration.operators.endpoint_identity == EndpointIdentity::Postgres,
+            descriptors: self.foundation.resources.limit(DescriptorClass::Endpoints),
+            cache: cache.writer.clone(),
+        })
+    }
+
+    fn start_discovery(&self, incarnation: IncarnationTracker) -> Result<Arc<DiscoveryTarget>, Failure> {
+        let bootstrap = &self.configuration.bootstrap;
+        let config = &bootstrap.config;
+        let pushed = config.membership_mode == PUSHED_LISTS;
+        let target = Arc::new(DiscoveryTarget::new(bootstrap.discovery));
+        let watch = DiscoveryWatch {
+            target: target.clone(),
+            timers: self.foundation.timers.clone(),
+            resources: self.foundation.resources.clone(),
+            control: self.control.clone(),
+            incarnation,
+            schedule: WatchSchedule::new(pushed, config.rules.drain_grace()),
+            needs_complete_list: self.cache.is_some(),
+            cache: self.cache_writer(),
+            rng: Mwc::new(bootstrap.seed),
+        };
+        spawn_part(move || watch.run())?;
+        Ok(target)
+    }
+
+    fn session_tokens(&mut self) -> Option<Arc<SessionTokens>> {
+        let keys = self.configuration.session_keys.take()?;
+        let lifetime = TimeDelta(self.configuration.operators.session_lifetime.as_nanos() as i64);
+        Some(Arc::new(SessionTokens::new(keys, lifetime, unpredictable_seed())))
+    }
+
+    fn serve_admin_socket(&mut self, shutdown: &Arc<GracefulShutdown>) -> Result<(), Failure> {
+        let path = self.configuration.operators.admin_socket.as_deref();
+        let (Some(path), Some(recorder)) = (path, self.foundation.recorder.take()) else { return Ok(()) };
+        let view = AdminView {
+            name: self.configuration.bootstrap.name.clone(),
+            control: self.control.clone(),
+            resources: self.foundation.resources.clone(),
+            admission: self.foundation.admission.clone(),
+            shutdown: shutdown.clone(),
+            methods: self.foundation.methods.clone(),
+        };
+        socket::serve(path, recorder, view).map_err(admin_socket_failure)
+    }
+
+    fn accept_connections(
+        &self,
+        listener: TcpListener,
+        shutdown: &Arc<GracefulShutdown>,
+        session_tokens: Option<Arc<SessionTokens>>,
+    ) -> AcceptStop {
+        let context = Arc::new(self.client_context(shutdown, session_tokens));
+        let accept_stop =
+            AcceptStop { stopping: Arc::new(AtomicBool::new(false)), listener: listener.waker() };
+        let has_operator_file = self.configuration.has_operator_file();
+        let reserve =
+            if has_operator_file { ReserveDescriptor::open() } else { ReserveDescriptor::default() };
+        let timers = self.foundation.timers.clone();
+        let mut queue = ListenerQueue { listener, reserve, timers, stopping: accept_stop.stopping.clone() };
+        spawn(move || {
+            acceptor::run(&mut queue, |stream, from| acceptor::take_connection(&context, stream, from));
+            drop(queue);
+            context.shutdown.close();
+        });
+        accept_stop
+    }
+
+    fn client_context(
+        &self,
+        shutdown: &Arc<GracefulShutdown>,
+        session_tokens: Option<Arc<SessionTokens>>,
+    ) -> ClientContext {
+        let Foundation { timers, resources, admission, methods, .. } = &self.foundation;
+        let settings = &self.configuration.bootstrap.settings;
+        let prefixes = self.configuration.operators.address_prefixes;
+        ClientContext {
+            timers: timers.clone(),
+            resources: resources.clone(),
+            control: self.control.clone(),
+            methods: MethodTable::new(methods.clone(), settings),
+            max_retry_after: settings.max_retry_after,
+            shutdown: shutdown.clone(),
+            session_tokens,
+            admission: admission.clone(),
+            client_prefixes: self.configuration.has_operator_file().then_some(prefixes),
+            journal: self.journal.clone(),
+            next_request: AtomicU64::new(0),
+            next_connection: AtomicU64::new(1),
+        }
+    }
+}
+
+fn bind(listen: SocketAddr) -> Result<TcpListener, Failure> {
+    TcpListener::bind(listen)
+        .map_err(|error| Failure::new(ExitStatus::OsError, format!("ROUTER_LISTEN: {listen}: {error}")))
+}
+
+fn spawn_part(run: impl FnOnce() + Send + 'static) -> Result<(), Failure> {
+    spawn_long_lived(run)
+        .map_err(|error| Failure::new(ExitStatus::OsError, format!("no stack for a coroutine: {error}")))
+}
+
+fn clean_up_pool(timers: Arc<Timers>, pool: Arc<ConnectionPool>) {
+    spawn(move || loop {
+        timers.sleep(POOL_CLEANUP_INTERVAL);
+        pool.close_expired();
+    });
+}
+
+fn end_process() {
+    log!(INFO; "shut down, no connection left");
+    crate::runtime::log::flush();
+    std::process::exit(ExitStatus::Success as i32);
+}
+
+/// Opens the journal of writes, if one is kept. Without it nothing may be promised, so a server that cannot have it does not
+/// start.
+fn open_journal(operators: &OperatorSettings) -> Result<Option<Arc<WriteJournal>>, Failure> {
+    let durability = match operators.journal_mode {
+        JournalMode::Off => return Ok(None),
+        JournalMode::System => Durability::System,
+        JournalMode::Disk => Durability::Disk,
+    };
+    let failure =
+        |problem: String| Failure::new(ExitStatus::ConfigError, format!("write-journal: {problem}"));
+    let state_dir = operators.state_dir.as_ref().ok_or_else(|| failure("it needs a state-dir".into()))?;
+    let retention = Retention {
+        max_records: operators.journal_max_records,
+        max_age_ms: operators.journal_max_age.as_millis() as i64,
+    };
+    let path = state_dir.join(JOURNAL_DIRECTORY);
+    let journal = WriteJournal::start(&path, durability, retention, unpredictable_seed());
+    journal.map(Some).map_err(|error| failure(error.to_string()))
+}
+
+/// The limits on requests, and the classes that share them, if there are any.
+pub(super) fn queue_limits(operators: &OperatorSettings) -> Option<QueueLimits> {
+    let limits = operators.concurrency_limits()?;
+    Some(QueueLimits { limits, classes: operators.client_classes.clone() })
+}
--- /dev/null
+++ b/server/src/storage/endpoint_cache_writer.rs
@@ -0,0 +1,233 @@
+//! The endpoint list on its way to disk. What is new is left here without waiting; a thread of its own saves it when
+//! [`SaveSchedule`] says so, and nobody waits for the disk.
+
+use crate::log;
+use crate::messages::endpoint_list::{ListedEndpoint, ListedHealth};
+use crate::runtime::clock::{to_duration, wall_ms, Clock};
+use endpoint_cache::{CacheDirectory, CacheError, CachedEndpoint, CachedEndpointList, CachedReport};
+use recovery::endpoint_state::RoleReport;
+use recovery::save_schedule::{is_worth_saving, SaveSchedule};
+use routing::time::TimeDelta;
+use routing::Role;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::thread;
+use std::time::Duration;
+
+/// How long the thread waits if there is nothing to save.
+const IDLE_WAIT: Duration = Duration::from_secs(3600);
+const NANOS_PER_MILLI: i64 = 1_000_000;
+
+struct Row {
+    endpoint: Arc<CachedEndpoint>,
+    /// The report that is saved with it.
+    report: Option<RoleReport>,
+}
+
+struct State {
+    version: i64,
+    confirmed_ms: i64,
+    rows: BTreeMap<String, Row>,
+    schedule: SaveSchedule,
+    stopping: bool,
+}
+
+/// Saves the endpoint list.
+pub struct EndpointCacheWriter {
+    clock: Clock,
+    state: Mutex<State>,
+    changed: Condvar,
+    stopped: Condvar,
+}
+
+impl EndpointCacheWriter {
+    /// Starts with the list that is cached, so that a start without discovery loses nothing of it.
+    ///
+    /// # Errors
+    /// The thread cannot be started.
+    pub fn start(
+        clock: Clock,
+        directory: CacheDirectory,
+        cached: Option<&CachedEndpointList>,
+        min_interval: Duration,
+    ) -> std::io::Result<Arc<EndpointCacheWriter>> {
+        let row = |endpoint: &CachedEndpoint| {
+            (endpoint.host.clone(), Row { endpoint: Arc::new(endpoint.clone()), report: None })
+        };
+        let state = State {
+            version: cached.map_or(0, |list| list.version),
+            confirmed_ms: cached.map_or(0, |list| list.confirmed_ms),
+            rows: cached.into_iter().flat_map(|list| list.endpoints.iter().map(row)).collect(),
+            schedule: SaveSchedule::new(to_delta(min_interval)),
+            stopping: false,
+        };
+        let writer = Arc::new(EndpointCacheWriter {
+            clock,
+            state: Mutex::new(state),
+            changed: Condvar::new(),
+            stopped: Condvar::new(),
+        });
+        let this = writer.clone();
+        thread::Builder::new().name("endpoint-cache".into()).spawn(move || this.run(directory))?;
+        Ok(writer)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// Changes the least time between two saves.
+    pub fn set_min_interval(&self, min_interval: Duration) {
+        self.lock().schedule.set_min_interval(to_delta(min_interval));
+    }
+
+    /// Discovery has given a list, or changes to it. An empty one is not saved: it would leave the next start nothing.
+    pub fn update(&self, version: i64, complete: bool, endpoints: &[ListedEndpoint]) {
+        if complete && endpoints.is_empty() {
+            return;
+        }
+        let mut state = self.lock();
+        state.version = version;
+        state.confirmed_ms = wall_ms();
+        let mut replaced = if complete { std::mem::take(&mut state.rows) } else { BTreeMap::new() };
+        for listed in endpoints {
+            let known = replaced.remove(&listed.name).or_else(|| state.rows.remove(&listed.name));
+            if listed.health != ListedHealth::Deleted {
+                state.rows.insert(listed.name.clone(), Row::new(listed, known));
+            }
+        }
+        state.schedule.changed(self.clock.now());
+        drop(state);
+        self.changed.notify_one();
+    }
+
+    /// Discovery has confirmed the list as it is.
+    pub fn confirmed(&self) {
+        let mut state = self.lock();
+        if !state.rows.is_empty() {
+            state.confirmed_ms = wall_ms();
+            state.schedule.confirmed();
+            drop(state);
+            self.changed.notify_one();
+        }
+    }
+
+    /// What an endpoint has reported.
+    pub fn reported(&self, endpoint: &str, report: RoleReport) {
+        let mut state = self.lock();
+        let Some(row) = state.rows.get_mut(endpoint) else { return };
+        if !is_worth_saving(row.report, report) {
+            return;
+        }
+        row.set_report(report);
+        state.schedule.changed(self.clock.now());
+        drop(state);
+        self.changed.notify_one();
+    }
+
+    fn run(&self, mut directory: CacheDirectory) {
+        let mut failing = false;
+        let mut state = self.lock();
+        loop {
+            let now = self.clock.now();
+            let due = state.schedule.due();
+            let save_now = due.is_some_and(|due| due <= now || state.stopping);
+            if !save_now && state.stopping {
+                return self.stopped.notify_all();
+            }
+            if !save_now {
+                let wait = due.map_or(IDLE_WAIT, |due| to_duration(due - now));
+                let waited = self.changed.wait_timeout(state, wait);
+                state = waited.unwrap_or_else(|poisoned| poisoned.into_inner()).0;
+                continue;
+            }
+            state.schedule.started(now);
+            let pending = state.pending_save();
+            drop(state);
+            let mut list = pending.into_list();
+            let saved = directory.save(&mut list);
+            log_transition(&saved, &mut failing);
+            state = self.lock();
+            state.schedule.ended(self.clock.now(), saved.is_ok());
+            if state.stopping {
+                return self.stopped.notify_all();
+            }
+        }
+    }
+
+    /// Saves what is still to be saved, within a time: the process is about to end.
+    pub fn stop(&self, within: Duration) {
+        let mut state = self.lock();
+        state.stopping = true;
+        self.changed.notify_all();
+        if state.schedule.due().is_some() {
+            drop(self.stopped.wait_timeout(state, within));
+        }
+    }
+}
+
+impl Row {
+    /// What the endpoint reported counts as long as it is the same one at the same address.
+    fn new(listed: &ListedEndpoint, known: Option<Row>) -> Row {
+        let report = known.as_ref().and_then(|row| row.report);
+        let same = known.filter(|row| row.endpoint.dial == listed.address);
+        let cached_report = same.and_then(|row| row.endpoint.report);
+        let endpoint = CachedEndpoint { report: cached_report, ..CachedEndpoint::from(listed) };
+        Row { endpoint: Arc::new(endpoint), report }
+    }
+
+    fn set_report(&mut self, report: RoleReport) {
+        let cached = CachedReport {
+            primary: report.role == Some(Role::Primary),
+            position_ms: report.position.map(|position| position.0 / NANOS_PER_MILLI),
+            timeline: report.timeline,
+            at_ms: wall_ms(),
+        };
+        let endpoint = CachedEndpoint { report: Some(cached), ..CachedEndpoint::clone(&self.endpoint) };
+        self.endpoint = Arc::new(endpoint);
+        self.report = Some(report);
+    }
+}
+
+/// What is to be saved, taken without copying it.
+struct PendingSave {
+    version: i64,
+    confirmed_ms: i64,
+    endpoints: Vec<Arc<CachedEndpoint>>,
+}
+
+impl State {
+    fn pending_save(&self) -> PendingSave {
+        PendingSave {
+            version: self.version,
+            confirmed_ms: self.confirmed_ms,
+            endpoints: self.rows.values().map(|row| row.endpoint.clone()).collect(),
+        }
+    }
+}
+
+impl PendingSave {
+    fn into_list(self) -> CachedEndpointList {
+        CachedEndpointList {
+            generation: 0,
+            version: self.version,
+            confirmed_ms: self.confirmed_ms,
+            saved_ms: wall_ms(),
+            endpoints: self.endpoints.iter().map(|endpoint| CachedEndpoint::clone(endpoint)).collect(),
+        }
+    }
+}
+
+fn to_delta(duration: Duration) -> TimeDelta {
+    TimeDelta(duration.as_nanos() as i64)
+}
+
+/// One line when saving begins to fail, and one when it works again.
+fn log_transition(saved: &Result<usize, CacheError>, failing: &mut bool) {
+    match saved {
+        Err(error) if !*failing => log!(WARN, reason = error; "endpoint list not cached, service goes on"),
+        Ok(bytes) if *failing => log!(INFO, bytes = bytes; "endpoint list cached again"),
+        _ => {}
+    }
+    *failing = saved.is_err();
+}
--- a/server/tests/admission.rs
+++ b/server/tests/admission.rs
@@ -74,7 +74,7 @@
                     };
                     if client.refused.is_some() {
                         counts[0].fetch_add(1, Ordering::Relaxed);
-                        counts[1].fetch_add(usize::from(client.come_back.is_some()), Ordering::Relaxed);
+                        counts[1].fetch_add(usize::from(client.retry_after.is_some()), Ordering::Relaxed);
                         thread::sleep(Duration::from_millis(20));
                         continue;
                     }
@@ -129,12 +129,13 @@
     assert!(held.iter().all(|client| client.refused.is_none()));
     let fifth = open();
     assert_eq!(fifth.refused.as_deref(), Some("53300"));
-    assert!(fifth.come_back.is_some_and(|ms| (1..=1_000).contains(&ms)), "{:?}", fifth.come_back);
+    assert!(fifth.retry_after.is_some_and(|ms| (1..=1_000).contains(&ms)), "{:?}", fifth.retry_after);
     let file = place.lone.folder.path().join("gingerwick.conf");
     // What contradicts itself changes nothing.
     std::fs::write(&file, "admit desk from 127.9.0.0/16 keep 5 most 4\n").expect("written");
     daemon.signal("HUP");
-    assert!(daemon.says("1: admit: desk keeps more than its most; all goes on as before"));
+    assert!(daemon.says("reload: operators' file not usable, nothing changed"));
+    assert!(daemon.says("1: admit: desk keeps more than its most"));
     std::fs::write(&file, "admit desk from 127.9.0.0/16 keep 5000\n").expect("written");
     daemon.signal("HUP");
     assert!(daemon.says("5000 connections are kept in all, and there is room for"));
@@ -142,7 +143,7 @@
     // Lowered below what is held: nobody new, and who is there stays.
     std::fs::write(&file, format!("{desk}admit others each 1\n")).expect("written");
     daemon.signal("HUP");
-    assert!(daemon.says("others 4; turned away since the start: others 2"));
+    assert!(daemon.says("others 4; rejected since the start: others 2"));
     for (nth, client) in held.iter_mut().enumerate() {
         let answer = client.ask(&format!("h{nth}"), 1, Kind::Write, 800).answer;
         assert!(matches!(answer, Answer::Value(_)), "{answer:?}");
@@ -204,11 +205,13 @@
     let mut place = Place::new();
     place.program = limited(&place, 100);
     let daemon = place.start("admit desk from 127.9.0.0/16 keep 8\nadmit others each 3\n");
-    assert!(daemon.says("the process may open 100 descriptors, the settings say 200: it goes by 100"));
+    assert!(
+        daemon.says("descriptor limit of the process is lower than configured allowed=100 configured=200")
+    );
     let flooded = flood(&place);
     let log = daemon.kill();
     assert_eq!((flooded.desk_served, flooded.rpcs_lost), (60, 0), "{flooded:?}");
-    assert!(flooded.refused > 0 && !log.contains("was not accepted"), "{flooded:?} {log}");
+    assert!(flooded.refused > 0 && !log.contains("connection not accepted"), "{flooded:?} {log}");
 }
 
 #[test]
@@ -245,7 +248,7 @@
     while !open().is_ok_and(|client| client.refused.is_none()) {
         assert!(began.elapsed() < Duration::from_secs(2), "there are descriptors again");
     }
-    assert!(daemon.says("a connection was not accepted: "));
+    assert!(daemon.says("connection not accepted reason="));
 }
 
 #[test]
--- a/server/tests/attempts.rs
+++ b/server/tests/attempts.rs
@@ -1,194 +1,227 @@
-//! Attempts on real connections, with the owner taken away: what comes between the last look at a connection and
-//! the moment at which an RPC leaves on it.
+//! Attempts on real connections, without a control loop: what happens between the last look at a connection and the moment at
+//! which a request is sent on it.
 
+mod common;
+
+use common::{message, value_messages};
 use may::sync::mpsc::{channel, Receiver, Sender};
-use routing::iface::Outcome;
-use routing::time::Span;
-use server::admit::Query;
-use server::bell::Bell;
-use server::clock::{Alarms, Clock};
-use server::ledger::Ledger;
-use server::news::{CallOut, End, News};
-use server::pg;
-use server::pool::Pool;
-use server::send::call_out;
-use server::tasks::spawn;
+use routing::time::TimeDelta;
+use routing::AttemptOutcome;
+use server::endpoints::attempt::run_attempt;
+use server::endpoints::pool::ConnectionPool;
+use server::messages::control::{AttemptJob, AttemptReport, ControlMessage};
+use server::messages::request::RequestText;
+use server::protocol::decode::only_row;
+use server::runtime::cancellation::CancellationToken;
+use server::runtime::clock::{Clock, Timers};
+use server::runtime::resource_limits::ResourceLimits;
+use server::runtime::tasks::spawn;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
-fn message(tag: u8, body: &[u8]) -> Vec<u8> {
-    [&[tag], &(body.len() as u32 + 4).to_be_bytes()[..], body].concat()
-}
+const SECOND: TimeDelta = TimeDelta::from_millis(1000);
+/// By then what was sent on loopback has arrived.
+const ARRIVED: Duration = Duration::from_millis(50);
+/// The body of the query that asks whether a connection is alive: its closing zero.
+const EMPTY_QUERY_BYTES: usize = 1;
 
-fn answer_of(value: &[u8]) -> Vec<u8> {
-    let row = [&[0, 1], &(value.len() as u32).to_be_bytes()[..], value].concat();
-    [
-        message(b'T', b"\0\x01content\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01"),
-        message(b'D', &row),
-        message(b'C', b"SELECT 1\0"),
-        message(b'Z', b"I"),
-    ]
-    .concat()
+fn answer(value: &[u8]) -> Vec<u8> {
+    [value_messages(value), message(b'Z', b"I")].concat()
 }
 
-/// A store that answers each statement with its number, and on which the test can have something happen on the
-/// first connection.
-struct Store {
+/// An endpoint that answers each statement with its number, and on which a test can have something happen on the first
+/// connection.
+struct Endpoint {
     addr: SocketAddr,
-    first: Arc<Mutex<Option<TcpStream>>>,
+    first_connection: Arc<Mutex<Option<TcpStream>>>,
     /// On which connection each statement came.
-    ran: Arc<Mutex<Vec<usize>>>,
+    executed_on: Arc<Mutex<Vec<usize>>>,
 }
 
-impl Store {
-    fn start() -> Store {
+impl Endpoint {
+    fn start() -> Endpoint {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let addr = listener.local_addr().expect("its address");
-        let store = Store { addr, first: Arc::default(), ran: Arc::default() };
-        let (first, ran) = (store.first.clone(), store.ran.clone());
+        let endpoint = Endpoint { addr, first_connection: Arc::default(), executed_on: Arc::default() };
+        let first_connection = endpoint.first_connection.clone();
+        let executed_on = endpoint.executed_on.clone();
         thread::spawn(move || {
-            for (nth, stream) in listener.incoming().flatten().enumerate() {
-                if nth == 0 {
-                    *first.lock().expect("no panic") = stream.try_clone().ok();
+            for (index, stream) in listener.incoming().flatten().enumerate() {
+                if index == 0 {
+                    *first_connection.lock().expect("no panic") = stream.try_clone().ok();
                 }
-                let ran = ran.clone();
-                thread::spawn(move || serve(stream, nth, &ran));
+                let executed_on = executed_on.clone();
+                thread::spawn(move || serve(stream, index, &executed_on));
             }
         });
-        store
+        endpoint
+    }
+
+    fn has_connection(&self) -> bool {
+        self.first_connection.lock().expect("no panic").is_some()
     }
 }
 
-fn serve(mut stream: TcpStream, nth: usize, ran: &Mutex<Vec<usize>>) -> Option<()> {
-    let mut length = [0; 4];
-    stream.read_exact(&mut length).ok()?;
-    stream.read_exact(&mut vec![0; u32::from_be_bytes(length) as usize - 4]).ok()?;
+/// Serves a connection until it ends.
+fn serve(mut stream: TcpStream, index: usize, executed_on: &Mutex<Vec<usize>>) -> Option<()> {
+    read_body(&mut stream)?;
     stream.write_all(&[message(b'R', &[0; 4]), message(b'Z', b"I")].concat()).ok()?;
     loop {
-        let mut head = [0; 5];
-        stream.read_exact(&mut head).ok()?;
-        let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize - 4;
-        stream.read_exact(&mut vec![0; length]).ok()?;
-        let out = if length == 1 {
+        let mut tag = [0];
+        stream.read_exact(&mut tag).ok()?;
+        let body = read_body(&mut stream)?;
+        let response = if body.len() == EMPTY_QUERY_BYTES {
             [message(b'I', b""), message(b'Z', b"I")].concat()
         } else {
-            let mut ran = ran.lock().expect("no panic");
-            ran.push(nth);
-            answer_of(&[ran.len() as u8])
+            let mut executed_on = executed_on.lock().expect("no panic");
+            executed_on.push(index);
+            answer(&[executed_on.len() as u8])
         };
-        stream.write_all(&out).ok()?;
+        stream.write_all(&response).ok()?;
     }
 }
 
+/// A length, and the body that it counts.
+fn read_body(stream: &mut TcpStream) -> Option<Vec<u8>> {
+    let mut length = [0; 4];
+    stream.read_exact(&mut length).ok()?;
+    let mut body = vec![0; u32::from_be_bytes(length) as usize - 4];
+    stream.read_exact(&mut body).ok()?;
+    Some(body)
+}
+
 struct Rig {
-    pool: Arc<Pool>,
-    owner: Sender<News>,
-    news: Receiver<News>,
+    pool: Arc<ConnectionPool>,
+    control: Sender<ControlMessage>,
+    messages: Receiver<ControlMessage>,
 }
 
 impl Rig {
     fn new() -> Rig {
         may::config().set_workers(1).set_stack_size(16 << 10);
-        let alarms = Arc::new(Alarms::start(Clock::start()));
-        let second = Span::millis(1000);
-        let pool = Arc::new(Pool::new(alarms, Ledger::new(64, 1 << 20, false), second, second * 30));
-        let (owner, news) = channel();
-        Rig { pool, owner, news }
+        let timers = Arc::new(Timers::start(Clock::start()));
+        let resources = ResourceLimits::new(64, 1 << 20, false);
+        let pool = Arc::new(ConnectionPool::new(timers, resources, SECOND, SECOND * 30));
+        let (control, messages) = channel();
+        Rig { pool, control, messages }
     }
 
-    /// One attempt; `meanwhile` happens when it asks whether it may leave.
-    fn attempt(&self, store: &Store, meanwhile: impl Fn()) -> End {
-        self.attempt_by(Arc::default(), store, meanwhile)
+    /// Makes one attempt; `before_sending` happens when it asks for confirmation.
+    fn attempt(&self, endpoint: &Endpoint, before_sending: impl Fn()) -> AttemptReport {
+        self.cancellable_attempt(Arc::default(), endpoint, before_sending)
     }
 
-    fn attempt_by(&self, bell: Arc<Bell>, store: &Store, meanwhile: impl Fn()) -> End {
-        let mut weight = Ledger::new(1, 1 << 20, false).weight();
-        let body = b"SELECT d=5\0".to_vec();
-        weight.set(body.len());
-        let query = Arc::new(Query { body, patience: 9..10, weight });
-        let sent = self.pool.alarms.now();
-        let job = CallOut {
-            rpc: 1,
-            number: 0,
-            store: 0,
-            addr: store.addr,
-            sent,
-            by: sent + Span::millis(5_000),
-            query,
-            bell,
-            entry: None,
-            follows: false,
-        };
-        let (pool, owner) = (self.pool.clone(), self.owner.clone());
+    fn cancellable_attempt(
+        &self,
+        cancellation: Arc<CancellationToken>,
+        endpoint: &Endpoint,
+        before_sending: impl Fn(),
+    ) -> AttemptReport {
+        let job = self.job(cancellation, endpoint);
+        let (pool, control) = (self.pool.clone(), self.control.clone());
         let (done, is_done) = std::sync::mpsc::channel();
         spawn(move || {
-            call_out(&pool, None, owner, job);
+            run_attempt(&pool, None, control, &job);
             let _ = done.send(());
         });
-        let mut first = true;
+        let mut is_first = true;
         loop {
-            match self.news.recv().expect("it goes on") {
-                News::Confirm { reply, .. } => {
-                    if std::mem::take(&mut first) {
-                        meanwhile();
+            match self.messages.recv().expect("the attempt goes on") {
+                ControlMessage::Confirm(question) => {
+                    if std::mem::take(&mut is_first) {
+                        before_sending();
                     }
-                    reply.send(true).expect("it waits");
+                    question.reply.send(true).expect("the attempt waits");
                 }
-                News::Ended(end) => {
+                ControlMessage::AttemptEnded(report) => {
                     is_done.recv_timeout(Duration::from_secs(5)).expect("the connection is given back");
-                    return end;
+                    return *report;
                 }
-                _ => panic!("nothing else is told"),
+                _ => panic!("an attempt sends no other message"),
             }
         }
     }
+
+    fn job(&self, cancellation: Arc<CancellationToken>, endpoint: &Endpoint) -> AttemptJob {
+        let body = b"SELECT d=5\0".to_vec();
+        let charge = ResourceLimits::new(1, 1 << 20, false).buffer_charge();
+        let started_at = self.pool.timers.now();
+        AttemptJob {
+            request: 1,
+            number: 0,
+            endpoint: 0,
+            addr: endpoint.addr,
+            started_at,
+            deadline: started_at + SECOND * 5,
+            text: Arc::new(RequestText { body, timeout_digits: 9..10, charge }),
+            cancellation,
+            journal_entry: None,
+            needs_epoch: false,
+        }
+    }
+}
+
+/// What became of a second attempt.
+#[derive(Debug, PartialEq, Eq)]
+struct SecondAttempt {
+    outcome: AttemptOutcome,
+    value: Vec<u8>,
+    /// On which connections statements were executed.
+    executed_on: Vec<usize>,
+}
+
+impl SecondAttempt {
+    /// It got its own answer, on a connection of this number.
+    fn succeeded_on(connection: usize) -> SecondAttempt {
+        SecondAttempt { outcome: AttemptOutcome::Succeeded, value: vec![2], executed_on: vec![0, connection] }
+    }
 }
 
-/// What the second attempt comes to where this happens on the connection it is about to leave on.
-fn second(happens: fn(&mut TcpStream)) -> (Outcome, Vec<u8>, Vec<usize>) {
-    let (rig, store) = (Rig::new(), Store::start());
-    let first = rig.attempt(&store, || {});
-    assert_eq!((first.outcome, pg::only_row(&first.value)), (Outcome::Ok, Some(&[1][..])));
-    // The answer to the empty query has come by then.
-    thread::sleep(Duration::from_millis(50));
-    let end = rig.attempt(&store, || {
-        happens(store.first.lock().expect("no panic").as_mut().expect("a connection"));
-        thread::sleep(Duration::from_millis(50));
+/// Makes two attempts; this happens on the connection of the first right before the second is sent.
+fn second_attempt(happens: fn(&mut TcpStream)) -> SecondAttempt {
+    let (rig, endpoint) = (Rig::new(), Endpoint::start());
+    let first = rig.attempt(&endpoint, || {});
+    assert_eq!((first.outcome, only_row(&first.value)), (AttemptOutcome::Succeeded, Some(&[1][..])));
+    // The answer to the empty query has arrived by then.
+    thread::sleep(ARRIVED);
+    let report = rig.attempt(&endpoint, || {
+        happens(endpoint.first_connection.lock().expect("no panic").as_mut().expect("a connection"));
+        thread::sleep(ARRIVED);
     });
-    let ran = store.ran.lock().expect("no panic").clone();
-    (end.outcome, pg::only_row(&end.value).unwrap_or_default().to_vec(), ran)
+    let executed_on = endpoint.executed_on.lock().expect("no panic").clone();
+    let value = only_row(&report.value).unwrap_or_default().to_vec();
+    SecondAttempt { outcome: report.outcome, value, executed_on }
 }
 
 #[test]
-fn what_comes_unasked_before_an_rpc_leaves_is_no_part_of_its_answer() {
-    let own = (Outcome::Ok, vec![2], vec![0, 1]);
-    let whole = |stream: &mut TcpStream| stream.write_all(&answer_of(b"another's")).expect("sent");
-    assert_eq!(second(whole), own, "a whole answer");
-    let half = |stream: &mut TcpStream| stream.write_all(&answer_of(b"another's")[..40]).expect("sent");
-    assert_eq!(second(half), own, "half a one");
-    let aside = |stream: &mut TcpStream| {
+fn what_arrives_before_a_request_is_sent_is_no_part_of_its_answer() {
+    let complete = |stream: &mut TcpStream| stream.write_all(&answer(b"another's")).expect("sent");
+    assert_eq!(second_attempt(complete), SecondAttempt::succeeded_on(1), "a complete answer");
+    let half = |stream: &mut TcpStream| stream.write_all(&answer(b"another's")[..40]).expect("sent");
+    assert_eq!(second_attempt(half), SecondAttempt::succeeded_on(1), "half of one");
+    let parameter = |stream: &mut TcpStream| {
         stream.write_all(&message(b'S', b"lsn_ms\x001790000000000\0")).expect("sent");
     };
-    assert_eq!(second(aside), own, "a position");
+    assert_eq!(second_attempt(parameter), SecondAttempt::succeeded_on(1), "a position");
 }
 
 #[test]
-fn a_connection_that_is_closed_or_reset_before_an_rpc_leaves_costs_it_nothing() {
-    let own = (Outcome::Ok, vec![2], vec![0, 1]);
+fn a_connection_that_is_closed_before_a_request_is_sent_costs_it_nothing() {
     let close = |stream: &mut TcpStream| stream.shutdown(Shutdown::Both).expect("open until then");
-    assert_eq!(second(close), own);
-    assert_eq!(second(|_| {}), (Outcome::Ok, vec![2], vec![0, 0]), "and one that is not is reused");
+    assert_eq!(second_attempt(close), SecondAttempt::succeeded_on(1));
+    assert_eq!(second_attempt(|_| {}), SecondAttempt::succeeded_on(0), "one that stays open is reused");
 }
 
 #[test]
-fn an_attempt_that_is_called_off_before_it_has_a_connection_opens_none() {
-    let (rig, store, bell) = (Rig::new(), Store::start(), Arc::new(Bell::default()));
-    bell.ring();
-    let end = rig.attempt_by(bell, &store, || panic!("it asks for nothing"));
-    assert_eq!(end.outcome, Outcome::Moot);
-    thread::sleep(Duration::from_millis(50));
-    assert!(store.first.lock().expect("no panic").is_none(), "a connection costs the store work");
+fn an_attempt_that_is_cancelled_before_it_has_a_connection_opens_none() {
+    let (rig, endpoint) = (Rig::new(), Endpoint::start());
+    let cancellation = Arc::new(CancellationToken::default());
+    cancellation.cancel();
+    let report = rig.cancellable_attempt(cancellation, &endpoint, || panic!("it asks for nothing"));
+    assert_eq!(report.outcome, AttemptOutcome::NotSent);
+    thread::sleep(ARRIVED);
+    assert!(!endpoint.has_connection(), "a connection costs the endpoint work");
 }
--- /dev/null
+++ b/server/tests/client_protocol.rs
@@ -0,0 +1,162 @@
+//! What clients send, without a socket: messages in any split, statements, and what is rejected by which code.
+
+mod common;
+
+use common::message;
+use proptest::prelude::*;
+use server::protocol::decode::StartupParameters;
+use server::protocol::encode::startup_message;
+use server::protocol::framing::MAX_QUERY_BYTES;
+use server::protocol::frontend_codec::{FrontendCodec, FrontendMessage};
+use server::protocol::sqlstate::{ClientError, SqlState};
+use server::protocol::statement::{self, Statement};
+
+const GET: &str = "/* id=9b1f03aa5c7e2d41,c=basket,d=480,cluster=2,after=1767225600123,r=1 */ \
+                   SELECT content FROM kv WHERE name = '7f3a9c21e0b4d655'";
+
+/// All messages of some bytes that are read in these parts.
+fn decode(parts: &[&[u8]]) -> Vec<FrontendMessage> {
+    let mut codec = FrontendCodec::default();
+    let mut messages = Vec::new();
+    for part in parts {
+        codec.feed(part);
+        messages.extend(std::iter::from_fn(|| codec.next_message()));
+    }
+    messages
+}
+
+/// What the startup message of `protocol::encode` is decoded to.
+fn startup() -> FrontendMessage {
+    let parameters =
+        StartupParameters { audience: "7:backend/store".into(), user: "backend".into(), session: None };
+    FrontendMessage::Startup { minor_version: 0, parameters }
+}
+
+fn ends_connection(message: &FrontendMessage) -> bool {
+    use FrontendMessage::{CancelRequest, Invalid, Terminate};
+    matches!(message, Invalid(_) | Terminate | CancelRequest)
+}
+
+fn invalid_code(message: &FrontendMessage) -> Option<&'static str> {
+    match message {
+        FrontendMessage::Invalid(error) => Some(error.code.as_str()),
+        _ => None,
+    }
+}
+
+/// One message or another, most of them complete.
+fn any_message() -> impl Strategy<Value = Vec<u8>> {
+    let tag = prop::sample::select(b"QQQQSPBDEHCFdcfX?".to_vec());
+    let body = prop_oneof![
+        Just(GET.as_bytes().to_vec()),
+        Just(Vec::new()),
+        prop::collection::vec(any::<u8>(), 0..40),
+        prop::collection::vec(prop::sample::select(b"/* c=d,=9;'".to_vec()), 0..40),
+    ];
+    prop_oneof![
+        8 => (tag, body, any::<bool>()).prop_map(|(tag, mut body, zero)| {
+            body.extend(zero.then_some(0));
+            message(tag, &body)
+        }),
+        1 => prop::collection::vec(any::<u8>(), 0..12),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn messages_are_the_same_however_their_bytes_are_split(
+        messages in prop::collection::vec(any_message(), 0..12),
+        cuts in prop::collection::vec(1usize..30, 0..80),
+        encryption_request in any::<bool>(),
+    ) {
+        let mut bytes = if encryption_request { vec![0, 0, 0, 8, 4, 210, 22, 47] } else { Vec::new() };
+        bytes.extend(startup_message());
+        bytes.extend(messages.concat());
+        let (mut parts, mut rest) = (Vec::new(), &bytes[..]);
+        for cut in cuts {
+            let (part, behind) = rest.split_at(cut.min(rest.len()));
+            parts.push(part);
+            rest = behind;
+        }
+        parts.push(rest);
+        let decoded = decode(&[&bytes]);
+        prop_assert_eq!(&decoded, &decode(&parts));
+        for message in &decoded {
+            if let FrontendMessage::Query(body) = message {
+                statement::parse(body);
+            }
+        }
+        let before_last = decoded.iter().rev().skip(1);
+        prop_assert!(before_last.into_iter().all(|message| !ends_connection(message)), "nothing follows an end");
+    }
+
+    #[test]
+    fn random_bytes_of_a_client_cause_no_panic(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        decode(&[&bytes]);
+        statement::parse(&bytes);
+    }
+}
+
+#[test]
+fn a_header_is_read_and_says_where_its_timeout_stands() {
+    let body = [GET.as_bytes(), b"\0"].concat();
+    let Statement::Request(header) = statement::parse(&body) else {
+        panic!("a statement of the page's form")
+    };
+    assert_eq!((header.id, header.method, header.group), ("9b1f03aa5c7e2d41", "basket", 2));
+    assert_eq!((header.timeout_ms, header.is_retry), (480, true));
+    assert_eq!((header.after_ms, header.key), (Some(1_767_225_600_123), Some("7f3a9c21e0b4d655")));
+    assert_eq!(&body[header.timeout_digits], b"480");
+}
+
+#[test]
+fn what_cannot_be_taken_is_rejected_by_a_fitting_code() {
+    for (text, code) in [
+        ("SELECT 1", "42601"),
+        ("/* id=1,c=a,d=1 SELECT", "42601"),
+        ("/* id=1,c=a,cluster=2 */ SELECT", "42601"),
+        ("/* id=1,c=a,d=0,cluster=2 */ SELECT", "42601"),
+        ("/* id=1,c=a,d=x,cluster=2 */ SELECT", "42601"),
+        ("/* nonsense */ SELECT", "42601"),
+        ("/* c=a,d=1,cluster=2 */ SELECT", "42601"),
+        ("/* id=,c=a,d=1,cluster=2 */ SELECT", "42601"),
+        ("/* id=1,id=2,c=a,d=1,cluster=2 */ SELECT", "42601"),
+        ("/* id=1,c=a,d=+1,cluster=2 */ SELECT", "42601"),
+        ("/* id=1,c=a,d=99999999999999999999,cluster=2 */ SELECT", "42601"),
+        ("/* id=1,c=a,d=1,cluster=2,after=-1 */ SELECT", "42601"),
+        ("/* id=1,c=a,d=1,cluster=2,r=2 */ SELECT", "42601"),
+        ("a\0b", "08P01"),
+    ] {
+        let body = [text.as_bytes(), b"\0"].concat();
+        let Statement::Invalid(error) = statement::parse(&body) else { panic!("{text}") };
+        assert_eq!(error.code.as_str(), code, "{text}");
+    }
+    let Statement::Invalid(error) = statement::parse(b"\xff\0") else { panic!("not UTF-8") };
+    assert_eq!(error.code.as_str(), "22021");
+    assert_eq!(statement::parse(b" ; \0"), Statement::Empty);
+    assert_eq!(statement::parse(b"reset all\0"), Statement::NoEffect("RESET"));
+}
+
+#[test]
+fn first_messages_and_messages_that_are_not_supported_are_told_apart() {
+    let long = [startup_message(), message(b'Q', &vec![b'a'; MAX_QUERY_BYTES])].concat();
+    let too_long = ClientError::new(SqlState::PROGRAM_LIMIT_EXCEEDED, "message too long");
+    assert_eq!(too_long.code.as_str(), "54000");
+    let expected = [startup(), FrontendMessage::Invalid(too_long)];
+    assert_eq!(decode(&[&long[..200]]), expected, "told by its header alone");
+
+    let opened = b"\0\0\0\x3c\0\x03\0\0user\0ann\0gingerwick.session\0new\0database\0x\0odd\0yes\0\0";
+    let parameters =
+        StartupParameters { audience: "3:ann/x".into(), user: "ann".into(), session: Some("new".into()) };
+    assert_eq!(decode(&[opened]), [FrontendMessage::Startup { minor_version: 0, parameters }]);
+
+    let version_2 = decode(&[&[0, 0, 0, 8, 0, 2, 0, 0]]);
+    assert_eq!(version_2.iter().map(invalid_code).collect::<Vec<_>>(), [Some("0A000")]);
+    let cancel = [0, 0, 0, 16, 4, 210, 22, 46, 0, 0, 0, 1, 0, 0, 0, 0];
+    assert_eq!(decode(&[&cancel]), [FrontendMessage::CancelRequest]);
+
+    let extended =
+        [startup_message(), message(b'P', b"\0\0\0\0"), message(b'E', b"\0\0\0\0\0"), message(b'S', b"")];
+    let unsupported = FrontendMessage::Unsupported { standalone: false };
+    assert_eq!(decode(&[&extended.concat()]), [startup(), unsupported, FrontendMessage::Sync]);
+}
--- /dev/null
+++ b/server/tests/control_loop.rs
@@ -0,0 +1,244 @@
+//! The control loop without client sockets: what it answers, and what a panic of the routing policy leaves behind.
+
+use host_support::bootstrap_config::BootstrapConfig;
+use host_support::routing_settings::routing_settings;
+use may::io::WaitIo;
+use may::net::TcpStream;
+use may::sync::mpsc::{channel, Sender};
+use routing::time::TimeDelta;
+use routing::{MethodIndex, RequestId};
+use server::control::control_loop::{ControlLoop, ControlSetup};
+use server::endpoints::dispatcher::AttemptDispatcher;
+use server::endpoints::pool::ConnectionPool;
+use server::messages::control::{ConfirmAttempt, ControlMessage, IncomingRequest};
+use server::messages::endpoint_list::{ListedEndpoint, ListedHealth};
+use server::messages::request::{ClientRequest, RequestText};
+use server::messages::response::{Response, ResponseChannel, ResponseTicket};
+use server::protocol::sqlstate::SqlState;
+use server::runtime::clock::{Clock, Timers};
+use server::runtime::metrics::Metrics;
+use server::runtime::resource_limits::ResourceLimits;
+use server::runtime::tasks::spawn;
+use sessions::positions::GroupNumber;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const SETTINGS: &str = r#"{"nInstances":1,"resolutionNs":5000000,"membershipMode":"push","report":{},"rules":{},
+    "classes":[{"name":"order","aimNs":40000000,"deadlineNs":3000000000,"effect":"non_idempotent"},
+        {"name":"view","aimNs":40000000,"deadlineNs":3000000000,"effect":"read_like"}],
+    "familyInfo":{"classRead":["update","latest"],"guards":"off"},
+    "allowed":{"maxAttempts":6,"retryAfter":true,"maxRetryAfterNs":2000000000}}"#;
+const WRITE: MethodIndex = 0;
+const READ: MethodIndex = 1;
+/// The group of the endpoint that every test has.
+const GROUP: GroupNumber = 3;
+const SECOND: TimeDelta = TimeDelta::from_millis(1000);
+const PATIENCE: Duration = Duration::from_secs(10);
+
+struct Rig {
+    control: Sender<ControlMessage>,
+    timers: Arc<Timers>,
+    resources: Arc<ResourceLimits>,
+    channel: Arc<ResponseChannel>,
+    _stream: TcpStream,
+}
+
+fn silent_endpoint() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a free port")
+}
+
+/// A control loop that knows one endpoint, a primary that accepts connections and never answers.
+fn rig(silent: &TcpListener, max_open_requests: usize) -> Rig {
+    may::config().set_workers(1).set_stack_size(16 << 10);
+    let config: BootstrapConfig = serde_json::from_str(SETTINGS).expect("a bootstrap configuration");
+    let settings = routing_settings(&config).expect("sound settings");
+    let timers = Arc::new(Timers::start(Clock::start()));
+    let resources = ResourceLimits::new(64, 1 << 20, false);
+    let pool = Arc::new(ConnectionPool::new(timers.clone(), resources.clone(), SECOND, SECOND * 30));
+    let (control, messages) = channel();
+    let dispatcher = AttemptDispatcher {
+        pool,
+        control: control.clone(),
+        health_check_timeout: SECOND,
+        journal: None,
+        metrics: Arc::new(Metrics::new(&[])),
+    };
+    let setup = ControlSetup {
+        settings,
+        seed: 1,
+        zones: Vec::new(),
+        max_open_requests,
+        dispatcher,
+        messages,
+        recovery: None,
+    };
+    let control_loop = ControlLoop::new(setup);
+    spawn(move || control_loop.run());
+    let stream = TcpStream::connect(silent.local_addr().expect("its address")).expect("a connection");
+    let rig =
+        Rig { control, timers, resources, channel: ResponseChannel::new(stream.waker()), _stream: stream };
+    rig.send(ControlMessage::EndpointList { complete: true, endpoints: vec![primary("s", silent)] });
+    rig
+}
+
+fn primary(name: &str, at: &TcpListener) -> ListedEndpoint {
+    ListedEndpoint {
+        name: name.to_string(),
+        address: at.local_addr().expect("its address").to_string(),
+        zone: String::new(),
+        group: GROUP,
+        health: ListedHealth::Serving,
+        born_ms: 0.0,
+        recovery: "off".to_string(),
+    }
+}
+
+fn replicas(group: GroupNumber, at: &TcpListener) -> ControlMessage {
+    let replica = |index: usize| ListedEndpoint {
+        group,
+        recovery: "on".to_string(),
+        ..primary(&format!("r-{index}"), at)
+    };
+    ControlMessage::EndpointList { complete: false, endpoints: (0..2_000).map(replica).collect() }
+}
+
+impl Rig {
+    fn send(&self, message: ControlMessage) {
+        self.control.send(message).expect("a control loop");
+    }
+
+    /// Sends a write that times out after so many milliseconds.
+    fn write(&self, request: RequestId, timeout_ms: i64) {
+        self.write_as(request, &request.to_string(), timeout_ms);
+    }
+
+    fn write_as(&self, request: RequestId, id: &str, timeout_ms: i64) {
+        self.request(WRITE, GROUP, request, id, timeout_ms);
+    }
+
+    fn request(
+        &self,
+        method: MethodIndex,
+        group: GroupNumber,
+        request: RequestId,
+        id: &str,
+        timeout_ms: i64,
+    ) {
+        let header = ClientRequest {
+            id: id.into(),
+            method,
+            group,
+            session: None,
+            last_write: None,
+            seen: None,
+            deadline: self.timers.now() + TimeDelta::from_millis(timeout_ms),
+            client_retry: false,
+            timeout_digits: 0..0,
+            client: None,
+        };
+        let text =
+            RequestText { body: vec![0], timeout_digits: 0..0, charge: self.resources.buffer_charge() };
+        let ticket = ResponseTicket::new(request, self.channel.clone());
+        self.send(ControlMessage::Request(Box::new(IncomingRequest { header, text, ticket })));
+    }
+
+    /// So many responses, by request.
+    fn responses(&self, count: usize) -> Vec<(RequestId, Response)> {
+        let give_up_at = Instant::now() + PATIENCE;
+        let mut responses = Vec::new();
+        while responses.len() < count {
+            responses.extend(self.channel.take());
+            assert!(Instant::now() < give_up_at, "a request is lost: {responses:?}");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        responses.sort_by_key(|(request, _): &(RequestId, Response)| *request);
+        responses
+    }
+
+    /// The response to the only request that is open.
+    fn response_to(&self, request: RequestId) -> Response {
+        let mut responses = self.responses(1);
+        assert_eq!(responses.len(), 1, "requests whose clients are gone get no response");
+        let (answered, response) = responses.remove(0);
+        assert_eq!(answered, request);
+        response
+    }
+}
+
+fn is_id_in_use(response: &Response) -> bool {
+    matches!(response, Response::Error(error) if error.code == SqlState::DUPLICATE_OBJECT)
+}
+
+#[test]
+fn a_panic_of_the_policy_aborts_what_is_open_and_the_next_request_is_served_by_a_new_one() {
+    let silent = silent_endpoint();
+    let rig = rig(&silent, 100);
+    rig.write(1, 60_000);
+    rig.write(2, 60_000);
+    // An endpoint that the policy was never told of: its table has no such row.
+    let (reply, _confirmed) = channel();
+    rig.send(ControlMessage::Confirm(ConfirmAttempt { request: 1, attempt: 0, endpoint: 99, reply }));
+    assert_eq!(rig.responses(2), [(1, Response::Aborted), (2, Response::Aborted)]);
+    rig.write(3, 200);
+    let response = rig.response_to(3);
+    let given_up = matches!(response, Response::Rejected { .. } | Response::Aborted);
+    assert!(given_up, "its endpoint is silent: {response:?}");
+    assert!(!rig.resources.is_memory_short());
+}
+
+#[test]
+fn beyond_the_limit_of_open_requests_others_are_rejected_until_some_have_ended() {
+    let silent = silent_endpoint();
+    let rig = rig(&silent, 2);
+    (1..=3).for_each(|request| rig.write(request, 60_000));
+    let rejected = Response::Rejected { retry_after: Some(TimeDelta::from_millis(2000)) };
+    assert_eq!(rig.response_to(3), rejected, "and told when to come back");
+    (1..=2).for_each(|request| rig.send(ControlMessage::ClientGone { request }));
+    // They are forgotten once their attempts have ended, which the silent endpoint takes a second for.
+    let give_up_at = Instant::now() + PATIENCE;
+    for request in 4.. {
+        rig.write(request, 200);
+        if rig.response_to(request) != rejected {
+            break;
+        }
+        assert!(Instant::now() < give_up_at, "no request is forgotten");
+    }
+}
+
+#[test]
+fn a_timer_that_fires_while_a_batch_is_handled_holds_up_nobody() {
+    const OTHER_GROUP: GroupNumber = 4;
+    let silent = silent_endpoint();
+    let rig = rig(&silent, 100);
+    // No primary of the group is known, so nothing but time ends a read that needs the latest data.
+    rig.send(replicas(OTHER_GROUP, &silent));
+    for request in 1..=3 {
+        rig.request(READ, OTHER_GROUP, request, &request.to_string(), 300);
+        // It takes far longer to handle than the timers of this control loop lie apart.
+        rig.send(replicas(OTHER_GROUP, &silent));
+        let response = rig.response_to(request);
+        assert!(matches!(response, Response::Rejected { .. }), "{response:?}");
+    }
+}
+
+#[test]
+fn an_id_is_in_use_until_nothing_more_can_come_of_its_request() {
+    let silent = silent_endpoint();
+    let rig = rig(&silent, 100);
+    rig.write_as(1, "same", 60_000);
+    rig.write_as(2, "same", 60_000);
+    assert_eq!(SqlState::DUPLICATE_OBJECT.as_str(), "42710");
+    let second = rig.response_to(2);
+    assert!(is_id_in_use(&second), "{second:?}");
+    rig.send(ControlMessage::ClientGone { request: 1 });
+    // Its attempt still waits for the silent endpoint, a second at most: until that has ended the id is in use.
+    let give_up_at = Instant::now() + PATIENCE;
+    for request in 4.. {
+        rig.write_as(request, "same", 400);
+        if !is_id_in_use(&rig.response_to(request)) {
+            break;
+        }
+        assert!(Instant::now() < give_up_at, "an id is in use for good");
+    }
+}
--- /dev/null
+++ b/server/tests/discovery_stream.rs
@@ -0,0 +1,123 @@
+//! What discovery sends, without a socket: any split of the answer, cut lists, floods, and entries of the list.
+
+use proptest::prelude::*;
+use routing::time::Timestamp;
+use routing::EndpointStatus;
+use server::discovery::stream::{StreamError, WatchEvent, WatchStream};
+use server::messages::endpoint_list::{EndpointListUpdate, ListedEndpoint};
+use std::time::{Duration, Instant};
+
+const CHUNKED_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// A complete answer of these bytes in chunks of these sizes; what is left is one more chunk.
+fn chunked(text: &[u8], sizes: Vec<usize>) -> Vec<u8> {
+    let mut answer = CHUNKED_HEAD.to_vec();
+    let mut rest = text;
+    for size in sizes.into_iter().chain([usize::MAX]) {
+        let (chunk, behind) = rest.split_at(size.min(rest.len()));
+        if !chunk.is_empty() {
+            answer.extend([format!("{:x}\r\n", chunk.len()).as_bytes(), chunk, b"\r\n"].concat());
+        }
+        rest = behind;
+    }
+    answer.extend(b"0\r\n\r\n");
+    answer
+}
+
+proptest! {
+    #[test]
+    fn random_bytes_of_discovery_cause_no_panic(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let mut stream = WatchStream::default();
+        if stream.feed(&bytes).is_ok() {
+            while let Ok(Some(_)) = stream.next_event() {}
+        }
+    }
+
+    #[test]
+    fn events_are_the_same_however_they_are_indented_and_the_answer_is_split(
+        lines in prop::collection::vec(prop::option::of(("[a-z{}\\[\\] ]{0,30}", "[ \t\r\n]{0,4}")), 1..10),
+        sizes in prop::collection::vec(1usize..25, 1..40),
+        cuts in prop::collection::vec(1usize..40, 0..60),
+    ) {
+        let object = |(text, space): &(String, String)| {
+            format!("{{{space}\"seq\":{space}4,\"\\\"{text}\\\\\":[{{{space}}},[]{space}]}}")
+        };
+        let objects: Vec<Option<String>> = lines.iter().map(|line| line.as_ref().map(object)).collect();
+        let text: String = objects.iter().map(|object| object.clone().unwrap_or_default() + "\n").collect();
+        let answer = chunked(text.as_bytes(), sizes);
+        let mut stream = WatchStream::default();
+        let mut events = Vec::new();
+        let mut rest = &answer[..];
+        for cut in cuts.into_iter().chain([usize::MAX]) {
+            let (part, behind) = rest.split_at(cut.min(rest.len()));
+            prop_assert_eq!(stream.feed(part), Ok(()));
+            while let Some(event) = stream.next_event().expect("only lists and empty lines") {
+                events.push(event);
+            }
+            rest = behind;
+        }
+        prop_assert!(stream.has_ended());
+        let event = |object: Option<String>| {
+            object.map_or(WatchEvent::Unchanged, |text| WatchEvent::List(text.into_bytes()))
+        };
+        let expected: Vec<WatchEvent> = objects.into_iter().map(event).collect();
+        prop_assert_eq!(events, expected);
+    }
+}
+
+#[test]
+fn a_cut_list_is_none_and_a_complete_one_needs_neither_length_nor_line_end() {
+    let list = r#"{"seq":4, "hosts":[{"host":"}\"{"}]}"#;
+    for end in 1..=list.len() {
+        let event_behind = |head: String| {
+            let mut stream = WatchStream::default();
+            stream.feed(&[head.as_bytes(), &list.as_bytes()[..end]].concat()).expect("a sound answer");
+            stream.next_event()
+        };
+        let complete = Ok(Some(WatchEvent::List(list.as_bytes().to_vec())));
+        let is_complete = end == list.len();
+        let without_length = event_behind("HTTP/1.1 200 OK\r\n\r\n".into());
+        assert_eq!(without_length, if is_complete { complete.clone() } else { Ok(None) }, "{end} bytes");
+        let with_length = event_behind(format!("HTTP/1.1 200 OK\r\nContent-Length: {end}\r\n\r\n"));
+        let cut_off = Err(StreamError::CutOff);
+        assert_eq!(with_length, if is_complete { complete } else { cut_off }, "{end} bytes");
+    }
+}
+
+#[test]
+fn what_is_no_object_is_no_list() {
+    for text in ["[1]", "x", "\"\"", "} {", "4"] {
+        let mut stream = WatchStream::default();
+        stream.feed(format!("HTTP/1.1 200 OK\r\n\r\n{text}").as_bytes()).expect("a sound answer");
+        assert_eq!(stream.next_event(), Err(StreamError::NotAList), "{text}");
+    }
+}
+
+#[test]
+fn a_flood_of_small_chunks_costs_time_by_its_bytes_and_not_by_their_square() {
+    let flood = [CHUNKED_HEAD.to_vec(), b"1\r\n\n\r\n".repeat(300_000)].concat();
+    let (mut stream, started) = (WatchStream::default(), Instant::now());
+    stream.feed(&flood).expect("a sound answer");
+    let unchanged = std::iter::from_fn(|| stream.next_event().expect("empty lines"));
+    assert_eq!(unchanged.count(), 300_000);
+    // Moving what is left for each chunk is a quarter of a terabyte, some ten seconds at the least.
+    assert!(started.elapsed() < Duration::from_secs(4), "{:?}", started.elapsed());
+}
+
+#[test]
+fn an_entry_is_read_with_all_that_may_be_missing_or_new() {
+    let line = r#"{"seq":43,"hosts":[{"host":"s","dial":"127.0.0.1:1","site":"a","block":3,"health":"SERVING",
+        "born_ms":1767225600123,"recovery":"off","new":{}},{"host":"t","health":"PAUSED"}]}"#;
+    let list: EndpointListUpdate = serde_json::from_str(line).expect("a line of the page's form");
+    assert_eq!((list.version, list.complete), (43, false));
+    let [complete, sparse] = &list.endpoints[..] else { panic!("two entries") };
+    let read = |entry: &ListedEndpoint| (entry.status(), entry.is_primary(), entry.started_at());
+    let started_at = Some(Timestamp(1_767_225_600_123_000_000));
+    assert_eq!(read(complete), (EndpointStatus::Serving, true, started_at));
+    assert_eq!(
+        read(sparse),
+        (EndpointStatus::Draining, false, None),
+        "an unknown state gets no new attempts"
+    );
+    assert!(complete.socket_addr().is_some() && sparse.socket_addr().is_none());
+}
--- /dev/null
+++ b/server/tests/endpoint_responses.rs
@@ -0,0 +1,204 @@
+//! What endpoints answer, without a socket: any split, spoilt answers, the table of outcomes, and reports.
+
+mod common;
+
+use common::{message, value_messages, ONE_COLUMN};
+use proptest::prelude::*;
+use routing::time::Timestamp;
+use routing::{AttemptOutcome, Role};
+use server::endpoints::load_report;
+use server::endpoints::response_parser::ResponseParser;
+use server::protocol::decode::only_row;
+use server::protocol::encode::{error_fields, Severity};
+use server::protocol::framing::{frame, MAX_VALUE_BYTES};
+use server::runtime::clock::{from_unix_ms, from_unix_s};
+
+const POSITION: Timestamp = Timestamp(1_767_225_600_123_000_000);
+
+/// A complete answer of a replica with this value.
+fn answer(value: &[u8]) -> Vec<u8> {
+    let parameters = [message(b'S', b"recovery\0on\0"), message(b'S', b"lsn_ms\x001767225600123\0")];
+    [&value_messages(value)[..], &parameters.concat(), &message(b'Z', b"I")].concat()
+}
+
+/// The tags of complete messages; a question mark if anything stands behind them.
+fn tags(bytes: &[u8]) -> String {
+    let (mut tags, mut at) = (String::new(), 0);
+    while let Ok(Some(frame)) = frame(bytes, at, MAX_VALUE_BYTES) {
+        tags.push(frame.tag as char);
+        at = frame.body.end;
+    }
+    tags + if at == bytes.len() { "" } else { "?" }
+}
+
+/// Parses growing parts of an answer until its outcome is known; that, and how many bytes it took.
+fn parse_in_parts(
+    parser: &mut ResponseParser,
+    bytes: &[u8],
+    cuts: Vec<usize>,
+) -> (Option<AttemptOutcome>, usize) {
+    let mut end = 0;
+    for cut in cuts.into_iter().chain([usize::MAX]) {
+        end = cut.saturating_add(end).min(bytes.len());
+        let outcome = parser.parse(&bytes[..end]);
+        if outcome.is_some() {
+            return (outcome, end);
+        }
+    }
+    (None, end)
+}
+
+fn spoil(bytes: &mut Vec<u8>, at: usize, how: usize, byte: u8) {
+    let at = at % (bytes.len() + 1);
+    match how {
+        0 => bytes.truncate(at),
+        1 => bytes.insert(at, byte),
+        2 if at < bytes.len() => bytes[at] = byte,
+        _ => drop(bytes.drain(at..(at + usize::from(byte)).min(bytes.len()))),
+    }
+}
+
+proptest! {
+    #[test]
+    fn random_bytes_of_an_endpoint_cause_no_panic(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        ResponseParser::default().parse(&bytes);
+        load_report::parse(&String::from_utf8_lossy(&bytes));
+    }
+
+    #[test]
+    fn an_answer_is_the_same_however_its_bytes_are_split(
+        value in prop::collection::vec(any::<u8>(), 0..5000),
+        cuts in prop::collection::vec(1usize..400, 0..30),
+        surplus in prop::collection::vec(any::<u8>(), 0..9),
+    ) {
+        let (forwarded, bytes) = (value_messages(&value), answer(&value));
+        let mut parser = ResponseParser::default();
+        let (outcome, end) = parse_in_parts(&mut parser, &bytes, cuts);
+        prop_assert_eq!(outcome, Some(AttemptOutcome::Succeeded));
+        prop_assert_eq!(end, bytes.len(), "known with its last byte and not before");
+        prop_assert!(parser.frees_connection(&bytes));
+        let with_surplus = [&bytes[..], &surplus].concat();
+        prop_assert_eq!(parser.frees_connection(&with_surplus), surplus.is_empty());
+        prop_assert_eq!(&parser.value(bytes.clone()), &forwarded, "forwarded unchanged");
+        prop_assert_eq!(only_row(&forwarded), Some(&value[..]));
+        let report = parser.reports().answer;
+        prop_assert_eq!(report.role, Some(Role::Replica));
+        prop_assert_eq!(report.position, Some(POSITION));
+    }
+
+    #[test]
+    fn a_spoilt_answer_is_never_taken_for_a_value(
+        value in prop::collection::vec(any::<u8>(), 0..300),
+        spoils in prop::collection::vec((0usize..400, 0usize..4, any::<u8>()), 1..4),
+        cuts in prop::collection::vec(1usize..40, 0..30),
+    ) {
+        let mut bytes = answer(&value);
+        for (at, how, byte) in spoils {
+            spoil(&mut bytes, at, how, byte);
+        }
+        let mut parser = ResponseParser::default();
+        let (outcome, end) = parse_in_parts(&mut parser, &bytes, cuts);
+        let at_once = ResponseParser::default().parse(&bytes[..end]);
+        prop_assert_eq!(at_once, outcome, "however it is split");
+        if parser.outcome(AttemptOutcome::ConnectionLost) == AttemptOutcome::Succeeded {
+            let value = parser.value(bytes.clone());
+            prop_assert!(only_row(&value).is_some() && tags(&value) == "TDC", "one row of one column, complete");
+        }
+        if outcome == Some(AttemptOutcome::Failed) && !parser.frees_connection(&bytes) {
+            prop_assert!(parser.reports().answer.position.is_none(), "a spoilt answer reports nothing");
+        }
+    }
+}
+
+/// The outcome of an answer behind which the connection is lost, and whether the connection can be used again.
+fn outcome_of(messages: &[&[u8]]) -> (AttemptOutcome, bool) {
+    let (mut parser, bytes) = (ResponseParser::default(), messages.concat());
+    let outcome = parser.parse(&bytes).unwrap_or_else(|| parser.outcome(AttemptOutcome::ConnectionLost));
+    (outcome, parser.frees_connection(&bytes))
+}
+
+fn error(code: &str) -> Vec<u8> {
+    let mut out = Vec::new();
+    error_fields(&mut out, Severity::Error, code, "words", None);
+    out
+}
+
+#[test]
+fn each_row_of_the_outcome_table_is_one_outcome() {
+    use AttemptOutcome::{ConnectionLost, Failed, Succeeded};
+    let ready = &message(b'Z', b"I")[..];
+    let row = &message(b'D', &[0, 1, 0, 0, 0, 1, 7])[..];
+    let complete = &message(b'C', b"SELECT 1\0")[..];
+    let description = &message(b'T', ONE_COLUMN)[..];
+    let parameter = &message(b'S', b"recovery\0on\0")[..];
+    let rejected = &error("53300")[..];
+    let half_description = &message(b'T', &ONE_COLUMN[..9])[..];
+    let short_column = &message(b'D', &[0, 1, 0, 0, 0, 2, 7])[..];
+    let two_columns = &message(b'D', &[0, 2, 0, 0, 0, 1, 7])[..];
+    let null = &message(b'D', &[0, 1, 255, 255, 255, 255])[..];
+    let too_long = &message(b'D', &vec![7; MAX_VALUE_BYTES])[..];
+    let unknown_tag = &message(b'A', b"x\0")[..];
+    let error_without_end = &message(b'E', b"SERROR\0C53300\0")[..];
+    let error_without_code = &message(b'E', b"SERROR\0\0")[..];
+    let endless_parameters = &message(b'S', &vec![b'x'; 9000])[..];
+    let rows: [(&[&[u8]], AttemptOutcome, bool, &str); 21] = [
+        (&[description, row, complete, ready], Succeeded, true, "a value"),
+        (&[parameter, description, row, parameter, complete, ready], Succeeded, true, "parameters beside it"),
+        (&[description, row, complete], Succeeded, false, "complete, the connection broke behind it"),
+        (&[description, row, complete, ready, ready], Succeeded, false, "more than belongs to it"),
+        (&[description, row], ConnectionLost, false, "not complete"),
+        (&[], ConnectionLost, false, "nothing"),
+        (&[description, complete, ready], Failed, false, "no row"),
+        (&[description, row, row, complete, ready], Failed, false, "two rows"),
+        (&[row, complete, ready], Failed, false, "a row without its description"),
+        (&[description, row, complete, row], Failed, false, "a row behind the end"),
+        (&[description, row, rejected, ready], Failed, true, "rejected behind a row"),
+        (&[half_description, row], Failed, false, "half a description"),
+        (&[description, short_column], Failed, false, "a column cut short"),
+        (&[description, two_columns], Failed, false, "two columns announced"),
+        (&[description, null], Failed, false, "no value"),
+        (&[description, too_long], Failed, false, "too long, told by its header"),
+        (&[unknown_tag], Failed, false, "a tag that no answer has"),
+        (&[error_without_end], Failed, false, "an error without its end"),
+        (&[error_without_code], Failed, false, "an error without a code"),
+        (&[endless_parameters], Failed, false, "parameters without end"),
+        (&[ready], Failed, false, "an end with nothing before it"),
+    ];
+    for (messages, outcome, frees_connection, row) in rows {
+        assert_eq!(outcome_of(messages), (outcome, frees_connection), "{row}");
+    }
+    for (code, outcome) in [
+        ("25006", AttemptOutcome::NotEligible),
+        ("72000", AttemptOutcome::NotEligible),
+        ("XX000", Failed),
+        ("57P03", Failed),
+        ("53300", AttemptOutcome::Rejected),
+    ] {
+        assert_eq!(outcome_of(&[&error(code), ready]), (outcome, true), "{code}");
+        assert_eq!(outcome_of(&[&error(code)]), (outcome, false), "{code}, fatal");
+        assert_eq!(outcome.proves_not_executed(), outcome != Failed);
+    }
+}
+
+#[test]
+fn positions_keep_their_units() {
+    assert_eq!(from_unix_ms(1_767_225_600_123.0), Some(POSITION));
+    assert_eq!(from_unix_s(1_767_225_600.123), Some(POSITION));
+    assert_eq!(load_report::parse("x0=1767225600.123,x1=1,load_share=0.25").position, Some(POSITION));
+    for none in [f64::NAN, f64::INFINITY, -1.0, 0.0, 1e300] {
+        assert_eq!((from_unix_ms(none), from_unix_s(none)), (None, None));
+    }
+    let report = load_report::parse("x1=0,util=0.61,new=7");
+    assert_eq!((report.role, report.load, report.position), (Some(Role::Replica), Some(0.61), None));
+}
+
+#[test]
+fn a_load_report_with_one_unreadable_field_reports_nothing() {
+    for unreadable in
+        ["x1=0,util=0.61,broken", "x1=2", "x0=nan,x1=1", "x0=-5", "util=inf", "x0=1e9,x1=1", "x1=+1", ""]
+    {
+        let report = load_report::parse(unreadable);
+        let fields = (report.position, report.role, report.load);
+        assert!(fields == (None, None, None), "{unreadable:?} is no report at all");
+    }
+}
--- a/server/tests/loopback/main.rs
+++ b/server/tests/loopback/main.rs
@@ -5,7 +5,7 @@
 mod watch;
 
 use place::*;
-use server::pg;
+use server::protocol::encode::{query, startup_message};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
@@ -60,10 +60,10 @@
     let front = Front::start();
     let mut client = Client::open(front.listen);
     let mut bytes = Vec::new();
-    pg::query(&mut bytes, &statement("order", "slow", 3000));
-    pg::query(&mut bytes, &statement("other", "good", 3000));
-    pg::query(&mut bytes, &statement("read", "good", 1500));
-    pg::query(&mut bytes, "");
+    query(&mut bytes, &statement("order", "slow", 3000));
+    query(&mut bytes, &statement("other", "good", 3000));
+    query(&mut bytes, &statement("read", "good", 1500));
+    query(&mut bytes, "");
     for part in bytes.chunks(7) {
         client.0.write_all(part).expect("sent");
     }
@@ -260,8 +260,8 @@
     for _ in 0..40 {
         let mut stream = TcpStream::connect(front.listen).expect("the listener goes on");
         stream.set_read_timeout(Some(LIMIT)).expect("a time-out");
-        let mut out = pg::start_up();
-        pg::query(&mut out, &statement("order", "silent", 5000));
+        let mut out = startup_message();
+        query(&mut out, &statement("order", "silent", 5000));
         stream.write_all(&out).expect("sent");
         let mut client = Client(stream);
         if client.0.peek(&mut [0]).expect("a greeting or an error") == 1 && client.got() == error("53300") {
@@ -279,21 +279,21 @@
 fn whoever_owes_a_message_or_lies_has_an_error_or_a_close_within_three_seconds() {
     let front = Front::start();
     let mut usual = Client::open(front.listen);
-    let query = |text: &str| {
-        let mut out = pg::start_up();
-        pg::query(&mut out, text);
+    let startup_and_query = |text: &str| {
+        let mut out = startup_message();
+        query(&mut out, text);
         out
     };
-    let half = query(&statement("order", "good", 60_000));
-    let mut behind = query(&statement("order", "silent", 60_000));
+    let half = startup_and_query(&statement("order", "good", 60_000));
+    let mut behind = startup_and_query(&statement("order", "silent", 60_000));
     behind.extend([b'Q', 255, 255, 255, 255]);
-    let mut huge = pg::start_up();
+    let mut huge = startup_message();
     huge.extend([b'Q', 3, 147, 135, 4]);
     huge.resize(8 << 20, b'a');
     let streams = [
         Vec::new(),
-        pg::start_up()[..7].to_vec(),
-        pg::start_up(),
+        startup_message()[..7].to_vec(),
+        startup_message(),
         half[..half.len() - 1].to_vec(),
         b"GET / HTTP/1.1\r\n\r\n".to_vec(),
         behind,
--- a/server/tests/loopback/place.rs
+++ b/server/tests/loopback/place.rs
@@ -1,6 +1,7 @@
 //! A front as a child process, a client of it, stand-ins for two stores and for discovery.
 
-use server::pg;
+use server::protocol::decode::{error_field, only_column};
+use server::protocol::encode::{error_fields, query, startup_message, Severity};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -99,8 +100,8 @@
             match key.as_str() {
                 "silent" => continue,
                 "reset" => return None,
-                "full" => pg::error(&mut out, "ERROR", "53300", "full", None),
-                "error" => pg::error(&mut out, "ERROR", "XX000", "broken", None),
+                "full" => error_fields(&mut out, Severity::Error, "53300", "full", None),
+                "error" => error_fields(&mut out, Severity::Error, "XX000", "broken", None),
                 "spoilt" => out.extend([b'T', 127, 255, 255, 255]),
                 _ => {
                     match key.as_str() {
@@ -177,7 +178,7 @@
     pub primary: Store,
     pub replica: Store,
     pub knocks: Receiver<()>,
-    pub marks: AtomicU32,
+    pub positions: AtomicU32,
 }
 
 pub fn host(store: &Store, name: &str, health: &str) -> String {
@@ -222,7 +223,7 @@
 
     /// Tells an entry, and waits until the front has heard it: a group named behind it is known then.
     pub fn list(&self, seq: u32, entry: &str) {
-        let mark = self.marks.fetch_add(1, Ordering::AcqRel);
+        let mark = self.positions.fetch_add(1, Ordering::AcqRel);
         let marked = host(&self.replica, "m", "DRAINING").replace(":3,", &format!(":{mark},"));
         for (seq, entry) in [(seq, entry), (mark, &marked)] {
             self.lines.send(format!(r#"{{"seq":{seq},"hosts":[{entry}]}}"#)).expect("a watch");
@@ -248,7 +249,7 @@
         );
         let listen = free_address();
         let child = launch(&config, listen, discovery);
-        Front { child, listen, lines, primary, replica, knocks, marks: AtomicU32::new(100) }
+        Front { child, listen, lines, primary, replica, knocks, positions: AtomicU32::new(100) }
     }
 
     pub fn signal(&self, name: &str) {
@@ -303,7 +304,7 @@
         };
         stream.set_read_timeout(Some(LIMIT)).expect("a time-out");
         let mut client = Client(stream);
-        client.0.write_all(&pg::start_up()).expect("sent");
+        client.0.write_all(&startup_message()).expect("sent");
         client.send(";");
         assert_eq!(
             (client.got(), client.got()),
@@ -315,7 +316,7 @@
 
     pub fn send(&mut self, statement: &str) {
         let mut out = Vec::new();
-        pg::query(&mut out, statement);
+        query(&mut out, statement);
         self.0.write_all(&out).expect("sent");
     }
 
@@ -326,9 +327,9 @@
             match next(&mut self.0) {
                 None => return if got == Got::Empty { Got::Ended } else { got },
                 Some((b'Z', _)) => return got,
-                Some((b'D', body)) => got = Got::Value(pg::only_column(&body).expect("a column").to_vec()),
+                Some((b'D', body)) => got = Got::Value(only_column(&body).expect("a column").to_vec()),
                 Some((b'E', body)) => {
-                    let field = |name| pg::field(&body, name).map(str::to_string);
+                    let field = |name| error_field(&body, name).map(str::to_string);
                     got = Got::Error(field(b'C').expect("a code"), field(b'D'));
                 }
                 Some(_) => {}
--- a/server/tests/loopback/rare.rs
+++ b/server/tests/loopback/rare.rs
@@ -1,7 +1,7 @@
 //! Rare moments, each made to happen: who leaves, what still comes while the front leaves.
 
 use crate::place::*;
-use server::pg;
+use server::protocol::encode::{query, startup_message};
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::sync::mpsc::{channel, Sender};
@@ -105,7 +105,7 @@
     let (mut client, open) = held_write(&front);
     // The front reads no further than to the 64th: its end lies behind those.
     let mut much = Vec::new();
-    (0..100).for_each(|_| pg::query(&mut much, ";"));
+    (0..100).for_each(|_| query(&mut much, ";"));
     client.0.write_all(&much).expect("sent");
     drop(client);
     assert!(!is_sent_on(&front, open), "what it left behind hid its end");
@@ -127,7 +127,7 @@
     // Behind it in the queue: once this one is served, the first has been accepted.
     Client::open(front.listen);
     leaving(&front);
-    early.write_all(&pg::start_up()).expect("sent");
+    early.write_all(&startup_message()).expect("sent");
     let mut early = Client(early);
     early.send(&statement("order", "good", 3000));
     assert_eq!(early.got(), Got::Empty, "its greeting");
@@ -159,7 +159,7 @@
         }
         assert!(began.elapsed() < Duration::from_secs(5), "it is never let go");
         let mut out = Vec::new();
-        pg::query(&mut out, &slow());
+        query(&mut out, &slow());
         sent += usize::from(client.0.write_all(&out).is_ok());
     }
     assert!(front.ended().success());
@@ -252,17 +252,17 @@
     let plain = || TcpStream::connect(front.listen).expect("a listener");
     let mut silent = plain();
     let mut greeting = plain();
-    greeting.write_all(&pg::start_up()[..10]).expect("sent");
+    greeting.write_all(&startup_message()[..10]).expect("sent");
     let mut begun = Client::open(front.listen);
-    let mut query = Vec::new();
-    pg::query(&mut query, &statement("order", "good", 3000));
-    begun.0.write_all(&query[..query.len() / 2]).expect("sent");
+    let mut bytes = Vec::new();
+    query(&mut bytes, &statement("order", "good", 3000));
+    begun.0.write_all(&bytes[..bytes.len() / 2]).expect("sent");
     thread::sleep(Duration::from_millis(50));
     leaving(&front);
     let began = Instant::now();
     // Beyond the close: what had begun by then is still taken.
     thread::sleep(Duration::from_millis(700));
-    begun.0.write_all(&query[query.len() / 2..]).expect("it is waited for");
+    begun.0.write_all(&bytes[bytes.len() / 2..]).expect("it is waited for");
     assert_eq!((begun.got(), begun.got()), (value(), Got::Ended));
     silent.set_read_timeout(Some(LIMIT)).expect("a time-out");
     assert_eq!(silent.read(&mut [0; 64]).expect("an orderly end"), 0);
--- a/server/tests/loopback/watch.rs
+++ b/server/tests/loopback/watch.rs
@@ -39,8 +39,8 @@
     let config = format!(r#"{{"seed":"8c1f30d27a5be964","settings":{SETTINGS}}}"#);
     let listen = free_address();
     let child = launch(&config, listen, discovery);
-    let (lines, marks) = (channel().0, Default::default());
-    (Front { child, listen, lines, primary, replica, knocks, marks }, asks)
+    let (lines, positions) = (channel().0, Default::default());
+    (Front { child, listen, lines, primary, replica, knocks, positions }, asks)
 }
 
 fn tells(stream: &mut TcpStream, list: &str) {
--- a/server/tests/sessions.rs
+++ b/server/tests/sessions.rs
@@ -29,7 +29,7 @@
 
 impl Place {
     fn new(lags: [i64; 2]) -> Place {
-        let cold = Cold { from: 1.0, for_ms: 1, fall_multiple: 9.0, window_ms: 500, work_ms: 1 };
+        let cold = Cold { from: 1.0, for_ms: 1, overload_multiple: 9.0, window_ms: 500, work_ms: 1 };
         let world = Arc::new(World::new(cold, 250));
         let machine = |nth: usize| {
             let lag_ms = if nth == 0 { 0 } else { lags[nth - 1] };
--- a/server/tests/starts.rs
+++ b/server/tests/starts.rs
@@ -1,7 +1,7 @@
 //! Starts with and without discovery, on sockets: drawn faults, a state directory through kills, what the
 //! command line and the log say.
 
-use endpoint_cache::{Dir, Kept, KeptStore};
+use endpoint_cache::{CacheDirectory, CachedEndpoint, CachedEndpointList};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Command;
@@ -46,7 +46,7 @@
 
 impl Place {
     fn new(mode: Mode) -> Place {
-        let cold = Cold { from: 1.0, for_ms: 1, fall_multiple: 9.0, window_ms: 500, work_ms: 1 };
+        let cold = Cold { from: 1.0, for_ms: 1, overload_multiple: 9.0, window_ms: 500, work_ms: 1 };
         let world = Arc::new(World::new(cold, 250));
         let machine = |nth: usize| {
             let lag_ms = 20;
@@ -99,12 +99,12 @@
         panic!("{kind:?} {name} is not served");
     }
 
-    fn kept_within(&self, wanted: impl Fn(&Kept) -> bool) -> Kept {
+    fn kept_within(&self, wanted: impl Fn(&CachedEndpointList) -> bool) -> CachedEndpointList {
         let began = Instant::now();
         loop {
-            let loaded = Dir::read(&self.state());
-            assert!(loaded.faults.is_empty(), "{:?}", loaded.faults);
-            match loaded.kept {
+            let loaded = CacheDirectory::read(&self.state());
+            assert!(loaded.errors.is_empty(), "{:?}", loaded.errors);
+            match loaded.list {
                 Some((kept, _)) if wanted(&kept) => return kept,
                 found => assert!(began.elapsed() < Duration::from_secs(10), "{found:?}"),
             }
@@ -118,11 +118,12 @@
     let place = Place::new(Mode::Up);
     let daemon = place.start(&place.conf());
     place.served(Kind::Write, "a");
-    let knows = |kept: &Kept| {
-        kept.seq == 7 && kept.stores.iter().filter_map(|store| store.said).any(|said| said.primary)
+    let knows = |kept: &CachedEndpointList| {
+        kept.version == 7
+            && kept.endpoints.iter().filter_map(|store| store.report).any(|report| report.primary)
     };
     let kept = place.kept_within(knows);
-    assert_eq!(kept.stores.len(), 2);
+    assert_eq!(kept.endpoints.len(), 2);
     daemon.kill();
     place.discovery.turn(Mode::Down);
     // Killed again and again while it starts and saves: the list stays whole, and it serves each time.
@@ -130,21 +131,21 @@
         let daemon = place.start(&place.conf());
         place.served(Kind::Write, &format!("b{round}"));
         place.served(Kind::Read, &format!("c{round}"));
-        assert!(daemon.says("starts from the list kept"), "{}", daemon.kill());
+        assert!(daemon.says("starting from the cached endpoint list"), "{}", daemon.kill());
         daemon.kill();
         place.kept_within(knows);
     }
     // Another life of discovery is taken, and kept.
     let daemon = place.start(&place.conf());
-    let entries = place.kept_within(knows).stores;
+    let entries = place.kept_within(knows).endpoints;
     let hosts = entries.iter().enumerate().map(|(nth, store)| {
         let dial = store.dial.parse().expect("an address");
         host(&store.host, &dial, 1, nth == 0, "SERVING", 0)
     });
     place.discovery.tell(2, hosts.collect());
     place.discovery.turn(Mode::Up);
-    place.kept_within(|kept| kept.seq == 2);
-    assert!(daemon.says("discovery has begun anew"), "{}", daemon.kill());
+    place.kept_within(|kept| kept.version == 2);
+    assert!(daemon.says("endpoint list of a new discovery incarnation accepted"), "{}", daemon.kill());
     assert!(place.world.lock().runs.values().flatten().all(|run| run.by_primary));
 }
 
@@ -153,11 +154,11 @@
     let place = Place::new(Mode::Up);
     let missing = place.start(&place.conf().replace("/state", "/nowhere"));
     place.served(Kind::Write, "a");
-    missing.says("the list is not kept");
+    missing.says("endpoint list not cached");
     // A second line would come with the next saves.
     thread::sleep(Duration::from_millis(300));
     let log = missing.kill();
-    assert_eq!(log.matches("the list is not kept").count(), 1, "{log}");
+    assert_eq!(log.matches("endpoint list not cached").count(), 1, "{log}");
 
     let first = place.start(&place.conf());
     place.served(Kind::Write, "b");
@@ -166,7 +167,7 @@
     second.served(Kind::Write, "c");
     assert!(other.says("another front uses it"), "{}", other.kill());
     // No room: saving fails from now on, and is said once.
-    let entries = place.kept_within(|kept| kept.seq == 7).stores;
+    let entries = place.kept_within(|kept| kept.version == 7).endpoints;
     let blocked = place.state().join("list.new");
     // A save may just be under way.
     while std::fs::create_dir(&blocked).is_err() {
@@ -181,13 +182,13 @@
         thread::sleep(Duration::from_millis(150));
         place.served(Kind::Read, &format!("d{seq}"));
     }
-    first.says("the list is not kept");
+    first.says("endpoint list not cached");
     std::fs::remove_dir(&blocked).expect("gone");
-    place.kept_within(|kept| kept.seq == 11);
-    first.says("the list is kept again");
+    place.kept_within(|kept| kept.version == 11);
+    first.says("endpoint list cached again");
     let log = first.kill();
-    assert_eq!(log.matches("the list is not kept").count(), 1, "{log}");
-    assert_eq!(log.matches("the list is kept again").count(), 1, "{log}");
+    assert_eq!(log.matches("endpoint list not cached").count(), 1, "{log}");
+    assert_eq!(log.matches("endpoint list cached again").count(), 1, "{log}");
 }
 
 #[test]
@@ -195,19 +196,19 @@
     let place = Place::new(Mode::Up);
     let daemon = place.start(&place.conf());
     place.served(Kind::Write, "a");
-    let mut kept = place.kept_within(|kept| kept.stores.iter().any(|store| store.said.is_some()));
+    let mut kept = place.kept_within(|kept| kept.endpoints.iter().any(|store| store.report.is_some()));
     daemon.kill();
     place.discovery.turn(Mode::Down);
     let nobody = free_address().to_string();
-    kept.stores.extend((0..9_998).map(|nth| KeptStore {
+    kept.endpoints.extend((0..9_998).map(|nth| CachedEndpoint {
         host: format!("a-{nth:05}"),
         dial: nobody.clone(),
         block: 2 + nth / 3,
         health: "SERVING".into(),
-        ..KeptStore::default()
+        ..CachedEndpoint::default()
     }));
     kept.confirmed_ms = unix_ms() - 600_000;
-    Dir::open(&place.state()).expect("free again").0.save(&mut kept).expect("saved");
+    CacheDirectory::open(&place.state()).expect("free again").0.save(&mut kept).expect("saved");
     let daemon = place.start(&place.conf());
     let took = place.served(Kind::Write, "b");
     assert!(took < Duration::from_secs(5), "{took:?}");
@@ -255,10 +256,15 @@
     let state = folder.path().to_str().expect("text");
     assert_eq!(run(&["list", "show", "/nowhere/at/all"], &facts).0, Some(66));
     assert_eq!(run(&["list", "verify", state], &facts).0, Some(65));
-    let (mut dir, _) = Dir::open(folder.path()).expect("it opens");
-    let stores = vec![KeptStore { host: "s-1".into(), block: 4, ..KeptStore::default() }];
-    let mut kept =
-        Kept { seq: 41, confirmed_ms: unix_ms() - 7_200_000, saved_ms: unix_ms(), stores, ..Kept::default() };
+    let (mut dir, _) = CacheDirectory::open(folder.path()).expect("it opens");
+    let endpoints = vec![CachedEndpoint { host: "s-1".into(), block: 4, ..CachedEndpoint::default() }];
+    let mut kept = CachedEndpointList {
+        version: 41,
+        confirmed_ms: unix_ms() - 7_200_000,
+        saved_ms: unix_ms(),
+        endpoints,
+        ..CachedEndpointList::default()
+    };
     dir.save(&mut kept).expect("saved");
     let (code, shown, _) = run(&["list", "show", state], &facts);
     assert!(code == Some(0) && shown.contains("version     41") && shown.contains("old"), "{shown}");
@@ -277,10 +283,10 @@
     let file = place.folder.path().join("gingerwick.conf");
     std::fs::write(&file, conf.replace("postgres", "none").replace("100ms", "2s")).expect("written");
     daemon.signal("HUP");
-    daemon.says("store-identity has changed");
+    daemon.says("changed setting takes effect at the next start");
     std::fs::write(&file, "save-gap never\n").expect("written");
     daemon.signal("HUP");
-    daemon.says("all goes on as before");
+    daemon.says("not usable, nothing changed");
     place.served(Kind::Write, "b");
     daemon.signal("TERM");
     let mut daemon = daemon;
@@ -290,12 +296,17 @@
         log.lines().map(|line| serde_json::from_str(line).unwrap_or_else(|_| panic!("{line}"))).collect();
     let said =
         |words: &str| lines.iter().any(|line| line["message"].as_str().is_some_and(|m| m.contains(words)));
-    assert!(said("store-identity has changed, it counts from the next start"), "{log}");
-    assert!(said("1: save-gap: ") && said("all goes on as before"), "{log}");
+    let waits = lines.iter().find(|line| line["setting"] == "store-identity");
+    let waits = waits.unwrap_or_else(|| panic!("{log}"));
+    assert_eq!(waits["message"], "reload: changed setting takes effect at the next start");
+    assert!(said("reload: operators' file not usable, nothing changed"), "{log}");
+    let reason =
+        |line: &serde_json::Value| line["reason"].as_str().is_some_and(|it| it.contains("1: save-gap: "));
+    assert!(lines.iter().any(reason), "{log}");
     // The path of one call-out can be followed by its fields.
-    let ended = lines.iter().find(|line| line["message"] == "call-out ended");
+    let ended = lines.iter().find(|line| line["message"] == "attempt ended");
     let ended = ended.unwrap_or_else(|| panic!("{log}"));
-    for field in ["rpc", "call_out", "store", "group", "outcome"] {
+    for field in ["request", "attempt", "endpoint", "group", "outcome"] {
         assert!(!ended[field].is_null(), "{field} in {ended}");
     }
 }
--- a/sessions/tests/earlier_build.rs
+++ b/sessions/tests/earlier_build.rs
@@ -1,9 +1,9 @@
 //! A session's token that an earlier build gave out stays valid. `tests/data/token` was sealed by the build of commit
 //! 0eda158 with the keys in `tests/data/keys`, not by the code under test.
 
-use routing::time::Moment;
-use sessions::marks::Mark;
-use sessions::token::{Keys, Unfit};
+use routing::time::Timestamp;
+use sessions::positions::LogPosition;
+use sessions::token::{Keys, TokenError};
 
 const KEYS: &str = include_str!("data/keys");
 const TOKEN: &str = include_str!("data/token");
@@ -17,11 +17,11 @@
     let token = keys.open(TOKEN, AUDIENCE, NOW_S).expect("a fit token");
     assert_eq!(&token.session, b"sixteen bytes ok");
     assert_eq!((token.issued, token.expires), (1_790_000_000, 1_790_003_600));
-    let ms = |ms: i64| Moment(ms * 1_000_000);
-    assert_eq!(token.marks.of(3), Some(Mark { epoch: 2, position: ms(1_790_000_000_123) }));
-    assert_eq!(token.marks.of(70_000), Some(Mark { epoch: 0, position: ms(1_790_000_000_456) }));
-    assert_eq!(token.marks.floor(), Some(Mark { epoch: 0, position: ms(1_789_999_999_000) }));
+    let ms = |ms: i64| Timestamp(ms * 1_000_000);
+    assert_eq!(token.positions.get(3), Some(LogPosition { epoch: 2, position: ms(1_790_000_000_123) }));
+    assert_eq!(token.positions.get(70_000), Some(LogPosition { epoch: 0, position: ms(1_790_000_000_456) }));
+    assert_eq!(token.positions.floor(), Some(LogPosition { epoch: 0, position: ms(1_789_999_999_000) }));
     assert_eq!(keys.seal(&token, AUDIENCE).as_deref(), Some(TOKEN), "the same bytes");
-    assert_eq!(keys.open(TOKEN, "3:bob/kv", NOW_S), Err(Unfit::Seal));
-    assert_eq!(keys.open(TOKEN, AUDIENCE, 1_790_003_600), Err(Unfit::Expired));
+    assert_eq!(keys.open(TOKEN, "3:bob/kv", NOW_S), Err(TokenError::Unauthenticated));
+    assert_eq!(keys.open(TOKEN, AUDIENCE, 1_790_003_600), Err(TokenError::Expired));
 }
--- a/sessions/tests/guarantees.rs
+++ b/sessions/tests/guarantees.rs
@@ -3,20 +3,20 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use routing::time::{Moment, Span};
-use sessions::epochs::{Epoch, Epochs, Verdict};
-use sessions::kept::Kept;
-use sessions::marks::{Mark, Marks, MOST_MARKS};
-use sessions::token::{Keys, Token, Unfit, MOST_TEXT};
+use routing::time::{TimeDelta, Timestamp};
+use sessions::epochs::{Epoch, EpochHistory, PositionStatus};
+use sessions::positions::{LogPosition, SessionPositions, MAX_POSITIONS};
+use sessions::session_cache::SessionCache;
+use sessions::token::{Keys, Token, TokenError, MAX_TEXT_BYTES};
 
 const NOW: i64 = 1_790_000_000;
 
-fn at(ms: i64) -> Moment {
-    Moment(ms * 1_000_000)
+fn at(ms: i64) -> Timestamp {
+    Timestamp(ms * 1_000_000)
 }
 
-fn mark(epoch: u32, ms: i64) -> Mark {
-    Mark { epoch, position: at(ms) }
+fn mark(epoch: u32, ms: i64) -> LogPosition {
+    LogPosition { epoch, position: at(ms) }
 }
 
 fn keys(text: &str) -> Keys {
@@ -26,98 +26,102 @@
 const FIRST: &str = "1 000102030405060708090a0b0c0d0e0f";
 const BOTH: &str = "1 000102030405060708090a0b0c0d0e0f\n2 ffeeddccbbaa99887766554433221100 # since Tuesday\n";
 
-fn token(marks: &[(i64, Mark)]) -> Token {
-    let mut all = Marks::default();
-    marks.iter().for_each(|(group, mark)| all.see(*group, *mark));
-    Token { session: [7; 16], issued: NOW, expires: NOW + 3_600, marks: all }
+fn token(positions: &[(i64, LogPosition)]) -> Token {
+    let mut all = SessionPositions::default();
+    positions.iter().for_each(|(group, mark)| all.advance(*group, *mark));
+    Token { session: [7; 16], issued: NOW, expires: NOW + 3_600, positions: all }
 }
 
 #[test]
 fn marks_only_rise_and_a_later_epoch_goes_before_a_later_position() {
-    let mut marks = Marks::default();
-    marks.see(3, mark(1, 500));
-    marks.see(3, mark(1, 400));
-    assert_eq!(marks.of(3), Some(mark(1, 500)));
-    marks.see(3, mark(2, 450));
-    assert_eq!(marks.of(3), Some(mark(2, 450)));
-    marks.see(3, mark(0, 600));
-    assert_eq!(marks.of(3), Some(mark(2, 600)), "without an epoch the position alone counts");
-    assert_eq!(marks.of(4), None);
+    let mut positions = SessionPositions::default();
+    positions.advance(3, mark(1, 500));
+    positions.advance(3, mark(1, 400));
+    assert_eq!(positions.get(3), Some(mark(1, 500)));
+    positions.advance(3, mark(2, 450));
+    assert_eq!(positions.get(3), Some(mark(2, 450)));
+    positions.advance(3, mark(0, 600));
+    assert_eq!(positions.get(3), Some(mark(2, 600)), "without an epoch the position alone counts");
+    assert_eq!(positions.get(4), None);
 }
 
 #[test]
 fn more_groups_than_there_is_room_for_share_a_floor_and_forget_nothing() {
-    let mut marks = Marks::default();
+    let mut positions = SessionPositions::default();
     for group in 0..40 {
-        marks.see(group, mark(1, 1_000 + group));
+        positions.advance(group, mark(1, 1_000 + group));
     }
-    assert_eq!(marks.each().len(), MOST_MARKS);
+    assert_eq!(positions.by_group().len(), MAX_POSITIONS);
     for group in 0..40 {
-        assert!(marks.of(group).is_some_and(|mark| mark.position >= at(1_000 + group)), "{group}");
+        assert!(positions.get(group).is_some_and(|mark| mark.position >= at(1_000 + group)), "{group}");
     }
 }
 
 #[test]
 fn a_mark_beyond_a_fork_is_lost_and_one_before_it_stands() {
-    let mut epochs = Epochs::default();
-    assert_eq!(epochs.judge(1, mark(4, 900)), Verdict::Stands(at(900)), "nothing is known");
-    epochs.learn(1, Epoch { number: 4, began: Some(at(100)) });
-    assert_eq!(epochs.judge(1, mark(4, 900)), Verdict::Stands(at(900)));
-    assert_eq!(epochs.judge(1, mark(5, 900)), Verdict::Ahead(at(900)));
-    epochs.learn(1, Epoch { number: 5, began: Some(at(800)) });
-    assert_eq!(epochs.judge(1, mark(4, 801)), Verdict::Lost);
-    assert_eq!(epochs.judge(1, mark(4, 800)), Verdict::Stands(at(800)));
-    assert_eq!(epochs.judge(1, mark(0, 900)), Verdict::Stands(at(900)), "it was told without an epoch");
+    let mut epochs = EpochHistory::default();
+    assert_eq!(epochs.status(1, mark(4, 900)), PositionStatus::OnLog(at(900)), "nothing is known");
+    epochs.record(1, Epoch { number: 4, began: Some(at(100)) });
+    assert_eq!(epochs.status(1, mark(4, 900)), PositionStatus::OnLog(at(900)));
+    assert_eq!(epochs.status(1, mark(5, 900)), PositionStatus::UnknownEpoch(at(900)));
+    epochs.record(1, Epoch { number: 5, began: Some(at(800)) });
+    assert_eq!(epochs.status(1, mark(4, 801)), PositionStatus::Lost);
+    assert_eq!(epochs.status(1, mark(4, 800)), PositionStatus::OnLog(at(800)));
+    assert_eq!(
+        epochs.status(1, mark(0, 900)),
+        PositionStatus::OnLog(at(900)),
+        "it was told without an epoch"
+    );
     // Two epochs later the first fork still counts.
-    epochs.learn(1, Epoch { number: 6, began: Some(at(2_000)) });
-    assert_eq!(epochs.judge(1, mark(4, 850)), Verdict::Lost);
-    assert_eq!(epochs.judge(1, mark(5, 1_900)), Verdict::Stands(at(1_900)));
-    assert_eq!(epochs.judge(2, mark(4, 9)), Verdict::Stands(at(9)), "another group has its own");
+    epochs.record(1, Epoch { number: 6, began: Some(at(2_000)) });
+    assert_eq!(epochs.status(1, mark(4, 850)), PositionStatus::Lost);
+    assert_eq!(epochs.status(1, mark(5, 1_900)), PositionStatus::OnLog(at(1_900)));
+    assert_eq!(epochs.status(2, mark(4, 9)), PositionStatus::OnLog(at(9)), "another group has its own");
 }
 
 #[test]
 fn a_loss_that_was_told_is_not_brought_back_by_a_front_that_remembers_what_was_lost() {
-    let (mut epochs, session, now) = (Epochs::default(), [7; 16], at(0));
-    let [mut here, mut elsewhere] = [(); 2].map(|()| Kept::new(9, Span::millis(60_000)));
-    let mut carried = Marks::default();
-    carried.see(1, mark(1, 900));
-    carried.see(2, mark(1, 700));
+    let (mut epochs, session, now) = (EpochHistory::default(), [7; 16], at(0));
+    let [mut here, mut elsewhere] = [(); 2].map(|()| SessionCache::new(9, TimeDelta::from_millis(60_000)));
+    let mut carried = SessionPositions::default();
+    carried.advance(1, mark(1, 900));
+    carried.advance(2, mark(1, 700));
     here.merge(now, session, &mut carried);
     elsewhere.merge(now, session, &mut carried);
     for (number, began) in [(2, 500), (3, 600)] {
-        epochs.learn(1, Epoch { number, began: Some(at(began)) });
+        epochs.record(1, Epoch { number, began: Some(at(began)) });
     }
-    assert_eq!(epochs.judge(1, carried.of(1).expect("seen")), Verdict::Lost);
+    assert_eq!(epochs.status(1, carried.get(1).expect("seen")), PositionStatus::Lost);
     let mut before = carried.clone();
-    carried.strike(1);
-    carried.see(1, epochs.anew(1));
-    here.strike(&session, 1);
+    carried.remove(1);
+    carried.advance(1, epochs.restart_position(1));
+    here.remove_position(&session, 1);
     // The client that was not reached by this comes with what it had, and is told again.
     here.merge(now, session, &mut before);
-    assert_eq!(epochs.judge(1, before.of(1).expect("seen")), Verdict::Lost);
+    assert_eq!(epochs.status(1, before.get(1).expect("seen")), PositionStatus::Lost);
     for front in [&mut here, &mut elsewhere] {
         front.merge(now, session, &mut carried);
-        assert_eq!(carried.of(1), Some(mark(3, 600)), "told once, it goes on from where the new log began");
-        assert_eq!(epochs.judge(1, mark(3, 600)), Verdict::Stands(at(600)));
-        assert_eq!(carried.of(2), Some(mark(1, 700)), "another group is not touched");
+        assert_eq!(carried.get(1), Some(mark(3, 600)), "told once, it goes on from where the new log began");
+        assert_eq!(epochs.status(1, mark(3, 600)), PositionStatus::OnLog(at(600)));
+        assert_eq!(carried.get(2), Some(mark(1, 700)), "another group is not touched");
     }
 }
 
 #[test]
 fn an_answer_from_a_log_that_was_left_shows_nothing() {
-    let mut epochs = Epochs::default();
-    epochs.learn(1, Epoch { number: 5, began: Some(at(800)) });
-    let of = |number| Some(Epoch { number, began: None });
+    let mut epochs = EpochHistory::default();
+    epochs.record(1, Epoch { number: 5, began: Some(at(800)) });
+    let get = |number| Some(Epoch { number, began: None });
     let seen = mark(4, 700);
-    assert!(epochs.shows(1, seen, of(5), Some(at(900))));
-    assert!(epochs.shows(1, seen, of(4), Some(at(750))), "not at the fork yet: common to both");
-    assert!(!epochs.shows(1, seen, of(4), Some(at(900))), "it went on by itself");
-    assert!(!epochs.shows(1, mark(5, 900), of(4), Some(at(950))));
+    assert!(epochs.shows(1, seen, get(5), Some(at(900))));
+    assert!(epochs.shows(1, seen, get(4), Some(at(750))), "not at the fork yet: common to both");
+    assert!(!epochs.shows(1, seen, get(4), Some(at(900))), "it went on by itself");
+    assert!(!epochs.shows(1, mark(5, 900), get(4), Some(at(950))));
     assert!(
-        !epochs.shows(2, mark(5, 900), of(4), Some(at(950))),
+        !epochs.shows(2, mark(5, 900), get(4), Some(at(950))),
         "where no fork is known, by its number alone"
     );
-    assert!(!epochs.shows(1, seen, of(5), Some(at(699))), "behind what was seen");
+    assert!(!epochs.shows(1, seen, get(5), Some(at(699))), "behind what was seen");
     assert!(epochs.shows(1, seen, None, Some(at(700))), "a store that says no epoch");
 }
 
@@ -126,26 +130,26 @@
     let (old, both) = (keys(FIRST), keys(BOTH));
     let carried = token(&[(3, mark(1, NOW * 1_000)), (9, mark(0, 5))]);
     let text = old.seal(&carried, "desk/bookings").expect("sealed");
-    assert!(text.len() <= MOST_TEXT);
+    assert!(text.len() <= MAX_TEXT_BYTES);
     assert_eq!(both.open(&text, "desk/bookings", NOW), Ok(carried.clone()), "the key was changed meanwhile");
     let newer = both.seal(&carried, "desk/bookings").expect("sealed");
-    assert_eq!(old.open(&newer, "desk/bookings", NOW), Err(Unfit::Key));
-    assert_eq!(both.open(&text, "desk/bookingss", NOW), Err(Unfit::Seal), "another client's");
-    assert_eq!(both.open(&text, "des/kbookings", NOW), Err(Unfit::Seal));
-    assert_eq!(both.open(&text, "desk/bookings", NOW + 3_600), Err(Unfit::Expired));
-    assert_eq!(both.open(&text, "desk/bookings", NOW - 60), Err(Unfit::Future));
-    for bad in ["", "new", "AAAA", "%%%", &"A".repeat(MOST_TEXT + 1)] {
-        assert_eq!(both.open(bad, "desk/bookings", NOW), Err(Unfit::Malformed), "{bad}");
+    assert_eq!(old.open(&newer, "desk/bookings", NOW), Err(TokenError::UnknownKey));
+    assert_eq!(both.open(&text, "desk/bookingss", NOW), Err(TokenError::Unauthenticated), "another client's");
+    assert_eq!(both.open(&text, "des/kbookings", NOW), Err(TokenError::Unauthenticated));
+    assert_eq!(both.open(&text, "desk/bookings", NOW + 3_600), Err(TokenError::Expired));
+    assert_eq!(both.open(&text, "desk/bookings", NOW - 60), Err(TokenError::FromFuture));
+    for bad in ["", "new", "AAAA", "%%%", &"A".repeat(MAX_TEXT_BYTES + 1)] {
+        assert_eq!(both.open(bad, "desk/bookings", NOW), Err(TokenError::Malformed), "{bad}");
     }
     for cut in 0..text.len() {
         assert!(both.open(&text[..cut], "desk/bookings", NOW).is_err(), "cut at {cut}");
     }
-    let between = Token { marks: Marks::default(), ..carried };
+    let between = Token { positions: SessionPositions::default(), ..carried };
     let mut between = between;
-    between.marks.see(3, Mark { epoch: 1, position: Moment(1_500_000) });
+    between.positions.advance(3, LogPosition { epoch: 1, position: Timestamp(1_500_000) });
     let text = both.seal(&between, "a/b").expect("sealed");
     let opened = both.open(&text, "a/b", NOW).expect("it opens");
-    assert!(opened.marks.of(3) >= between.marks.of(3), "rounded up: never less than was seen");
+    assert!(opened.positions.get(3) >= between.positions.get(3), "rounded up: never less than was seen");
     println!("a token with marks of 2 groups has {} characters", text.len());
 }
 
@@ -161,30 +165,34 @@
         ("1 000102030405060708090a0b0c0d0e0f\n1 ffeeddccbbaa99887766554433221100", "2: the id stands twice"),
         ("1", "1: an id and a key are wanted"),
     ] {
-        assert_eq!(Keys::parse(text).map(|_| ()), Err(why.to_string()), "{text}");
+        assert_eq!(
+            Keys::parse(text).map(|_| ()).map_err(|error| error.to_string()),
+            Err(why.to_string()),
+            "{text}"
+        );
     }
     assert_eq!(format!("{:?}", keys(BOTH)), "{1, 2}");
 }
 
 #[test]
 fn a_million_sessions_that_never_come_back_keep_to_their_room_and_leave_it() {
-    let mut kept = Kept::new(50_000, Span::millis(60_000));
+    let mut kept = SessionCache::new(50_000, TimeDelta::from_millis(60_000));
     let name = |nth: u32| {
         let mut name = [0; 16];
         name[..4].copy_from_slice(&nth.to_be_bytes());
         name
     };
-    let mut marks = Marks::default();
-    marks.see(1, mark(1, 5));
+    let mut positions = SessionPositions::default();
+    positions.advance(1, mark(1, 5));
     for nth in 0..1_000_000 {
-        kept.merge(at(i64::from(nth)), name(nth), &mut marks.clone());
+        kept.merge(at(i64::from(nth)), name(nth), &mut positions.clone());
         assert!(kept.len() <= 50_000);
     }
     // A second connection of the newest one, which has seen less.
-    let mut less = Marks::default();
+    let mut less = SessionPositions::default();
     kept.merge(at(1_000_000), name(999_999), &mut less);
-    assert_eq!(less.of(1), Some(mark(1, 5)));
-    kept.merge(at(2_000_000), name(5), &mut marks);
+    assert_eq!(less.get(1), Some(mark(1, 5)));
+    kept.merge(at(2_000_000), name(5), &mut positions);
     assert_eq!(kept.len(), 1, "their time is over");
 }
 
@@ -203,10 +211,10 @@
         with in 1..=255u8,
     ) {
         let mut carried = token(&[]);
-        seen.iter().for_each(|(group, epoch, ms)| carried.marks.see(*group, mark(*epoch, *ms)));
+        seen.iter().for_each(|(group, epoch, ms)| carried.positions.advance(*group, mark(*epoch, *ms)));
         let keys = keys(BOTH);
         let text = keys.seal(&carried, "a/b").expect("sealed");
-        prop_assert!(text.len() <= MOST_TEXT);
+        prop_assert!(text.len() <= MAX_TEXT_BYTES);
         prop_assert_eq!(keys.open(&text, "a/b", NOW), Ok(carried));
         let mut bytes = text.into_bytes();
         let nth = at_byte.index(bytes.len());
@@ -225,10 +233,10 @@
     ) {
         // The log as it is true: each entry has the epoch in which it was written.
         let mut epochs_true: Vec<(u32, i64)> = vec![(1, 0)];
-        let mut fronts = [Epochs::default(), Epochs::default()];
+        let mut fronts = [EpochHistory::default(), EpochHistory::default()];
         // By session: what it carries, and what it has seen in truth (epoch and position), as this test
         // remembers it.
-        let mut carried: Vec<Marks> = vec![Marks::default(); 4];
+        let mut carried: Vec<SessionPositions> = vec![SessionPositions::default(); 4];
         let mut saw: Vec<Option<(u32, i64)>> = vec![None; 4];
         let mut now = 1_000i64;
         // Stores: the epoch each stands on and how far it has come.
@@ -261,18 +269,18 @@
                 // answer.
                 _ => {
                     let (front, store) = (&mut fronts[usize::from(how) % 2], stores[usize::from(how / 2) % 3]);
-                    let marks = &mut carried[who];
-                    let verdict = marks.of(1).map(|mark| (mark, front.judge(1, mark)));
-                    if let Some((_, Verdict::Lost)) = verdict {
+                    let positions = &mut carried[who];
+                    let verdict = positions.get(1).map(|mark| (mark, front.status(1, mark)));
+                    if let Some((_, PositionStatus::Lost)) = verdict {
                         // Told, and begun anew.
-                        marks.strike(1);
-                        marks.see(1, front.anew(1));
+                        positions.remove(1);
+                        positions.advance(1, front.restart_position(1));
                         saw[who] = None;
                         continue;
                     }
                     let began = epochs_true.iter().find(|(epoch, _)| *epoch == store.0).map(|(_, began)| at(*began));
                     let epoch = Epoch { number: store.0, began };
-                    front.learn(1, epoch);
+                    front.record(1, epoch);
                     let position = at(store.1);
                     let shows = verdict.is_none_or(|(mark, _)| front.shows(1, mark, Some(epoch), Some(position)));
                     if shows {
@@ -284,7 +292,7 @@
                             prop_assert!(!lost, "what it saw is lost, and it was not told");
                             prop_assert!(store.1 >= seen, "less than seen: {} of {seen}", store.1);
                         }
-                        marks.see(1, Mark { epoch: store.0, position });
+                        positions.advance(1, LogPosition { epoch: store.0, position });
                         saw[who] = Some((store.0, store.1));
                     }
                 }
--- a/simulator-adapter/src/host.rs
+++ b/simulator-adapter/src/host.rs
@@ -1,338 +1,201 @@
-//! One [`Front`] an instance: a router, and the maps between the wire's ids and its indices.
+//! Hosts many instances of the routing policy behind the simulator's wire: reads its messages, one batch at a time, and
+//! collects the replies.
 
-use crate::wire::{self, Availability, How, In, Out, Record, Status};
-use host_support::book::Book;
-use host_support::doors::Doors;
-use host_support::facts::{self, BootInfo};
-use routing::choice::Router;
-use routing::iface::{Action, Arrival, End, Entry, Event, Need, Outcome, Role, RpcId, Standing, Told};
-use routing::time::{Moment, Span};
+use crate::instance::Instance;
+use crate::messages::{AttemptEnd, How, In, Inbound, Out, Record};
+use routing::time::Timestamp;
+use routing::Event;
 use std::collections::{BTreeMap, HashMap};
 use std::io::Write;
+use thiserror::Error;
+
+/// Why a message cannot be taken.
+#[derive(Debug, Error)]
+pub enum HostError {
+    /// It is not one of the wire's messages; the text names the field at fault.
+    #[error("{0}")]
+    Malformed(String),
+    /// A batch began before the one before it was closed.
+    #[error("Frame: the batch before it was not closed")]
+    NestedFrame,
+    /// It came outside any batch.
+    #[error("a message outside any batch")]
+    OutsideFrame,
+    /// It names an endpoint list that was not defined.
+    #[error("Discovery: page: no list {0} was defined")]
+    UnknownList(usize),
+    /// A session key is not sixteen hex digits.
+    #[error("Inbound: connKey: {0} is no key")]
+    BadSessionKey(String),
+    /// A peer's message is not in hex digits.
+    #[error("Inbox: bytes: not hex digits")]
+    BadBytes,
+    /// An instance cannot be started with its configuration.
+    #[error("Start: {0}")]
+    Settings(#[from] host_support::routing_settings::SettingsError),
+    /// The replies could not be written.
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+}
 
+/// All instances, and the batch that is open.
 #[derive(Default)]
 pub struct Host {
-    now: Moment,
+    now: Timestamp,
     serial: u64,
     in_frame: bool,
     lists: HashMap<usize, Vec<Record>>,
-    fronts: BTreeMap<u32, Front>,
+    instances: BTreeMap<u32, Instance>,
     replies: Vec<u8>,
 }
 
-/// What the book keeps of an RPC: its name, and where it is a write, its session.
-struct Entered {
-    id: String,
-    wrote: Option<u64>,
-}
-
-struct Front {
-    number: u32,
-    router: Router,
-    zero: Moment,
-    report: Vec<String>,
-    stores: Doors<String>,
-    groups: Doors<i64>,
-    rpcs: HashMap<String, RpcId>,
-    book: Book<Entered>,
-    /// Methods whose RPCs write.
-    writes: Vec<bool>,
-    next_rpc: RpcId,
-    actions: Vec<Action>,
-}
-
 impl Host {
-    /// Takes one line; true where it closed a batch and the reply stands in `output`.
-    pub fn take(&mut self, line: &[u8], output: &mut impl Write) -> Result<bool, String> {
-        let message: In = serde_json::from_slice(line).map_err(|why| fault(line, &why))?;
+    /// Takes one line; true if it closed a batch, whose replies were written to `output`.
+    ///
+    /// # Errors
+    /// The line cannot be taken, or the replies cannot be written.
+    pub fn take(&mut self, line: &[u8], output: &mut impl Write) -> Result<bool, HostError> {
+        let message: In = serde_json::from_slice(line).map_err(|error| malformed(line, &error))?;
         match message {
-            In::Frame { now_ns, serial } => {
-                if self.in_frame {
-                    return Err("Frame: the batch before it was not closed".into());
-                }
-                (self.now, self.serial, self.in_frame) = (Moment(now_ns), serial, true);
-                return Ok(false);
-            }
-            _ if !self.in_frame => return Err("a message outside any batch".into()),
+            In::Frame { now_ns, serial } => self.begin_frame(now_ns, serial)?,
+            _ if !self.in_frame => return Err(HostError::OutsideFrame),
             In::Go {} => {
-                self.in_frame = false;
-                put(&mut self.replies, &Out::Yield { serial: self.serial });
-                output.write_all(&self.replies).map_err(|why| why.to_string())?;
-                self.replies.clear();
+                self.end_frame(output)?;
                 return Ok(true);
             }
+            message => self.take_in_frame(message)?,
+        }
+        Ok(false)
+    }
+
+    fn begin_frame(&mut self, now_ns: i64, serial: u64) -> Result<(), HostError> {
+        if self.in_frame {
+            return Err(HostError::NestedFrame);
+        }
+        self.now = Timestamp(now_ns);
+        self.serial = serial;
+        self.in_frame = true;
+        Ok(())
+    }
+
+    fn end_frame(&mut self, output: &mut impl Write) -> Result<(), HostError> {
+        self.in_frame = false;
+        append(&mut self.replies, &Out::Yield { serial: self.serial });
+        output.write_all(&self.replies)?;
+        self.replies.clear();
+        Ok(())
+    }
+
+    fn take_in_frame(&mut self, message: In) -> Result<(), HostError> {
+        match message {
+            In::Frame { .. } | In::Go {} => {}
             In::DefineList { page, records } => {
                 self.lists.insert(page, records);
             }
             In::Start { front, rng_seed, boot_info } => {
-                let started = Front::start(front, rng_seed, &boot_info, self.now)?;
-                self.fronts.insert(front, started);
-                self.settle(front);
+                let instance = Instance::start(front, rng_seed, &boot_info, self.now)?;
+                self.instances.insert(front, instance);
+                self.carry_out(front);
             }
             In::Detach { front } => {
-                self.fronts.remove(&front);
+                self.instances.remove(&front);
             }
-            In::Discovery { front, how, page } => {
-                let records = match how {
-                    How::Error => &[][..],
-                    _ => match self.lists.get(&page) {
-                        Some(records) => records,
-                        None => return Err(format!("Discovery: page: no list {page} was defined")),
-                    },
-                };
-                let Some(host) = self.fronts.get_mut(&front) else { return Ok(false) };
-                let event = match how {
-                    How::Error => Event::ListFailed,
-                    _ => Event::List { whole: how != How::Partial, entries: host.entries(records) },
-                };
-                self.tell(front, event);
-            }
-            In::Inbound(new) => self.arrive(new)?,
+            In::Discovery { front, how, page } => self.take_list(front, how, page)?,
+            In::Inbound(inbound) => self.take_request(inbound)?,
             In::Flowing { front, request_id } => {
-                if let Some(rpc) = self.rpc(front, &request_id) {
-                    self.tell(front, Event::Streaming { rpc });
+                if let Some(request) = self.instances.get(&front).and_then(|it| it.request(&request_id)) {
+                    self.report(front, Event::ResponseStarted { request });
                 }
             }
-            In::AttemptEnd(end) => self.end(end),
+            In::AttemptEnd(end) => self.end_attempt(&end),
             In::Gone { front, request_id } => {
-                if let Some(rpc) = self.rpc(front, &request_id) {
-                    self.tell(front, Event::Gone { rpc });
-                    if let Some(host) = self.fronts.get_mut(&front) {
-                        host.close(rpc);
+                if let Some(request) = self.instances.get(&front).and_then(|it| it.request(&request_id)) {
+                    self.report(front, Event::ClientGone { request });
+                    if let Some(instance) = self.instances.get_mut(&front) {
+                        instance.close(request);
                     }
                 }
             }
-            In::Fired { front, nonce } => self.tell(front, Event::Timer { tag: nonce }),
+            In::Fired { front, nonce } => self.report(front, Event::TimerFired { tag: nonce }),
             In::ProbeResult { front, store, status, wait_time_ns, pressure } => {
-                let Some(host) = self.fronts.get(&front) else { return Ok(false) };
-                let Some(store) = host.stores.find(&*store) else { return Ok(false) };
-                let report = host.report(pressure.as_deref());
-                let (outcome, elapsed) = (outcome(status), Span(wait_time_ns));
-                self.tell(front, Event::Probed { store, outcome, elapsed, report });
+                let instance = self.instances.get(&front);
+                let event = instance
+                    .and_then(|it| it.health_check_ended(&store, status, wait_time_ns, pressure.as_deref()));
+                if let Some(event) = event {
+                    self.report(front, event);
+                }
             }
             In::Inbox { front, src, bytes } => {
-                let bytes = unhex(&bytes).ok_or("Inbox: bytes: not hex digits")?;
-                self.tell(front, Event::Peer { from: src, bytes });
+                let bytes = decode_hex(&bytes).ok_or(HostError::BadBytes)?;
+                self.report(front, Event::PeerMessage { from: src, bytes });
             }
         }
-        Ok(false)
-    }
-
-    fn rpc(&self, front: u32, id: &str) -> Option<RpcId> {
-        self.fronts.get(&front)?.rpcs.get(id).copied()
-    }
-
-    fn arrive(&mut self, new: wire::Inbound) -> Result<(), String> {
-        let Some(host) = self.fronts.get_mut(&new.front) else { return Ok(()) };
-        let session = match &new.conn_key {
-            Some(key) => {
-                Some(u64::from_str_radix(key, 16).map_err(|_| format!("Inbound: connKey: {key} is no key"))?)
-            }
-            None => None,
-        };
-        let rpc = host.next_rpc;
-        host.next_rpc += 1;
-        host.rpcs.insert(new.request_id.to_string(), rpc);
-        let wrote = session.filter(|_| host.writes.get(new.profile) == Some(&true));
-        host.book.enter(rpc, Entered { id: new.request_id.into_owned(), wrote });
-        let last_write = (new.last_write_ms > 0.0).then_some(Span((new.last_write_ms * 1e6) as i64));
-        let event = Event::Arrived(Arrival {
-            rpc,
-            method: new.profile,
-            group: host.groups.enter(new.db_no),
-            session,
-            last_write,
-            seen: None,
-            came: self.now,
-            deadline: Moment(new.drop_dead_ns),
-            repeat: new.repeat,
-        });
-        self.tell(new.front, event);
         Ok(())
     }
 
-    fn end(&mut self, end: wire::AttemptEnd) {
-        let Some(host) = self.fronts.get_mut(&end.front) else { return };
-        let Some(&rpc) = host.rpcs.get(&*end.request_id) else { return };
-        let Some(store) = host.stores.find(&*end.store) else { return };
-        let note = Told {
-            position: (end.progress >= 4).then(|| host.zero + Span::millis(end.progress / 4)),
-            role: match end.progress % 4 {
-                1 => Some(Role::Primary),
-                2 => Some(Role::Replica),
-                _ => None,
-            },
-            load: None,
-        };
-        let event = Event::Ended(End {
-            rpc,
-            call_out: end.hop,
-            store,
-            outcome: outcome(end.status),
-            elapsed: Span(end.wait_time_ns),
-            closed: end.done_flag,
-            wrote: host.book.get(rpc).and_then(|entered| entered.wrote),
-            note,
-            report: host.report(end.pressure.as_deref()),
-        });
-        self.tell(end.front, event);
-        if let Some(host) = self.fronts.get_mut(&end.front) {
-            let gone = host.book.returned(rpc, end.done_flag);
-            host.forget(gone);
+    fn take_list(&mut self, front: u32, how: How, page: usize) -> Result<(), HostError> {
+        if how == How::Error {
+            self.report(front, Event::EndpointListFailed);
+            return Ok(());
         }
+        let records = self.lists.get(&page).ok_or(HostError::UnknownList(page))?;
+        let Some(instance) = self.instances.get_mut(&front) else { return Ok(()) };
+        let records = instance.endpoint_records(records);
+        self.report(front, Event::EndpointList { complete: how != How::Partial, records });
+        Ok(())
     }
 
-    fn tell(&mut self, front: u32, event: Event) {
-        if let Some(host) = self.fronts.get_mut(&front) {
-            host.router.handle(self.now, event, &mut host.actions);
-            self.settle(front);
-        }
-    }
-
-    /// Writes what a front's router asks for.
-    fn settle(&mut self, front: u32) {
-        if let Some(host) = self.fronts.get_mut(&front) {
-            for action in std::mem::take(&mut host.actions) {
-                host.write(&action, &mut self.replies);
-            }
-        }
-    }
-}
-
-impl Front {
-    fn start(number: u32, seed: u64, boot: &BootInfo, now: Moment) -> Result<Front, String> {
-        let facts = facts::facts(boot).map_err(|why| format!("Start: {why}"))?;
-        let mut actions = Vec::new();
-        let router = Router::new(seed, &facts, now, &mut actions);
-        Ok(Front {
-            number,
-            router,
-            zero: Moment(boot.family_info.counted_from_ns),
-            report: boot.report.names.clone(),
-            stores: Doors::default(),
-            groups: Doors::default(),
-            rpcs: HashMap::new(),
-            book: Book::default(),
-            writes: facts.methods.iter().map(|method| method.need == Need::Write).collect(),
-            next_rpc: 0,
-            actions,
-        })
-    }
-
-    fn entries(&mut self, records: &[Record]) -> Vec<Entry> {
-        let mut entries = Vec::with_capacity(records.len());
-        for record in records {
-            entries.push(Entry {
-                store: self.stores.enter(record.store.clone()),
-                group: self.groups.enter(record.set),
-                zone: record.failure_domain,
-                standing: match record.availability {
-                    Availability::Healthy => Standing::Open,
-                    Availability::Cordoned => Standing::Draining,
-                    Availability::Deregistered => Standing::Gone,
-                },
-                primary: record.is_primary == 1.0,
-                started: (record.launched_ns > 0).then_some(Moment(record.launched_ns)),
-                presumed: false,
-            });
-        }
-        entries
+    fn take_request(&mut self, inbound: Inbound) -> Result<(), HostError> {
+        let front = inbound.front;
+        let Some(instance) = self.instances.get_mut(&front) else { return Ok(()) };
+        let arrival = instance.request_arrived(inbound, self.now)?;
+        self.report(front, Event::RequestArrived(arrival));
+        Ok(())
     }
 
-    fn report(&self, row: Option<&[Option<f64>]>) -> Told {
-        let mut told = Told::default();
-        for (name, value) in self.report.iter().zip(row.unwrap_or_default()) {
-            match (name.as_str(), value) {
-                ("x0", Some(secs)) => told.position = Some(self.zero + Span((secs * 1e9).floor() as i64)),
-                ("load_share", Some(share)) => told.load = Some(*share),
-                ("x1", Some(role)) => {
-                    told.role = Some(if *role == 1.0 { Role::Primary } else { Role::Replica });
-                }
-                _ => {}
-            }
+    fn end_attempt(&mut self, end: &AttemptEnd) {
+        let instance = self.instances.get(&end.front);
+        let Some(ended) = instance.and_then(|instance| instance.attempt_ended(end)) else { return };
+        let request = ended.request;
+        self.report(end.front, Event::AttemptEnded(ended));
+        if let Some(instance) = self.instances.get_mut(&end.front) {
+            instance.end_attempt(request, end.done_flag);
         }
-        told
-    }
-
-    fn close(&mut self, rpc: RpcId) {
-        let gone = self.book.close(rpc);
-        self.forget(gone);
     }
 
-    fn forget(&mut self, entered: Option<Entered>) {
-        if let Some(Entered { id, .. }) = entered {
-            self.rpcs.remove(&id);
+    /// Reports an event to the policy of an instance and writes what it asks for.
+    fn report(&mut self, front: u32, event: Event) {
+        if let Some(instance) = self.instances.get_mut(&front) {
+            instance.on_event(self.now, event);
+            self.carry_out(front);
         }
     }
 
-    fn write(&mut self, action: &Action, replies: &mut Vec<u8>) {
-        let front = self.number;
-        let id = |rpc: &RpcId| self.book.get(*rpc).map(|entered| &*entered.id);
-        let written = match action {
-            Action::Send { rpc, store, time_out } => id(rpc).map(|request_id| Out::Forward {
-                front,
-                request_id,
-                store: self.stores.name(*store),
-                limit_ns: time_out.0,
-            }),
-            Action::PushBack { rpc, come_back } => id(rpc).map(|request_id| Out::Shed {
-                front,
-                request_id,
-                come_back_ns: come_back.map_or(0, |wait| wait.0),
-            }),
-            Action::Abort { rpc } => id(rpc).map(|request_id| Out::RespondError { front, request_id }),
-            Action::Withdraw { rpc, call_out } => {
-                id(rpc).map(|request_id| Out::Withdraw { front, request_id, hop: *call_out })
-            }
-            Action::Remind { tag, at } => Some(Out::Remind { front, nonce: *tag, time_ns: at.0 }),
-            Action::Probe { store } => Some(Out::SoundOut { front, store: self.stores.name(*store) }),
-            Action::Watch => Some(Out::Watch { front, enable: true }),
-            Action::FetchList => Some(Out::ListAll { front }),
-            Action::Remark(message) => Some(Out::Remark { front, message }),
-        };
-        if let Some(line) = written {
-            put(replies, &line);
-        }
-        match action {
-            Action::Send { rpc, .. } => {
-                self.book.sent(*rpc);
-            }
-            Action::PushBack { rpc, .. } | Action::Abort { rpc } => self.close(*rpc),
-            _ => {}
+    fn carry_out(&mut self, front: u32) {
+        if let Some(instance) = self.instances.get_mut(&front) {
+            instance.write_actions(&mut self.replies);
         }
     }
 }
 
-/// Reads a faulty line once more, for the way to the field at fault.
-fn fault(line: &[u8], why: &serde_json::Error) -> String {
-    let again = serde_path_to_error::deserialize::<_, In>(&mut serde_json::Deserializer::from_slice(line));
-    again.err().map_or_else(|| why.to_string(), |why| why.to_string())
-}
-
-fn put(replies: &mut Vec<u8>, line: &Out) {
-    serde_json::to_writer(&mut *replies, line).expect("plain values always serialise");
+/// Appends a message as one line.
+pub fn append(replies: &mut Vec<u8>, message: &Out) {
+    serde_json::to_writer(&mut *replies, message).expect("plain values always serialise");
     replies.push(b'\n');
 }
 
-fn outcome(status: Status) -> Outcome {
-    match status {
-        Status::Ok => Outcome::Ok,
-        Status::Internal => Outcome::Errored,
-        Status::ResourceExhausted => Outcome::Full,
-        Status::DeadlineExceeded => Outcome::TimedOut,
-        Status::Unavailable => Outcome::Unreachable,
-        Status::Aborted => Outcome::Broken,
-        Status::Cancelled => Outcome::Withdrawn,
-        Status::TooLate => Outcome::Moot,
-        Status::NotFound => Outcome::Lagged,
-    }
+/// Reads a faulty line once more, for the path to the field at fault.
+fn malformed(line: &[u8], error: &serde_json::Error) -> HostError {
+    let mut deserializer = serde_json::Deserializer::from_slice(line);
+    let with_path = serde_path_to_error::deserialize::<_, In>(&mut deserializer).err();
+    HostError::Malformed(with_path.map_or_else(|| error.to_string(), |error| error.to_string()))
 }
 
-fn unhex(digits: &str) -> Option<Vec<u8>> {
+fn decode_hex(digits: &str) -> Option<Vec<u8>> {
     let digits = digits.as_bytes();
     if !digits.len().is_multiple_of(2) {
         return None;
     }
-    let pair = |two: &[u8]| u8::from_str_radix(std::str::from_utf8(two).ok()?, 16).ok();
-    digits.chunks(2).map(pair).collect()
+    let byte = |pair: &[u8]| u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok();
+    digits.chunks(2).map(byte).collect()
 }
--- a/simulator-adapter/src/main.rs
+++ b/simulator-adapter/src/main.rs
@@ -1,15 +1,19 @@
-//! Reads the simulator's wire on standard input, asks one [`Router`] a front, and writes what they decide.
-//! No decision stands here: wire names, units and ids go one way, plain types the other.
+//! The adapter for the simulator's wire: reads its messages on standard input, reports them to one routing policy per
+//! instance, and writes what the policies ask for to standard output. No decision is made here.
 
 mod host;
-mod wire;
+mod instance;
+mod messages;
 
+use std::fmt::Display;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 
+const OUTPUT_BUFFER_BYTES: usize = 1 << 16;
+
 fn main() -> ExitCode {
     let mut input = io::stdin().lock();
-    let mut output = io::BufWriter::with_capacity(1 << 16, io::stdout().lock());
+    let mut output = io::BufWriter::with_capacity(OUTPUT_BUFFER_BYTES, io::stdout().lock());
     let mut host = host::Host::default();
     let mut line = Vec::with_capacity(4096);
     for number in 1u64.. {
@@ -17,7 +21,7 @@
         match input.read_until(b'\n', &mut line) {
             Ok(0) => break,
             Ok(_) => {}
-            Err(why) => return broken(number, &why.to_string()),
+            Err(error) => return fail(number, &error),
         }
         let text = line.trim_ascii();
         if text.is_empty() {
@@ -26,14 +30,15 @@
         match host.take(text, &mut output) {
             Ok(false) => {}
             Ok(true) if output.flush().is_ok() => {}
-            Ok(true) => return ExitCode::SUCCESS, // Nobody reads any more.
-            Err(why) => return broken(number, &why),
+            // Nobody reads any more.
+            Ok(true) => return ExitCode::SUCCESS,
+            Err(error) => return fail(number, &error),
         }
     }
     ExitCode::SUCCESS
 }
 
-fn broken(line: u64, why: &str) -> ExitCode {
-    eprintln!("simulator-adapter: line {line}: {why}");
+fn fail(line: u64, error: &dyn Display) -> ExitCode {
+    eprintln!("simulator-adapter: line {line}: {error}");
     ExitCode::FAILURE
 }
--- a/simulator-adapter/src/wire.rs
+++ b/simulator-adapter/src/messages.rs
@@ -1,6 +1,6 @@
-//! The wire's messages, by its own names.
+//! The messages of the simulator's wire, under its own names (WIRE page). Times are nanoseconds.
 
-use host_support::facts::BootInfo;
+use host_support::bootstrap_config::BootstrapConfig;
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 
@@ -16,7 +16,7 @@
     Start {
         front: u32,
         rng_seed: u64,
-        boot_info: Box<BootInfo>,
+        boot_info: Box<BootstrapConfig>,
     },
     Detach {
         front: u32,
--- a/test-servers/src/bin/writes.rs
+++ b/test-servers/src/bin/writes.rs
@@ -14,8 +14,8 @@
 use test_servers::lone::Lone;
 use test_servers::store::free_address;
 use test_servers::world::unix_ms;
-use write_journal::fate::Input;
-use write_journal::journal::{Bounds, Journal, Op, Sync};
+use write_journal::journal::{ClockReading, Durability, Journal, Operation, Retention};
+use write_journal::record_state::RecordEvent;
 
 /// The cost of keeping writes on record.
 #[derive(Parser)]
@@ -74,21 +74,21 @@
     let (place, listen) = (Lone::new(0), free_address());
     let path = place.folder.path().join("state").join("writes");
     std::fs::create_dir_all(&path).expect("made");
-    let bounds = Bounds { most: 100_000_000, age_ms: 3_600_000 };
-    let mut journal = Journal::open(&path, Sync::System, bounds, 7).expect("it opens");
+    let retention = Retention { max_records: 100_000_000, max_age_ms: 3_600_000 };
+    let mut journal = Journal::open(&path, Durability::System, retention, 7).expect("it opens");
     let mut records = 0u64;
     // Sizes on disk follow with a delay, so the folder is looked at now and then.
     while bytes_in(&path) < mb << 20 {
         for _ in 0..20 {
-            let one = |nth: u64| Op::Record {
+            let one = |nth: u64| Operation::Record {
                 // As long as an id may be, and as unlike the next.
                 id: [1u64, 3, 5, 7].map(|odd| format!("{:016x}", mixed(nth * odd))).concat(),
-                input: Input::Intend,
-                token: None,
+                event: RecordEvent::Starting,
+                deduplication: None,
             };
-            let ops: Vec<Op> = (records..records + 8_192).map(one).collect();
+            let operations: Vec<Operation> = (records..records + 8_192).map(one).collect();
             records += 8_192;
-            journal.apply(unix_ms(), &ops).expect("kept");
+            journal.apply(ClockReading { wall_ms: unix_ms(), uptime: None }, &operations).expect("kept");
         }
     }
     drop(journal);
--- a/test-servers/src/client.rs
+++ b/test-servers/src/client.rs
@@ -16,7 +16,7 @@
     /// Why its start was refused: SQLSTATE.
     pub refused: Option<String>,
     /// When it was told to come back, in milliseconds.
-    pub come_back: Option<i64>,
+    pub retry_after: Option<i64>,
 }
 
 impl Client {
@@ -50,14 +50,14 @@
         words.push(0);
         stream.write_all(&(words.len() as u32 + 4).to_be_bytes())?;
         stream.write_all(&words)?;
-        let mut client = Client { stream, token: None, origin: None, refused: None, come_back: None };
+        let mut client = Client { stream, token: None, origin: None, refused: None, retry_after: None };
         loop {
             let (tag, body) = client.next().ok_or(std::io::ErrorKind::UnexpectedEof)?;
             match tag {
                 b'Z' => return Ok(client),
                 b'E' => {
                     client.refused = field(&body, b'C');
-                    client.come_back = field(&body, b'D').and_then(|wait| wait.parse().ok());
+                    client.retry_after = field(&body, b'D').and_then(|wait| wait.parse().ok());
                     return Ok(client);
                 }
                 _ => client.note(tag, &body),
--- a/test-servers/src/lone.rs
+++ b/test-servers/src/lone.rs
@@ -19,7 +19,7 @@
 impl Lone {
     /// Its store takes so long for a statement.
     pub fn new(work_ms: i64) -> Lone {
-        let cold = Cold { from: 1.0, for_ms: 1, fall_multiple: 9.0, window_ms: 500, work_ms };
+        let cold = Cold { from: 1.0, for_ms: 1, overload_multiple: 9.0, window_ms: 500, work_ms };
         let world = Arc::new(World::new(cold, 250));
         world.lock().branches.insert(1, vec![Branch { forked_ms: 0, truth: true }]);
         world.lock().machines = vec![Machine::of("s-0".into(), 1, None, 0)];
--- a/test-servers/src/sessions.rs
+++ b/test-servers/src/sessions.rs
@@ -6,7 +6,7 @@
 use crate::discovery::{host, Discovery, Mode};
 use crate::starts::{settings, Build};
 use crate::store::{free_address, serve, Served};
-use crate::world::{unix_ms, Branch, Cold, Machine, StoreIx, World};
+use crate::world::{unix_ms, Branch, Cold, EndpointIndex, Machine, World};
 use history_checker::{judge, Fate, Verdict, LOST};
 use routing::rng::Mwc;
 use std::net::SocketAddr;
@@ -77,7 +77,7 @@
 
 impl<'a> Fleet<'a> {
     fn set(plan: &'a Plan, build: &'a Build<'a>) -> std::io::Result<Fleet<'a>> {
-        let cold = Cold { from: 1.0, for_ms: 1, fall_multiple: 9.0, window_ms: 500, work_ms: 1 };
+        let cold = Cold { from: 1.0, for_ms: 1, overload_multiple: 9.0, window_ms: 500, work_ms: 1 };
         let world = Arc::new(World::new(cold, 250));
         for group in GROUPS {
             let mut truth = world.lock();
@@ -105,7 +105,7 @@
 
     fn list(&self, seq: i64) {
         let truth = self.world.lock();
-        let entry = |ix: StoreIx| {
+        let entry = |ix: EndpointIndex| {
             let machine = &truth.machines[ix];
             host(&machine.name, &self.served[ix].addr, machine.group, machine.primary, "SERVING", 0)
         };
--- a/test-servers/src/starts.rs
+++ b/test-servers/src/starts.rs
@@ -5,8 +5,8 @@
 use crate::daemon::{Daemon, Start};
 use crate::discovery::{host, Discovery, Mode};
 use crate::store::{free_address, serve, Served, MEMORY_MS};
-use crate::world::{unix_ms, Branch, Cold, Machine, Reach, StoreIx, World, BOUND_MS};
-use endpoint_cache::{Dir, Kept, KeptStore, Said};
+use crate::world::{unix_ms, Branch, Cold, EndpointIndex, Machine, Reach, World, BOUND_MS};
+use endpoint_cache::{CacheDirectory, CachedEndpoint, CachedEndpointList, CachedReport};
 use history_checker::{judge, Verdict};
 use routing::rng::Mwc;
 use serde_json::Value;
@@ -138,7 +138,7 @@
 
 const GRACE_MS: i64 = 250;
 /// As the operators' deployments word it, with a shorter warm-up.
-const COLD: Cold = Cold { from: 0.23, for_ms: 8_000, fall_multiple: 2.5, window_ms: 2_000, work_ms: 4 };
+const COLD: Cold = Cold { from: 0.23, for_ms: 8_000, overload_multiple: 2.5, window_ms: 2_000, work_ms: 4 };
 
 /// Start facts' settings, to which the world's rule on cold stores belongs.
 pub fn settings() -> String {
@@ -169,7 +169,7 @@
         ms(500),
         COLD.from,
         ms(COLD.for_ms),
-        COLD.fall_multiple,
+        COLD.overload_multiple,
         ms(COLD.window_ms),
     )
 }
@@ -180,7 +180,7 @@
     served: Vec<Served>,
     /// The list as it was, by discovery's words, and as it is kept.
     listed: Vec<Value>,
-    kept: Vec<KeptStore>,
+    kept: Vec<CachedEndpoint>,
     now_true: Vec<Value>,
     groups: Vec<i64>,
 }
@@ -216,13 +216,13 @@
         if is_listed(ix) {
             let was_primary = ix % 4 == 0;
             listed.push(host(&machine.name, &dials_then[ix], machine.group, was_primary, "SERVING", 0));
-            let said = Said {
+            let report = CachedReport {
                 primary: was_primary,
                 position_ms: Some(now - plan.age_s.abs() * 1_000 - 10),
                 timeline: Some(1),
                 at_ms: now - plan.age_s * 1_000,
             };
-            kept.push(KeptStore {
+            kept.push(CachedEndpoint {
                 host: machine.name.clone(),
                 dial: dials_then[ix].to_string(),
                 site: "a".into(),
@@ -230,7 +230,7 @@
                 health: "SERVING".into(),
                 born_ms: 0.0,
                 recovery: if was_primary { "off" } else { "on" }.into(),
-                said: Some(said),
+                report: Some(report),
             });
         }
         // Discovery knows of the cut: what was left behind is no member any more.
@@ -246,7 +246,14 @@
 
 /// Lets a fault happen to the group whose stores begin at `first`: its primary, two replicas, and one that no
 /// list knows.
-fn happen(world: &World, fault: Fault, first: StoreIx, now: i64, dials: &mut [SocketAddr], rng: &mut Mwc) {
+fn happen(
+    world: &World,
+    fault: Fault,
+    first: EndpointIndex,
+    now: i64,
+    dials: &mut [SocketAddr],
+    rng: &mut Mwc,
+) {
     let mut truth = world.lock();
     let (heir, other, unlisted) = (first + 1, first + 2, first + 3);
     let at = now - 5_000 - rng.below(3_000) as i64;
@@ -317,10 +324,11 @@
         let conf = format!("state-dir {}\nstore-identity postgres\n", state.display());
         if build.keeps {
             let at = unix_ms() - plan.age_s * 1_000;
-            let stores = stage.kept.clone();
-            let mut kept = Kept { generation: 0, seq: SEQ, confirmed_ms: at, saved_ms: at, stores };
-            let (mut dir, _) = Dir::open(&state).map_err(|why| std::io::Error::other(why.to_string()))?;
-            dir.save(&mut kept).map_err(|why| std::io::Error::other(why.to_string()))?;
+            let endpoints = stage.kept.clone();
+            let mut list =
+                CachedEndpointList { generation: 0, version: SEQ, confirmed_ms: at, saved_ms: at, endpoints };
+            let (mut directory, _) = CacheDirectory::open(&state).map_err(std::io::Error::other)?;
+            directory.save(&mut list).map_err(std::io::Error::other)?;
         }
         let listen = free_address();
         let start = Start {
@@ -344,7 +352,7 @@
         })
         .collect();
     thread::sleep(times.down);
-    come_back(plan, &discovery, &stage);
+    retry_after(plan, &discovery, &stage);
     let returned = unix_ms();
     thread::sleep(times.back);
     over.store(true, Ordering::Release);
@@ -434,7 +442,7 @@
     Ok(ok as f64 / lasting.as_secs_f64())
 }
 
-fn come_back(plan: &Plan, discovery: &Discovery, stage: &Stage) {
+fn retry_after(plan: &Plan, discovery: &Discovery, stage: &Stage) {
     let first = |mode: Mode| {
         discovery.turn(mode);
         thread::sleep(Duration::from_millis(400));
