--- a/test-servers/src/store.rs
+++ b/test-servers/src/store.rs
@@ -1,7 +1,7 @@
 //! A store on a socket of its own: it answers as the world says that it stands, and enters what it runs.
 
 use crate::message::{self, error, parameter, ready, row};
-use crate::world::{unix_ms, Reach, StoreIx, Truth, World};
+use crate::world::{unix_ms, EndpointIndex, Reach, Truth, World};
 use history_checker::{Rule, Run};
 use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
@@ -33,7 +33,7 @@
     listener.local_addr().expect("a bound listener has an address")
 }
 
-pub fn serve(world: &Arc<World>, ix: StoreIx) -> Served {
+pub fn serve(world: &Arc<World>, ix: EndpointIndex) -> Served {
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
     let addr = listener.local_addr().expect("a bound listener has an address");
     let (over, world) = (Arc::new(AtomicBool::new(false)), world.clone());
@@ -53,7 +53,7 @@
     served
 }
 
-fn session(world: &World, ix: StoreIx, mut stream: TcpStream, over: &AtomicBool) -> Option<()> {
+fn session(world: &World, ix: EndpointIndex, mut stream: TcpStream, over: &AtomicBool) -> Option<()> {
     message::start_up(&mut stream)?;
     if world.lock().machines[ix].reach == Reach::Silent {
         // Open for as long as the other side holds it, without a word.
@@ -82,7 +82,7 @@
     None
 }
 
-fn health(world: &World, ix: StoreIx, out: &mut Vec<u8>) {
+fn health(world: &World, ix: EndpointIndex, out: &mut Vec<u8>) {
     let truth = world.lock();
     let position = truth.position(ix, unix_ms()) as f64 / 1e3;
     let primary = u8::from(truth.machines[ix].primary);
@@ -91,14 +91,14 @@
 }
 
 /// Its epoch, and where that began.
-fn epoch(out: &mut Vec<u8>, truth: &Truth, ix: StoreIx) {
+fn epoch(out: &mut Vec<u8>, truth: &Truth, ix: EndpointIndex) {
     let machine = &truth.machines[ix];
     let began = truth.forks(machine.group).get(machine.branch).copied().filter(|began| *began > 0);
     let began = began.map_or(String::new(), |began| format!("@{began}"));
     parameter(out, "epoch", &format!("{}{began}", machine.timeline));
 }
 
-fn identity(world: &World, ix: StoreIx, out: &mut Vec<u8>) {
+fn identity(world: &World, ix: EndpointIndex, out: &mut Vec<u8>) {
     let truth = world.lock();
     let machine = &truth.machines[ix];
     if machine.says_who {
@@ -117,7 +117,7 @@
     comment.split(',').find_map(|pair| pair.trim().strip_prefix(name)?.strip_prefix('=')).map(str::trim)
 }
 
-fn statement(world: &World, ix: StoreIx, text: &str, out: &mut Vec<u8>) -> Option<()> {
+fn statement(world: &World, ix: EndpointIndex, text: &str, out: &mut Vec<u8>) -> Option<()> {
     let id = word(text, "id")?.to_string();
     let group: i64 = word(text, "cluster")?.parse().ok()?;
     let (write, tokened, now) = (text.contains("INSERT"), word(text, "c") == Some("deposit"), unix_ms());
--- a/test-servers/src/world.rs
+++ b/test-servers/src/world.rs
@@ -13,7 +13,7 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as i64
 }
 
-pub type StoreIx = usize;
+pub type EndpointIndex = usize;
 
 /// How a store can be reached from the front.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,7 +33,7 @@
     pub timeline: u32,
     /// The branch of its group's log that it stands on.
     pub branch: usize,
-    pub upstream: Option<StoreIx>,
+    pub upstream: Option<EndpointIndex>,
     pub lag_ms: i64,
     /// Where it stands while nothing reaches it any more.
     pub stands: Option<i64>,
@@ -47,7 +47,7 @@
 impl Machine {
     /// A store that nothing ails: a primary, or a replica of `upstream` that lags so much. It started long
     /// ago.
-    pub fn of(name: String, group: i64, upstream: Option<StoreIx>, lag_ms: i64) -> Machine {
+    pub fn of(name: String, group: i64, upstream: Option<EndpointIndex>, lag_ms: i64) -> Machine {
         Machine {
             name,
             group,
@@ -78,7 +78,7 @@
 pub struct Cold {
     pub from: f64,
     pub for_ms: i64,
-    pub fall_multiple: f64,
+    pub overload_multiple: f64,
     pub window_ms: i64,
     pub work_ms: i64,
 }
@@ -91,15 +91,15 @@
     /// What ran, by the id of its RPC.
     pub runs: HashMap<String, Vec<Run>>,
     /// Offered work of the last window, by store.
-    pub work: HashMap<StoreIx, Vec<i64>>,
+    pub work: HashMap<EndpointIndex, Vec<i64>>,
     /// When a store's one core will have done all that it has taken, in microseconds of Unix time.
-    busy_until: HashMap<StoreIx, i64>,
+    busy_until: HashMap<EndpointIndex, i64>,
     /// Rules whose breaking stores see by themselves.
     pub seen: Vec<Offence>,
 }
 
 impl Truth {
-    pub fn position(&self, ix: StoreIx, now: i64) -> i64 {
+    pub fn position(&self, ix: EndpointIndex, now: i64) -> i64 {
         let machine = &self.machines[ix];
         match (machine.primary, machine.stands, machine.upstream) {
             (true, _, _) => now,
@@ -110,7 +110,7 @@
     }
 
     /// Where it stands on its group's log.
-    pub fn point(&self, ix: StoreIx, now: i64) -> Point {
+    pub fn point(&self, ix: EndpointIndex, now: i64) -> Point {
         Point { branch: self.machines[ix].branch, at_ms: self.position(ix, now) }
     }
 
@@ -129,7 +129,7 @@
     }
 
     /// Up to when its data is that of the true log.
-    pub fn true_to(&self, ix: StoreIx, now: i64) -> i64 {
+    pub fn true_to(&self, ix: EndpointIndex, now: i64) -> i64 {
         let (machine, position) = (&self.machines[ix], self.position(ix, now));
         match self.branches.get(&machine.group).and_then(|all| all.get(machine.branch)) {
             Some(branch) if !branch.truth => {
@@ -140,18 +140,18 @@
         }
     }
 
-    pub fn is_true_primary(&self, ix: StoreIx, group: i64) -> bool {
+    pub fn is_true_primary(&self, ix: EndpointIndex, group: i64) -> bool {
         let machine = &self.machines[ix];
         machine.group == group && machine.primary && self.branches[&group][machine.branch].truth
     }
 
-    pub fn primary_of(&self, group: i64) -> Option<StoreIx> {
+    pub fn primary_of(&self, group: i64) -> Option<EndpointIndex> {
         (0..self.machines.len())
             .find(|&ix| self.branches.contains_key(&group) && self.is_true_primary(ix, group))
     }
 
     /// Makes a replica primary. The one before goes on, cut off, where `cut`; else it follows.
-    pub fn promote(&mut self, ix: StoreIx, cut: bool, at: i64) {
+    pub fn promote(&mut self, ix: EndpointIndex, cut: bool, at: i64) {
         let group = self.machines[ix].group;
         let before = self.primary_of(group);
         let branches = self.branches.entry(group).or_default();
@@ -168,14 +168,14 @@
     }
 
     /// What a started store can do by now, of all that it can.
-    fn warmth(&self, ix: StoreIx, now: i64, cold: &Cold) -> Option<f64> {
+    fn warmth(&self, ix: EndpointIndex, now: i64, cold: &Cold) -> Option<f64> {
         let age = now - self.machines[ix].started_ms;
         (age < cold.for_ms).then(|| cold.from + (1.0 - cold.from) * age as f64 / cold.for_ms as f64)
     }
 
     /// Offers one statement's work; a started store that gets too much of it falls over. One core does it in
     /// turn, and a cold one more slowly; returns how long this one takes with all before it.
-    pub fn offer(&mut self, ix: StoreIx, now: i64, cold: &Cold) -> Duration {
+    pub fn offer(&mut self, ix: EndpointIndex, now: i64, cold: &Cold) -> Duration {
         let warmth = self.warmth(ix, now, cold);
         let takes = (cold.work_ms as f64 * 1e3 / warmth.unwrap_or(1.0)) as i64;
         let until = self.busy_until.entry(ix).or_default();
@@ -186,7 +186,7 @@
         work.push(now);
         let Some(warmth) = warmth else { return wait };
         let offered = work.len() as f64 * cold.work_ms as f64;
-        if offered > warmth * cold.fall_multiple * cold.window_ms as f64 {
+        if offered > warmth * cold.overload_multiple * cold.window_ms as f64 {
             work.clear();
             let age = now - self.machines[ix].started_ms;
             self.see(ix, Rule::Cold, format!("was pushed over {age} ms after its start"));
@@ -194,7 +194,7 @@
         wait
     }
 
-    pub fn see(&mut self, ix: StoreIx, rule: Rule, words: String) {
+    pub fn see(&mut self, ix: EndpointIndex, rule: Rule, words: String) {
         let whose = self.machines[ix].name.clone();
         self.seen.push(Offence { rule, whose, words });
     }
--- /dev/null
+++ b/write-journal/src/encoding.rs
@@ -0,0 +1,94 @@
+//! A record as bytes: kind, serial, time, commit time, then for a write with an idempotency key whether a group drops its
+//! duplicates, that group, the window, and the machine's start and uptime. Numbers are big-endian, 8 bytes each.
+
+use crate::record_state::{Deduplication, RecordState, Uptime};
+
+const PENDING: u8 = 0;
+const EXECUTED: u8 = 1;
+const EXECUTED_AT: u8 = 2;
+const BARRED: u8 = 3;
+const NOT_EXECUTED: u8 = 4;
+
+const SERIAL_AT: usize = 1;
+const FIRST_SENT_AT: usize = 9;
+const COMMIT_AT: usize = 17;
+const HAS_GROUP_AT: usize = 25;
+const GROUP_AT: usize = 26;
+const WINDOW_AT: usize = 34;
+const BOOT_AT: usize = 42;
+const UPTIME_AT: usize = 50;
+
+/// The idempotency of a recorded write, and when it was first about to be sent.
+#[derive(Clone, Copy)]
+pub struct KeyedSend {
+    pub deduplication: Deduplication,
+    pub first_sent: Uptime,
+}
+
+#[derive(Clone, Copy)]
+pub struct Record {
+    pub serial: u64,
+    pub state: RecordState,
+    /// When it was first about to be sent, in Unix milliseconds.
+    pub first_sent_ms: i64,
+    pub keyed: Option<KeyedSend>,
+}
+
+impl Record {
+    pub fn encode(&self) -> Vec<u8> {
+        let (kind, commit_ms) = match self.state {
+            RecordState::Pending => (PENDING, 0),
+            RecordState::Executed(None) => (EXECUTED, 0),
+            RecordState::Executed(Some(commit_ms)) => (EXECUTED_AT, commit_ms),
+            RecordState::Barred => (BARRED, 0),
+            RecordState::NotExecuted => (NOT_EXECUTED, 0),
+        };
+        let mut bytes = vec![kind];
+        bytes.extend(self.serial.to_be_bytes());
+        bytes.extend(self.first_sent_ms.to_be_bytes());
+        bytes.extend(commit_ms.to_be_bytes());
+        if let Some(KeyedSend { deduplication, first_sent }) = self.keyed {
+            bytes.push(u8::from(deduplication.group.is_some()));
+            bytes.extend(deduplication.group.unwrap_or(0).to_be_bytes());
+            bytes.extend(deduplication.window_ms.to_be_bytes());
+            bytes.extend(first_sent.boot.to_be_bytes());
+            bytes.extend(first_sent.ms.to_be_bytes());
+        }
+        bytes
+    }
+
+    /// What cannot be read is a record all the same: the write may have run.
+    pub fn decode(bytes: &[u8]) -> Record {
+        Record {
+            serial: number_at(bytes, SERIAL_AT).unwrap_or(0) as u64,
+            state: decode_state(bytes),
+            first_sent_ms: number_at(bytes, FIRST_SENT_AT).unwrap_or(0),
+            keyed: decode_keyed(bytes),
+        }
+    }
+}
+
+fn number_at(bytes: &[u8], at: usize) -> Option<i64> {
+    let part = bytes.get(at..at + 8)?;
+    Some(i64::from_be_bytes(part.try_into().ok()?))
+}
+
+fn decode_state(bytes: &[u8]) -> RecordState {
+    let Some(commit_ms) = number_at(bytes, COMMIT_AT) else { return RecordState::Pending };
+    match bytes[0] {
+        EXECUTED => RecordState::Executed(None),
+        EXECUTED_AT => RecordState::Executed(Some(commit_ms)),
+        BARRED => RecordState::Barred,
+        NOT_EXECUTED => RecordState::NotExecuted,
+        _ => RecordState::Pending,
+    }
+}
+
+/// A record with only a part of this is retried by nobody.
+fn decode_keyed(bytes: &[u8]) -> Option<KeyedSend> {
+    let group = number_at(bytes, GROUP_AT).filter(|_| bytes[HAS_GROUP_AT] != 0);
+    let deduplication = Deduplication { group, window_ms: number_at(bytes, WINDOW_AT)? };
+    let boot = number_at(bytes, BOOT_AT)? as u64;
+    let first_sent = Uptime { boot, ms: number_at(bytes, UPTIME_AT)? };
+    Some(KeyedSend { deduplication, first_sent })
+}
--- a/write-journal/src/journal.rs
+++ b/write-journal/src/journal.rs
@@ -1,313 +1,374 @@
-//! The records on disk, by the write's id, and in the order in which they were made. One thread owns it; many
-//! inputs go in one batch, and one sync answers for them all.
+//! The records on disk, by the write's id, and in the order in which they were made. One thread owns it; many operations
+//! go in one batch, and one sync answers for them all.
 
-use crate::fate::{fate, next, still_dropped, Fate, Input, Known, Leave, Origin, State, Token, Uptime};
-use fjall::{Database, Keyspace, KeyspaceCreateOptions, PersistMode};
+use crate::encoding::{KeyedSend, Record};
+use crate::record_state::{
+    fate, next, remaining_window_ms, Deduplication, Evidence, Fate, Origin, RecordEvent, RecordState,
+    SendPermission, Uptime,
+};
+use fjall::{Database, Keyspace, KeyspaceCreateOptions, OwnedWriteBatch, PersistMode};
 use std::collections::HashMap;
-use std::fmt;
 use std::path::Path;
+use thiserror::Error;
 
 /// How far a record must have come before what waits for it goes on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Sync {
-    /// With the operating system: survives the process, not the machine.
+pub enum Durability {
+    /// With the operating system: it survives the process, not the machine.
     System,
     /// On the disk.
     #[default]
     Disk,
 }
 
-/// So many go in one batch at most: those in front would wait long for those behind.
-pub const MOST_AT_ONCE: usize = 512;
-
-/// Descriptors that it may hold at the most: its files and those of tables that are kept open.
+/// Operations in one batch at most: the first would wait long for the last.
+pub const MAX_BATCH: usize = 512;
+/// Descriptors that a journal holds at most: its files, and those of tables that are kept open.
 pub const DESCRIPTORS: usize = 48;
-const TABLES_OPEN: usize = 24;
+const MAX_OPEN_TABLES: usize = 24;
+const CACHE_BYTES: u64 = 1 << 20;
+const MAX_LOG_BYTES: u64 = 64 << 20;
+const MEMTABLE_BYTES: u64 = 2 << 20;
+/// Serials are reserved in blocks, so that one that was given out is never given out again.
+const SERIAL_BLOCK: u64 = 1 << 16;
+/// Records that one batch drops at most.
+const MAX_DROPPED_PER_BATCH: usize = 64;
+
+const NAME_KEY: &str = "name";
+const FLOOR_KEY: &str = "floor";
+const NEXT_KEY: &str = "next";
+const COUNT_KEY: &str = "count";
 
 /// How much is kept.
 #[derive(Clone, Copy, Debug)]
-pub struct Bounds {
-    pub most: u64,
-    /// In milliseconds of the clock that `apply` is given.
-    pub age_ms: i64,
+pub struct Retention {
+    /// Records at most.
+    pub max_records: u64,
+    /// Age of a record at most, in milliseconds of the clock that [`Journal::apply`] is given.
+    pub max_age_ms: i64,
 }
 
+/// Something that is asked of the journal.
 #[derive(Clone, Debug)]
-pub enum Op {
-    /// With the token, where the write has one.
+pub enum Operation {
+    /// Something happens to a write.
     Record {
+        /// Its id.
         id: String,
-        input: Input,
-        token: Option<Token>,
+        /// What happens.
+        event: RecordEvent,
+        /// If it has an idempotency key: where and for how long its duplicates are dropped.
+        deduplication: Option<Deduplication>,
     },
-    Ask {
+    /// A client asks what became of a write.
+    QueryFate {
+        /// Its id.
         id: String,
+        /// Where the client sent it.
         origin: Option<Origin>,
-        alive: bool,
+        /// Its request is still open in this process.
+        request_open: bool,
     },
 }
 
+/// The answer to an operation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reply {
-    Leave(Leave),
+    /// To [`Operation::Record`].
+    Permission(SendPermission),
+    /// To [`Operation::QueryFate`].
     Fate(Fate),
 }
 
-#[derive(Debug)]
-pub struct Fault(String);
-
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
-impl From<fjall::Error> for Fault {
-    fn from(why: fjall::Error) -> Fault {
-        Fault(format!("{why:?}"))
-    }
-}
+/// The store under the journal failed.
+#[derive(Debug, Error)]
+#[error("{0:?}")]
+pub struct JournalError(#[from] fjall::Error);
 
-/// What the clocks say as a batch is worked off.
+/// What the clocks show when a batch is applied.
 #[derive(Clone, Copy, Debug)]
-pub struct Now {
+pub struct ClockReading {
+    /// The wall clock, in Unix milliseconds.
     pub wall_ms: i64,
-    /// None: it can't be told here, and no token is sent again.
-    pub up: Option<Uptime>,
+    /// None: it is not known here, and no write is sent again by its idempotency key.
+    pub uptime: Option<Uptime>,
 }
 
-impl From<i64> for Now {
-    fn from(wall_ms: i64) -> Now {
-        Now { wall_ms, up: None }
+impl From<i64> for ClockReading {
+    fn from(wall_ms: i64) -> ClockReading {
+        ClockReading { wall_ms, uptime: None }
     }
 }
 
+/// The journal of writes of one instance.
 pub struct Journal {
-    db: Database,
-    /// id to serial, state and time.
+    database: Database,
+    /// Id to record.
     records: Keyspace,
     /// Serial to id.
     order: Keyspace,
     meta: Keyspace,
     name: String,
-    next: u64,
-    /// Of all records made from this one on none has been dropped.
+    next_serial: u64,
+    /// None of the records made from this serial on has been dropped.
     floor: u64,
-    /// Places in the order. Serials have gaps, from one life to the next.
+    /// Entries in `order`. Serials have gaps between two processes.
     count: u64,
-    sync: Sync,
-    bounds: Bounds,
+    durability: Durability,
+    retention: Retention,
 }
 
-#[derive(Clone, Copy)]
-struct Record {
-    serial: u64,
-    state: State,
-    at_ms: i64,
-    /// Its token, and when it was first about to leave.
-    token: Option<(Token, Uptime)>,
+/// A batch of operations that is being applied.
+struct Batch {
+    writes: OwnedWriteBatch,
+    /// Records that were changed in it.
+    changed: HashMap<String, Record>,
+    next_serial: u64,
+    count: u64,
+    clock: ClockReading,
 }
 
-const NAME: &str = "name";
-const FLOOR: &str = "floor";
-const NEXT: &str = "next";
-const COUNT: &str = "count";
-/// Serials are set aside in blocks, so that one that was handed out is never handed out again.
-const BLOCK: u64 = 1 << 16;
-
-impl Record {
-    fn bytes(&self) -> Vec<u8> {
-        let (kind, commit) = match self.state {
-            State::Open => (0, 0),
-            State::Ran(None) => (1, 0),
-            State::Ran(Some(commit)) => (2, commit),
-            State::Never => (3, 0),
-            State::Free => (4, 0),
+impl Journal {
+    /// Opens a journal or creates one. `chance` names a new one: a journal that was lost and created anew must not be
+    /// taken for the old one.
+    ///
+    /// # Errors
+    /// The store cannot be opened.
+    pub fn open(
+        path: &Path,
+        durability: Durability,
+        retention: Retention,
+        chance: u64,
+    ) -> Result<Journal, JournalError> {
+        let builder = Database::builder(path).worker_threads(1).cache_size(CACHE_BYTES);
+        let builder = builder.max_journaling_size(MAX_LOG_BYTES).max_cached_files(Some(MAX_OPEN_TABLES));
+        let database = builder.open()?;
+        let options = || KeyspaceCreateOptions::default().max_memtable_size(MEMTABLE_BYTES);
+        let records = database.keyspace("records", options)?;
+        let order = database.keyspace("order", options)?;
+        let meta = database.keyspace("meta", options)?;
+        let mut journal = Journal {
+            name: read_or_create_name(&meta, chance)?,
+            next_serial: read_number(&meta, NEXT_KEY)?,
+            floor: read_number(&meta, FLOOR_KEY)?,
+            count: read_number(&meta, COUNT_KEY)?,
+            database,
+            records,
+            order,
+            meta,
+            durability,
+            retention,
         };
-        let mut bytes = vec![kind];
-        bytes.extend(self.serial.to_be_bytes());
-        bytes.extend(self.at_ms.to_be_bytes());
-        bytes.extend(commit.to_be_bytes());
-        if let Some((Token { scope, memory_ms }, Uptime { boot, ms })) = self.token {
-            bytes.push(u8::from(scope.is_some()));
-            for number in [scope.unwrap_or(0), memory_ms, boot as i64, ms] {
-                bytes.extend(number.to_be_bytes());
-            }
-        }
-        bytes
+        journal.reserve_serials()?;
+        Ok(journal)
     }
 
-    /// What can't be read is a record all the same: the write may have run.
-    fn read(bytes: &[u8]) -> Record {
-        let number =
-            |at: usize| bytes.get(at..at + 8).and_then(|part| part.try_into().ok()).map(i64::from_be_bytes);
-        let (serial, at_ms, commit) = (number(1), number(9), number(17));
-        let state = match (bytes.first(), commit) {
-            (Some(1), Some(_)) => State::Ran(None),
-            (Some(2), Some(commit)) => State::Ran(Some(commit)),
-            (Some(3), Some(_)) => State::Never,
-            (Some(4), Some(_)) => State::Free,
-            _ => State::Open,
-        };
-        // A record without, or with half a token: it is sent again by nobody.
-        let token = || {
-            let scope = number(26).filter(|_| bytes[25] != 0);
-            let token = Token { scope, memory_ms: number(34)? };
-            Some((token, Uptime { boot: number(42)? as u64, ms: number(50)? }))
-        };
-        Record { serial: serial.unwrap_or(0) as u64, state, at_ms: at_ms.unwrap_or(0), token: token() }
+    /// Where the journal stands: what a client is told when its connection begins.
+    pub fn origin(&self) -> Origin {
+        Origin { journal: self.name.clone(), serial: self.next_serial }
     }
-}
 
-fn number(bytes: &[u8]) -> Option<u64> {
-    Some(u64::from_be_bytes(bytes.try_into().ok()?))
-}
+    fn reserve_serials(&mut self) -> Result<(), JournalError> {
+        let reserved = self.next_serial + SERIAL_BLOCK;
+        let mut writes = self.database.batch();
+        writes.insert(&self.meta, NEXT_KEY, reserved.to_be_bytes().as_slice());
+        writes.commit()?;
+        self.database.persist(PersistMode::SyncAll)?;
+        Ok(())
+    }
 
-impl Journal {
-    /// Opens or begins one. `chance` names a new one: a journal that was lost and begun anew must not pass
-    /// for the old.
-    pub fn open(path: &Path, sync: Sync, bounds: Bounds, chance: u64) -> Result<Journal, Fault> {
-        let builder = Database::builder(path).worker_threads(1).cache_size(1 << 20);
-        let builder = builder.max_journaling_size(64 << 20).max_cached_files(Some(TABLES_OPEN));
-        let db = builder.open()?;
-        let keyspace =
-            |name: &str| db.keyspace(name, || KeyspaceCreateOptions::default().max_memtable_size(2 << 20));
-        let (records, order, meta) = (keyspace("records")?, keyspace("order")?, keyspace("meta")?);
-        let name = match meta.get(NAME)? {
-            Some(name) => String::from_utf8_lossy(&name).into_owned(),
-            None => {
-                let name = format!("{chance:016x}");
-                meta.insert(NAME, name.as_bytes())?;
-                name
-            }
+    /// Applies a batch in its order, and answers once all of it has come as far as it must.
+    ///
+    /// # Errors
+    /// The store fails. Nothing is answered then: what waits for it must not be sent.
+    pub fn apply(
+        &mut self,
+        clock: impl Into<ClockReading>,
+        operations: &[Operation],
+    ) -> Result<Vec<Reply>, JournalError> {
+        let mut batch = Batch {
+            writes: self.database.batch(),
+            changed: HashMap::new(),
+            next_serial: self.next_serial,
+            count: self.count,
+            clock: clock.into(),
         };
-        let kept = |key: &str| -> Result<u64, Fault> {
-            Ok(meta.get(key)?.and_then(|word| number(&word)).unwrap_or(0))
-        };
-        let (floor, next, count) = (kept(FLOOR)?, kept(NEXT)?, kept(COUNT)?);
-        let mut journal = Journal { db, records, order, meta, name, next, floor, count, sync, bounds };
-        journal.set_aside()?;
-        Ok(journal)
+        let wall_ms = batch.clock.wall_ms;
+        let replies: Result<Vec<Reply>, JournalError> =
+            operations.iter().map(|operation| self.apply_one(&mut batch, operation)).collect();
+        let replies = replies?;
+        self.commit(batch)?;
+        self.drop_expired(wall_ms)?;
+        Ok(replies)
     }
 
-    /// Where the journal stands: what a client is told at the start of a connection.
-    pub fn origin(&self) -> Origin {
-        Origin { journal: self.name.clone(), serial: self.next }
+    fn apply_one(&self, batch: &mut Batch, operation: &Operation) -> Result<Reply, JournalError> {
+        match operation {
+            Operation::Record { id, event, deduplication } => {
+                let permission = self.record(batch, id, *event, *deduplication)?;
+                Ok(Reply::Permission(permission))
+            }
+            Operation::QueryFate { id, origin, request_open } => {
+                let state = self.find(id, batch)?.map(|record| record.state);
+                let covered = origin.as_ref().is_some_and(|origin| self.covers(origin));
+                let decision = fate(Evidence { state, covered, request_open: *request_open });
+                if decision.must_bar {
+                    self.record(batch, id, RecordEvent::Bar, None)?;
+                }
+                Ok(Reply::Fate(decision.fate))
+            }
+        }
     }
 
-    fn set_aside(&mut self) -> Result<(), Fault> {
-        let mut batch = self.db.batch();
-        batch.insert(&self.meta, NEXT, (self.next + BLOCK).to_be_bytes().as_slice());
-        batch.commit()?;
-        self.db.persist(PersistMode::SyncAll)?;
-        Ok(())
+    /// Whether no record made since a connection with this origin began was dropped.
+    fn covers(&self, origin: &Origin) -> bool {
+        origin.journal == self.name && origin.serial >= self.floor
     }
 
-    fn find(&self, id: &str, fresh: &HashMap<String, Record>) -> Result<Option<Record>, Fault> {
-        if let Some(record) = fresh.get(id) {
-            return Ok(Some(*record));
+    fn find(&self, id: &str, batch: &Batch) -> Result<Option<Record>, JournalError> {
+        match batch.changed.get(id) {
+            Some(record) => Ok(Some(*record)),
+            None => self.read(id),
         }
-        Ok(self.records.get(id)?.map(|bytes| Record::read(&bytes)))
     }
 
-    /// Works off a batch in its order, and answers once all of it has come as far as it must. Where that
-    /// fails nothing is answered: what waits must not leave.
-    pub fn apply(&mut self, now: impl Into<Now>, ops: &[Op]) -> Result<Vec<Reply>, Fault> {
-        let Now { wall_ms: now_ms, up } = now.into();
-        let (mut fresh, mut replies) = (HashMap::new(), Vec::with_capacity(ops.len()));
-        let mut batch = self.db.batch();
-        let (mut next_serial, mut count) = (self.next, self.count);
-        for op in ops {
-            let (id, input, token, reply) = match op {
-                Op::Record { id, input, token } => (id, Some(*input), *token, None),
-                Op::Ask { id, origin, alive } => {
-                    let state = self.find(id, &fresh)?.map(|record| record.state);
-                    let covered = origin
-                        .as_ref()
-                        .is_some_and(|origin| origin.journal == self.name && origin.serial >= self.floor);
-                    let (fate, bar) = fate(Known { state, covered, alive: *alive });
-                    (id, bar.then_some(Input::Bar), None, Some(Reply::Fate(fate)))
-                }
-            };
-            let Some(input) = input else {
-                replies.extend(reply);
-                continue;
-            };
-            let before = self.find(id, &fresh)?;
-            let kept = before.and_then(|record| record.token);
-            let passed = up.zip(kept).and_then(|(up, (_, first))| up.since(first));
-            let input = match still_dropped(kept.map(|(token, _)| token), token, passed) {
-                Some(left_ms) if input == Input::Intend => Input::Rejoin { left_ms },
-                _ => input,
-            };
-            let (state, leave) = next(before.map(|record| record.state), input);
-            if let Some(state) = state.filter(|state| before.map(|record| record.state) != Some(*state)) {
-                // The time of the first sending that may have run stays: memories count from there. One that is
-                // free begins anew, with its place in the order: under the old one it would be dropped unseen
-                // by those who sent it later.
-                let first = before.filter(|record| record.state != State::Free);
-                let serial = first.map_or(next_serial, |record| record.serial);
-                if first.is_none() {
-                    (next_serial, count) = (next_serial + 1, count + 1);
-                    batch.insert(&self.order, serial.to_be_bytes().as_slice(), id.as_bytes());
-                }
-                let at_ms = first.map_or(now_ms, |record| record.at_ms);
-                let token = first.map_or(token.zip(up), |record| record.token);
-                let record = Record { serial, state, at_ms, token };
-                batch.insert(&self.records, id.as_bytes(), record.bytes());
-                fresh.insert(id.clone(), record);
-            }
-            replies.push(reply.unwrap_or(Reply::Leave(leave)));
+    fn read(&self, id: &str) -> Result<Option<Record>, JournalError> {
+        Ok(self.records.get(id)?.map(|bytes| Record::decode(&bytes)))
+    }
+
+    fn record(
+        &self,
+        batch: &mut Batch,
+        id: &str,
+        event: RecordEvent,
+        deduplication: Option<Deduplication>,
+    ) -> Result<SendPermission, JournalError> {
+        let before = self.find(id, batch)?;
+        let event = rejoin(before, event, deduplication, batch.clock.uptime);
+        let state_before = before.map(|record| record.state);
+        let transition = next(state_before, event);
+        if let Some(state) = transition.state.filter(|state| state_before != Some(*state)) {
+            self.write(batch, id, before, state, deduplication);
         }
-        if !fresh.is_empty() {
-            batch.insert(&self.meta, COUNT, count.to_be_bytes().as_slice());
-            batch.commit()?;
-            self.db.persist(match self.sync {
-                Sync::System => PersistMode::Buffer,
-                Sync::Disk => PersistMode::SyncData,
+        Ok(transition.permission)
+    }
+
+    /// The time of the first attempt that may have run stays: windows count from there. A record of a write that did not
+    /// run begins anew, with its place in the order: at the old one it would be dropped unnoticed by those who sent it
+    /// later.
+    fn write(
+        &self,
+        batch: &mut Batch,
+        id: &str,
+        before: Option<Record>,
+        state: RecordState,
+        deduplication: Option<Deduplication>,
+    ) {
+        let record = match before.filter(|record| record.state != RecordState::NotExecuted) {
+            Some(first) => Record { state, ..first },
+            None => {
+                let serial = batch.next_serial;
+                batch.next_serial += 1;
+                batch.count += 1;
+                batch.writes.insert(&self.order, serial.to_be_bytes().as_slice(), id.as_bytes());
+                let keyed = deduplication.zip(batch.clock.uptime);
+                let keyed = keyed.map(|(deduplication, first_sent)| KeyedSend { deduplication, first_sent });
+                Record { serial, state, first_sent_ms: batch.clock.wall_ms, keyed }
+            }
+        };
+        batch.writes.insert(&self.records, id.as_bytes(), record.encode());
+        batch.changed.insert(id.to_string(), record);
+    }
+
+    fn commit(&mut self, mut batch: Batch) -> Result<(), JournalError> {
+        if !batch.changed.is_empty() {
+            batch.writes.insert(&self.meta, COUNT_KEY, batch.count.to_be_bytes().as_slice());
+            batch.writes.commit()?;
+            self.database.persist(match self.durability {
+                Durability::System => PersistMode::Buffer,
+                Durability::Disk => PersistMode::SyncData,
             })?;
         }
-        let (before, after) = (self.next / BLOCK, next_serial / BLOCK);
-        (self.next, self.count) = (next_serial, count);
-        if before != after {
-            self.set_aside()?;
+        let block_before = self.next_serial / SERIAL_BLOCK;
+        self.next_serial = batch.next_serial;
+        self.count = batch.count;
+        if block_before != self.next_serial / SERIAL_BLOCK {
+            self.reserve_serials()?;
         }
-        self.drop_old(now_ms)?;
-        Ok(replies)
+        Ok(())
     }
 
-    /// When a write was first about to leave, where it is on record.
-    pub fn first_sent(&self, id: &str) -> Result<Option<i64>, Fault> {
-        Ok(self.records.get(id)?.map(|bytes| Record::read(&bytes).at_ms))
+    /// When a write was first about to be sent, in Unix milliseconds, if it is recorded.
+    ///
+    /// # Errors
+    /// The store fails.
+    pub fn first_sent_ms(&self, id: &str) -> Result<Option<i64>, JournalError> {
+        Ok(self.read(id)?.map(|record| record.first_sent_ms))
     }
 
-    /// Gives back what is beyond the bounds, a few records at a time and always the earliest. The floor goes
-    /// up in the same batch: what was dropped is never taken for what never was.
-    fn drop_old(&mut self, now_ms: i64) -> Result<(), Fault> {
-        let mut batch = self.db.batch();
+    /// Drops what is beyond the retention, a few records at a time and always the earliest. The floor rises in the same
+    /// batch: what was dropped is never taken for what never was.
+    fn drop_expired(&mut self, wall_ms: i64) -> Result<(), JournalError> {
+        let mut writes = self.database.batch();
         let (mut floor, mut count) = (self.floor, self.count);
-        for guard in self.order.iter().take(64) {
-            let (serial, id) = guard.into_inner()?;
+        for entry in self.order.iter().take(MAX_DROPPED_PER_BATCH) {
+            let (serial, id) = entry.into_inner()?;
             let Some(serial) = number(&serial) else { continue };
-            // A place that its record has left for a later one is of no use.
-            let record = self.records.get(&id)?.map(|bytes| Record::read(&bytes));
+            // An entry that its record has left for a later one is of no use.
+            let record = self.records.get(&id)?.map(|bytes| Record::decode(&bytes));
             let record = record.filter(|record| record.serial == serial);
-            let old = record.is_none_or(|record| now_ms - record.at_ms > self.bounds.age_ms);
-            if !old && count <= self.bounds.most {
+            let expired =
+                record.is_none_or(|record| wall_ms - record.first_sent_ms > self.retention.max_age_ms);
+            if !expired && count <= self.retention.max_records {
                 break;
             }
-            batch.remove(&self.order, serial.to_be_bytes().as_slice());
+            writes.remove(&self.order, serial.to_be_bytes().as_slice());
             if record.is_some() {
-                batch.remove(&self.records, id);
+                writes.remove(&self.records, id);
             }
-            (floor, count) = (serial + 1, count.saturating_sub(1));
+            floor = serial + 1;
+            count = count.saturating_sub(1);
         }
         if floor != self.floor {
-            batch.insert(&self.meta, FLOOR, floor.to_be_bytes().as_slice());
-            batch.insert(&self.meta, COUNT, count.to_be_bytes().as_slice());
-            batch.commit()?;
-            (self.floor, self.count) = (floor, count);
+            writes.insert(&self.meta, FLOOR_KEY, floor.to_be_bytes().as_slice());
+            writes.insert(&self.meta, COUNT_KEY, count.to_be_bytes().as_slice());
+            writes.commit()?;
+            self.floor = floor;
+            self.count = count;
         }
         Ok(())
     }
 }
+
+/// A request that starts with the idempotency key of a recorded one is its duplicate while those are dropped.
+fn rejoin(
+    before: Option<Record>,
+    event: RecordEvent,
+    deduplication: Option<Deduplication>,
+    uptime: Option<Uptime>,
+) -> RecordEvent {
+    let keyed = before.and_then(|record| record.keyed);
+    let passed_ms = uptime.zip(keyed).and_then(|(uptime, keyed)| uptime.since(keyed.first_sent));
+    let recorded = keyed.map(|keyed| keyed.deduplication);
+    match remaining_window_ms(recorded, deduplication, passed_ms) {
+        Some(remaining_ms) if event == RecordEvent::Starting => RecordEvent::Rejoining { remaining_ms },
+        _ => event,
+    }
+}
+
+fn read_or_create_name(meta: &Keyspace, chance: u64) -> Result<String, JournalError> {
+    if let Some(name) = meta.get(NAME_KEY)? {
+        return Ok(String::from_utf8_lossy(&name).into_owned());
+    }
+    let name = format!("{chance:016x}");
+    meta.insert(NAME_KEY, name.as_bytes())?;
+    Ok(name)
+}
+
+fn read_number(meta: &Keyspace, key: &str) -> Result<u64, JournalError> {
+    Ok(meta.get(key)?.and_then(|bytes| number(&bytes)).unwrap_or(0))
+}
+
+fn number(bytes: &[u8]) -> Option<u64> {
+    Some(u64::from_be_bytes(bytes.try_into().ok()?))
+}
--- a/write-journal/src/lib.rs
+++ b/write-journal/src/lib.rs
@@ -1,9 +1,13 @@
-//! The journal of writes. A write that may not run twice is recorded before its last byte leaves for a store,
-//! and what became of it when that is known; so a front that starts over can say what became of a write that
-//! is asked about again.
+//! The journal of writes. A write that must not run twice is recorded before its last byte leaves for an endpoint, and so
+//! is what became of it; so an instance that was restarted can tell a client that asks again.
 //!
-//! [`fate`] decides, free of I/O; [`journal`] keeps the records on an embedded store. `docs/sessions.md`
-//! states what is guaranteed.
+//! - [`record_state`]: the decisions, free of I/O
+//! - [`journal`]: the records, on an embedded key-value store
+//!
+//! `docs/sessions.md` states what is guaranteed.
+
+#![warn(missing_docs)]
 
-pub mod fate;
+mod encoding;
 pub mod journal;
+pub mod record_state;
--- a/write-journal/tests/earlier_build.rs
+++ b/write-journal/tests/earlier_build.rs
@@ -2,8 +2,8 @@
 //! commit 0eda158, not by the code under test; zeros at the end of its log, up to 64 MiB, were cut off.
 
 use std::path::Path;
-use write_journal::fate::{Fate, Input, Leave, Origin, Token, Uptime};
-use write_journal::journal::{Bounds, Journal, Now, Op, Reply, Sync};
+use write_journal::journal::{ClockReading, Durability, Journal, Operation, Reply, Retention};
+use write_journal::record_state::{Deduplication, Fate, Origin, RecordEvent, SendPermission, Uptime};
 
 /// What the log file is set aside as.
 const LOG_BYTES: u64 = 64 << 20;
@@ -29,31 +29,31 @@
     let log = std::fs::OpenOptions::new().write(true).open(path.join("0.jnl")).expect("the log");
     log.set_len(LOG_BYTES).expect("made as long as it was");
     drop(log);
-    let bounds = Bounds { most: 1000, age_ms: i64::MAX };
-    let mut journal = Journal::open(&path, Sync::System, bounds, 1).expect("opened");
+    let bounds = Retention { max_records: 1000, max_age_ms: i64::MAX };
+    let mut journal = Journal::open(&path, Durability::System, bounds, 1).expect("opened");
     let origin = journal.origin();
     assert_eq!(origin.journal, "9f3c01aa52e87d14", "its name stays");
     assert!(origin.serial >= 5, "no serial is handed out again: {origin}");
     for id in ["open", "ran", "ran-unsaid", "free", "barred"] {
-        assert_eq!(journal.first_sent(id).expect("read"), Some(1_790_000_000_000), "{id}");
+        assert_eq!(journal.first_sent_ms(id).expect("read"), Some(1_790_000_000_000), "{id}");
     }
     // 40 s after they were first sent, within the memory of 60 s, on the same start of the machine.
-    let now = Now { wall_ms: 1_790_000_040_000, up: Some(Uptime { boot: 7, ms: 45_000 }) };
-    let token = Some(Token { scope: Some(3), memory_ms: 60_000 });
-    let again = Op::Record { id: "open".into(), input: Input::Intend, token };
-    let joined = Reply::Leave(Leave::Join { left_ms: 60_000 - 40_000 - 10 });
+    let now = ClockReading { wall_ms: 1_790_000_040_000, uptime: Some(Uptime { boot: 7, ms: 45_000 }) };
+    let deduplication = Some(Deduplication { group: Some(3), window_ms: 60_000 });
+    let again = Operation::Record { id: "open".into(), event: RecordEvent::Starting, deduplication };
+    let joined = Reply::Permission(SendPermission::GrantedAsDuplicate { remaining_ms: 60_000 - 40_000 - 10 });
     assert_eq!(journal.apply(now, &[again]).expect("applied"), [joined]);
 
     let origin = Origin::parse("9f3c01aa52e87d14.0");
-    let ask = |id: &str| Op::Ask { id: id.into(), origin: origin.clone(), alive: false };
+    let ask = |id: &str| Operation::QueryFate { id: id.into(), origin: origin.clone(), request_open: false };
     let asked = ["open", "ran", "ran-unsaid", "free", "barred", "never-seen"].map(ask);
     let fates = [
-        Fate::NotKnown,
-        Fate::Ran(Some(1_790_000_000_005)),
-        Fate::Ran(None),
-        Fate::Never,
-        Fate::Never,
-        Fate::Never,
+        Fate::Unknown,
+        Fate::Executed(Some(1_790_000_000_005)),
+        Fate::Executed(None),
+        Fate::NeverExecuted,
+        Fate::NeverExecuted,
+        Fate::NeverExecuted,
     ];
     assert_eq!(journal.apply(now, &asked).expect("applied"), fates.map(Reply::Fate));
 }
