--- /dev/null
+++ b/server/tests/journal_batches.rs
@@ -0,0 +1,31 @@
+//! The thread of the journal of writes: operations that come faster than they are written go in several batches, and each gets
+//! its reply.
+
+use server::storage::journal::WriteJournal;
+use std::sync::mpsc::channel;
+use std::time::Duration;
+use write_journal::journal::{Durability, Retention, MAX_BATCH};
+use write_journal::record_state::{Fate, RecordEvent};
+
+#[test]
+fn every_operation_of_a_long_queue_gets_its_reply() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let retention = Retention { max_records: 100_000, max_age_ms: 3_600_000 };
+    let journal = WriteJournal::start(&folder.path().join("writes"), Durability::Disk, retention, 7);
+    let journal = journal.expect("it opens");
+    let queries = 40 * MAX_BATCH;
+    let (replies, replied) = channel();
+    for index in 0..queries {
+        // Writing these takes the thread long enough for a queue to form behind them.
+        journal.record_end(&format!("written-{index}"), RecordEvent::NotExecuted);
+        let replies = replies.clone();
+        journal.query_fate(format!("unknown-{index}"), None, false, move |fate| _ = replies.send(fate));
+    }
+    drop(replies);
+    let mut count = 0;
+    while let Ok(fate) = replied.recv_timeout(Duration::from_secs(30)) {
+        assert_eq!(fate, Fate::Unknown);
+        count += 1;
+    }
+    assert_eq!(count, queries);
+}
--- /dev/null
+++ b/server/tests/layers.rs
@@ -0,0 +1,68 @@
+//! The layers of the server: a module uses only those that stand before it in this list.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+/// From the bottom up, as the crate's documentation lists them.
+const LAYERS: [&str; 13] = [
+    "runtime",
+    "protocol",
+    "messages",
+    "storage",
+    "endpoints",
+    "discovery",
+    "control",
+    "clients",
+    "admin",
+    "config",
+    "exit_status",
+    "startup",
+    "cli",
+];
+
+fn source_files(folder: &Path, files: &mut Vec<PathBuf>) {
+    for entry in fs::read_dir(folder).expect("a folder").flatten() {
+        let path = entry.path();
+        if path.is_dir() {
+            source_files(&path, files);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            files.push(path);
+        }
+    }
+}
+
+/// The layer of a file: its first folder, or its own name.
+fn layer_of(file: &Path, root: &Path) -> String {
+    let first = file.strip_prefix(root).expect("below the root").components().next();
+    let name = first.expect("a name").as_os_str().to_string_lossy().into_owned();
+    name.trim_end_matches(".rs").to_string()
+}
+
+fn rank(layer: &str) -> usize {
+    LAYERS.iter().position(|known| *known == layer).unwrap_or_else(|| panic!("{layer} is no layer"))
+}
+
+#[test]
+fn no_layer_uses_one_above_it() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    let mut files = Vec::new();
+    source_files(&root, &mut files);
+    let mut uses = 0;
+    for file in files {
+        let layer = layer_of(&file, &root);
+        if layer == "lib" || layer == "main" {
+            continue;
+        }
+        let text = fs::read_to_string(&file).expect("text");
+        for used in text.split("crate::").skip(1) {
+            let name: String =
+                used.chars().take_while(|char| char.is_ascii_lowercase() || *char == '_').collect();
+            if name == "log" || name.is_empty() {
+                continue; // The macro, which is exported at the root.
+            }
+            uses += 1;
+            assert!(rank(&name) <= rank(&layer), "{} uses {name}", file.display());
+        }
+    }
+    assert!(uses > 100, "{uses} uses were found");
+}
