--- a/admission/src/concurrency_limiter/fair_queue.rs
+++ b/admission/src/concurrency_limiter/fair_queue.rs
@@ -35,18 +35,22 @@
 type FlowOrder = (usize, u64, u64, ClientAddress);
 
 impl Flow {
+    /// Requests that wait.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
     }
 
+    /// The request that has waited longest.
     pub fn oldest(&self) -> Option<RequestId> {
         self.waiting.front().copied()
     }
 
+    /// The request that has waited shortest.
     pub fn newest(&self) -> Option<RequestId> {
         self.waiting.back().copied()
     }
 
+    /// A request waits.
     pub fn push(&mut self, request: RequestId, now: Timestamp) {
         if self.waiting.is_empty() {
             self.waiting_since = now;
@@ -54,6 +58,7 @@
         self.waiting.push_back(request);
     }
 
+    /// A request waits no longer.
     pub fn remove(&mut self, request: RequestId) {
         if self.oldest() == Some(request) {
             self.waiting.pop_front();
@@ -62,6 +67,19 @@
         }
     }
 
+    /// Applies a change of this number, and finds the flow's place in the order of its class.
+    fn apply(&mut self, change: impl FnOnce(&mut Flow), number: u64, class_virtual_time: u64) {
+        let (was_waiting, before) = (self.waiting() > 0, (self.in_flight, self.start_tag));
+        change(self);
+        if !was_waiting && self.waiting() > 0 {
+            // Nobody saves up service while nothing of it waits.
+            self.start_tag = self.start_tag.max(class_virtual_time);
+        }
+        if !was_waiting || before != (self.in_flight, self.start_tag) {
+            self.ordered_since = number;
+        }
+    }
+
     fn order(&self, address: ClientAddress) -> FlowOrder {
         (self.in_flight, self.start_tag, self.ordered_since, address)
     }
@@ -115,19 +133,23 @@
         queue
     }
 
+    /// Takes the weight and the limit of the class.
     pub fn set_limits(&mut self, class: Option<&ClientClass>) {
         self.weight = class.map_or(1, |class| u64::from(class.weight.max(1)));
         self.max_requests = class.and_then(|class| class.max_requests).unwrap_or(usize::MAX);
     }
 
+    /// Requests of the class, in flight or waiting.
     pub fn requests(&self) -> usize {
         self.in_flight + self.waiting
     }
 
+    /// The limit on them.
     pub fn max_requests(&self) -> usize {
         self.max_requests
     }
 
+    /// Whether it has no requests.
     pub fn is_idle(&self) -> bool {
         self.requests() == 0
     }
@@ -142,6 +164,7 @@
         (waiting as u64).saturating_mul(SHARE_UNIT) / self.weight
     }
 
+    /// What is known of a client.
     pub fn flow(&self, address: ClientAddress) -> Option<&Flow> {
         self.flows.get(&address)
     }
@@ -168,12 +191,14 @@
         self.virtual_time = self.virtual_time.max(client_tag);
     }
 
+    /// Sets when a client's oldest request has waited for too long.
     pub fn set_head_expiry(&mut self, address: ClientAddress, expiry: Timestamp) {
         if let Some(flow) = self.flows.get_mut(&address) {
             flow.head_expiry = Some(expiry);
         }
     }
 
+    /// Forgets a client.
     pub fn remove_flow(&mut self, address: ClientAddress) {
         self.flows.remove(&address);
         // A table that a flood has grown shrinks again.
@@ -194,16 +219,8 @@
     ) -> FlowChange {
         let flow = self.flows.entry(address).or_default();
         let (waiting_before, order_before) = (flow.waiting(), flow.order(address));
-        change(flow);
+        flow.apply(change, changes, self.virtual_time);
         let waiting_after = flow.waiting();
-        if waiting_before == 0 && waiting_after > 0 {
-            // Nobody saves up service while nothing of it waits.
-            flow.start_tag = flow.start_tag.max(self.virtual_time);
-        }
-        let moved = (flow.in_flight, flow.start_tag) != (order_before.0, order_before.1);
-        if moved || waiting_before == 0 {
-            flow.ordered_since = changes;
-        }
         if waiting_before > 0 {
             self.order.remove(&order_before);
         }
--- a/admission/src/concurrency_limiter/mod.rs
+++ b/admission/src/concurrency_limiter/mod.rs
@@ -7,167 +7,27 @@
 //! queue is short, and one that came by chance may be worked off. That rule is controlled delay (CoDel) as in Maurer, *Fail at
 //! Scale* (ACM Queue 13:8, 2015), kept for each client by itself.
 
+mod arrival_table;
 mod fair_queue;
+mod types;
+mod views;
 
-use crate::client_address::{AddressPrefixes, ClientAddress};
-use crate::client_class::{ClientClass, DEFAULT_CLASS};
+pub use types::{
+    Arrival, ClientKey, ConcurrencyLimits, Decision, LoadShed, RequestCounts, RequestId, ShedReason,
+};
+
+use crate::client_class::ClientClass;
 use crate::retry_after_jitter::RetryAfterJitter;
 use crate::retry_budget::RetryBudgets;
+use arrival_table::{Case, Step};
 use fair_queue::{ClassQueue, Flow, FlowChange, VIRTUAL_SERVICE};
 use routing::time::{TimeDelta, Timestamp};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::IpAddr;
 use std::sync::Arc;
 
-/// A number that the host gives each request, never twice.
-pub type RequestId = u64;
-
-/// Whom requests are counted for: an address, as a client of a class.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ClientKey {
-    /// The class.
-    pub class: Arc<str>,
-    /// The address.
-    pub address: ClientAddress,
-}
-
-impl ClientKey {
-    /// A client of the default class.
-    pub fn unclassified(from: IpAddr, prefixes: AddressPrefixes) -> ClientKey {
-        ClientKey { class: DEFAULT_CLASS.into(), address: ClientAddress::new(from, prefixes) }
-    }
-}
-
-/// How the limiter is set.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ConcurrencyLimits {
-    /// Requests in flight: 1 to 100,000.
-    pub max_in_flight: usize,
-    /// Requests that wait at most.
-    pub max_waiting: usize,
-    /// How long a request may wait whose client's requests have waited without a break.
-    pub target_wait: TimeDelta,
-    /// Retries per hundred first attempts, if they have a budget.
-    pub retry_percent: Option<u32>,
-}
-
 /// How long a queue may stand before it is kept short.
 pub const INTERVAL: TimeDelta = TimeDelta::from_millis(100);
 
-/// Why a request is shed. It was not worked on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum ShedReason {
-    /// The retry budget is used up.
-    RetryBudget,
-    /// Its class has as many requests here as it may.
-    ClassLimit,
-    /// The queue is full, and its client has most of it.
-    QueueFull,
-    /// Another request has its place: its client had most of the queue.
-    Displaced,
-    /// It waited as long as it may.
-    WaitedTooLong,
-}
-
-impl ShedReason {
-    /// All reasons.
-    pub const ALL: [ShedReason; 5] = [
-        ShedReason::RetryBudget,
-        ShedReason::ClassLimit,
-        ShedReason::QueueFull,
-        ShedReason::Displaced,
-        ShedReason::WaitedTooLong,
-    ];
-
-    /// Its label in metrics.
-    pub fn label(self) -> &'static str {
-        match self {
-            ShedReason::RetryBudget => "repeats",
-            ShedReason::ClassLimit => "rpcs",
-            ShedReason::QueueFull => "crowd",
-            ShedReason::Displaced => "displaced",
-            ShedReason::WaitedTooLong => "waited",
-        }
-    }
-}
-
-/// A request that was shed.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LoadShed {
-    /// The request.
-    pub request: RequestId,
-    /// The class of its client.
-    pub class: Arc<str>,
-    /// Why.
-    pub reason: ShedReason,
-    /// When its client may come back.
-    pub retry_after: TimeDelta,
-}
-
-/// A request has come.
-#[derive(Clone, Debug)]
-pub struct Arrival {
-    /// The request.
-    pub request: RequestId,
-    /// Its client.
-    pub client: ClientKey,
-    /// Its client says that it sent the request before.
-    pub is_retry: bool,
-    /// When its client gives it up.
-    pub deadline: Timestamp,
-}
-
-/// What the limiter has decided. Each request that has come is admitted or shed, once, unless it is removed before.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Decision {
-    /// The request is in flight from now on.
-    Admit {
-        /// The request.
-        request: RequestId,
-        /// How long it waited.
-        waited: TimeDelta,
-    },
-    /// The request is shed.
-    Shed(LoadShed),
-}
-
-/// What the decision on a request that has come is made from.
-struct Case {
-    is_retry: bool,
-    within_retry_budget: bool,
-    class_requests: usize,
-    max_class_requests: usize,
-    in_flight: usize,
-    max_in_flight: usize,
-    waiting: usize,
-    max_waiting: usize,
-    /// Requests of its client that wait, in proportion to the client's weight, with this one.
-    queue_share: u64,
-    /// The greatest of any client.
-    max_queue_share: u64,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Step {
-    Admit,
-    Wait,
-    /// It waits in place of another.
-    Displace,
-    Shed(ShedReason),
-}
-
-type Row = (fn(&Case) -> bool, Step);
-
-/// The first row that fits counts.
-const TABLE: &[Row] = &[
-    (|case| case.is_retry && !case.within_retry_budget, Step::Shed(ShedReason::RetryBudget)),
-    (|case| case.class_requests >= case.max_class_requests, Step::Shed(ShedReason::ClassLimit)),
-    (|case| case.in_flight < case.max_in_flight, Step::Admit),
-    (|case| case.waiting < case.max_waiting, Step::Wait),
-    (|case| case.queue_share < case.max_queue_share, Step::Displace),
-    (|_| true, Step::Shed(ShedReason::QueueFull)),
-];
-
 /// A request that is here.
 #[derive(Debug)]
 enum Request {
@@ -295,7 +155,7 @@
     pub fn arrive(&mut self, now: Timestamp, arrival: Arrival, decisions: &mut Vec<Decision>) {
         self.tick(now, decisions);
         let case = self.case(now, &arrival);
-        let step = TABLE.iter().find(|(fits, _)| fits(&case)).map_or(Step::Admit, |(_, step)| *step);
+        let step = arrival_table::decide(&case);
         let Arrival { request, client, is_retry, deadline } = arrival;
         if let Step::Shed(reason) = step {
             return self.shed(now, request, client.class, reason, decisions);
@@ -508,52 +368,4 @@
         let retry_after = self.jitter.next(now, TimeDelta::ZERO);
         decisions.push(Decision::Shed(LoadShed { request, class, reason, retry_after }));
     }
-
-    /// Requests by class, if there are any.
-    pub fn requests_by_class(&self) -> impl Iterator<Item = (&str, RequestCounts)> {
-        let busy = self.queues.iter().filter(|(_, queue)| !queue.is_idle());
-        busy.map(|(name, queue)| {
-            (&**name, RequestCounts { in_flight: queue.in_flight, waiting: queue.waiting })
-        })
-    }
-
-    /// The clients with most requests, `count` at most.
-    pub fn top_clients(&self, count: usize) -> Vec<(ClientKey, RequestCounts)> {
-        let mut clients: Vec<(ClientKey, RequestCounts)> = Vec::new();
-        for (class, queue) in &self.queues {
-            clients.extend(queue.busy_flows().map(|(address, flow)| {
-                let counts = RequestCounts { in_flight: flow.in_flight, waiting: flow.waiting() };
-                (ClientKey { class: class.clone(), address }, counts)
-            }));
-        }
-        clients.sort_by(|a, b| (b.1.total(), &a.0).cmp(&(a.1.total(), &b.0)));
-        clients.truncate(count);
-        clients
-    }
-
-    /// Clients of which anything is remembered.
-    pub fn remembered_clients(&self) -> usize {
-        self.queues.values().map(ClassQueue::flows).sum()
-    }
-
-    /// Requests shed since the start, by class and reason.
-    pub fn shed_counts(&self) -> impl Iterator<Item = (&str, ShedReason, u64)> {
-        self.shed.iter().map(|((name, reason), count)| (&**name, *reason, *count))
-    }
-}
-
-/// How many requests are here.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct RequestCounts {
-    /// In flight.
-    pub in_flight: usize,
-    /// Waiting.
-    pub waiting: usize,
-}
-
-impl RequestCounts {
-    /// All of them.
-    pub fn total(self) -> usize {
-        self.in_flight + self.waiting
-    }
 }
--- a/endpoint-cache/src/encoding.rs
+++ b/endpoint-cache/src/encoding.rs
@@ -59,12 +59,12 @@
     }
     let body = bytes.get(head.len() + 1..);
     let head = std::str::from_utf8(head).map_err(|_| FileError::Torn)?;
-    let words: Vec<&str> = head.split(' ').collect();
-    let format: u32 = words.get(1).and_then(|word| word.parse().ok()).ok_or(FileError::Torn)?;
+    let tokens: Vec<&str> = head.split(' ').collect();
+    let format: u32 = tokens.get(1).and_then(|token| token.parse().ok()).ok_or(FileError::Torn)?;
     if format > FORMAT {
         return Err(FileError::Newer(format));
     }
-    let [_, _, length, checksum] = words[..] else { return Err(FileError::Torn) };
+    let [_, _, length, checksum] = tokens[..] else { return Err(FileError::Torn) };
     let body = body.ok_or(FileError::Torn)?;
     if !fits(body, length, checksum) {
         return Err(FileError::Torn);
--- a/history-checker/src/lib.rs
+++ b/history-checker/src/lib.rs
@@ -156,10 +156,12 @@
 }
 
 impl Verdict {
+    /// How often a rule was broken.
     pub fn of(&self, rule: Rule) -> usize {
         self.offences.iter().filter(|offence| offence.rule == rule).count()
     }
 
+    /// Adds another verdict.
     pub fn add(&mut self, other: Verdict) {
         self.asked += other.asked;
         self.ok += other.ok;
@@ -197,6 +199,7 @@
     verdict: Verdict,
 }
 
+/// Judges a history by all rules.
 pub fn judge(history: &History) -> Verdict {
     let mut runs: HashMap<&str, Vec<&Run>> = HashMap::new();
     history.runs.iter().for_each(|run| runs.entry(&run.id).or_default().push(run));
--- a/host-support/src/bootstrap_config.rs
+++ b/host-support/src/bootstrap_config.rs
@@ -51,8 +51,8 @@
     #[serde(default)]
     pub late_value: f64,
     /// How long duplicates of a key are dropped.
-    #[serde(default)]
-    pub memory_span_ns: i64,
+    #[serde(default, rename = "memorySpanNs")]
+    pub dedup_window_ns: i64,
     /// The value of an answer in time.
     #[serde(default)]
     pub gain: f64,
@@ -73,8 +73,8 @@
     #[serde(default)]
     pub session_marks: String,
     /// How long an endpoint that holds a read waits to catch up.
-    #[serde(default)]
-    pub patience_ns: i64,
+    #[serde(default, rename = "patienceNs")]
+    pub max_catch_up_wait_ns: i64,
     /// The origin of positions.
     #[serde(default)]
     pub counted_from_ns: i64,
--- a/host-support/src/routing_settings.rs
+++ b/host-support/src/routing_settings.rs
@@ -12,12 +12,12 @@
     #[error("{0}: must be above 0")]
     NotPositive(&'static str),
     /// A word is not one of those that the key takes.
-    #[error("{key}: {word:?} is not known")]
+    #[error("{key}: {value:?} is not known")]
     UnknownWord {
         /// The key.
         key: &'static str,
         /// The word.
-        word: String,
+        value: String,
     },
     /// A list does not have one entry per method.
     #[error("{0}: not one entry a class")]
@@ -27,8 +27,8 @@
     ObjectiveOutOfRange(usize),
 }
 
-fn unknown(key: &'static str, word: &str) -> SettingsError {
-    SettingsError::UnknownWord { key, word: word.to_string() }
+fn unknown(key: &'static str, value: &str) -> SettingsError {
+    SettingsError::UnknownWord { key, value: value.to_string() }
 }
 
 /// Converts a bootstrap configuration.
@@ -48,7 +48,7 @@
         zone: config.zone,
         clock_resolution: TimeDelta(config.resolution_ns),
         lag_handling: lag_handling(config)?,
-        clients_carry_positions: replication.session_marks == "client",
+        clients_hold_positions: replication.session_marks == "client",
         list_poll_within: list_poll_within(config)?,
         max_attempts: config.allowed.max_attempts,
         may_cancel: config.allowed.may_cancel,
@@ -91,8 +91,8 @@
     })
 }
 
-fn access(word: &str, bound: TimeDelta) -> Result<Access, SettingsError> {
-    match word {
+fn access(value: &str, bound: TimeDelta) -> Result<Access, SettingsError> {
+    match value {
         "update" => Ok(Access::Write),
         "latest" => Ok(Access::StrongRead),
         "own_writes" => Ok(Access::SessionRead),
@@ -103,7 +103,7 @@
 }
 
 fn idempotency(method: &MethodConfig) -> Result<Idempotency, SettingsError> {
-    let dedup_window = TimeDelta(method.memory_span_ns);
+    let dedup_window = TimeDelta(method.dedup_window_ns);
     match (method.effect.as_str(), method.key_scope.as_str()) {
         ("read_like", _) => Ok(Idempotency::Idempotent),
         ("idempotency_key", "all") => Ok(Idempotency::Keyed { all_groups: true, dedup_window }),
@@ -119,7 +119,7 @@
     match config.family_info.guards.as_str() {
         "off" => Ok(LagHandling::ServeStale),
         "reject" => Ok(LagHandling::Reject),
-        "hold" => Ok(LagHandling::Wait(TimeDelta(config.family_info.patience_ns))),
+        "hold" => Ok(LagHandling::Wait(TimeDelta(config.family_info.max_catch_up_wait_ns))),
         other => Err(unknown("familyInfo.guards", other)),
     }
 }
--- a/operator-config/src/client_class_line.rs
+++ b/operator-config/src/client_class_line.rs
@@ -69,14 +69,14 @@
 ];
 
 /// A network, or a single address.
-fn network(word: &str) -> Result<IpNet, ValueError> {
-    let network = word.parse().or_else(|_| word.parse::<IpAddr>().map(IpNet::from));
-    network.map_err(|error| unreadable_item(word, error))
+fn network(value: &str) -> Result<IpNet, ValueError> {
+    let network = value.parse().or_else(|_| value.parse::<IpAddr>().map(IpNet::from));
+    network.map_err(|error| unreadable_item(value, error))
 }
 
-fn user(word: &str) -> Result<Arc<str>, ValueError> {
-    let fits = (1..=MAX_USER_BYTES).contains(&word.len()) && !word.contains(char::is_control);
-    fits.then(|| word.into()).ok_or_else(|| ValueError::BadUser(word.to_string()))
+fn user(value: &str) -> Result<Arc<str>, ValueError> {
+    let fits = (1..=MAX_USER_BYTES).contains(&value.len()) && !value.contains(char::is_control);
+    fits.then(|| value.into()).ok_or_else(|| ValueError::BadUser(value.to_string()))
 }
 
 fn is_class_name(name: &str) -> bool {
@@ -93,8 +93,8 @@
     let mut class = ClientClass::named(name);
     let mut seen = Vec::new();
     for pair in pairs.chunks(2) {
-        let [word, value] = pair else { return Err(Problem::MissingValue(pair[0].clone())) };
-        let property = find_property(word)?;
+        let [name, value] = pair else { return Err(Problem::MissingValue(pair[0].clone())) };
+        let property = find_property(name)?;
         if seen.contains(&property.name) {
             return Err(Problem::RepeatedProperty(property.name));
         }
@@ -105,9 +105,9 @@
     Ok(class)
 }
 
-fn find_property(word: &str) -> Result<&'static Property, Problem> {
-    PROPERTIES.iter().find(|property| property.name == word).ok_or_else(|| {
+fn find_property(name: &str) -> Result<&'static Property, Problem> {
+    PROPERTIES.iter().find(|property| property.name == name).ok_or_else(|| {
         let known: Vec<&str> = PROPERTIES.iter().map(|property| property.name).collect();
-        Problem::UnknownProperty { word: word.to_string(), known: known.join(", ") }
+        Problem::UnknownProperty { name: name.to_string(), known: known.join(", ") }
     })
 }
--- a/operator-config/src/error.rs
+++ b/operator-config/src/error.rs
@@ -1,6 +1,6 @@
 //! What can be wrong with an operators' file.
 
-use crate::words::QuoteError;
+use crate::tokens::QuoteError;
 use admission::ClassError;
 use std::fmt;
 use thiserror::Error;
@@ -60,10 +60,10 @@
     #[error("{0} has no value")]
     MissingValue(String),
     /// A property of a class is not known.
-    #[error("{word:?} is none of {known}")]
+    #[error("{name:?} is none of {known}")]
     UnknownProperty {
         /// The word.
-        word: String,
+        name: String,
         /// The properties that are known.
         known: String,
     },
@@ -90,28 +90,28 @@
     #[error("{0:?} is not an absolute path")]
     NotAbsolute(String),
     /// It is not within its bounds.
-    #[error("{word:?} is not between {least} and {most}")]
+    #[error("{value:?} is not between {least} and {most}")]
     OutOfRange {
         /// The value.
-        word: String,
+        value: String,
         /// The least.
         least: String,
         /// The most.
         most: String,
     },
     /// It cannot be read.
-    #[error("{word:?}: {reason}")]
+    #[error("{value:?}: {reason}")]
     Unreadable {
         /// The value.
-        word: String,
+        value: String,
         /// Why not.
         reason: String,
     },
     /// It is not one of the words that are known.
-    #[error("{word:?} is none of {known}")]
+    #[error("{value:?} is none of {known}")]
     NotOneOf {
         /// The value.
-        word: String,
+        value: String,
         /// The words.
         known: String,
     },
--- a/operator-config/src/keywords.rs
+++ b/operator-config/src/keywords.rs
@@ -18,80 +18,81 @@
     Keyword { name, set }
 }
 
+/// All keywords with one value, in the order of the operators' page.
 pub const KEYWORDS: &[Keyword] = &[
-    keyword("state-dir", |settings, word| {
-        settings.state_dir = Some(path(word)?);
+    keyword("state-dir", |settings, value| {
+        settings.state_dir = Some(path(value)?);
         Ok(())
     }),
-    keyword("save-gap", |settings, word| {
-        settings.save_interval = duration(word, "100ms", "1h")?;
+    keyword("save-gap", |settings, value| {
+        settings.save_interval = duration(value, "100ms", "1h")?;
         Ok(())
     }),
-    keyword("store-identity", |settings, word| {
+    keyword("store-identity", |settings, value| {
         let known = [("none", EndpointIdentity::None), ("postgres", EndpointIdentity::Postgres)];
-        settings.endpoint_identity = one_of(word, &known)?;
+        settings.endpoint_identity = one_of(value, &known)?;
         Ok(())
     }),
-    keyword("session-keys", |settings, word| {
-        settings.session_keys = Some(path(word)?);
+    keyword("session-keys", |settings, value| {
+        settings.session_keys = Some(path(value)?);
         Ok(())
     }),
-    keyword("session-lasts", |settings, word| {
-        settings.session_lifetime = duration(word, "1s", "30days")?;
+    keyword("session-lasts", |settings, value| {
+        settings.session_lifetime = duration(value, "1s", "30days")?;
         Ok(())
     }),
-    keyword("write-journal", |settings, word| {
+    keyword("write-journal", |settings, value| {
         let known = [("off", JournalMode::Off), ("system", JournalMode::System), ("disk", JournalMode::Disk)];
-        settings.journal_mode = one_of(word, &known)?;
+        settings.journal_mode = one_of(value, &known)?;
         Ok(())
     }),
-    keyword("write-journal-keeps", |settings, word| {
-        settings.journal_max_age = duration(word, "1m", "30days")?;
+    keyword("write-journal-keeps", |settings, value| {
+        settings.journal_max_age = duration(value, "1m", "30days")?;
         Ok(())
     }),
-    keyword("write-journal-most", |settings, word| {
-        settings.journal_max_records = number(word, 1_000..=100_000_000)?;
+    keyword("write-journal-most", |settings, value| {
+        settings.journal_max_records = number(value, 1_000..=100_000_000)?;
         Ok(())
     }),
-    keyword("admit-prefix-4", |settings, word| {
-        settings.address_prefixes.v4 = number(word, 8..=32)?;
+    keyword("admit-prefix-4", |settings, value| {
+        settings.address_prefixes.v4 = number(value, 8..=32)?;
         Ok(())
     }),
-    keyword("admit-prefix-6", |settings, word| {
-        settings.address_prefixes.v6 = number(word, 16..=64)?;
+    keyword("admit-prefix-6", |settings, value| {
+        settings.address_prefixes.v6 = number(value, 16..=64)?;
         Ok(())
     }),
-    keyword("rpcs-at-once", |settings, word| {
-        settings.max_requests_in_flight = Some(number(word, 1..=100_000)?);
+    keyword("rpcs-at-once", |settings, value| {
+        settings.max_requests_in_flight = Some(number(value, 1..=100_000)?);
         Ok(())
     }),
-    keyword("rpcs-waiting", |settings, word| {
-        settings.max_requests_waiting = Some(number(word, 0..=100_000)?);
+    keyword("rpcs-waiting", |settings, value| {
+        settings.max_requests_waiting = Some(number(value, 0..=100_000)?);
         Ok(())
     }),
-    keyword("rpcs-target", |settings, word| {
-        settings.target_wait = duration(word, "1ms", "1s")?;
+    keyword("rpcs-target", |settings, value| {
+        settings.target_wait = duration(value, "1ms", "1s")?;
         Ok(())
     }),
-    keyword("repeats", |settings, word| {
-        settings.retry_percent = Some(percentage(word)?);
+    keyword("repeats", |settings, value| {
+        settings.retry_percent = Some(percentage(value)?);
         Ok(())
     }),
-    keyword("operators-socket", |settings, word| {
-        settings.admin_socket = Some(path(word)?);
+    keyword("operators-socket", |settings, value| {
+        settings.admin_socket = Some(path(value)?);
         Ok(())
     }),
-    keyword("log-format", |settings, word| {
-        settings.log_format = one_of(word, &[("text", LogFormat::Text), ("json", LogFormat::Json)])?;
+    keyword("log-format", |settings, value| {
+        settings.log_format = one_of(value, &[("text", LogFormat::Text), ("json", LogFormat::Json)])?;
         Ok(())
     }),
-    keyword("log-level", |settings, word| {
+    keyword("log-level", |settings, value| {
         let levels = ["error", "warn", "info", "debug"].map(|level| (level, level));
-        settings.log_level = one_of(word, &levels)?.to_string();
+        settings.log_level = one_of(value, &levels)?.to_string();
         Ok(())
     }),
-    keyword("log-buffer", |settings, word| {
-        settings.log_buffer = size(word, ByteSize::kb(4), ByteSize::mb(16))?;
+    keyword("log-buffer", |settings, value| {
+        settings.log_buffer = size(value, ByteSize::kb(4), ByteSize::mb(16))?;
         Ok(())
     }),
 ];
--- a/operator-config/src/lib.rs
+++ b/operator-config/src/lib.rs
@@ -8,10 +8,10 @@
 mod keywords;
 mod parser;
 mod settings;
+mod tokens;
 mod values;
-mod words;
 
 pub use error::{ConfigError, Problem, ValueError};
 pub use parser::parse;
 pub use settings::{EndpointIdentity, JournalMode, LogFormat, OperatorSettings};
-pub use words::{split, QuoteError};
+pub use tokens::{split, QuoteError};
--- a/operator-config/src/parser.rs
+++ b/operator-config/src/parser.rs
@@ -4,7 +4,7 @@
 use crate::error::{ConfigError, Problem};
 use crate::keywords::{Keyword, KEYWORDS};
 use crate::settings::OperatorSettings;
-use crate::words::split;
+use crate::tokens::split;
 
 /// May stand on many lines, one for each class.
 const CLASS_KEYWORD: &str = "admit";
@@ -34,16 +34,16 @@
 
 impl Parser {
     fn take_line(&mut self, line: usize, text: &str) {
-        let words = match split(text) {
-            Ok(words) => words,
+        let tokens = match split(text) {
+            Ok(tokens) => tokens,
             Err(error) => return self.fail(line, "", error.into()),
         };
-        let Some((keyword, values)) = words.split_first() else { return };
+        let Some((keyword, values)) = tokens.split_first() else { return };
         let taken = if keyword == CLASS_KEYWORD {
             self.last_class_line = line;
             self.take_class(values)
         } else {
-            self.take_keyword(line, keyword, values)
+            self.apply_keyword(line, keyword, values)
         };
         if let Err(problem) = taken {
             self.fail(line, keyword, problem);
@@ -55,8 +55,8 @@
         Ok(())
     }
 
-    fn take_keyword(&mut self, line: usize, word: &str, values: &[String]) -> Result<(), Problem> {
-        let keyword = find_keyword(word)?;
+    fn apply_keyword(&mut self, line: usize, name: &str, values: &[String]) -> Result<(), Problem> {
+        let keyword = find_keyword(name)?;
         if let Some((_, before)) = self.seen.iter().find(|(name, _)| *name == keyword.name) {
             return Err(Problem::Repeated(*before));
         }
@@ -84,15 +84,15 @@
     }
 }
 
-fn find_keyword(word: &str) -> Result<&'static Keyword, Problem> {
-    KEYWORDS.iter().find(|keyword| keyword.name == word).ok_or_else(|| unknown_keyword(word))
+fn find_keyword(name: &str) -> Result<&'static Keyword, Problem> {
+    KEYWORDS.iter().find(|keyword| keyword.name == name).ok_or_else(|| unknown_keyword(name))
 }
 
-fn unknown_keyword(word: &str) -> Problem {
+fn unknown_keyword(name: &str) -> Problem {
     let known = KEYWORDS.iter().map(|keyword| keyword.name).chain([CLASS_KEYWORD]);
-    let nearest = known.map(|name| (strsim::damerau_levenshtein(name, word), name)).min();
+    let nearest = known.map(|known| (strsim::damerau_levenshtein(known, name), known)).min();
     match nearest {
-        Some((letters, name)) if letters <= MAX_MISSPELT_LETTERS => Problem::MisspeltKeyword(name),
+        Some((letters, known)) if letters <= MAX_MISSPELT_LETTERS => Problem::MisspeltKeyword(known),
         _ => Problem::UnknownKeyword,
     }
 }
--- a/operator-config/src/words.rs
+++ b/operator-config/src/tokens.rs
@@ -26,7 +26,7 @@
 /// # Errors
 /// A quote is misplaced.
 pub fn split(line: &str) -> Result<Vec<String>, QuoteError> {
-    let mut words = Vec::new();
+    let mut tokens = Vec::new();
     let mut chars = line.chars().peekable();
     while let Some(&first) = chars.peek() {
         match first {
@@ -34,11 +34,11 @@
             blank if blank.is_whitespace() => {
                 chars.next();
             }
-            '"' => words.push(quoted_word(&mut chars)?),
-            _ => words.push(plain_word(&mut chars)?),
+            '"' => tokens.push(quoted_word(&mut chars)?),
+            _ => tokens.push(plain_word(&mut chars)?),
         }
     }
-    Ok(words)
+    Ok(tokens)
 }
 
 fn ends_word(char: char) -> bool {
@@ -47,32 +47,32 @@
 
 fn quoted_word(chars: &mut Peekable<Chars>) -> Result<String, QuoteError> {
     chars.next();
-    let mut word = String::new();
+    let mut value = String::new();
     loop {
         match chars.next() {
             Some('"') => break,
             Some('\\') => match chars.next() {
-                Some(escaped @ ('"' | '\\')) => word.push(escaped),
+                Some(escaped @ ('"' | '\\')) => value.push(escaped),
                 _ => return Err(QuoteError::BadEscape),
             },
-            Some(char) => word.push(char),
+            Some(char) => value.push(char),
             None => return Err(QuoteError::Unclosed),
         }
     }
     match chars.peek() {
         Some(&next) if !ends_word(next) => Err(QuoteError::NoBlankBehind),
-        _ => Ok(word),
+        _ => Ok(value),
     }
 }
 
 fn plain_word(chars: &mut Peekable<Chars>) -> Result<String, QuoteError> {
-    let mut word = String::new();
+    let mut value = String::new();
     while let Some(&char) = chars.peek().filter(|char| !ends_word(**char)) {
         if char == '"' {
             return Err(QuoteError::WithinWord);
         }
-        word.push(char);
+        value.push(char);
         chars.next();
     }
-    Ok(word)
+    Ok(value)
 }
--- a/operator-config/tests/lines.rs
+++ b/operator-config/tests/lines.rs
@@ -131,7 +131,7 @@
 
     #[test]
     fn quoting_any_words_gives_them_back(words in prop::collection::vec("[^\n]{0,20}", 0..6)) {
-        let quote = |word: &String| format!("\"{}\"", word.replace('\\', "\\\\").replace('"', "\\\""));
+        let quote = |value: &String| format!("\"{}\"", value.replace('\\', "\\\\").replace('"', "\\\""));
         let line: Vec<String> = words.iter().map(quote).collect();
         prop_assert_eq!(split(&line.join(" ")), Ok(words));
     }
--- a/recovery/src/endpoint_state.rs
+++ b/recovery/src/endpoint_state.rs
@@ -8,7 +8,7 @@
 pub enum EndpointState {
     /// It has not answered since this start.
     #[default]
-    Unheard,
+    NotAnswered,
     /// It has answered, and is the endpoint that the list names as far as that can be known.
     Identified,
     /// It has answered and cannot say who it is, and the list is too old to be trusted with that.
@@ -79,7 +79,7 @@
 /// The first row that fits counts. An endpoint that was identified and then falls silent is left to the routing policy,
 /// which ejects it; only one that turns out to be another, or is not listed any more, is withdrawn.
 pub const TABLE: &[Row] = &[
-    (removed, EndpointEvent::Listed, EndpointState::Unheard, Effect::Nothing),
+    (removed, EndpointEvent::Listed, EndpointState::NotAnswered, Effect::Nothing),
     (removed, EndpointEvent::Unlisted, EndpointState::Removed, Effect::Nothing),
     (any, EndpointEvent::Unlisted, EndpointState::Removed, Effect::Withdraw),
     (identified, EndpointEvent::AnsweredAsAnother, EndpointState::WrongIdentity, Effect::Withdraw),
--- a/recovery/src/primary_discovery.rs
+++ b/recovery/src/primary_discovery/mod.rs
@@ -1,157 +1,20 @@
 //! Which endpoints are queried after a start from a cached list, and what follows from the answers: an event loop over the
 //! states of endpoints and groups.
 
+mod events;
+mod queries;
+
+pub use events::{Action, Event, Identity, Member, QueryFailure};
+
 use crate::endpoint_state::{self, Effect, EndpointEvent, EndpointState, RecoveringEndpoint, RoleReport};
 use crate::group_state::{self, GroupEvent, GroupState};
 use crate::primary_verification::{verify, GroupEvidence, MinimumPosition, Verification};
 use crate::query_schedule::QuerySchedule;
-use crate::staleness::{trust_level, CacheTimes, TrustLevel};
-use routing::time::{TimeDelta, Timestamp};
+use crate::staleness::{verification_level, CacheTimes, VerificationLevel};
+use routing::time::Timestamp;
 use routing::{EndpointIndex, EndpointReport, GroupIndex, PrimaryEligibility};
 use std::collections::BTreeSet;
 
-/// A pause that doubles, up to a limit.
-struct Backoff {
-    first: TimeDelta,
-    longest: TimeDelta,
-}
-
-const MAX_DOUBLINGS: u32 = 16;
-
-impl Backoff {
-    fn after(&self, doublings: u32) -> TimeDelta {
-        let pause = self.first.0.saturating_mul(1 << doublings.min(MAX_DOUBLINGS));
-        TimeDelta(pause).min(self.longest)
-    }
-}
-
-/// Between two queries to an endpoint of a group whose primary is not verified.
-const UNVERIFIED: Backoff =
-    Backoff { first: TimeDelta::from_millis(40), longest: TimeDelta::from_millis(1_000) };
-/// Rounds of queries to a group before that pause grows.
-const ROUNDS_WITHOUT_BACKOFF: u32 = 4;
-/// Between two queries in a group whose primary is verified, while discovery is silent or another member claims it.
-const VERIFIED_INTERVAL: TimeDelta = TimeDelta::from_millis(2_000);
-/// After a query that failed, if a request waits for the group.
-const FAILED_URGENT: Backoff =
-    Backoff { first: TimeDelta::from_millis(100), longest: TimeDelta::from_millis(3_000) };
-/// The same, if none waits.
-const FAILED: Backoff =
-    Backoff { first: TimeDelta::from_millis(100), longest: TimeDelta::from_millis(20_000) };
-
-/// An endpoint of a list, as the host numbers it.
-#[derive(Clone, Copy, Debug)]
-pub struct Member {
-    /// The endpoint.
-    pub endpoint: EndpointIndex,
-    /// Its group.
-    pub group: GroupIndex,
-}
-
-/// Who an endpoint says that it is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Identity {
-    /// The one that the list names.
-    Confirmed,
-    /// Another one.
-    Mismatch,
-    /// It cannot be asked, or does not say.
-    Unknown,
-}
-
-/// Why a query has no answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum QueryFailure {
-    /// Nothing listens there, says its machine.
-    Refused,
-    /// Nothing came back.
-    NoAnswer,
-    /// It was not sent, or rejected for lack of capacity: that says nothing of the endpoint.
-    NotSent,
-}
-
-/// Something that has happened.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// A list was loaded that discovery has not confirmed since this start.
-    CachedList {
-        /// Its endpoints.
-        members: Vec<Member>,
-        /// What its groups were known to have.
-        minimum_positions: Vec<(GroupIndex, MinimumPosition)>,
-    },
-    /// Discovery has given a list, complete or changes to it.
-    Listed {
-        /// It is the whole list.
-        complete: bool,
-        /// Endpoints that are listed.
-        members: Vec<Member>,
-        /// Endpoints that are not listed any more.
-        removed: Vec<EndpointIndex>,
-    },
-    /// A query was answered.
-    Answered {
-        /// By this endpoint.
-        endpoint: EndpointIndex,
-        /// When the query was sent.
-        queried_at: Timestamp,
-        /// Who the endpoint says that it is.
-        identity: Identity,
-        /// What it reported.
-        report: RoleReport,
-    },
-    /// A query failed.
-    Failed {
-        /// To this endpoint.
-        endpoint: EndpointIndex,
-        /// Why.
-        failure: QueryFailure,
-    },
-    /// A report came with the answer to a request or a health check.
-    Observed {
-        /// From this endpoint.
-        endpoint: EndpointIndex,
-        /// When the request was sent.
-        queried_at: Timestamp,
-        /// The report.
-        report: EndpointReport,
-    },
-    /// A request waits for a group.
-    RequestWaiting {
-        /// The group.
-        group: GroupIndex,
-    },
-    /// Time has passed.
-    Tick,
-}
-
-/// Something for the host to do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Query an endpoint; to be answered by one `Answered` or `Failed`.
-    Query {
-        /// The endpoint.
-        endpoint: EndpointIndex,
-    },
-    /// Tell the routing policy that an endpoint may be used, started when this instance started at the latest.
-    Admit {
-        /// The endpoint.
-        endpoint: EndpointIndex,
-    },
-    /// Tell the routing policy that an endpoint may not be used any more, whatever else the rules of the list allow.
-    Withdraw {
-        /// The endpoint.
-        endpoint: EndpointIndex,
-    },
-    /// Tell the routing policy which member of a group may be taken for its primary.
-    SetEligibility {
-        /// The group.
-        group: GroupIndex,
-        /// The member.
-        eligibility: PrimaryEligibility,
-    },
-}
-
 #[derive(Default)]
 struct Group {
     members: Vec<EndpointIndex>,
@@ -212,8 +75,8 @@
     }
 
     /// How far the list is trusted.
-    pub fn trust_level(&self, now: Timestamp) -> &'static TrustLevel {
-        trust_level(self.cache_times, now, self.latest_report)
+    pub fn verification_level(&self, now: Timestamp) -> &'static VerificationLevel {
+        verification_level(self.cache_times, now, self.latest_report)
     }
 
     /// Whether discovery has given a list since this start.
@@ -242,7 +105,7 @@
     }
 
     fn max_in_flight(&self, now: Timestamp) -> usize {
-        self.trust_level(now).max_queries.min(self.max_queries)
+        self.verification_level(now).max_queries.min(self.max_queries)
     }
 
     /// Handles an event that happened at `now`. What is to be done is appended to `actions`, in order.
@@ -349,7 +212,7 @@
         identity: Identity,
         report: RoleReport,
     ) {
-        let trusts_addresses = self.trust_level(now).trusts_addresses || self.list_confirmed;
+        let identifies_by_address = self.verification_level(now).identifies_by_address || self.list_confirmed;
         if !self.end_query(index) {
             return;
         }
@@ -364,7 +227,7 @@
         let event = match identity {
             Identity::Confirmed => EndpointEvent::Answered,
             Identity::Mismatch => EndpointEvent::AnsweredAsAnother,
-            Identity::Unknown if trusts_addresses => EndpointEvent::Answered,
+            Identity::Unknown if identifies_by_address => EndpointEvent::Answered,
             Identity::Unknown => EndpointEvent::AnsweredAnonymously,
         };
         self.endpoint_event(index, event);
@@ -425,8 +288,8 @@
         for index in waiting.members.clone() {
             if let Some(due) = self.unschedule_query(index) {
                 // One that was not queried yet is so at once.
-                let unheard = self.endpoints[index].state == EndpointState::Unheard;
-                self.schedule_query(index, if unheard { due.min(now) } else { due });
+                let is_unanswered = self.endpoints[index].state == EndpointState::NotAnswered;
+                self.schedule_query(index, if is_unanswered { due.min(now) } else { due });
             }
         }
     }
@@ -460,7 +323,7 @@
             members: &group.members,
             endpoints: &self.endpoints,
             minimum: MinimumPosition { position, ..group.minimum },
-            trust: self.trust_level(now),
+            level: self.verification_level(now),
             list_confirmed: self.list_confirmed,
             now,
         });
@@ -489,53 +352,4 @@
             }
         }
     }
-
-    /// Schedules the next query to an endpoint that was just queried.
-    fn schedule_next_query(&mut self, index: EndpointIndex, now: Timestamp) {
-        let endpoint = &self.endpoints[index];
-        let group = &mut self.groups[endpoint.group];
-        if group.state == GroupState::Settled || endpoint.state == EndpointState::Removed {
-            return;
-        }
-        let pause = if endpoint.consecutive_failures > 0 {
-            let backoff = if group.request_waiting { FAILED_URGENT } else { FAILED };
-            backoff.after(endpoint.consecutive_failures - 1)
-        } else if matches!(group.state, GroupState::Verified(_)) {
-            VERIFIED_INTERVAL
-        } else {
-            group.unverified_queries = group.unverified_queries.saturating_add(1);
-            let rounds = group.unverified_queries / group.members.len().max(1) as u32;
-            UNVERIFIED.after(rounds.saturating_sub(ROUNDS_WITHOUT_BACKOFF))
-        };
-        self.schedule_query(index, now + pause);
-    }
-
-    fn schedule_query(&mut self, index: EndpointIndex, at: Timestamp) {
-        self.unschedule_query(index);
-        let endpoint = &mut self.endpoints[index];
-        endpoint.query_due = Some(at);
-        self.queries.insert(at, index, self.groups[endpoint.group].request_waiting);
-    }
-
-    fn unschedule_query(&mut self, index: EndpointIndex) -> Option<Timestamp> {
-        let due = self.endpoints[index].query_due.take()?;
-        self.queries.remove(due, index);
-        Some(due)
-    }
-
-    /// Starts the queries that are due, as many at a time as the trust in the list allows.
-    fn start_queries(&mut self, now: Timestamp) {
-        if !self.may_query {
-            return self.queries.clear();
-        }
-        let max_in_flight = self.max_in_flight(now);
-        self.queries.refresh_burst(now);
-        while let Some(index) = self.queries.next(now, max_in_flight) {
-            self.unschedule_query(index);
-            if !std::mem::replace(&mut self.endpoints[index].query_in_flight, true) {
-                self.queries.started();
-                self.actions.push(Action::Query { endpoint: index });
-            }
-        }
-    }
 }
--- /dev/null
+++ b/recovery/src/primary_discovery/queries.rs
@@ -0,0 +1,88 @@
+//! When endpoints are queried: at once, again after a pause, or no more.
+
+use super::PrimaryDiscovery;
+use crate::endpoint_state::EndpointState;
+use crate::group_state::GroupState;
+use crate::primary_discovery::events::Action;
+use routing::time::{TimeDelta, Timestamp};
+use routing::EndpointIndex;
+
+/// A pause that doubles, up to a limit.
+struct Backoff {
+    first: TimeDelta,
+    longest: TimeDelta,
+}
+
+const MAX_DOUBLINGS: u32 = 16;
+
+impl Backoff {
+    fn after(&self, doublings: u32) -> TimeDelta {
+        let pause = self.first.0.saturating_mul(1 << doublings.min(MAX_DOUBLINGS));
+        TimeDelta(pause).min(self.longest)
+    }
+}
+
+/// Between two queries to an endpoint of a group whose primary is not verified.
+const UNVERIFIED: Backoff =
+    Backoff { first: TimeDelta::from_millis(40), longest: TimeDelta::from_millis(1_000) };
+/// Rounds of queries to a group before that pause grows.
+const ROUNDS_WITHOUT_BACKOFF: u32 = 4;
+/// Between two queries in a group whose primary is verified, while discovery is silent or another member claims it.
+const VERIFIED_INTERVAL: TimeDelta = TimeDelta::from_millis(2_000);
+/// After a query that failed, if a request waits for the group.
+const FAILED_URGENT: Backoff =
+    Backoff { first: TimeDelta::from_millis(100), longest: TimeDelta::from_millis(3_000) };
+/// The same, if none waits.
+const FAILED: Backoff =
+    Backoff { first: TimeDelta::from_millis(100), longest: TimeDelta::from_millis(20_000) };
+
+impl PrimaryDiscovery {
+    /// Schedules the next query to an endpoint that was just queried.
+    pub(super) fn schedule_next_query(&mut self, index: EndpointIndex, now: Timestamp) {
+        let endpoint = &self.endpoints[index];
+        let group = &mut self.groups[endpoint.group];
+        if group.state == GroupState::Settled || endpoint.state == EndpointState::Removed {
+            return;
+        }
+        let pause = if endpoint.consecutive_failures > 0 {
+            let backoff = if group.request_waiting { FAILED_URGENT } else { FAILED };
+            backoff.after(endpoint.consecutive_failures - 1)
+        } else if matches!(group.state, GroupState::Verified(_)) {
+            VERIFIED_INTERVAL
+        } else {
+            group.unverified_queries = group.unverified_queries.saturating_add(1);
+            let rounds = group.unverified_queries / group.members.len().max(1) as u32;
+            UNVERIFIED.after(rounds.saturating_sub(ROUNDS_WITHOUT_BACKOFF))
+        };
+        self.schedule_query(index, now + pause);
+    }
+
+    pub(super) fn schedule_query(&mut self, index: EndpointIndex, at: Timestamp) {
+        self.unschedule_query(index);
+        let endpoint = &mut self.endpoints[index];
+        endpoint.query_due = Some(at);
+        self.queries.insert(at, index, self.groups[endpoint.group].request_waiting);
+    }
+
+    pub(super) fn unschedule_query(&mut self, index: EndpointIndex) -> Option<Timestamp> {
+        let due = self.endpoints[index].query_due.take()?;
+        self.queries.remove(due, index);
+        Some(due)
+    }
+
+    /// Starts the queries that are due, as many at a time as the trust in the list allows.
+    pub(super) fn start_queries(&mut self, now: Timestamp) {
+        if !self.may_query {
+            return self.queries.clear();
+        }
+        let max_in_flight = self.max_in_flight(now);
+        self.queries.refresh_burst(now);
+        while let Some(index) = self.queries.next(now, max_in_flight) {
+            self.unschedule_query(index);
+            if !std::mem::replace(&mut self.endpoints[index].query_in_flight, true) {
+                self.queries.started();
+                self.actions.push(Action::Query { endpoint: index });
+            }
+        }
+    }
+}
--- a/recovery/src/primary_verification.rs
+++ b/recovery/src/primary_verification.rs
@@ -6,7 +6,7 @@
 //! accounted for, or by discovery's confirmation of the list of members.
 
 use crate::endpoint_state::{EndpointState, RecoveringEndpoint};
-use crate::staleness::TrustLevel;
+use crate::staleness::VerificationLevel;
 use routing::time::{TimeDelta, Timestamp};
 use routing::{EndpointIndex, Role};
 
@@ -46,7 +46,7 @@
     /// What its true primary has at the least.
     pub minimum: MinimumPosition,
     /// How far the list of members is trusted.
-    pub trust: &'a TrustLevel,
+    pub level: &'a VerificationLevel,
     /// Discovery has given the list of members since this start.
     pub list_confirmed: bool,
     /// The time.
@@ -66,7 +66,7 @@
         && evidence.has_claimed_often_enough(claimant)
         && (evidence.list_confirmed
             || evidence.is_followed_by_majority(claimant)
-            || (evidence.trust.accounting_suffices && evidence.all_accounted_for()));
+            || (evidence.level.accounting_suffices && evidence.all_accounted_for()));
     if verified {
         Verification::Verified(claimant)
     } else {
@@ -97,7 +97,7 @@
 
     fn has_claimed_often_enough(&self, member: EndpointIndex) -> bool {
         let claimant = &self.endpoints[member];
-        let often = claimant.consecutive_claims >= self.trust.claims_required || self.list_confirmed;
+        let often = claimant.consecutive_claims >= self.level.claims_required || self.list_confirmed;
         claimant.query_ended_at >= self.valid_since() && often
     }
 
--- a/recovery/src/staleness.rs
+++ b/recovery/src/staleness.rs
@@ -30,7 +30,7 @@
 
 /// How far a list is trusted; one row of the table on the operators' page.
 #[derive(Debug)]
-pub struct TrustLevel {
+pub struct VerificationLevel {
     /// For lists this old.
     pub staleness: Staleness,
     /// The greatest age of such a list.
@@ -40,7 +40,7 @@
     /// Answers in which an endpoint must have said that it is primary before writes go there.
     pub claims_required: u32,
     /// An address is trusted to be that of the listed endpoint if that one cannot say who it is.
-    pub trusts_addresses: bool,
+    pub identifies_by_address: bool,
     /// It is evidence enough that all other members have answered or refuse connections, none of them following another
     /// primary; otherwise a majority must be seen to follow.
     pub accounting_suffices: bool,
@@ -52,37 +52,37 @@
 const DAY: TimeDelta = TimeDelta(HOUR.0 * 24);
 
 /// From the youngest list to the oldest.
-pub const LEVELS: [TrustLevel; 4] = [
-    TrustLevel {
+pub const LEVELS: [VerificationLevel; 4] = [
+    VerificationLevel {
         staleness: Staleness::Fresh,
         max_age: MINUTE,
         max_queries: 64,
         claims_required: 1,
-        trusts_addresses: true,
+        identifies_by_address: true,
         accounting_suffices: true,
     },
-    TrustLevel {
+    VerificationLevel {
         staleness: Staleness::Recent,
         max_age: HOUR,
         max_queries: 32,
         claims_required: 2,
-        trusts_addresses: false,
+        identifies_by_address: false,
         accounting_suffices: false,
     },
-    TrustLevel {
+    VerificationLevel {
         staleness: Staleness::Old,
         max_age: DAY,
         max_queries: 16,
         claims_required: 2,
-        trusts_addresses: false,
+        identifies_by_address: false,
         accounting_suffices: false,
     },
-    TrustLevel {
+    VerificationLevel {
         staleness: Staleness::Unknown,
         max_age: TimeDelta(i64::MAX),
         max_queries: 8,
         claims_required: 3,
-        trusts_addresses: false,
+        identifies_by_address: false,
         accounting_suffices: false,
     },
 ];
@@ -101,11 +101,11 @@
 
 /// How far a list is trusted at `now`. `latest_report` is the latest time that any endpoint has reported since this start:
 /// a wall clock that was set back makes a list look young, but not the endpoints. Without times the age is not known.
-pub fn trust_level(
+pub fn verification_level(
     times: Option<CacheTimes>,
     now: Timestamp,
     latest_report: Option<Timestamp>,
-) -> &'static TrustLevel {
+) -> &'static VerificationLevel {
     let lowest = &LEVELS[LEVELS.len() - 1];
     let Some(times) = times else { return lowest };
     let from_future = times.confirmed.max(times.saved) > now + MAX_CLOCK_SKEW;
--- a/recovery/tests/primary_discovery.rs
+++ b/recovery/tests/primary_discovery.rs
@@ -11,7 +11,7 @@
 };
 use recovery::primary_verification::{MinimumPosition, EVIDENCE_VALID_FOR};
 use recovery::save_schedule::{is_worth_saving, SaveSchedule};
-use recovery::staleness::{trust_level, CacheTimes, Staleness};
+use recovery::staleness::{verification_level, CacheTimes, Staleness};
 use routing::time::{TimeDelta, Timestamp};
 use routing::{EndpointReport, PrimaryEligibility, Role};
 use std::collections::{BTreeMap, BTreeSet};
@@ -372,7 +372,7 @@
 #[test]
 fn the_step_of_age_goes_by_what_is_shown_when_the_clock_cannot_be_right() {
     let times = |confirmed: i64, saved: i64| Some(CacheTimes { confirmed: at(confirmed), saved: at(saved) });
-    let age = |times, shown| trust_level(times, at(START), shown).staleness;
+    let age = |times, shown| verification_level(times, at(START), shown).staleness;
     assert_eq!(age(times(START - 59_000, START - 59_000), None), Staleness::Fresh);
     assert_eq!(age(times(START - 61_000, START - 1_000), None), Staleness::Recent);
     assert_eq!(age(times(START - DAY, START - DAY), None), Staleness::Old);
@@ -542,7 +542,7 @@
                     cleared[group] = None;
                 }
             }
-            prop_assert!(rig.out.len() <= rig.regain.trust_level(at(rig.now)).max_queries.max(64));
+            prop_assert!(rig.out.len() <= rig.regain.verification_level(at(rig.now)).max_queries.max(64));
         }
         // Whatever happened: once all can be heard and discovery is back, each group has its primary.
         rig.vouch(0..9);
--- a/routing/src/policy/attempts.rs
+++ b/routing/src/policy/attempts.rs
@@ -85,7 +85,7 @@
     /// A write that may have run binds its session's reads, even if nobody waits for its answer any more.
     /// Positions are reported in whole milliseconds: only the next one is sure to show the write.
     fn record_session_write(&mut self, end: &AttemptEnd) {
-        if let (false, Some(session)) = (self.settings.settings.clients_carry_positions, end.write_session) {
+        if let (false, Some(session)) = (self.settings.settings.clients_hold_positions, end.write_session) {
             let succeeded = end.outcome == AttemptOutcome::Succeeded;
             let reported = end.answer_report.position.filter(|_| succeeded).unwrap_or(self.now).min(self.now);
             let may_have_run = !end.outcome.proves_not_executed();
--- a/routing/src/policy/replica_selection.rs
+++ b/routing/src/policy/replica_selection.rs
@@ -115,7 +115,7 @@
             _ if request.carries_position && worth_waiting => return None,
             _ if request.carries_position => replicas.clear(),
             // An endpoint's wait is worth trying only if the lag it last reported could be made up within it.
-            LagHandling::Wait(patience) if first_try => replicas.retain(|index| catches_up(index, patience)),
+            LagHandling::Wait(max_wait) if first_try => replicas.retain(|index| catches_up(index, max_wait)),
             LagHandling::Reject if first_try && !is_strong => {
                 let freshest = replicas.into_iter().max_by_key(|&index| self.endpoints[index].position);
                 replicas = freshest.into_iter().collect();
--- a/routing/src/policy/request_lifecycle.rs
+++ b/routing/src/policy/request_lifecycle.rs
@@ -53,10 +53,10 @@
 
     fn new_request(&self, arrival: &RequestArrival) -> Request {
         let method = &self.settings.methods[arrival.method];
-        let clients_carry_positions = self.settings.settings.clients_carry_positions;
+        let clients_hold_positions = self.settings.settings.clients_hold_positions;
         let required = match method.access {
             Access::StrongRead => Some(self.now),
-            Access::SessionRead if clients_carry_positions => arrival.last_write.map(|ago| self.now - ago),
+            Access::SessionRead if clients_hold_positions => arrival.last_write.map(|ago| self.now - ago),
             Access::SessionRead => self.session_writes.required_position(arrival.session, self.now),
             _ => None,
         };
@@ -69,7 +69,7 @@
             useful_until: if method.useful_when_late { answer_by } else { answer_by.min(objective) },
             answer_by,
             required_position: required.max(arrival.seen_position),
-            recorded_session: arrival.session.filter(|_| method.is_write() && !clients_carry_positions),
+            recorded_session: arrival.session.filter(|_| method.is_write() && !clients_hold_positions),
             carries_position: arrival.seen_position.is_some(),
             client_retry: arrival.client_retry && !method.useful_when_late,
             ..Request::default()
--- a/routing/src/settings.rs
+++ b/routing/src/settings.rs
@@ -85,7 +85,7 @@
     /// What endpoints do with reads for which they lag too far.
     pub lag_handling: LagHandling,
     /// Clients say when their session last wrote; otherwise the policy remembers the writes that it saw answered.
-    pub clients_carry_positions: bool,
+    pub clients_hold_positions: bool,
     /// Endpoint lists come only when polled for; a change counts as known this long after the last poll.
     pub list_poll_within: Option<TimeDelta>,
     /// Attempts per request at most.
--- a/routing/tests/replay.rs
+++ b/routing/tests/replay.rs
@@ -36,10 +36,7 @@
             RoutingSettings { may_check_health: false, ..support::routing_settings(LagHandling::Reject) },
         ),
         ("pushed-lists", RoutingSettings { list_poll_within: None, ..usual() }),
-        (
-            "marks-remembered",
-            RoutingSettings { clients_carry_positions: false, may_cancel: false, ..usual() },
-        ),
+        ("marks-remembered", RoutingSettings { clients_hold_positions: false, may_cancel: false, ..usual() }),
         ("gone-stays-open", RoutingSettings { unlisted_stay_usable: true, max_retry_after: None, ..usual() }),
         ("few-attempts", RoutingSettings { max_attempts: 2, instances: 30, ..usual() }),
     ]
--- a/routing/tests/rules.rs
+++ b/routing/tests/rules.rs
@@ -191,7 +191,7 @@
 /// A router that remembers sessions' writes by itself, with one primary and one replica.
 fn remembering() -> (RoutingPolicy, Timestamp, Vec<Action>) {
     let mut routing_settings = routing_settings(LagHandling::ServeStale);
-    routing_settings.clients_carry_positions = false;
+    routing_settings.clients_hold_positions = false;
     routing_settings.methods[ANY].access = Access::SessionRead;
     let (now, mut actions) = (Timestamp(1_000_000_000_000), Vec::new());
     let mut router = RoutingPolicy::new(1, &routing_settings, now, &mut actions);
--- a/routing/tests/support/mod.rs
+++ b/routing/tests/support/mod.rs
@@ -76,7 +76,7 @@
         zone: 0,
         clock_resolution: TICK,
         lag_handling,
-        clients_carry_positions: true,
+        clients_hold_positions: true,
         list_poll_within: Some(ms(10_000)),
         max_attempts: 6,
         may_cancel: true,
--- a/server/src/admin/endpoint_page.rs
+++ b/server/src/admin/endpoint_page.rs
@@ -32,7 +32,7 @@
         cells[2] = "unknown".into();
         return cells;
     };
-    cells[2] = state_word(endpoint);
+    cells[2] = state_label(endpoint);
     cells[3] = if endpoint.primary { "primary" } else { "replica" }.into();
     cells[4] = endpoint.in_flight.to_string();
     cells[5] = format!("{:.2}", endpoint.concurrency_limit);
@@ -43,7 +43,7 @@
     cells
 }
 
-fn state_word(endpoint: &EndpointSnapshot) -> String {
+fn state_label(endpoint: &EndpointSnapshot) -> String {
     match (endpoint.serving, endpoint.slow_start_fraction) {
         (false, _) => "closed".to_string(),
         (true, Some(fraction)) => format!("cold, {:.0}%", fraction * 100.0),
--- a/server/src/admin/socket.rs
+++ b/server/src/admin/socket.rs
@@ -140,13 +140,13 @@
 }
 
 fn response(request: &str, recorder: &PrometheusHandle, view: &AdminView) -> String {
-    let words: Vec<&str> = request.split_ascii_whitespace().collect();
-    match words[..] {
+    let parts: Vec<&str> = request.split_ascii_whitespace().collect();
+    match parts[..] {
         [METRICS_PAGE] => view.metrics_page(recorder),
         ["GET", "/metrics", ..] => http_response(&view.metrics_page(recorder)),
         ["GET", ..] => HTTP_NOT_FOUND.into(),
         [name] => page(name, view),
-        _ => unknown_page(&words.join(" ")),
+        _ => unknown_page(&parts.join(" ")),
     }
 }
 
--- a/server/src/cli/cached_list.rs
+++ b/server/src/cli/cached_list.rs
@@ -4,7 +4,7 @@
 use crate::exit_status::{ExitStatus, Failure};
 use crate::messages::endpoint_list::cache_times;
 use endpoint_cache::{CacheDirectory, CachedEndpoint, CachedEndpointList, CachedReport, LoadedCache};
-use recovery::staleness::{trust_level, TrustLevel, LEVELS};
+use recovery::staleness::{verification_level, VerificationLevel, LEVELS};
 use routing::time::Timestamp;
 use std::path::Path;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -82,24 +82,24 @@
 
 fn heading(list: &CachedEndpointList, file: &Path, now: Timestamp) -> Vec<String> {
     let times = cache_times(list);
-    let trust = trust_level(Some(times), now, None);
+    let level = verification_level(Some(times), now, None);
     let age_s = (now - times.confirmed).as_secs_f64();
-    let identified_by_address = if trust.trusts_addresses { "yes" } else { "no" };
+    let identified_by_address = if level.identifies_by_address { "yes" } else { "no" };
     let levels: Vec<&str> = LEVELS.iter().map(|level| level.staleness.name()).collect();
     vec![
         format!("file        {}", file.display()),
         format!("generation  {}", list.generation),
         format!("version     {} of discovery", list.version),
-        format!("age         {age_s:.1} s since discovery stood by it: {}", trust.staleness.name()),
-        format!("believed    {}", verification(trust)),
+        format!("age         {age_s:.1} s since discovery stood by it: {}", level.staleness.name()),
+        format!("believed    {}", verification(level)),
         format!("            stores that can't say who they are: {identified_by_address}"),
         format!("steps       {}", levels.join(", ")),
     ]
 }
 
-fn verification(trust: &TrustLevel) -> String {
-    let (queries, claims) = (trust.max_queries, trust.claims_required);
-    let members = if trust.accounting_suffices {
+fn verification(level: &VerificationLevel) -> String {
+    let (queries, claims) = (level.max_queries, level.claims_required);
+    let members = if level.accounting_suffices {
         "all members heard or refusing"
     } else {
         "a majority seen to follow it"
--- a/server/src/clients/acceptor.rs
+++ b/server/src/clients/acceptor.rs
@@ -1,7 +1,8 @@
 //! The accept loop: whatever can go wrong with accepting neither keeps the worker busy nor the queue standing. Once it is to
 //! stop it still accepts every connection that waits in the queue: its client has connected, and what it sent is taken.
 
-use crate::clients::connection::{self, ClientContext, NewConnection, Reception};
+use crate::clients::connection;
+use crate::clients::context::{ClientContext, NewConnection, Reception};
 use crate::clients::rejection::reject_without_waiting;
 use crate::endpoints::connection::BURST_PAUSE;
 use crate::log;
--- a/server/src/clients/connection.rs
+++ b/server/src/clients/connection.rs
@@ -2,31 +2,24 @@
 //! order of its queries. It goes on reading while requests are open, so a client that closes is noticed; where it may not read
 //! on, it asks the system whether the client has ended the connection.
 
-use crate::clients::admission_control::{AdmissionControl, ConnectionPermit};
-use crate::clients::graceful_shutdown::{ConnectionGuard, GracefulShutdown};
+use crate::clients::admission_control::ConnectionPermit;
+use crate::clients::context::{ClientContext, NewConnection, Reception};
+use crate::clients::graceful_shutdown::ConnectionGuard;
 use crate::clients::response_encoding::encode_response;
 use crate::clients::response_queue::ResponseQueue;
-use crate::clients::session_tokens::{ClientSession, SessionTokens};
+use crate::clients::session_tokens::ClientSession;
 use crate::clients::socket::{ClientSocket, FlushOutcome, ReadOutcome};
 use crate::endpoints::connection::{BURST_PAUSE, MAX_BURST_BYTES, SMALL_BUFFER_BYTES};
 use crate::log;
 use crate::messages::control::ControlMessage;
-use crate::messages::request::MethodTable;
 use crate::messages::response::{Response, ResponseChannel};
 use crate::protocol::frontend_codec::FrontendCodec;
 use crate::protocol::sqlstate::SqlState;
-use crate::runtime::clock::Timers;
-use crate::runtime::resource_limits::{BufferCharge, Descriptor, IdleRank, IdleRegistration, ResourceLimits};
-use crate::storage::journal::WriteJournal;
+use crate::runtime::resource_limits::{BufferCharge, IdleRank, IdleRegistration};
 use admission::concurrency_limiter::ClientKey;
-use admission::{AddressPrefixes, Rejection};
-use may::io::WaitIo;
-use may::net::TcpStream;
-use may::sync::mpsc::Sender;
+use admission::Rejection;
 use routing::time::{TimeDelta, Timestamp};
-use std::net::IpAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
-use std::sync::atomic::AtomicU64;
 use std::sync::Arc;
 
 /// Queries of one client that are answered side by side; what it sends beyond them stays unread.
@@ -35,70 +28,6 @@
 /// began it, and for reading its responses.
 pub(super) const CLIENT_TIMEOUT: TimeDelta = TimeDelta::from_millis(2_500);
 
-/// What all connections share.
-pub struct ClientContext {
-    /// The timers.
-    pub timers: Arc<Timers>,
-    /// The limits.
-    pub resources: Arc<ResourceLimits>,
-    /// The control loop.
-    pub control: Sender<ControlMessage>,
-    /// The methods by their names.
-    pub methods: MethodTable,
-    /// The longest Retry-After, if one may be told.
-    pub max_retry_after: Option<TimeDelta>,
-    /// The shutdown.
-    pub shutdown: Arc<GracefulShutdown>,
-    /// Tokens, if clients may carry their sessions.
-    pub session_tokens: Option<Arc<SessionTokens>>,
-    /// Admission control, if clients have classes.
-    pub admission: Option<Arc<AdmissionControl>>,
-    /// Whom the requests of an address are counted for, if clients have no classes and requests are limited.
-    pub client_prefixes: Option<AddressPrefixes>,
-    /// The journal, if writes are recorded.
-    pub journal: Option<Arc<WriteJournal>>,
-    /// The number of the next request.
-    pub next_request: AtomicU64,
-    /// The number of the next connection.
-    pub next_connection: AtomicU64,
-}
-
-/// An accepted connection that the shutdown waits for.
-pub struct NewConnection {
-    stream: TcpStream,
-    channel: Arc<ResponseChannel>,
-    guard: ConnectionGuard,
-    from: IpAddr,
-    descriptor: Descriptor,
-}
-
-impl NewConnection {
-    /// Registers a connection with the shutdown.
-    pub fn register(
-        context: &ClientContext,
-        stream: TcpStream,
-        from: IpAddr,
-        descriptor: Descriptor,
-    ) -> NewConnection {
-        let channel = ResponseChannel::new(stream.waker());
-        let guard = context.shutdown.register(&channel);
-        NewConnection { stream, channel, guard, from, descriptor }
-    }
-}
-
-/// How a client is received.
-pub enum Reception {
-    /// With its place in its class, if it has one.
-    Admitted(Option<ConnectionPermit>),
-    /// It is told why it is rejected.
-    Rejected {
-        /// Why.
-        reason: &'static str,
-        /// When to come back, if that may be told.
-        retry_after: Option<TimeDelta>,
-    },
-}
-
 /// How a connection ends.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum ConnectionEnd {
@@ -203,6 +132,7 @@
         self.permit = Some(permit);
     }
 
+    /// Sets whom its requests are counted for, if that is known.
     pub fn set_client(&mut self, client: Option<ClientKey>) {
         if client.is_some() {
             self.client = client;
@@ -214,6 +144,7 @@
         self.reject_with(&permit.displacement());
     }
 
+    /// Tells the client why it is rejected.
     pub fn reject_with(&mut self, rejection: &Rejection) {
         let retry_after = self.context.max_retry_after.map(|_| rejection.retry_after);
         self.reject(rejection.reason.message(), retry_after);
@@ -348,6 +279,7 @@
         self.channel.is_close_requested() || self.guard.should_close(self.has_asked, self.served)
     }
 
+    /// Wakes the connection at a time.
     pub fn wake_at(&self, at: Timestamp) {
         let waker = self.socket.waker();
         self.context.timers.call_at(at, move || waker.wakeup());
@@ -372,12 +304,14 @@
         self.charge.set(self.codec.buffer_bytes());
     }
 
+    /// The client may be asked to close for others.
     pub fn register_idle(&mut self, rank: IdleRank, class: Option<Arc<str>>) {
         let now = self.context.timers.now();
         let registration = self.context.resources.register_idle(rank, now, self.channel.clone(), class);
         self.idle = Some(registration);
     }
 
+    /// The client has something to do.
     pub fn unregister_idle(&mut self) {
         if let Some(registration) = self.idle.take() {
             self.context.resources.unregister_idle(registration);
@@ -392,8 +326,8 @@
             let session = self.session.as_mut();
             // In the order in which responses come: a token may show more than its response, never less.
             let completed = self.responses.complete(request, |group| {
-                let carried = tokens.as_ref().zip(session);
-                let token = carried
+                let session_and_tokens = tokens.as_ref().zip(session);
+                let token = session_and_tokens
                     .and_then(|(tokens, session)| tokens.record_response(now, session, group, &response));
                 encode_response(response, token.as_deref())
             });
--- a/server/src/clients/mod.rs
+++ b/server/src/clients/mod.rs
@@ -4,6 +4,7 @@
 pub mod admission_control;
 mod closing;
 pub mod connection;
+pub mod context;
 pub mod graceful_shutdown;
 mod rejection;
 mod requests;
--- a/server/src/clients/requests.rs
+++ b/server/src/clients/requests.rs
@@ -177,6 +177,7 @@
         });
     }
 
+    /// Queues a fatal error behind all other responses.
     pub fn push_fatal(&mut self, code: SqlState, reason: &str) {
         self.push(|out| encode::error_response(out, Severity::Fatal, code, reason, None));
     }
--- a/server/src/clients/response_queue.rs
+++ b/server/src/clients/response_queue.rs
@@ -23,18 +23,22 @@
 }
 
 impl ResponseQueue {
+    /// A request was taken whose response will come.
     pub fn push_pending(&mut self, request: RequestId, group: GroupNumber) {
         self.slots.push_back(Slot::Pending(PendingRequest { request, group }));
     }
 
+    /// A message was answered at once.
     pub fn push_ready(&mut self, response: Vec<u8>) {
         self.slots.push_back(Slot::Ready(response));
     }
 
+    /// Responses that were not sent yet.
     pub fn len(&self) -> usize {
         self.slots.len()
     }
 
+    /// Whether there are none.
     pub fn is_empty(&self) -> bool {
         self.slots.is_empty()
     }
--- a/server/src/clients/socket.rs
+++ b/server/src/clients/socket.rs
@@ -40,12 +40,14 @@
 }
 
 impl ClientSocket {
+    /// A socket that nothing was read from yet.
     pub fn new(stream: TcpStream) -> ClientSocket {
         // Small writes must not wait for others.
         let _ = stream.set_nodelay(true);
         ClientSocket { stream, outbox: VecDeque::new(), written: 0 }
     }
 
+    /// Wakes the coroutine that waits for this socket.
     pub fn waker(&self) -> WaitIoWaker {
         self.stream.waker()
     }
--- a/server/src/config/bootstrap.rs
+++ b/server/src/config/bootstrap.rs
@@ -233,11 +233,11 @@
     key: &'static str,
     from_file: String,
 ) -> Result<SocketAddr, Fault> {
-    let (source, word) = match variable {
-        Some(word) => (Source::Variable(name), word),
+    let (source, text) = match variable {
+        Some(text) => (Source::Variable(name), text),
         None => (Source::Key(key), from_file),
     };
-    word.parse().map_err(|_| Fault::new(source, Problem::NoAddress(word)))
+    text.parse().map_err(|_| Fault::new(source, Problem::NoAddress(text)))
 }
 
 /// The line on which a key stands first, from 1.
--- a/server/src/control/actions.rs
+++ b/server/src/control/actions.rs
@@ -11,11 +11,11 @@
 use std::sync::Arc;
 
 impl ControlLoop {
-    pub(super) fn carry_out_actions(&mut self, now: Timestamp) {
+    pub(super) fn perform_actions(&mut self, now: Timestamp) {
         while !self.state.actions.is_empty() {
             let mut not_sent = Vec::new();
             for action in std::mem::take(&mut self.state.actions) {
-                self.carry_out(now, action, &mut not_sent);
+                self.perform(now, action, &mut not_sent);
             }
             for report in not_sent {
                 self.on_attempt_not_sent(now, report);
@@ -24,7 +24,7 @@
     }
 
     /// Attempts that cannot be started are appended to `not_sent`.
-    fn carry_out(&mut self, now: Timestamp, action: Action, not_sent: &mut Vec<AttemptReport>) {
+    fn perform(&mut self, now: Timestamp, action: Action, not_sent: &mut Vec<AttemptReport>) {
         match action {
             Action::StartAttempt { request, endpoint, timeout } => {
                 not_sent.extend(self.start_attempt(now, request, endpoint, timeout));
--- a/server/src/control/active_request.rs
+++ b/server/src/control/active_request.rs
@@ -49,7 +49,7 @@
     pub may_have_run: bool,
     pub received_at: Timestamp,
     /// The control loop answers it then, if nobody else has.
-    pub last_resort: Timestamp,
+    pub abort_at: Timestamp,
     /// None once it was answered, or its client is gone.
     pub ticket: Option<ResponseTicket>,
     pub text: Arc<RequestText>,
--- a/server/src/control/control_loop.rs
+++ b/server/src/control/control_loop.rs
@@ -140,13 +140,13 @@
         let mut next = Some(first);
         while let Some(message) = next {
             self.handle_message(now, message);
-            self.carry_out_discovery(now);
+            self.perform_discovery_actions(now);
             next = self.messages.try_recv().ok();
         }
-        self.carry_out_actions(now);
+        self.perform_actions(now);
         while !self.state.finished.is_empty() {
             self.admit(now, Vec::new());
-            self.carry_out_actions(now);
+            self.perform_actions(now);
         }
         self.schedule_wake_up(now);
     }
--- a/server/src/control/deadlines.rs
+++ b/server/src/control/deadlines.rs
@@ -1,18 +1,19 @@
-//! The timers of the routing policy, and the last resort of each request: past the policy's own last moment, before its
+//! The timers of the routing policy, and the abort time of each request: past the policy's own last moment, before its
 //! client's.
 
 use routing::time::Timestamp;
 use routing::RequestId;
 use std::collections::BTreeSet;
 
-/// Timers and last resorts.
+/// Timers and abort times.
 #[derive(Default)]
 pub struct Deadlines {
     timers: BTreeSet<(Timestamp, u64)>,
-    last_resorts: BTreeSet<(Timestamp, RequestId)>,
+    abort_times: BTreeSet<(Timestamp, RequestId)>,
 }
 
 impl Deadlines {
+    /// Sets a timer of the policy.
     pub fn set_timer(&mut self, at: Timestamp, tag: u64) {
         self.timers.insert((at, tag));
     }
@@ -24,25 +25,27 @@
         Some(first.1)
     }
 
-    pub fn set_last_resort(&mut self, at: Timestamp, request: RequestId) {
-        self.last_resorts.insert((at, request));
+    /// Sets when a request is aborted, whatever the policy does.
+    pub fn set_abort_time(&mut self, at: Timestamp, request: RequestId) {
+        self.abort_times.insert((at, request));
     }
 
-    pub fn remove_last_resort(&mut self, at: Timestamp, request: RequestId) {
-        self.last_resorts.remove(&(at, request));
+    /// The request was answered.
+    pub fn remove_abort_time(&mut self, at: Timestamp, request: RequestId) {
+        self.abort_times.remove(&(at, request));
     }
 
-    /// The next request whose last resort is due.
-    pub fn next_last_resort(&mut self, now: Timestamp) -> Option<RequestId> {
-        let first = self.last_resorts.first().copied().filter(|last_resort| last_resort.0 <= now)?;
-        self.last_resorts.remove(&first);
+    /// The next request whose abort time is due.
+    pub fn next_overdue_request(&mut self, now: Timestamp) -> Option<RequestId> {
+        let first = self.abort_times.first().copied().filter(|abort_at| abort_at.0 <= now)?;
+        self.abort_times.remove(&first);
         Some(first.1)
     }
 
     /// When the next of both is due.
     pub fn due(&self) -> Option<Timestamp> {
         let timer = self.timers.first().map(|timer| timer.0);
-        let last_resort = self.last_resorts.first().map(|last_resort| last_resort.0);
-        timer.into_iter().chain(last_resort).min()
+        let abort_at = self.abort_times.first().map(|abort_at| abort_at.0);
+        timer.into_iter().chain(abort_at).min()
     }
 }
--- a/server/src/control/primary_discovery.rs
+++ b/server/src/control/primary_discovery.rs
@@ -29,7 +29,7 @@
         endpoints: Vec<ListedEndpoint>,
     ) {
         self.state.report_list_to_discovery(complete, &endpoints, now);
-        self.carry_out_discovery(now);
+        self.perform_discovery_actions(now);
         if complete {
             self.listed.clear();
         }
@@ -56,7 +56,7 @@
                 None
             }
         };
-        self.carry_out_discovery(now);
+        self.perform_discovery_actions(now);
         // An answer that another endpoint gave is no health check of this one.
         let is_identified = self.recovering(endpoint).is_some_and(RecoveringEndpoint::is_identified);
         if let Some(report) = succeeded.filter(|_| is_identified) {
@@ -113,7 +113,7 @@
     }
 
     /// Carries out what primary discovery asks for, in order.
-    pub(super) fn carry_out_discovery(&mut self, now: Timestamp) {
+    pub(super) fn perform_discovery_actions(&mut self, now: Timestamp) {
         for action in std::mem::take(&mut self.state.discovery_actions) {
             match action {
                 Action::Query { endpoint } => self.query(now, endpoint),
@@ -230,9 +230,9 @@
 }
 
 /// Who an endpoint says that it is, and its timeline, given the name that the list has for it.
-fn identify(said: Option<&str>, name: &str) -> (Identity, Option<u32>) {
-    let Some(said) = said else { return (Identity::Unknown, None) };
-    match said.rsplit_once(',') {
+fn identify(identity: Option<&str>, name: &str) -> (Identity, Option<u32>) {
+    let Some(identity) = identity else { return (Identity::Unknown, None) };
+    match identity.rsplit_once(',') {
         Some((own_name, timeline)) if own_name == name => (Identity::Confirmed, timeline.parse().ok()),
         _ => (Identity::Mismatch, None),
     }
--- a/server/src/control/request_handling.rs
+++ b/server/src/control/request_handling.rs
@@ -9,6 +9,7 @@
 use crate::messages::journal_entry::JournalVerdict;
 use crate::messages::response::Response;
 use crate::protocol::sqlstate::{ClientError, SqlState};
+use crate::storage::journal::WriteJournal;
 use recovery::primary_discovery;
 use routing::time::{TimeDelta, Timestamp};
 use routing::{
@@ -76,7 +77,7 @@
         let ConfirmAttempt { request, attempt, endpoint, .. } = *question;
         let holds = self.state.requests.is_open(request)
             && self.state.policy.confirm_attempt(now, request, attempt, endpoint);
-        let _ = question.reply.send(holds && self.state.session_stands(now, request));
+        let _ = question.reply.send(holds && self.state.session_is_consistent(now, request));
     }
 
     pub(super) fn on_epoch_reported(&mut self, request: RequestId, epoch: Epoch) {
@@ -129,11 +130,11 @@
             }
         };
         let request = arrival.request;
-        let last_resort = arrival.deadline - settings.clock_resolution;
-        let active = self.active_request(*incoming, received_at, last_resort, settings);
+        let abort_at = arrival.deadline - settings.clock_resolution;
+        let active = self.active_request(*incoming, received_at, abort_at, settings);
         self.ids.insert(active.id.clone());
         self.requests.insert(request, active);
-        self.deadlines.set_last_resort(last_resort, request);
+        self.deadlines.set_abort_time(abort_at, request);
         let waiting = primary_discovery::Event::RequestWaiting { group: arrival.group };
         self.report_to_discovery(now, waiting);
         self.report(now, Event::RequestArrived(arrival));
@@ -185,7 +186,7 @@
         &self,
         incoming: IncomingRequest,
         received_at: Timestamp,
-        last_resort: Timestamp,
+        abort_at: Timestamp,
         settings: &RoutingSettings,
     ) -> ActiveRequest {
         let IncomingRequest { header, text, ticket } = incoming;
@@ -205,7 +206,7 @@
             is_duplicate: false,
             may_have_run: false,
             received_at,
-            last_resort,
+            abort_at,
             ticket: Some(ticket),
             text: Arc::new(text),
             attempt: None,
@@ -219,26 +220,24 @@
         report: AttemptReport,
         retry_after: Option<TimeDelta>,
     ) {
-        let (request, number, endpoint) = (report.request, report.number, report.endpoint);
-        let (outcome, elapsed) = (report.outcome, now - report.started_at);
-        let (answer_report, load_report) = (report.answer_report, report.load_report);
-        let Some(active) = self.requests.get_mut(request) else { return };
-        // If an attempt before may have run, this answer may be that to a retry, and its position no commit's.
+        let Some(active) = self.requests.get_mut(report.request) else { return };
         active.in_flight = None;
-        active.is_duplicate |= report.journal_verdict == Some(JournalVerdict::GrantedAsDuplicate);
-        let is_first = !active.is_duplicate && !active.may_have_run;
-        active.recorded |= report.journal_verdict.is_some_and(JournalVerdict::allows_sending);
-        active.may_have_run |= active.is_duplicate || !outcome.proves_not_executed();
-        if outcome == AttemptOutcome::Succeeded {
-            if let Some(journal) = self.journal.as_ref().filter(|_| active.recorded) {
-                let commit = answer_report.position.filter(|_| is_first);
-                let commit_ms = commit.map(|position| position.0 / NANOS_PER_MILLI);
-                journal.record_end(&active.id, RecordEvent::Executed(commit_ms));
-            }
-        }
+        let (outcome, elapsed) = (report.outcome, now - report.started_at);
+        record_outcome(active, &report, self.journal.as_deref());
         if report.journal_verdict == Some(JournalVerdict::IdInUse) {
             active.answer(&self.metrics, now, Response::Error(ID_RECORDED));
         }
+        let mut end = AttemptEnd {
+            request: report.request,
+            attempt: report.number,
+            endpoint: report.endpoint,
+            outcome,
+            elapsed,
+            request_closed: false,
+            write_session: active.write_session,
+            answer_report: report.answer_report,
+            load_report: report.load_report,
+        };
         if outcome == AttemptOutcome::Succeeded {
             if let Some(epoch) = report.epoch {
                 self.epochs.record(active.group, epoch);
@@ -248,19 +247,9 @@
                 active.answer(&self.metrics, now, response);
             }
         }
-        let (request_closed, write_session) = (active.ticket.is_none(), active.write_session);
         self.metrics.attempt_ended(outcome, elapsed);
-        let end = AttemptEnd {
-            request,
-            attempt: number,
-            endpoint,
-            outcome,
-            elapsed,
-            request_closed,
-            write_session,
-            answer_report,
-            load_report,
-        };
+        end.request_closed = active.ticket.is_none();
+        let (request, request_closed) = (end.request, end.request_closed);
         self.trace_attempt_end(&end);
         self.report(now, Event::AttemptEnded(end));
         let removed = self.requests.end_attempt(request, request_closed);
@@ -282,7 +271,7 @@
 
     /// Whether what a request's session has seen is still on the log, by all that was reported until now; if not, its client is
     /// told.
-    fn session_stands(&mut self, now: Timestamp, request: RequestId) -> bool {
+    fn session_is_consistent(&mut self, now: Timestamp, request: RequestId) -> bool {
         let Some(active) = self.requests.get_mut(request) else { return false };
         let is_lost = is_session_lost(&self.epochs, active);
         if is_lost {
@@ -293,6 +282,21 @@
     }
 }
 
+/// Keeps what an attempt shows of its request, in the journal too. If an attempt before may have run, the answer may be that to
+/// a retry, and its position no commit's.
+fn record_outcome(active: &mut ActiveRequest, report: &AttemptReport, journal: Option<&WriteJournal>) {
+    active.is_duplicate |= report.journal_verdict == Some(JournalVerdict::GrantedAsDuplicate);
+    let is_first = !active.is_duplicate && !active.may_have_run;
+    active.recorded |= report.journal_verdict.is_some_and(JournalVerdict::allows_sending);
+    active.may_have_run |= active.is_duplicate || !report.outcome.proves_not_executed();
+    let Some(journal) = journal.filter(|_| active.recorded) else { return };
+    if report.outcome == AttemptOutcome::Succeeded {
+        let commit = report.answer_report.position.filter(|_| is_first);
+        let commit_ms = commit.map(|position| position.0 / NANOS_PER_MILLI);
+        journal.record_end(&active.id, RecordEvent::Executed(commit_ms));
+    }
+}
+
 /// Where and for how long duplicates of a write are dropped, if it has an idempotency key.
 fn deduplication(
     idempotency: Option<Idempotency>,
--- a/server/src/control/request_queue.rs
+++ b/server/src/control/request_queue.rs
@@ -56,7 +56,7 @@
     /// The limits have changed.
     pub fn set_limits(&mut self, now: Timestamp, limits: QueueLimits, admitted: &mut Vec<QueuedRequest>) {
         self.limiter.set_limits(now, limits.limits, limits.classes, &mut self.decisions);
-        self.carry_out(admitted);
+        self.apply_decisions(admitted);
     }
 
     /// A request has come; requests that may go on are appended to `admitted`.
@@ -69,13 +69,13 @@
         self.waiting.insert(request, queued);
         let arrival = Arrival { request, client, is_retry, deadline };
         self.limiter.arrive(now, arrival, &mut self.decisions);
-        self.carry_out(admitted);
+        self.apply_decisions(admitted);
     }
 
     /// Nothing more can come of a request.
     pub fn remove(&mut self, now: Timestamp, request: RequestId, admitted: &mut Vec<QueuedRequest>) {
         self.limiter.remove(now, request, &mut self.decisions);
-        self.carry_out(admitted);
+        self.apply_decisions(admitted);
     }
 
     /// The client of a request is gone; false if the request does not wait here.
@@ -94,7 +94,7 @@
     /// Time has passed.
     pub fn tick(&mut self, now: Timestamp, admitted: &mut Vec<QueuedRequest>) {
         self.limiter.tick(now, &mut self.decisions);
-        self.carry_out(admitted);
+        self.apply_decisions(admitted);
     }
 
     /// When [`RequestQueue::tick`] is due next.
@@ -102,7 +102,7 @@
         self.limiter.due()
     }
 
-    fn carry_out(&mut self, admitted: &mut Vec<QueuedRequest>) {
+    fn apply_decisions(&mut self, admitted: &mut Vec<QueuedRequest>) {
         for decision in std::mem::take(&mut self.decisions) {
             match decision {
                 Decision::Admit { request, waited } => {
--- a/server/src/control/router_state.rs
+++ b/server/src/control/router_state.rs
@@ -70,6 +70,7 @@
 }
 
 impl RouterState {
+    /// A state that knows no endpoints.
     pub fn new(setup: RouterSetup) -> RouterState {
         let RouterSetup { seed, settings, dispatcher, recovery, queue_limits } = setup;
         let mut actions = Vec::new();
@@ -113,12 +114,12 @@
         }
     }
 
-    /// Fires the timers and last resorts that are due.
+    /// Fires the timers and abort times that are due.
     pub fn fire_deadlines(&mut self, now: Timestamp) {
         while let Some(tag) = self.deadlines.next_timer(now) {
             self.report(now, Event::TimerFired { tag });
         }
-        while let Some(request) = self.deadlines.next_last_resort(now) {
+        while let Some(request) = self.deadlines.next_overdue_request(now) {
             if self.requests.is_open(request) && !self.is_answer_pending(request) {
                 log!(WARN, request = request; "request still open at its last resort, aborted");
                 self.answer(now, request, Response::Aborted);
@@ -186,7 +187,7 @@
         if let Some(journal) = self.journal.as_ref().filter(|_| active.recorded && !active.may_have_run) {
             journal.record_end(&active.id, RecordEvent::NotExecuted);
         }
-        self.deadlines.remove_last_resort(active.last_resort, request);
+        self.deadlines.remove_abort_time(active.abort_at, request);
         if self.queue.is_some() {
             self.finished.push(request);
         }
--- a/server/src/endpoints/load_report.rs
+++ b/server/src/endpoints/load_report.rs
@@ -26,7 +26,7 @@
 }
 
 /// Digits with at most one point among them: no sign, no exponent, no `nan` or `inf`.
-pub fn plain_number(word: &str) -> Option<f64> {
-    let is_plain = word.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
-    word.parse().ok().filter(|_| is_plain)
+pub fn plain_number(text: &str) -> Option<f64> {
+    let is_plain = text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    text.parse().ok().filter(|_| is_plain)
 }
--- a/server/src/endpoints/response_parser.rs
+++ b/server/src/endpoints/response_parser.rs
@@ -173,7 +173,7 @@
                 self.reports.answer.position = plain_number(millis).and_then(clock::from_unix_ms);
             }
             ("health", fields) => self.reports.load = load_report::parse(fields),
-            ("epoch", word) => self.reports.epoch = parse_epoch(word),
+            ("epoch", text) => self.reports.epoch = parse_epoch(text),
             _ => {}
         }
         Some(self.state)
@@ -227,10 +227,10 @@
 
 /// An epoch, `3@1790000000123`: its number and the position at which it began, in Unix milliseconds; `3` alone if that is not
 /// known.
-fn parse_epoch(word: &str) -> Option<Epoch> {
-    let (number, began) = match word.split_once('@') {
+fn parse_epoch(text: &str) -> Option<Epoch> {
+    let (number, began) = match text.split_once('@') {
         Some((number, millis)) => (number, Some(plain_number(millis).and_then(clock::from_unix_ms)?)),
-        None => (word, None),
+        None => (text, None),
     };
     let is_digits = number.bytes().all(|byte| byte.is_ascii_digit());
     let number = number.parse().ok().filter(|_| is_digits)?;
--- a/server/src/messages/endpoint_list.rs
+++ b/server/src/messages/endpoint_list.rs
@@ -72,9 +72,9 @@
         }
     }
 
-    fn parse(word: &str) -> ListedHealth {
+    fn parse(text: &str) -> ListedHealth {
         let known = [ListedHealth::Serving, ListedHealth::Draining, ListedHealth::Deleted];
-        known.into_iter().find(|health| health.as_str() == word).unwrap_or(ListedHealth::Unknown)
+        known.into_iter().find(|health| health.as_str() == text).unwrap_or(ListedHealth::Unknown)
     }
 }
 
--- a/server/src/protocol/encode.rs
+++ b/server/src/protocol/encode.rs
@@ -100,8 +100,8 @@
 pub fn startup_message() -> Vec<u8> {
     let mut out = vec![0; 4];
     out.extend_from_slice(&VERSION_3.to_be_bytes());
-    for word in ["user", "backend", "database", "store", ""] {
-        text(&mut out, word);
+    for parameter in ["user", "backend", "database", "store", ""] {
+        text(&mut out, parameter);
     }
     let length = out.len() as u32;
     out[..4].copy_from_slice(&length.to_be_bytes());
--- a/server/src/protocol/statement.rs
+++ b/server/src/protocol/statement.rs
@@ -176,6 +176,6 @@
 }
 
 /// A number in plain digits: no sign, and none that does not fit.
-fn number(word: &str) -> Option<i64> {
-    word.parse().ok().filter(|_| word.bytes().all(|byte| byte.is_ascii_digit()))
+fn number(text: &str) -> Option<i64> {
+    text.parse().ok().filter(|_| text.bytes().all(|byte| byte.is_ascii_digit()))
 }
--- a/server/src/startup/server.rs
+++ b/server/src/startup/server.rs
@@ -4,7 +4,7 @@
 use crate::admin::view::AdminView;
 use crate::clients::acceptor::{self, ListenerQueue};
 use crate::clients::admission_control::AdmissionControl;
-use crate::clients::connection::ClientContext;
+use crate::clients::context::ClientContext;
 use crate::clients::graceful_shutdown::GracefulShutdown;
 use crate::clients::session_tokens::SessionTokens;
 use crate::control::control_loop::{ControlLoop, ControlSetup, RecoveryOptions};
--- a/sessions/src/positions.rs
+++ b/sessions/src/positions.rs
@@ -5,7 +5,7 @@
 /// A group as every instance names it: the number in the endpoint list.
 pub type GroupNumber = i64;
 
-/// Groups that have a position of their own. A session that has seen more of them keeps one floor for the others.
+/// Groups that have a position of their own. A session that has seen more of them keeps one lower bound for the others.
 pub const MAX_POSITIONS: usize = 16;
 
 /// A position on a group's log.
@@ -35,7 +35,7 @@
     /// By group, in rising order.
     by_group: Vec<(GroupNumber, LogPosition)>,
     /// What every group without a position of its own must show at the least.
-    floor: Option<LogPosition>,
+    lower_bound: Option<LogPosition>,
 }
 
 impl SessionPositions {
@@ -43,7 +43,7 @@
     pub fn get(&self, group: GroupNumber) -> Option<LogPosition> {
         match self.find(group) {
             Ok(index) => Some(self.by_group[index].1),
-            Err(_) => self.floor,
+            Err(_) => self.lower_bound,
         }
     }
 
@@ -57,13 +57,13 @@
     }
 
     /// What every other group must show at the least.
-    pub fn floor(&self) -> Option<LogPosition> {
-        self.floor
+    pub fn lower_bound(&self) -> Option<LogPosition> {
+        self.lower_bound
     }
 
     /// Whether the session has seen nothing.
     pub fn is_empty(&self) -> bool {
-        self.by_group.is_empty() && self.floor.is_none()
+        self.by_group.is_empty() && self.lower_bound.is_none()
     }
 
     /// The session has seen this of a group.
@@ -71,32 +71,32 @@
         match self.find(group) {
             Ok(index) => self.by_group[index].1 = self.by_group[index].1.later(position),
             Err(index) => {
-                let position = self.floor.map_or(position, |floor| floor.later(position));
+                let position = self.lower_bound.map_or(position, |lower_bound| lower_bound.later(position));
                 self.by_group.insert(index, (group, position));
             }
         }
         if self.by_group.len() > MAX_POSITIONS {
-            self.fold_oldest_into_floor();
+            self.fold_oldest_into_lower_bound();
         }
     }
 
-    /// The position that lies furthest back costs the other groups least when it becomes their floor.
-    fn fold_oldest_into_floor(&mut self) {
+    /// The position that lies furthest back costs the other groups least when it becomes their lower bound.
+    fn fold_oldest_into_lower_bound(&mut self) {
         let oldest = (0..self.by_group.len()).min_by_key(|&index| self.by_group[index].1.position);
         let (_, removed) = self.by_group.remove(oldest.unwrap_or(0));
         // An epoch belongs to one group: for others the position alone counts.
-        self.raise_floor(LogPosition { epoch: 0, ..removed });
+        self.raise_lower_bound(LogPosition { epoch: 0, ..removed });
     }
 
     /// Every group without a position of its own must show this at the least.
-    pub fn raise_floor(&mut self, position: LogPosition) {
-        self.floor = Some(self.floor.map_or(position, |floor| floor.later(position)));
+    pub fn raise_lower_bound(&mut self, position: LogPosition) {
+        self.lower_bound = Some(self.lower_bound.map_or(position, |lower_bound| lower_bound.later(position)));
     }
 
     /// Adds what another copy of the same session has seen.
     pub fn merge(&mut self, other: &SessionPositions) {
-        if let Some(floor) = other.floor {
-            self.raise_floor(floor);
+        if let Some(lower_bound) = other.lower_bound {
+            self.raise_lower_bound(lower_bound);
         }
         for &(group, position) in &other.by_group {
             self.advance(group, position);
--- a/sessions/src/session_cache.rs
+++ b/sessions/src/session_cache.rs
@@ -42,17 +42,17 @@
     }
 
     /// Merges what a client carries with what is remembered, both ways.
-    pub fn merge(&mut self, now: Timestamp, session: SessionId, carried: &mut SessionPositions) {
+    pub fn merge(&mut self, now: Timestamp, session: SessionId, presented: &mut SessionPositions) {
         self.expire(now);
         if let Some(cached) = self.sessions.get_mut(&session) {
-            cached.positions.merge(carried);
-            carried.clone_from(&cached.positions);
+            cached.positions.merge(presented);
+            presented.clone_from(&cached.positions);
             self.by_use.remove(&(cached.used_at, session));
             cached.used_at = now;
-        } else if carried.is_empty() {
+        } else if presented.is_empty() {
             return;
         } else {
-            self.sessions.insert(session, CachedSession { positions: carried.clone(), used_at: now });
+            self.sessions.insert(session, CachedSession { positions: presented.clone(), used_at: now });
         }
         self.by_use.insert((now, session));
         while self.sessions.len() > self.max_sessions {
--- a/sessions/src/token.rs
+++ b/sessions/src/token.rs
@@ -1,7 +1,7 @@
 //! The token that a client carries: its session's positions, authenticated so that no client can make or change one.
 //!
 //! Its bytes, before base64 (URL alphabet, no padding): format 1, the key's id, 16 of the session, issue and expiry in Unix
-//! seconds (4 each), a flag for the floor, the count of positions, then for each its group, epoch and position in
+//! seconds (4 each), a flag for the lower bound, the count of positions, then for each its group, epoch and position in
 //! milliseconds as LEB128, and 16 bytes of HMAC-SHA256 over all of that and over the audience, which is not in the token.
 
 use crate::positions::{GroupNumber, LogPosition, SessionPositions, MAX_POSITIONS};
@@ -19,7 +19,7 @@
 const HEADER_BYTES: usize = 1 + 1 + 16 + 4 + 4 + 1 + 1;
 /// A group, an epoch and a position as LEB128, at most.
 const MAX_POSITION_BYTES: usize = 10 + 5 + 10;
-/// The longest token: all positions and a floor.
+/// The longest token: all positions and a lower bound.
 const MAX_BYTES: usize = HEADER_BYTES + (MAX_POSITIONS + 1) * MAX_POSITION_BYTES + MAC_BYTES;
 /// The longest token in base64.
 pub const MAX_TEXT_BYTES: usize = MAX_BYTES.div_ceil(3) * 4;
@@ -204,10 +204,10 @@
     bytes.extend(token.session);
     bytes.extend(unix_seconds(token.issued));
     bytes.extend(unix_seconds(token.expires));
-    bytes.push(u8::from(positions.floor().is_some()));
+    bytes.push(u8::from(positions.lower_bound().is_some()));
     bytes.push(positions.by_group().len() as u8);
-    if let Some(floor) = positions.floor() {
-        encode_position(&mut bytes, 0, floor);
+    if let Some(lower_bound) = positions.lower_bound() {
+        encode_position(&mut bytes, 0, lower_bound);
     }
     for (group, position) in positions.by_group() {
         encode_position(&mut bytes, *group, *position);
@@ -256,14 +256,14 @@
         |at: usize| Some(i64::from(u32::from_be_bytes(body.get(at..at + 4)?.try_into().ok()?)));
     let session = body[2..18].try_into().ok()?;
     let (issued, expires) = (unix_seconds(18)?, unix_seconds(22)?);
-    let (has_floor, count) = (body[26], usize::from(body[27]));
-    if has_floor > 1 || count > MAX_POSITIONS {
+    let (has_lower_bound, count) = (body[26], usize::from(body[27]));
+    if has_lower_bound > 1 || count > MAX_POSITIONS {
         return None;
     }
     let mut rest = &body[HEADER_BYTES..];
     let mut positions = SessionPositions::default();
-    if has_floor == 1 {
-        positions.raise_floor(decode_position(&mut rest)?.1);
+    if has_lower_bound == 1 {
+        positions.raise_lower_bound(decode_position(&mut rest)?.1);
     }
     for _ in 0..count {
         let (group, position) = decode_position(&mut rest)?;
--- a/sessions/tests/earlier_build.rs
+++ b/sessions/tests/earlier_build.rs
@@ -20,7 +20,10 @@
     let ms = |ms: i64| Timestamp(ms * 1_000_000);
     assert_eq!(token.positions.get(3), Some(LogPosition { epoch: 2, position: ms(1_790_000_000_123) }));
     assert_eq!(token.positions.get(70_000), Some(LogPosition { epoch: 0, position: ms(1_790_000_000_456) }));
-    assert_eq!(token.positions.floor(), Some(LogPosition { epoch: 0, position: ms(1_789_999_999_000) }));
+    assert_eq!(
+        token.positions.lower_bound(),
+        Some(LogPosition { epoch: 0, position: ms(1_789_999_999_000) })
+    );
     assert_eq!(keys.seal(&token, AUDIENCE).as_deref(), Some(TOKEN), "the same bytes");
     assert_eq!(keys.open(TOKEN, "3:bob/kv", NOW_S), Err(TokenError::Unauthenticated));
     assert_eq!(keys.open(TOKEN, AUDIENCE, 1_790_003_600), Err(TokenError::Expired));
--- a/sessions/tests/guarantees.rs
+++ b/sessions/tests/guarantees.rs
@@ -83,27 +83,31 @@
 fn a_loss_that_was_told_is_not_brought_back_by_a_front_that_remembers_what_was_lost() {
     let (mut epochs, session, now) = (EpochHistory::default(), [7; 16], at(0));
     let [mut here, mut elsewhere] = [(); 2].map(|()| SessionCache::new(9, TimeDelta::from_millis(60_000)));
-    let mut carried = SessionPositions::default();
-    carried.advance(1, mark(1, 900));
-    carried.advance(2, mark(1, 700));
-    here.merge(now, session, &mut carried);
-    elsewhere.merge(now, session, &mut carried);
+    let mut presented = SessionPositions::default();
+    presented.advance(1, mark(1, 900));
+    presented.advance(2, mark(1, 700));
+    here.merge(now, session, &mut presented);
+    elsewhere.merge(now, session, &mut presented);
     for (number, began) in [(2, 500), (3, 600)] {
         epochs.record(1, Epoch { number, began: Some(at(began)) });
     }
-    assert_eq!(epochs.status(1, carried.get(1).expect("seen")), PositionStatus::Lost);
-    let mut before = carried.clone();
-    carried.remove(1);
-    carried.advance(1, epochs.restart_position(1));
+    assert_eq!(epochs.status(1, presented.get(1).expect("seen")), PositionStatus::Lost);
+    let mut before = presented.clone();
+    presented.remove(1);
+    presented.advance(1, epochs.restart_position(1));
     here.remove_position(&session, 1);
     // The client that was not reached by this comes with what it had, and is told again.
     here.merge(now, session, &mut before);
     assert_eq!(epochs.status(1, before.get(1).expect("seen")), PositionStatus::Lost);
     for front in [&mut here, &mut elsewhere] {
-        front.merge(now, session, &mut carried);
-        assert_eq!(carried.get(1), Some(mark(3, 600)), "told once, it goes on from where the new log began");
+        front.merge(now, session, &mut presented);
+        assert_eq!(
+            presented.get(1),
+            Some(mark(3, 600)),
+            "told once, it goes on from where the new log began"
+        );
         assert_eq!(epochs.status(1, mark(3, 600)), PositionStatus::OnLog(at(600)));
-        assert_eq!(carried.get(2), Some(mark(1, 700)), "another group is not touched");
+        assert_eq!(presented.get(2), Some(mark(1, 700)), "another group is not touched");
     }
 }
 
@@ -128,11 +132,15 @@
 #[test]
 fn tokens_open_for_their_audience_in_their_time_under_any_known_key() {
     let (old, both) = (keys(FIRST), keys(BOTH));
-    let carried = token(&[(3, mark(1, NOW * 1_000)), (9, mark(0, 5))]);
-    let text = old.seal(&carried, "desk/bookings").expect("sealed");
+    let presented = token(&[(3, mark(1, NOW * 1_000)), (9, mark(0, 5))]);
+    let text = old.seal(&presented, "desk/bookings").expect("sealed");
     assert!(text.len() <= MAX_TEXT_BYTES);
-    assert_eq!(both.open(&text, "desk/bookings", NOW), Ok(carried.clone()), "the key was changed meanwhile");
-    let newer = both.seal(&carried, "desk/bookings").expect("sealed");
+    assert_eq!(
+        both.open(&text, "desk/bookings", NOW),
+        Ok(presented.clone()),
+        "the key was changed meanwhile"
+    );
+    let newer = both.seal(&presented, "desk/bookings").expect("sealed");
     assert_eq!(old.open(&newer, "desk/bookings", NOW), Err(TokenError::UnknownKey));
     assert_eq!(both.open(&text, "desk/bookingss", NOW), Err(TokenError::Unauthenticated), "another client's");
     assert_eq!(both.open(&text, "des/kbookings", NOW), Err(TokenError::Unauthenticated));
@@ -144,7 +152,7 @@
     for cut in 0..text.len() {
         assert!(both.open(&text[..cut], "desk/bookings", NOW).is_err(), "cut at {cut}");
     }
-    let between = Token { positions: SessionPositions::default(), ..carried };
+    let between = Token { positions: SessionPositions::default(), ..presented };
     let mut between = between;
     between.positions.advance(3, LogPosition { epoch: 1, position: Timestamp(1_500_000) });
     let text = both.seal(&between, "a/b").expect("sealed");
@@ -210,12 +218,12 @@
         at_byte in any::<prop::sample::Index>(),
         with in 1..=255u8,
     ) {
-        let mut carried = token(&[]);
-        seen.iter().for_each(|(group, epoch, ms)| carried.positions.advance(*group, mark(*epoch, *ms)));
+        let mut presented = token(&[]);
+        seen.iter().for_each(|(group, epoch, ms)| presented.positions.advance(*group, mark(*epoch, *ms)));
         let keys = keys(BOTH);
-        let text = keys.seal(&carried, "a/b").expect("sealed");
+        let text = keys.seal(&presented, "a/b").expect("sealed");
         prop_assert!(text.len() <= MAX_TEXT_BYTES);
-        prop_assert_eq!(keys.open(&text, "a/b", NOW), Ok(carried));
+        prop_assert_eq!(keys.open(&text, "a/b", NOW), Ok(presented));
         let mut bytes = text.into_bytes();
         let nth = at_byte.index(bytes.len());
         bytes[nth] ^= with;
@@ -236,7 +244,7 @@
         let mut fronts = [EpochHistory::default(), EpochHistory::default()];
         // By session: what it carries, and what it has seen in truth (epoch and position), as this test
         // remembers it.
-        let mut carried: Vec<SessionPositions> = vec![SessionPositions::default(); 4];
+        let mut presented: Vec<SessionPositions> = vec![SessionPositions::default(); 4];
         let mut saw: Vec<Option<(u32, i64)>> = vec![None; 4];
         let mut now = 1_000i64;
         // Stores: the epoch each stands on and how far it has come.
@@ -269,7 +277,7 @@
                 // answer.
                 _ => {
                     let (front, store) = (&mut fronts[usize::from(how) % 2], stores[usize::from(how / 2) % 3]);
-                    let positions = &mut carried[who];
+                    let positions = &mut presented[who];
                     let verdict = positions.get(1).map(|mark| (mark, front.status(1, mark)));
                     if let Some((_, PositionStatus::Lost)) = verdict {
                         // Told, and begun anew.
--- a/simulator-adapter/src/host.rs
+++ b/simulator-adapter/src/host.rs
@@ -63,7 +63,7 @@
                 self.end_frame(output)?;
                 return Ok(true);
             }
-            message => self.take_in_frame(message)?,
+            message => self.handle_frame(message)?,
         }
         Ok(false)
     }
@@ -86,7 +86,7 @@
         Ok(())
     }
 
-    fn take_in_frame(&mut self, message: In) -> Result<(), HostError> {
+    fn handle_frame(&mut self, message: In) -> Result<(), HostError> {
         match message {
             In::Frame { .. } | In::Go {} => {}
             In::DefineList { page, records } => {
@@ -95,7 +95,7 @@
             In::Start { front, rng_seed, boot_info } => {
                 let instance = Instance::start(front, rng_seed, &boot_info, self.now)?;
                 self.instances.insert(front, instance);
-                self.carry_out(front);
+                self.perform_actions(front);
             }
             In::Detach { front } => {
                 self.instances.remove(&front);
@@ -167,11 +167,11 @@
     fn report(&mut self, front: u32, event: Event) {
         if let Some(instance) = self.instances.get_mut(&front) {
             instance.on_event(self.now, event);
-            self.carry_out(front);
+            self.perform_actions(front);
         }
     }
 
-    fn carry_out(&mut self, front: u32) {
+    fn perform_actions(&mut self, front: u32) {
         if let Some(instance) = self.instances.get_mut(&front) {
             instance.write_actions(&mut self.replies);
         }
--- a/simulator-adapter/src/instance.rs
+++ b/simulator-adapter/src/instance.rs
@@ -123,7 +123,7 @@
             seen_position: None,
             received_at: now,
             deadline: Timestamp(inbound.drop_dead_ns),
-            client_retry: inbound.repeat,
+            client_retry: inbound.is_retry,
         })
     }
 
@@ -244,14 +244,16 @@
             Action::Reject { request, retry_after } => Out::Shed {
                 front,
                 request_id: self.wire_id(*request)?,
-                come_back_ns: retry_after.map_or(0, |wait| wait.0),
+                retry_after_ns: retry_after.map_or(0, |wait| wait.0),
             },
             Action::Abort { request } => Out::RespondError { front, request_id: self.wire_id(*request)? },
             Action::CancelAttempt { request, attempt } => {
                 Out::Withdraw { front, request_id: self.wire_id(*request)?, hop: *attempt }
             }
             Action::SetTimer { tag, at } => Out::Remind { front, nonce: *tag, time_ns: at.0 },
-            Action::CheckHealth { endpoint } => Out::SoundOut { front, store: self.endpoints.id(*endpoint) },
+            Action::CheckHealth { endpoint } => {
+                Out::HealthCheck { front, store: self.endpoints.id(*endpoint) }
+            }
             Action::WatchEndpointList => Out::Watch { front, enable: true },
             Action::FetchEndpointList => Out::ListAll { front },
             Action::Log(message) => Out::Remark { front, message },
--- a/simulator-adapter/src/messages.rs
+++ b/simulator-adapter/src/messages.rs
@@ -81,8 +81,8 @@
     #[serde(default, borrow)]
     pub conn_key: Option<Cow<'a, str>>,
     pub drop_dead_ns: i64,
-    #[serde(default)]
-    pub repeat: bool,
+    #[serde(default, rename = "repeat")]
+    pub is_retry: bool,
     #[serde(default)]
     pub profile: usize,
     #[serde(default)]
@@ -159,14 +159,49 @@
 #[allow(clippy::enum_variant_names)] // The wire's names.
 #[serde(rename_all_fields = "camelCase")]
 pub enum Out<'a> {
-    Forward { front: u32, request_id: &'a str, store: &'a str, limit_ns: i64 },
-    Shed { front: u32, request_id: &'a str, come_back_ns: i64 },
-    RespondError { front: u32, request_id: &'a str },
-    Withdraw { front: u32, request_id: &'a str, hop: u32 },
-    Remind { front: u32, nonce: u64, time_ns: i64 },
-    SoundOut { front: u32, store: &'a str },
-    Watch { front: u32, enable: bool },
-    ListAll { front: u32 },
-    Remark { front: u32, message: &'a str },
-    Yield { serial: u64 },
+    Forward {
+        front: u32,
+        request_id: &'a str,
+        store: &'a str,
+        limit_ns: i64,
+    },
+    Shed {
+        front: u32,
+        request_id: &'a str,
+        #[serde(rename = "comeBackNs")]
+        retry_after_ns: i64,
+    },
+    RespondError {
+        front: u32,
+        request_id: &'a str,
+    },
+    Withdraw {
+        front: u32,
+        request_id: &'a str,
+        hop: u32,
+    },
+    Remind {
+        front: u32,
+        nonce: u64,
+        time_ns: i64,
+    },
+    #[serde(rename = "SoundOut")]
+    HealthCheck {
+        front: u32,
+        store: &'a str,
+    },
+    Watch {
+        front: u32,
+        enable: bool,
+    },
+    ListAll {
+        front: u32,
+    },
+    Remark {
+        front: u32,
+        message: &'a str,
+    },
+    Yield {
+        serial: u64,
+    },
 }
--- a/write-journal/src/encoding.rs
+++ b/write-journal/src/encoding.rs
@@ -35,6 +35,7 @@
 }
 
 impl Record {
+    /// The record as bytes.
     pub fn encode(&self) -> Vec<u8> {
         let (kind, commit_ms) = match self.state {
             RecordState::Pending => (PENDING, 0),
--- a/write-journal/src/journal.rs
+++ b/write-journal/src/journal.rs
@@ -35,7 +35,7 @@
 const MAX_DROPPED_PER_BATCH: usize = 64;
 
 const NAME_KEY: &str = "name";
-const FLOOR_KEY: &str = "floor";
+const OLDEST_SERIAL_KEY: &str = "floor";
 const NEXT_KEY: &str = "next";
 const COUNT_KEY: &str = "count";
 
@@ -111,7 +111,7 @@
     name: String,
     next_serial: u64,
     /// None of the records made from this serial on has been dropped.
-    floor: u64,
+    oldest_serial: u64,
     /// Entries in `order`. Serials have gaps between two processes.
     count: u64,
     durability: Durability,
@@ -150,7 +150,7 @@
         let mut journal = Journal {
             name: read_or_create_name(&meta, chance)?,
             next_serial: read_number(&meta, NEXT_KEY)?,
-            floor: read_number(&meta, FLOOR_KEY)?,
+            oldest_serial: read_number(&meta, OLDEST_SERIAL_KEY)?,
             count: read_number(&meta, COUNT_KEY)?,
             database,
             records,
@@ -222,7 +222,7 @@
 
     /// Whether no record made since a connection with this origin began was dropped.
     fn covers(&self, origin: &Origin) -> bool {
-        origin.journal == self.name && origin.serial >= self.floor
+        origin.journal == self.name && origin.serial >= self.oldest_serial
     }
 
     fn find(&self, id: &str, batch: &Batch) -> Result<Option<Record>, JournalError> {
@@ -310,7 +310,7 @@
     /// batch: what was dropped is never taken for what never was.
     fn drop_expired(&mut self, wall_ms: i64) -> Result<(), JournalError> {
         let mut writes = self.database.batch();
-        let (mut floor, mut count) = (self.floor, self.count);
+        let (mut oldest_serial, mut count) = (self.oldest_serial, self.count);
         for entry in self.order.iter().take(MAX_DROPPED_PER_BATCH) {
             let (serial, id) = entry.into_inner()?;
             let Some(serial) = number(&serial) else { continue };
@@ -326,14 +326,14 @@
             if record.is_some() {
                 writes.remove(&self.records, id);
             }
-            floor = serial + 1;
+            oldest_serial = serial + 1;
             count = count.saturating_sub(1);
         }
-        if floor != self.floor {
-            writes.insert(&self.meta, FLOOR_KEY, floor.to_be_bytes().as_slice());
+        if oldest_serial != self.oldest_serial {
+            writes.insert(&self.meta, OLDEST_SERIAL_KEY, oldest_serial.to_be_bytes().as_slice());
             writes.insert(&self.meta, COUNT_KEY, count.to_be_bytes().as_slice());
             writes.commit()?;
-            self.floor = floor;
+            self.oldest_serial = oldest_serial;
             self.count = count;
         }
         Ok(())
--- a/write-journal/src/record_state.rs
+++ b/write-journal/src/record_state.rs
@@ -193,16 +193,16 @@
 
 /// The fate of a write.
 pub fn fate(evidence: Evidence) -> FateDecision {
-    let told = |fate| FateDecision { fate, must_bar: false };
+    let without_bar = |fate| FateDecision { fate, must_bar: false };
     let never = FateDecision { fate: Fate::NeverExecuted, must_bar: true };
     match evidence.state {
-        Some(RecordState::Executed(commit_ms)) => told(Fate::Executed(commit_ms)),
-        Some(RecordState::Barred) => told(Fate::NeverExecuted),
-        _ if evidence.request_open => told(Fate::InFlight),
-        Some(RecordState::Pending) => told(Fate::Unknown),
+        Some(RecordState::Executed(commit_ms)) => without_bar(Fate::Executed(commit_ms)),
+        Some(RecordState::Barred) => without_bar(Fate::NeverExecuted),
+        _ if evidence.request_open => without_bar(Fate::InFlight),
+        Some(RecordState::Pending) => without_bar(Fate::Unknown),
         Some(RecordState::NotExecuted) => never,
         // Nothing is sent without a record: none was made, so it was not sent. It may still be on its way to us.
         None if evidence.covered => never,
-        None => told(Fate::Unknown),
+        None => without_bar(Fate::Unknown),
     }
 }
