--- a/endpoint-cache/src/directory.rs
+++ b/endpoint-cache/src/directory.rs
@@ -26,7 +26,7 @@
         error: std::io::Error,
     },
     /// Another instance holds the directory.
-    #[error("{}: another front uses it", .0.display())]
+    #[error("{}: another process uses it", .0.display())]
     Locked(PathBuf),
     /// A file does not count.
     #[error("{}: {error}", path.display())]
--- a/server/tests/admission.rs
+++ b/server/tests/admission.rs
@@ -8,24 +8,24 @@
 use std::time::{Duration, Instant};
 use test_servers::client::{Answer, Client, Kind};
 use test_servers::daemon::Daemon;
-use test_servers::lone::Lone;
-use test_servers::store::free_address;
+use test_servers::endpoint::free_address;
+use test_servers::single_endpoint::SingleEndpoint;
 
-/// One primary and a front with few descriptors.
-struct Place {
-    lone: Lone,
+/// One primary and an instance with few descriptors.
+struct Fixture {
+    single_endpoint: SingleEndpoint,
     listen: SocketAddr,
     program: PathBuf,
 }
 
-impl Place {
-    fn new() -> Place {
+impl Fixture {
+    fn new() -> Fixture {
         let program = PathBuf::from(env!("CARGO_BIN_EXE_query-router"));
-        Place { lone: Lone::new(1), listen: free_address(), program }
+        Fixture { single_endpoint: SingleEndpoint::new(1), listen: free_address(), program }
     }
 
     fn begin(&self, conf: &str) -> Daemon {
-        self.lone.start(&self.program, self.lone.folder.path(), self.listen, 200, conf)
+        self.single_endpoint.start(&self.program, self.single_endpoint.folder.path(), self.listen, 200, conf)
     }
 
     fn start(&self, conf: &str) -> Daemon {
@@ -40,7 +40,8 @@
 
     fn is_served(&self, from: Ipv4Addr, id: &str) -> bool {
         let Ok(mut client) = Client::from_address(&self.listen, from) else { return false };
-        client.refused.is_none() && matches!(client.ask(id, 1, Kind::Write, 800).answer, Answer::Value(_))
+        client.rejected_with.is_none()
+            && matches!(client.request(id, 1, Kind::Write, 800).answer, Answer::Value(_))
     }
 }
 
@@ -48,7 +49,7 @@
 #[derive(Debug, Default)]
 struct Flooded {
     desk_served: usize,
-    refused: usize,
+    rejected_with: usize,
     told_when: usize,
     let_in: usize,
     rpcs_lost: usize,
@@ -56,15 +57,15 @@
 
 /// Each of the flood's connections asks again and again, so that nobody is idle, and comes again once it is
 /// refused.
-fn flood(place: &Place) -> Flooded {
+fn flood(fixture: &Fixture) -> Flooded {
     let over = Arc::new(AtomicBool::new(false));
     let counts: Arc<[AtomicUsize; 4]> = Arc::default();
     let flooding: Vec<_> = (0..150u16)
-        .map(|nth| {
-            let (over, counts, listen) = (over.clone(), counts.clone(), place.listen);
+        .map(|index| {
+            let (over, counts, listen) = (over.clone(), counts.clone(), fixture.listen);
             thread::spawn(move || {
                 for round in 0u16.. {
-                    let from = Ipv4Addr::new(127, 50, (nth % 2) as u8 + 2 * (round % 2) as u8, nth as u8);
+                    let from = Ipv4Addr::new(127, 50, (index % 2) as u8 + 2 * (round % 2) as u8, index as u8);
                     if over.load(Ordering::Acquire) {
                         return;
                     }
@@ -72,9 +73,9 @@
                         thread::sleep(Duration::from_millis(10));
                         continue;
                     };
-                    if client.refused.is_some() {
+                    if client.rejected_with.is_some() {
                         counts[0].fetch_add(1, Ordering::Relaxed);
-                        counts[1].fetch_add(usize::from(client.retry_after.is_some()), Ordering::Relaxed);
+                        counts[1].fetch_add(usize::from(client.retry_after_ms.is_some()), Ordering::Relaxed);
                         thread::sleep(Duration::from_millis(20));
                         continue;
                     }
@@ -83,8 +84,8 @@
                         if over.load(Ordering::Acquire) {
                             return;
                         }
-                        let id = format!("f{nth}-{round}-{serial}");
-                        if client.ask(&id, 1, Kind::Read, 400).answer == Answer::None {
+                        let id = format!("f{index}-{round}-{serial}");
+                        if client.request(&id, 1, Kind::Read, 400).answer == Answer::Missing {
                             // Let go between two queries is no loss; with one on the way it would be.
                             counts[3].fetch_add(usize::from(serial == 0), Ordering::Relaxed);
                             break;
@@ -95,65 +96,67 @@
         })
         .collect();
     thread::sleep(Duration::from_millis(400));
-    let desk = |nth: u8| place.is_served(Ipv4Addr::new(127, 9, 0, nth % 10), &format!("d{nth}"));
-    let desk_served = (0..60).filter(|&nth| desk(nth)).count();
+    let desk = |index: u8| fixture.is_served(Ipv4Addr::new(127, 9, 0, index % 10), &format!("d{index}"));
+    let desk_served = (0..60).filter(|&index| desk(index)).count();
     over.store(true, Ordering::Release);
     flooding.into_iter().for_each(|flooding| flooding.join().expect("no client panics"));
-    let [refused, told_when, let_in, rpcs_lost] = [0, 1, 2, 3].map(|nth| counts[nth].load(Ordering::Relaxed));
-    Flooded { desk_served, refused, told_when, let_in, rpcs_lost }
+    let [rejected_with, told_when, let_in, rpcs_lost] =
+        [0, 1, 2, 3].map(|index| counts[index].load(Ordering::Relaxed));
+    Flooded { desk_served, rejected_with, told_when, let_in, rpcs_lost }
 }
 
 #[test]
 fn desk_apps_get_in_through_a_flood_that_keeps_them_out_without_classes() {
-    let place = Place::new();
-    let daemon = place.start("admit desk from 127.9.0.0/16 keep 20\nadmit others each 3 rate 50 burst 10\n");
-    let with = flood(&place);
+    let fixture = Fixture::new();
+    let daemon =
+        fixture.start("admit desk from 127.9.0.0/16 keep 20\nadmit others each 3 rate 50 burst 10\n");
+    let with = flood(&fixture);
     daemon.kill();
-    let daemon = place.start("");
-    let without = flood(&place);
+    let daemon = fixture.start("");
+    let without = flood(&fixture);
     daemon.kill();
     println!("with classes {with:?}\nwithout {without:?}");
     assert_eq!((with.desk_served, with.rpcs_lost), (60, 0), "{with:?}");
-    assert!(with.refused > 0 && with.told_when > 0 && with.let_in > 20, "{with:?}");
+    assert!(with.rejected_with > 0 && with.told_when > 0 && with.let_in > 20, "{with:?}");
     assert!(without.desk_served < 60, "it shows nothing: {without:?}");
 }
 
 #[test]
 fn limits_change_while_the_front_runs_and_nobody_who_may_stay_is_let_go() {
-    let place = Place::new();
+    let fixture = Fixture::new();
     let desk = "admit desk from 127.9.0.0/16 keep 5\n";
-    let daemon = place.start(&format!("{desk}admit others each 4\n"));
+    let daemon = fixture.start(&format!("{desk}admit others each 4\n"));
     let from = Ipv4Addr::new(127, 60, 0, 1);
-    let open = || Client::from_address(&place.listen, from).expect("it answers");
+    let open = || Client::from_address(&fixture.listen, from).expect("it answers");
     let mut held: Vec<Client> = (0..4).map(|_| open()).collect();
-    assert!(held.iter().all(|client| client.refused.is_none()));
+    assert!(held.iter().all(|client| client.rejected_with.is_none()));
     let fifth = open();
-    assert_eq!(fifth.refused.as_deref(), Some("53300"));
-    assert!(fifth.retry_after.is_some_and(|ms| (1..=1_000).contains(&ms)), "{:?}", fifth.retry_after);
-    let file = place.lone.folder.path().join("gingerwick.conf");
+    assert_eq!(fifth.rejected_with.as_deref(), Some("53300"));
+    assert!(fifth.retry_after_ms.is_some_and(|ms| (1..=1_000).contains(&ms)), "{:?}", fifth.retry_after_ms);
+    let file = fixture.single_endpoint.folder.path().join("gingerwick.conf");
     // What contradicts itself changes nothing.
     std::fs::write(&file, "admit desk from 127.9.0.0/16 keep 5 most 4\n").expect("written");
     daemon.signal("HUP");
-    assert!(daemon.says("reload: operators' file not usable, nothing changed"));
-    assert!(daemon.says("1: admit: desk keeps more than its most"));
+    assert!(daemon.has_logged("reload: operators' file not usable, nothing changed"));
+    assert!(daemon.has_logged("1: admit: desk keeps more than its most"));
     std::fs::write(&file, "admit desk from 127.9.0.0/16 keep 5000\n").expect("written");
     daemon.signal("HUP");
-    assert!(daemon.says("5000 connections are kept in all, and there is room for"));
-    assert_eq!(open().refused.as_deref(), Some("53300"), "the limits from before count");
+    assert!(daemon.has_logged("5000 connections are kept in all, and there is room for"));
+    assert_eq!(open().rejected_with.as_deref(), Some("53300"), "the limits from before count");
     // Lowered below what is held: nobody new, and who is there stays.
     std::fs::write(&file, format!("{desk}admit others each 1\n")).expect("written");
     daemon.signal("HUP");
-    assert!(daemon.says("others 4; rejected since the start: others 2"));
-    for (nth, client) in held.iter_mut().enumerate() {
-        let answer = client.ask(&format!("h{nth}"), 1, Kind::Write, 800).answer;
+    assert!(daemon.has_logged("others 4; rejected since the start: others 2"));
+    for (index, client) in held.iter_mut().enumerate() {
+        let answer = client.request(&format!("h{index}"), 1, Kind::Write, 800).answer;
         assert!(matches!(answer, Answer::Value(_)), "{answer:?}");
     }
     held.truncate(1);
     thread::sleep(Duration::from_millis(50));
-    assert_eq!(open().refused.as_deref(), Some("53300"), "one is still held");
+    assert_eq!(open().rejected_with.as_deref(), Some("53300"), "one is still held");
     held.clear();
     let began = Instant::now();
-    while open().refused.is_some() {
+    while open().rejected_with.is_some() {
         assert!(began.elapsed() < Duration::from_secs(5), "the last has gone");
         thread::sleep(Duration::from_millis(5));
     }
@@ -162,14 +165,14 @@
 
 #[test]
 fn a_full_class_has_its_own_idle_ones_make_way_and_nobody_elses() {
-    let place = Place::new();
-    let daemon = place.start("admit desk from 127.9.0.0/16 keep 9\nadmit others most 3\n");
-    let from = |net: u8, nth: u8| {
-        Client::from_address(&place.listen, Ipv4Addr::new(127, net, 0, nth)).expect("it answers")
+    let fixture = Fixture::new();
+    let daemon = fixture.start("admit desk from 127.9.0.0/16 keep 9\nadmit others most 3\n");
+    let from = |net: u8, index: u8| {
+        Client::from_address(&fixture.listen, Ipv4Addr::new(127, net, 0, index)).expect("it answers")
     };
     let mut desk = [from(9, 1), from(9, 2)];
     let held = [from(60, 1), from(60, 2), from(60, 3)];
-    assert!(desk.iter().chain(&held).all(|client| client.refused.is_none()));
+    assert!(desk.iter().chain(&held).all(|client| client.rejected_with.is_none()));
     // Who has not asked for anything is let be for a moment, and then had better make way.
     let began = Instant::now();
     let mut came = 4;
@@ -178,19 +181,19 @@
         assert!(began.elapsed() < Duration::from_secs(10), "{} came in", newer.len());
         came += 1;
         let client = from(60, came);
-        newer.extend(client.refused.is_none().then_some(client));
+        newer.extend(client.rejected_with.is_none().then_some(client));
         thread::sleep(Duration::from_millis(20));
     }
-    for (nth, client) in desk.iter_mut().enumerate() {
-        let answer = client.ask(&format!("k{nth}"), 1, Kind::Write, 800).answer;
+    for (index, client) in desk.iter_mut().enumerate() {
+        let answer = client.request(&format!("k{index}"), 1, Kind::Write, 800).answer;
         assert!(matches!(answer, Answer::Value(_)), "a desk app was let go for the others: {answer:?}");
     }
     drop(daemon);
 }
 
 /// The daemon under a limit of the process's own, by the shell.
-fn limited(place: &Place, descriptors: usize) -> PathBuf {
-    let path = place.lone.folder.path().join("limited");
+fn limited(fixture: &Fixture, descriptors: usize) -> PathBuf {
+    let path = fixture.single_endpoint.folder.path().join("limited");
     let daemon = env!("CARGO_BIN_EXE_query-router");
     let text = format!("#!/bin/sh\nulimit -n {descriptors}\nexec {daemon} \"$@\"\n");
     // By a process of its own: a child that another test starts while this one writes would hold the file open.
@@ -202,27 +205,26 @@
 
 #[test]
 fn a_process_that_may_open_less_than_its_settings_say_goes_by_that_and_desks_still_get_in() {
-    let mut place = Place::new();
-    place.program = limited(&place, 100);
-    let daemon = place.start("admit desk from 127.9.0.0/16 keep 8\nadmit others each 3\n");
-    assert!(
-        daemon.says("descriptor limit of the process is lower than configured allowed=100 configured=200")
-    );
-    let flooded = flood(&place);
+    let mut fixture = Fixture::new();
+    fixture.program = limited(&fixture, 100);
+    let daemon = fixture.start("admit desk from 127.9.0.0/16 keep 8\nadmit others each 3\n");
+    assert!(daemon
+        .has_logged("descriptor limit of the process is lower than configured allowed=100 configured=200"));
+    let flooded = flood(&fixture);
     let log = daemon.kill();
     assert_eq!((flooded.desk_served, flooded.rpcs_lost), (60, 0), "{flooded:?}");
-    assert!(flooded.refused > 0 && !log.contains("connection not accepted"), "{flooded:?} {log}");
+    assert!(flooded.rejected_with > 0 && !log.contains("connection not accepted"), "{flooded:?} {log}");
 }
 
 #[test]
 fn who_comes_while_no_descriptor_is_left_is_told_so_and_what_was_taken_is_answered() {
-    let place = Place::new();
-    let daemon = place.start("admit desk from 127.9.0.0/16 keep 8\n");
-    let open = || Client::from_address(&place.listen, Ipv4Addr::new(127, 9, 0, 1));
+    let fixture = Fixture::new();
+    let daemon = fixture.start("admit desk from 127.9.0.0/16 keep 8\n");
+    let open = || Client::from_address(&fixture.listen, Ipv4Addr::new(127, 9, 0, 1));
     let mut first = open().expect("it is let in");
-    // A connection to its store is there; from now on the machine gives it none beyond a few more. What closes
+    // A connection to its endpoint is there; from now on the machine gives it none beyond a few more. What closes
     // meanwhile, as the one that warmed it up, gives some back.
-    assert!(matches!(first.ask("before", 1, Kind::Write, 800).answer, Answer::Value(_)));
+    assert!(matches!(first.request("before", 1, Kind::Write, 800).answer, Answer::Value(_)));
     let used = std::fs::read_dir(format!("/proc/{}/fd", daemon.pid())).expect("a process").count() as u64;
     let pid = daemon.pid() as i32;
     let limit = |soft: u64| rlimit::prlimit(pid, rlimit::Resource::NOFILE, Some((soft, 4_096)), None);
@@ -232,29 +234,29 @@
     for _ in 0..30 {
         // One whose word was lost to a reset was not left waiting either.
         match open() {
-            Ok(client) if client.refused.is_none() => held.push(client),
-            Ok(client) => told += usize::from(client.refused.as_deref() == Some("53300")),
+            Ok(client) if client.rejected_with.is_none() => held.push(client),
+            Ok(client) => told += usize::from(client.rejected_with.as_deref() == Some("53300")),
             Err(_) => {}
         }
     }
     assert!(began.elapsed() < Duration::from_secs(3), "nobody waits in the queue: {:?}", began.elapsed());
     assert!(held.len() <= 9 && told >= 20, "{} were let in, {told} told", held.len());
-    for (nth, client) in [first].iter_mut().chain(&mut held).enumerate() {
-        let answer = client.ask(&format!("held{nth}"), 1, Kind::Write, 800).answer;
-        assert!(matches!(answer, Answer::Value(_) | Answer::PushedBack(_)), "{answer:?}");
+    for (index, client) in [first].iter_mut().chain(&mut held).enumerate() {
+        let answer = client.request(&format!("held{index}"), 1, Kind::Write, 800).answer;
+        assert!(matches!(answer, Answer::Value(_) | Answer::Rejected(_)), "{answer:?}");
     }
     limit(4_096).expect("an own process may be limited");
     let began = Instant::now();
-    while !open().is_ok_and(|client| client.refused.is_none()) {
+    while !open().is_ok_and(|client| client.rejected_with.is_none()) {
         assert!(began.elapsed() < Duration::from_secs(2), "there are descriptors again");
     }
-    assert!(daemon.says("connection not accepted reason="));
+    assert!(daemon.has_logged("connection not accepted reason="));
 }
 
 #[test]
 fn limits_that_do_not_fit_are_said_at_the_start() {
-    let place = Place::new();
-    let mut daemon = place.begin("admit desk from 127.9.0.0/16 keep 5000\n");
-    assert_eq!(daemon.ends_within(Duration::from_secs(5)), Some(78));
-    assert!(daemon.says("admit: 5000 connections are kept in all, and there is room for"));
+    let fixture = Fixture::new();
+    let mut daemon = fixture.begin("admit desk from 127.9.0.0/16 keep 5000\n");
+    assert_eq!(daemon.exit_status_within(Duration::from_secs(5)), Some(78));
+    assert!(daemon.has_logged("admit: 5000 connections are kept in all, and there is room for"));
 }
--- a/server/tests/histories.rs
+++ b/server/tests/histories.rs
@@ -1,28 +1,31 @@
-//! Sessions and writes through kills of fronts, moves, lag and a switch that loses the tail of a log: the
-//! checker judges what clients saw by what stores ran.
+//! Sessions and writes through kills of instances, moves between them, lag and a failover that loses the tail of a log: the
+//! checker judges what clients saw by what endpoints executed.
 
 use std::path::Path;
-use test_servers::sessions::{play, Plan, Played};
-use test_servers::starts::Build;
+use test_servers::sessions::{run_plan, Outcome, Plan};
+use test_servers::Build;
+
+const KILLS: usize = 8;
 
 #[test]
-fn through_kills_moves_lag_and_a_switch_no_guarantee_breaks() {
-    let build = Build { program: Path::new(env!("CARGO_BIN_EXE_query-router")), keeps: true };
-    let mut sum = Played::default();
+fn no_guarantee_breaks_through_kills_moves_lag_and_a_failover() {
+    let program = Path::new(env!("CARGO_BIN_EXE_query-router"));
+    let build = Build { program, has_operator_file: true };
+    let mut sum = Outcome::default();
     for seed in 1..=6 {
-        let plan = Plan::draw(seed, 8);
-        let played = play(&plan, &build).expect("it can be played");
-        assert!(played.verdict.offences.is_empty(), "{plan:?}\n{:#?}", played.verdict.offences);
-        sum.verdict.add(played.verdict);
-        sum.in_doubt += played.in_doubt;
-        sum.told += played.told;
-        sum.losses += played.losses;
+        let plan = Plan::draw(seed, KILLS);
+        let outcome = run_plan(&plan, &build).expect("it can be run here");
+        assert!(outcome.verdict.violations.is_empty(), "{plan:?}\n{:#?}", outcome.verdict.violations);
+        sum.verdict.add(outcome.verdict);
+        sum.writes_in_doubt += outcome.writes_in_doubt;
+        sum.fates_told += outcome.fates_told;
+        sum.losses_told += outcome.losses_told;
     }
-    // A run in which nothing was in doubt and nothing lost would show nothing.
-    let Played { in_doubt, told, losses, .. } = sum;
+    let Outcome { verdict, writes_in_doubt, fates_told, losses_told, .. } = sum;
+    let requests = verdict.requests;
     println!(
-        "{} RPCs, {in_doubt} writes in doubt, {told} fates told, {losses} losses told",
-        sum.verdict.asked
+        "{requests} requests, {writes_in_doubt} writes in doubt, {fates_told} fates, {losses_told} losses"
     );
-    assert!(in_doubt > 0 && told > 0 && losses > 0);
+    // A run in which nothing was in doubt and nothing lost would show nothing.
+    assert!(writes_in_doubt > 0 && fates_told > 0 && losses_told > 0);
 }
--- a/server/tests/loopback/rare.rs
+++ b/server/tests/loopback/disconnects.rs
@@ -1,6 +1,6 @@
-//! Rare moments, each made to happen: who leaves, what still comes while the front leaves.
+//! Clients that disconnect, and what still comes while the instance shuts down; each rare moment is made to happen.
 
-use crate::place::*;
+use crate::fixture::*;
 use server::protocol::encode::{query, startup_message};
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
@@ -11,25 +11,25 @@
 /// So long after its client has left an RPC that waits may still be sent on.
 const MAY_GO_ON: Duration = Duration::from_millis(100);
 
-/// A client's write whose connection to the store comes up only on the word that is given back.
-fn held_write(front: &Front) -> (Client, Sender<()>) {
-    let (open, gate) = channel();
-    *front.primary.gate.lock().expect("no panic") = Some(gate);
-    let mut client = Client::open(front.listen);
+/// A client's write whose connection to the endpoint comes up only on the word that is given back.
+fn held_write(router: &RouterProcess) -> (Client, Sender<()>) {
+    let (open, startup_gate) = channel();
+    *router.primary.startup_gate.lock().expect("no panic") = Some(startup_gate);
+    let mut client = Client::open(router.listen);
     client.send(&statement("order", "good", 60_000));
-    front.knocks.recv_timeout(LIMIT).expect("its connection is being made");
+    router.arrivals.recv_timeout(LIMIT).expect("its connection is being made");
     (client, open)
 }
 
 /// Lets the connection come up; true where the write is sent on all the same.
-fn is_sent_on(front: &Front, open: Sender<()>) -> bool {
+fn is_sent_on(router: &RouterProcess, open: Sender<()>) -> bool {
     thread::sleep(MAY_GO_ON);
     open.send(()).expect("the store waits");
-    let mut other = Client::open(front.listen);
-    // What is sent behind it on the same store has been through the same turns.
-    while other.ask("order", "good", 3000) != value() {}
-    let seen = front.primary.seen.lock().expect("no panic");
-    seen.len() > 1
+    let mut other = Client::open(router.listen);
+    // What is sent behind it on the same endpoint has been through the same turns.
+    while other.request("order", "good", 3000) != value() {}
+    let statements = router.primary.statements.lock().expect("no panic");
+    statements.len() > 1
 }
 
 #[test]
@@ -44,16 +44,16 @@
         |mut client| client.0.write_all(b"X\0\0\0\x04").expect("sent"),
         |client| client.0.shutdown(Shutdown::Write).expect("still open"),
     ];
-    for (nth, close) in closes.into_iter().enumerate() {
-        let front = Front::within(1024, 192, &settings);
-        let (client, open) = held_write(&front);
+    for (index, close) in closes.into_iter().enumerate() {
+        let router = RouterProcess::within(1024, 192, &settings);
+        let (client, open) = held_write(&router);
         close(client);
-        assert!(!is_sent_on(&front, open), "the {nth}th way of leaving was not seen");
+        assert!(!is_sent_on(&router, open), "the {index}th way of leaving was not seen");
     }
 }
 
-fn descriptors(front: &Front) -> usize {
-    std::fs::read_dir(format!("/proc/{}/fd", front.child.id())).expect("a process of ours").count()
+fn descriptors(router: &RouterProcess) -> usize {
+    std::fs::read_dir(format!("/proc/{}/fd", router.child.id())).expect("a process of ours").count()
 }
 
 fn reset(client: Client) {
@@ -62,19 +62,19 @@
 
 #[test]
 fn a_burst_of_leavers_takes_along_all_that_is_held_for_them_and_gives_everything_back() {
-    let front = Front::start();
-    while Client::open(front.listen).ask("order", "good", 1000) != value() {}
-    // As much as this store is given at once, each for longer than the leavers have.
-    let mut busy: Vec<Client> = (0..4).map(|_| Client::open(front.listen)).collect();
+    let router = RouterProcess::start();
+    while Client::open(router.listen).request("order", "good", 1000) != value() {}
+    // As much as this endpoint is given at once, each for longer than the leavers have.
+    let mut busy: Vec<Client> = (0..4).map(|_| Client::open(router.listen)).collect();
     busy.iter_mut().for_each(|client| client.send(&statement("order", "slow", 3000)));
-    (0..4).for_each(|_| front.knocks.recv_timeout(LIMIT).expect("it is at work"));
-    let before = descriptors(&front);
-    let mut leavers: Vec<Client> = (0..40).map(|_| Client::open(front.listen)).collect();
+    (0..4).for_each(|_| router.arrivals.recv_timeout(LIMIT).expect("it is at work"));
+    let before = descriptors(&router);
+    let mut leavers: Vec<Client> = (0..40).map(|_| Client::open(router.listen)).collect();
     leavers.iter_mut().for_each(|client| client.send(&statement("order", "gone", 3000)));
     // Behind them on the worker: they have been taken in by then.
-    Client::open(front.listen);
-    for (nth, mut client) in leavers.into_iter().enumerate() {
-        match nth % 4 {
+    Client::open(router.listen);
+    for (index, mut client) in leavers.into_iter().enumerate() {
+        match index % 4 {
             0 => drop(client),
             1 => reset(client),
             2 => client.0.write_all(b"X\0\0\0\x04").expect("sent"),
@@ -82,16 +82,16 @@
         }
     }
     for client in &mut busy {
-        assert_eq!(client.got(), value());
+        assert_eq!(client.response(), value());
     }
-    assert_eq!(busy[0].ask("order", "good", 3000), value(), "what comes behind them is served at once");
-    let seen = front.primary.seen.lock().expect("no panic").clone();
-    assert_eq!(seen.iter().filter(|text| text.contains("gone")).count(), 0, "nobody waits for these");
-    drop(seen);
+    assert_eq!(busy[0].request("order", "good", 3000), value(), "what comes behind them is served at once");
+    let statements = router.primary.statements.lock().expect("no panic").clone();
+    assert_eq!(statements.iter().filter(|text| text.contains("gone")).count(), 0, "nobody waits for these");
+    drop(statements);
     let until = Instant::now() + LIMIT;
-    // A few more to stores may stand by now; each way of leaving had ten.
-    while descriptors(&front) >= before + 10 {
-        assert!(Instant::now() < until, "{} descriptors, {before} before", descriptors(&front));
+    // A few more to endpoints may stand by now; each way of leaving had ten.
+    while descriptors(&router) >= before + 10 {
+        assert!(Instant::now() < until, "{} descriptors, {before} before", descriptors(&router));
         thread::sleep(Duration::from_millis(5));
     }
 }
@@ -101,70 +101,76 @@
     let settings = SETTINGS
         .replace(r#""probes":true"#, r#""probes":false,"dialTimeoutNs":8000000000"#)
         .replace(r#""deadlineNs":3000000000"#, r#""deadlineNs":60000000000"#);
-    let front = Front::within(1024, 192, &settings);
-    let (mut client, open) = held_write(&front);
-    // The front reads no further than to the 64th: its end lies behind those.
+    let router = RouterProcess::within(1024, 192, &settings);
+    let (mut client, open) = held_write(&router);
+    // The instance reads no further than to the 64th: its end lies behind those.
     let mut much = Vec::new();
     (0..100).for_each(|_| query(&mut much, ";"));
     client.0.write_all(&much).expect("sent");
     drop(client);
-    assert!(!is_sent_on(&front, open), "what it left behind hid its end");
+    assert!(!is_sent_on(&router, open), "what it left behind hid its end");
 }
 
-/// Waits until the front has begun to leave.
-fn leaving(front: &Front) {
-    let mut idle = Client::open(front.listen);
-    front.signal("-TERM");
-    assert_eq!(idle.got(), Got::Ended);
+/// Waits until the instance has begun to leave.
+fn leaving(router: &RouterProcess) {
+    let mut idle = Client::open(router.listen);
+    router.signal("-TERM");
+    assert_eq!(idle.response(), ClientResponse::Ended);
 }
 
 #[test]
 fn a_client_whose_first_words_cross_the_beginning_of_the_leaving_is_served() {
-    let mut front = Front::start();
-    while Client::open(front.listen).ask("order", "good", 1000) != value() {}
-    let mut early = TcpStream::connect(front.listen).expect("a listener");
+    let mut router = RouterProcess::start();
+    while Client::open(router.listen).request("order", "good", 1000) != value() {}
+    let mut early = TcpStream::connect(router.listen).expect("a listener");
     early.set_read_timeout(Some(LIMIT)).expect("a time-out");
     // Behind it in the queue: once this one is served, the first has been accepted.
-    Client::open(front.listen);
-    leaving(&front);
+    Client::open(router.listen);
+    leaving(&router);
     early.write_all(&startup_message()).expect("sent");
     let mut early = Client(early);
     early.send(&statement("order", "good", 3000));
-    assert_eq!(early.got(), Got::Empty, "its greeting");
-    assert_eq!((early.got(), early.got()), (value(), Got::Ended));
-    assert!(front.ended().success());
+    assert_eq!(early.response(), ClientResponse::Empty, "its greeting");
+    assert_eq!((early.response(), early.response()), (value(), ClientResponse::Ended));
+    assert!(router.ended().success());
 }
 
 #[test]
 fn a_client_that_always_has_the_next_query_out_is_let_go_and_what_it_then_sends_is_not_taken() {
-    let mut front = Front::start();
-    let mut client = Client::open(front.listen);
-    while client.ask("order", "good", 1000) != value() {}
+    let mut router = RouterProcess::start();
+    let mut client = Client::open(router.listen);
+    while client.request("order", "good", 1000) != value() {}
     let (began, mut sent, mut answered) = (Instant::now(), 0, 0);
     let slow = || statement("order", "slow", 3000);
     for _ in 0..2 {
         client.send(&slow());
         sent += 1;
     }
-    front.signal("-TERM");
+    router.signal("-TERM");
     loop {
-        match client.got() {
-            Got::Ended => break,
-            Got::Value(_) => answered += 1,
-            Got::Error(code, _) => {
+        match client.response() {
+            ClientResponse::Ended => break,
+            ClientResponse::Value(_) => answered += 1,
+            ClientResponse::Error(code, _) => {
                 assert_eq!(code, "53300", "what is not answered may be asked again");
                 answered += 1;
             }
-            Got::Empty => panic!("nothing empty was asked"),
+            ClientResponse::Empty => panic!("nothing empty was asked"),
         }
         assert!(began.elapsed() < Duration::from_secs(5), "it is never let go");
         let mut out = Vec::new();
         query(&mut out, &slow());
         sent += usize::from(client.0.write_all(&out).is_ok());
     }
-    assert!(front.ended().success());
-    let ran =
-        front.primary.seen.lock().expect("no panic").iter().filter(|text| text.contains("slow")).count();
+    assert!(router.ended().success());
+    let ran = router
+        .primary
+        .statements
+        .lock()
+        .expect("no panic")
+        .iter()
+        .filter(|text| text.contains("slow"))
+        .count();
     assert!(answered >= 2 && answered < sent, "{answered} of {sent}");
     assert!(ran <= answered, "{ran} were sent on, {answered} answered: what was read then was lost");
 }
@@ -177,117 +183,123 @@
 
 #[test]
 fn a_query_that_crosses_the_close_is_left_unread() {
-    let mut front = Front::start();
-    while Client::open(front.listen).ask("order", "good", 1000) != value() {}
-    let mut clients: Vec<Client> = (0..20).map(|_| Client::open(front.listen)).collect();
+    let mut router = RouterProcess::start();
+    while Client::open(router.listen).request("order", "good", 1000) != value() {}
+    let mut clients: Vec<Client> = (0..20).map(|_| Client::open(router.listen)).collect();
     for client in &mut clients {
-        assert_eq!(client.ask("read", "good", 1500), value());
+        assert_eq!(client.request("read", "good", 1500), value());
     }
-    front.signal("-TERM");
+    router.signal("-TERM");
     for client in &mut clients {
-        assert_eq!(client.got(), Got::Ended);
+        assert_eq!(client.response(), ClientResponse::Ended);
         client.send(&statement("read", "good", 1500));
     }
-    assert!(front.ended().success());
+    assert!(router.ended().success());
     let read = clients.iter().filter(|client| !was_left_unread(client)).count();
     assert_eq!(read, 0, "of 20 queries, read behind the close and never answered");
 }
 
 #[test]
 fn a_long_last_answer_is_not_cut_off_by_what_its_client_sends_meanwhile() {
-    let mut front = Front::start();
-    let mut client = Client::open(front.listen);
-    while client.ask("order", "good", 1000) != value() {}
+    let mut router = RouterProcess::start();
+    let mut client = Client::open(router.listen);
+    while client.request("order", "good", 1000) != value() {}
     let small = socket2::SockRef::from(&client.0);
     small.set_recv_buffer_size(4096).expect("a small window");
     client.send(&statement("read", "long", 1500));
-    // Its head is there, so the front has written it all; most waits in the system for the client to read.
+    // Its head is there, so the instance has written it all; most waits in the system for the client to read.
     client.0.peek(&mut [0]).expect("the answer begins");
-    let mut idle = Client::open(front.listen);
-    front.signal("-TERM");
-    assert_eq!(idle.got(), Got::Ended);
+    let mut idle = Client::open(router.listen);
+    router.signal("-TERM");
+    assert_eq!(idle.response(), ClientResponse::Ended);
     // Far beyond a tenth of the time that the client has to read it.
     thread::sleep(Duration::from_millis(150));
     client.send(&statement("read", "good", 1500));
     thread::sleep(Duration::from_millis(50));
-    let Got::Value(value) = client.got() else { panic!("the answer was cut off") };
+    let ClientResponse::Value(value) = client.response() else { panic!("the answer was cut off") };
     assert_eq!(value.len(), 400_000);
     let mut rest = Vec::new();
     let _ = client.0.read_to_end(&mut rest);
     assert!(rest.is_empty(), "and nothing is said about what crossed the close");
-    assert!(front.ended().success());
+    assert!(router.ended().success());
 }
 
 #[test]
 fn stores_that_hang_while_the_front_leaves_cost_nobody_an_answer_in_time() {
-    let mut front = Front::without_probes();
-    while Client::open(front.listen).ask("order", "good", 1000) != value() {}
-    let mut before = Client::open(front.listen);
+    let mut router = RouterProcess::without_probes();
+    while Client::open(router.listen).request("order", "good", 1000) != value() {}
+    let mut before = Client::open(router.listen);
     before.send(&statement("order", "silent", 1000));
     let sent = Instant::now();
     // Two signals close together: the file is as it was, and the leaving counts all the same.
-    front.signal("-HUP");
-    leaving(&front);
-    let mut during = Client::open(front.listen);
+    router.signal("-HUP");
+    leaving(&router);
+    let mut during = Client::open(router.listen);
     during.send(&statement("order", "silent", 800));
-    let mut read = Client::open(front.listen);
+    let mut read = Client::open(router.listen);
     read.send(&statement("read", "silent", 600));
     // What may have run is no pushback; a read may always be asked for again.
-    assert_eq!(before.got(), error("58000"));
+    assert_eq!(before.response(), error("58000"));
     assert!(sent.elapsed() < Duration::from_millis(1_050), "{:?}", sent.elapsed());
-    assert_eq!(during.got(), error("58000"));
-    let Got::Error(code, _) = read.got() else { panic!("nobody answered it") };
+    assert_eq!(during.response(), error("58000"));
+    let ClientResponse::Error(code, _) = read.response() else { panic!("nobody answered it") };
     assert_eq!(code, "53300");
-    assert_eq!((before.got(), during.got(), read.got()), (Got::Ended, Got::Ended, Got::Ended));
-    assert!(front.ended().success());
-    let seen = front.primary.seen.lock().expect("no panic").clone();
-    assert_eq!(seen.iter().filter(|text| text.contains("silent") && text.contains("c=order")).count(), 2);
+    assert_eq!(
+        (before.response(), during.response(), read.response()),
+        (ClientResponse::Ended, ClientResponse::Ended, ClientResponse::Ended)
+    );
+    assert!(router.ended().success());
+    let statements = router.primary.statements.lock().expect("no panic").clone();
+    assert_eq!(
+        statements.iter().filter(|text| text.contains("silent") && text.contains("c=order")).count(),
+        2
+    );
 }
 
 #[test]
 fn who_rests_is_let_go_at_the_end_at_the_latest_and_a_query_half_sent_is_waited_for() {
-    let mut front = Front::start();
-    while Client::open(front.listen).ask("order", "good", 1000) != value() {}
+    let mut router = RouterProcess::start();
+    while Client::open(router.listen).request("order", "good", 1000) != value() {}
     // It has only connected, it has only begun its start-up, it has begun its first query.
-    let plain = || TcpStream::connect(front.listen).expect("a listener");
+    let plain = || TcpStream::connect(router.listen).expect("a listener");
     let mut silent = plain();
     let mut greeting = plain();
     greeting.write_all(&startup_message()[..10]).expect("sent");
-    let mut begun = Client::open(front.listen);
+    let mut begun = Client::open(router.listen);
     let mut bytes = Vec::new();
     query(&mut bytes, &statement("order", "good", 3000));
     begun.0.write_all(&bytes[..bytes.len() / 2]).expect("sent");
     thread::sleep(Duration::from_millis(50));
-    leaving(&front);
+    leaving(&router);
     let began = Instant::now();
     // Beyond the close: what had begun by then is still taken.
     thread::sleep(Duration::from_millis(700));
     begun.0.write_all(&bytes[bytes.len() / 2..]).expect("it is waited for");
-    assert_eq!((begun.got(), begun.got()), (value(), Got::Ended));
+    assert_eq!((begun.response(), begun.response()), (value(), ClientResponse::Ended));
     silent.set_read_timeout(Some(LIMIT)).expect("a time-out");
     assert_eq!(silent.read(&mut [0; 64]).expect("an orderly end"), 0);
     // Its start-up is owed for 2.5 s, and then it is told so.
     greeting.set_read_timeout(Some(LIMIT)).expect("a time-out");
     let _ = greeting.read_to_end(&mut Vec::new());
-    assert!(front.ended().success());
+    assert!(router.ended().success());
     assert!(began.elapsed() < Duration::from_secs(4), "{:?}", began.elapsed());
 }
 
 #[test]
 fn a_store_is_told_no_more_time_than_its_client_has_left() {
-    let front = Front::without_probes();
-    let (open, gate) = channel();
-    *front.primary.gate.lock().expect("no panic") = Some(gate);
-    let mut client = Client::open(front.listen);
+    let router = RouterProcess::without_probes();
+    let (open, startup_gate) = channel();
+    *router.primary.startup_gate.lock().expect("no panic") = Some(startup_gate);
+    let mut client = Client::open(router.listen);
     let sent = Instant::now();
     client.send(&statement("order", "good", 3000));
-    front.knocks.recv_timeout(LIMIT).expect("its connection is being made");
+    router.arrivals.recv_timeout(LIMIT).expect("its connection is being made");
     thread::sleep(Duration::from_millis(600));
     open.send(()).expect("the store waits");
     let left = Duration::from_millis(3000).saturating_sub(sent.elapsed());
-    assert_eq!(client.got(), value());
-    let seen = front.primary.seen.lock().expect("no panic").remove(0);
-    let told = seen.split(",d=").nth(1).and_then(|rest| rest.split(',').next()).expect("a time");
+    assert_eq!(client.response(), value());
+    let statements = router.primary.statements.lock().expect("no panic").remove(0);
+    let told = statements.split(",d=").nth(1).and_then(|rest| rest.split(',').next()).expect("a time");
     let told = Duration::from_millis(told.parse().expect("a number"));
     assert!(told <= left + Duration::from_millis(150), "{told:?} told, {left:?} left");
 }
--- a/server/tests/loopback/watch.rs
+++ b/server/tests/loopback/discovery_watch.rs
@@ -1,6 +1,6 @@
 //! Rare moments of the watch on discovery: lists in an odd shape, a watch that never ends a word, or says none.
 
-use crate::place::*;
+use crate::fixture::*;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Receiver};
@@ -9,38 +9,38 @@
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\n\r\n";
 
-/// Discovery whose nth watch is answered by the nth script, each later one by the last. Tells when a watch
+/// Discovery that answers each watch by the script of that number, each later one by the last. Tells when a watch
 /// was asked for.
 fn scripted(scripts: Vec<fn(&mut TcpStream, &str)>, list: String) -> (SocketAddr, Receiver<Instant>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let (addr, (asked, asks)) = (listener.local_addr().expect("its address"), channel());
+    let (addr, (request, requests)) = (listener.local_addr().expect("its address"), channel());
     thread::spawn(move || {
-        let nth = (0..).map(|nth: usize| scripts[nth.min(scripts.len() - 1)]);
-        for (mut stream, script) in listener.incoming().flatten().zip(nth) {
-            let (asked, list) = (asked.clone(), list.clone());
+        let index = (0..).map(|index: usize| scripts[index.min(scripts.len() - 1)]);
+        for (mut stream, script) in listener.incoming().flatten().zip(index) {
+            let (request, list) = (request.clone(), list.clone());
             thread::spawn(move || {
                 if stream.read(&mut [0; 1024]).is_ok_and(|many| many > 0) {
-                    let _ = asked.send(Instant::now());
+                    let _ = request.send(Instant::now());
                     script(&mut stream, &list);
                 }
             });
         }
     });
-    (addr, asks)
+    (addr, requests)
 }
 
-/// A front that knows of nobody but by discovery, which has these stores.
-fn front(scripts: Vec<fn(&mut TcpStream, &str)>, indented: bool) -> (Front, Receiver<Instant>) {
-    let ((primary, knocks), (replica, _)) = (Store::start(true), Store::start(false));
+/// An instance that knows of nobody but by discovery, which has these endpoints.
+fn router(scripts: Vec<fn(&mut TcpStream, &str)>, indented: bool) -> (RouterProcess, Receiver<Instant>) {
+    let ((primary, arrivals), (replica, _)) = (StubEndpoint::start(true), StubEndpoint::start(false));
     let hosts = [host(&primary, "p", "SERVING"), host(&replica, "r", "SERVING")].join(",");
     let list = format!(r#"{{"seq":4,"whole":true,"hosts":[{hosts}]}}"#);
     let list = if indented { list.replace(',', ",\n\n  ").replace('{', "{\n\t") } else { list };
-    let (discovery, asks) = scripted(scripts, list);
+    let (discovery, requests) = scripted(scripts, list);
     let config = format!(r#"{{"seed":"8c1f30d27a5be964","settings":{SETTINGS}}}"#);
     let listen = free_address();
     let child = launch(&config, listen, discovery);
     let (lines, positions) = (channel().0, Default::default());
-    (Front { child, listen, lines, primary, replica, knocks, positions }, asks)
+    (RouterProcess { child, listen, lines, primary, replica, arrivals, positions }, requests)
 }
 
 fn tells(stream: &mut TcpStream, list: &str) {
@@ -48,9 +48,9 @@
     thread::sleep(LIMIT);
 }
 
-fn serves(front: &Front, within: Duration) {
-    let (mut client, until) = (Client::open(front.listen), Instant::now() + within);
-    while client.ask("order", "good", 1000) != value() {
+fn serves(router: &RouterProcess, within: Duration) {
+    let (mut client, until) = (Client::open(router.listen), Instant::now() + within);
+    while client.request("order", "good", 1000) != value() {
         assert!(Instant::now() < until, "the list was not taken");
         thread::sleep(Duration::from_millis(5));
     }
@@ -58,13 +58,13 @@
 
 #[test]
 fn a_list_over_many_lines_with_empty_ones_in_it_is_taken() {
-    let (front, _asks) = front(vec![tells], true);
-    serves(&front, Duration::from_secs(2));
+    let (router, _asks) = router(vec![tells], true);
+    serves(&router, Duration::from_secs(2));
 }
 
 #[test]
 fn a_list_without_length_or_line_end_is_taken_whole_and_never_in_part() {
-    let (front, asks) = front(
+    let (router, requests) = router(
         vec![
             |stream, list| {
                 let _ = stream.write_all(format!("{HEAD}{}", &list[..list.len() - 1]).as_bytes());
@@ -76,13 +76,13 @@
         ],
         false,
     );
-    (0..3).for_each(|_| _ = asks.recv_timeout(LIMIT).expect("it is asked for again"));
-    serves(&front, Duration::from_secs(2));
+    (0..3).for_each(|_| _ = requests.recv_timeout(LIMIT).expect("it is asked for again"));
+    serves(&router, Duration::from_secs(2));
 }
 
 #[test]
 fn a_watch_that_never_ends_its_word_or_never_answers_is_opened_anew_in_time() {
-    let (front, asks) = front(
+    let (router, requests) = router(
         vec![
             |stream, list| {
                 let mut drips = list.bytes().take(20).chain(std::iter::repeat(b' '));
@@ -96,10 +96,10 @@
         ],
         false,
     );
-    let ask = || asks.recv_timeout(LIMIT).expect("it is asked for again");
-    let (first, second, third) = (ask(), ask(), ask());
+    let request = || requests.recv_timeout(LIMIT).expect("it is asked for again");
+    let (first, second, third) = (request(), request(), request());
     // Both together must leave some of the six seconds after which what was missed counts as told.
     assert!(second - first < Duration::from_millis(3_500), "it drips: {:?}", second - first);
     assert!(third - second < Duration::from_millis(1_500), "it is mute: {:?}", third - second);
-    serves(&front, Duration::from_secs(2));
+    serves(&router, Duration::from_secs(2));
 }
--- a/server/tests/loopback/place.rs
+++ b/server/tests/loopback/fixture.rs
@@ -1,4 +1,4 @@
-//! A front as a child process, a client of it, stand-ins for two stores and for discovery.
+//! An instance as a child process, a client of it, stand-ins for two endpoints and for discovery.
 
 use server::protocol::decode::{error_field, only_column};
 use server::protocol::encode::{error_fields, query, startup_message, Severity};
@@ -29,44 +29,44 @@
     Some((head[0], body))
 }
 
-/// A store that does what the key of a statement says.
+/// An endpoint that does what the key of a statement says.
 #[derive(Clone)]
-pub struct Store {
+pub struct StubEndpoint {
     pub addr: SocketAddr,
     pub primary: bool,
-    pub seen: Arc<Mutex<Vec<String>>>,
+    pub statements: Arc<Mutex<Vec<String>>>,
     /// Where set, a start-up is answered only after a message from the test.
-    pub gate: Arc<Mutex<Option<Receiver<()>>>>,
-    pub knocked: Sender<()>,
-    pub starts: Arc<AtomicUsize>,
+    pub startup_gate: Arc<Mutex<Option<Receiver<()>>>>,
+    pub arrived: Sender<()>,
+    pub connections: Arc<AtomicUsize>,
 }
 
-impl Store {
-    pub fn start(primary: bool) -> (Store, Receiver<()>) {
+impl StubEndpoint {
+    pub fn start(primary: bool) -> (StubEndpoint, Receiver<()>) {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let (knocked, knocks) = channel();
+        let (arrived, arrivals) = channel();
         let addr = listener.local_addr().expect("its address");
-        let (seen, gate, starts) = Default::default();
-        let store = Store { addr, primary, seen, gate, knocked, starts };
-        let serving = store.clone();
+        let (statements, startup_gate, connections) = Default::default();
+        let stub = StubEndpoint { addr, primary, statements, startup_gate, arrived, connections };
+        let serving = stub.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let store = serving.clone();
-                thread::spawn(move || store.serve(stream));
+                let stub = serving.clone();
+                thread::spawn(move || stub.serve(stream));
             }
         });
-        (store, knocks)
+        (stub, arrivals)
     }
 
     pub fn serve(&self, mut stream: TcpStream) -> Option<()> {
         let mut length = [0; 4];
         stream.read_exact(&mut length).ok()?;
         stream.read_exact(&mut vec![0; u32::from_be_bytes(length) as usize - 4]).ok()?;
-        self.starts.fetch_add(1, Ordering::AcqRel);
-        let gate = self.gate.lock().expect("no panic").take();
-        if let Some(gate) = gate {
-            self.knocked.send(()).ok()?;
-            gate.recv().ok()?;
+        self.connections.fetch_add(1, Ordering::AcqRel);
+        let startup_gate = self.startup_gate.lock().expect("no panic").take();
+        if let Some(startup_gate) = startup_gate {
+            self.arrived.send(()).ok()?;
+            startup_gate.recv().ok()?;
         }
         let mut out = Vec::new();
         message(&mut out, b'R', &[0; 4]);
@@ -91,7 +91,7 @@
                 // future.
                 format!("x0={:.3},x1={role},load_share=0.1", unix.as_secs_f64() - 0.1).into_bytes()
             } else {
-                self.seen.lock().expect("no panic").push(text.clone());
+                self.statements.lock().expect("no panic").push(text.clone());
                 vec![0, 255, b'\n', 7]
             };
             let key = text.split('\'').nth(1).unwrap_or_default().to_string();
@@ -110,7 +110,7 @@
                         _ => {}
                     }
                     if key == "slow" {
-                        self.knocked.send(()).ok()?;
+                        self.arrived.send(()).ok()?;
                         thread::sleep(Duration::from_millis(700));
                     }
                     let row = [&[0, 1], &(value.len() as u32).to_be_bytes()[..], &value].concat();
@@ -136,7 +136,7 @@
     }
 }
 
-/// The file that a front is told by, one for each address.
+/// The file that an instance is told by, one for each address.
 pub fn config_at(listen: SocketAddr) -> std::path::PathBuf {
     std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{listen}.json"))
 }
@@ -171,21 +171,21 @@
     "allowed":{"maxAttempts":6,"mayCancel":true,"probes":true,"retryAfter":true,"maxRetryAfterNs":2000000000},
     "report":{"names":["x0","x1","load_share"]},"rules":{}}"#;
 
-pub struct Front {
+pub struct RouterProcess {
     pub child: Child,
     pub listen: SocketAddr,
     pub lines: Sender<String>,
-    pub primary: Store,
-    pub replica: Store,
-    pub knocks: Receiver<()>,
+    pub primary: StubEndpoint,
+    pub replica: StubEndpoint,
+    pub arrivals: Receiver<()>,
     pub positions: AtomicU32,
 }
 
-pub fn host(store: &Store, name: &str, health: &str) -> String {
-    let role = if store.primary { "off" } else { "on" };
+pub fn host(stub: &StubEndpoint, name: &str, health: &str) -> String {
+    let role = if stub.primary { "off" } else { "on" };
     format!(
         r#"{{"host":"{name}","dial":"{}","site":"a","block":3,"health":"{health}","recovery":"{role}"}}"#,
-        store.addr
+        stub.addr
     )
 }
 
@@ -202,7 +202,7 @@
         .expect("the daemon was built")
 }
 
-/// An address of its own for each front. It is not tried first: a listener that another thread's new process
+/// An address of its own for each instance. It is not tried first: a listener that another thread's new process
 /// has inherited takes connections until that process has begun its program, and drops them then.
 pub fn free_address() -> SocketAddr {
     static NEXT: AtomicU32 = AtomicU32::new(2);
@@ -210,37 +210,37 @@
     SocketAddr::from(([127, 10 + (pid % 200) as u8, (pid / 200 % 250) as u8, next as u8], 6543))
 }
 
-impl Front {
-    pub fn start() -> Front {
-        Front::within(1024, 192, SETTINGS)
+impl RouterProcess {
+    pub fn start() -> RouterProcess {
+        RouterProcess::within(1024, 192, SETTINGS)
     }
 
     /// All connections are call-outs' then, and may take their time.
-    pub fn without_probes() -> Front {
+    pub fn without_probes() -> RouterProcess {
         let settings = SETTINGS.replace(r#""probes":true"#, r#""probes":false,"dialTimeoutNs":8000000000"#);
-        Front::within(1024, 192, &settings)
+        RouterProcess::within(1024, 192, &settings)
     }
 
-    /// Tells an entry, and waits until the front has heard it: a group named behind it is known then.
+    /// Tells an entry, and waits until the instance has heard it: a group named behind it is known then.
     pub fn list(&self, seq: u32, entry: &str) {
         let mark = self.positions.fetch_add(1, Ordering::AcqRel);
         let marked = host(&self.replica, "m", "DRAINING").replace(":3,", &format!(":{mark},"));
         for (seq, entry) in [(seq, entry), (mark, &marked)] {
             self.lines.send(format!(r#"{{"seq":{seq},"hosts":[{entry}]}}"#)).expect("a watch");
         }
-        let asked = statement("read", "good", 20).replace("cluster=3", &format!("cluster={mark}"));
+        let request = statement("read", "good", 20).replace("cluster=3", &format!("cluster={mark}"));
         let (mut client, until) = (Client::open(self.listen), Instant::now() + LIMIT);
         loop {
-            client.send(&asked);
-            if client.got() != error("42704") {
+            client.send(&request);
+            if client.response() != error("42704") {
                 return;
             }
             assert!(Instant::now() < until, "the list is not heard");
         }
     }
 
-    pub fn within(sockets: usize, memory_mb: usize, settings: &str) -> Front {
-        let ((primary, knocks), (replica, _)) = (Store::start(true), Store::start(false));
+    pub fn within(sockets: usize, memory_mb: usize, settings: &str) -> RouterProcess {
+        let ((primary, arrivals), (replica, _)) = (StubEndpoint::start(true), StubEndpoint::start(false));
         let (discovery, lines) = discovery();
         let hosts = [host(&primary, "p", "SERVING"), host(&replica, "r", "SERVING")].join(",");
         let config = format!(
@@ -249,7 +249,7 @@
         );
         let listen = free_address();
         let child = launch(&config, listen, discovery);
-        Front { child, listen, lines, primary, replica, knocks, positions: AtomicU32::new(100) }
+        RouterProcess { child, listen, lines, primary, replica, arrivals, positions: AtomicU32::new(100) }
     }
 
     pub fn signal(&self, name: &str) {
@@ -269,7 +269,7 @@
     }
 }
 
-impl Drop for Front {
+impl Drop for RouterProcess {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
@@ -284,7 +284,7 @@
 pub struct Client(pub TcpStream);
 
 #[derive(Debug, PartialEq)]
-pub enum Got {
+pub enum ClientResponse {
     Empty,
     Value(Vec<u8>),
     Error(String, Option<String>),
@@ -307,8 +307,8 @@
         client.0.write_all(&startup_message()).expect("sent");
         client.send(";");
         assert_eq!(
-            (client.got(), client.got()),
-            (Got::Empty, Got::Empty),
+            (client.response(), client.response()),
+            (ClientResponse::Empty, ClientResponse::Empty),
             "the greeting and the empty query"
         );
         client
@@ -321,25 +321,29 @@
     }
 
     /// What comes up to the next ReadyForQuery.
-    pub fn got(&mut self) -> Got {
-        let mut got = Got::Empty;
+    pub fn response(&mut self) -> ClientResponse {
+        let mut response = ClientResponse::Empty;
         loop {
             match next(&mut self.0) {
-                None => return if got == Got::Empty { Got::Ended } else { got },
-                Some((b'Z', _)) => return got,
-                Some((b'D', body)) => got = Got::Value(only_column(&body).expect("a column").to_vec()),
+                None => {
+                    return if response == ClientResponse::Empty { ClientResponse::Ended } else { response }
+                }
+                Some((b'Z', _)) => return response,
+                Some((b'D', body)) => {
+                    response = ClientResponse::Value(only_column(&body).expect("a column").to_vec())
+                }
                 Some((b'E', body)) => {
                     let field = |name| error_field(&body, name).map(str::to_string);
-                    got = Got::Error(field(b'C').expect("a code"), field(b'D'));
+                    response = ClientResponse::Error(field(b'C').expect("a code"), field(b'D'));
                 }
                 Some(_) => {}
             }
         }
     }
 
-    pub fn ask(&mut self, class: &str, key: &str, d: u32) -> Got {
+    pub fn request(&mut self, class: &str, key: &str, d: u32) -> ClientResponse {
         self.send(&statement(class, key, d));
-        self.got()
+        self.response()
     }
 }
 
@@ -349,10 +353,10 @@
     format!("/* id={id:08x},c={class},d={d},cluster=3 */ SELECT content FROM kv WHERE name = '{key}'")
 }
 
-pub fn value() -> Got {
-    Got::Value(vec![0, 255, b'\n', 7])
+pub fn value() -> ClientResponse {
+    ClientResponse::Value(vec![0, 255, b'\n', 7])
 }
 
-pub fn error(code: &str) -> Got {
-    Got::Error(code.to_string(), None)
+pub fn error(code: &str) -> ClientResponse {
+    ClientResponse::Error(code.to_string(), None)
 }
--- a/server/tests/loopback/main.rs
+++ b/server/tests/loopback/main.rs
@@ -1,10 +1,10 @@
-//! The whole path over loopback: the daemon between a client, stand-ins for two stores and one for discovery.
+//! The whole path over loopback: the daemon between a client, stand-ins for two endpoints and one for discovery.
 
-mod place;
-mod rare;
-mod watch;
+mod disconnects;
+mod discovery_watch;
+mod fixture;
 
-use place::*;
+use fixture::*;
 use server::protocol::encode::{query, startup_message};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -15,33 +15,35 @@
 
 #[test]
 fn an_rpc_is_served_pushed_back_or_aborted() {
-    let front = Front::start();
-    let mut client = Client::open(front.listen);
-    let asked = statement("order", "good", 3000);
-    client.send(&asked);
-    assert_eq!(client.got(), value());
-    assert_eq!(client.ask("read", "good", 1500), value());
-    let seen = front.primary.seen.lock().expect("no panic").remove(0);
-    let sent = seen.replace(",d=", "|").replace(",cluster", "|");
-    let [head, patience, tail] = sent.split('|').collect::<Vec<_>>()[..] else { panic!("{seen}") };
-    assert_eq!([head, tail].concat(), asked.replace(",d=3000,cluster", ""), "only d changes");
+    let router = RouterProcess::start();
+    let mut client = Client::open(router.listen);
+    let request = statement("order", "good", 3000);
+    client.send(&request);
+    assert_eq!(client.response(), value());
+    assert_eq!(client.request("read", "good", 1500), value());
+    let statements = router.primary.statements.lock().expect("no panic").remove(0);
+    let sent = statements.replace(",d=", "|").replace(",cluster", "|");
+    let [head, patience, tail] = sent.split('|').collect::<Vec<_>>()[..] else { panic!("{statements}") };
+    assert_eq!([head, tail].concat(), request.replace(",d=3000,cluster", ""), "only d changes");
     assert!((1..=3000).contains(&patience.parse().expect("a number")), "{patience}");
 
-    let Got::Error(code, Some(wait)) = client.ask("order", "full", 400) else { panic!("no pushback") };
+    let ClientResponse::Error(code, Some(wait)) = client.request("order", "full", 400) else {
+        panic!("no pushback")
+    };
     assert!(code == "53300" && wait.parse::<u32>().expect("milliseconds") <= 2000);
-    // What was turned away rests its store; it comes back by a probe.
+    // What was turned away rests its endpoint; it comes back by a probe.
     let until = Instant::now() + LIMIT;
-    while client.ask("order", "good", 1000) != value() {
+    while client.request("order", "good", 1000) != value() {
         assert!(Instant::now() < until, "a store that rested does not come back");
     }
-    assert_eq!(client.ask("order", "error", 3000), error("58000"), "it may have run");
-    while client.ask("order", "good", 1000) != value() {
+    assert_eq!(client.request("order", "error", 3000), error("58000"), "it may have run");
+    while client.request("order", "good", 1000) != value() {
         assert!(Instant::now() < until, "a store that rested does not come back");
     }
     let began = Instant::now();
-    assert_eq!(client.ask("order", "silent", 500), error("58000"));
+    assert_eq!(client.request("order", "silent", 500), error("58000"));
     assert!(began.elapsed() < Duration::from_millis(500), "before its client gives up");
-    assert_eq!(client.ask("read", "good", 1500), value(), "a replica is not touched by that");
+    assert_eq!(client.request("read", "good", 1500), value(), "a replica is not touched by that");
 
     for (text, code) in [
         (statement("other", "good", 500), "42704"),
@@ -49,16 +51,16 @@
         ("SELECT 1".to_string(), "42601"),
     ] {
         client.send(&text);
-        assert_eq!(client.got(), error(code), "{text}");
+        assert_eq!(client.response(), error(code), "{text}");
     }
     client.0.write_all(b"?\0\0\0\x04").expect("sent");
-    assert_eq!((client.got(), client.got()), (error("08P01"), Got::Ended));
+    assert_eq!((client.response(), client.response()), (error("08P01"), ClientResponse::Ended));
 }
 
 #[test]
 fn pipelined_queries_are_answered_in_order_whatever_comes_first() {
-    let front = Front::start();
-    let mut client = Client::open(front.listen);
+    let router = RouterProcess::start();
+    let mut client = Client::open(router.listen);
     let mut bytes = Vec::new();
     query(&mut bytes, &statement("order", "slow", 3000));
     query(&mut bytes, &statement("other", "good", 3000));
@@ -67,149 +69,152 @@
     for part in bytes.chunks(7) {
         client.0.write_all(part).expect("sent");
     }
-    let got = [client.got(), client.got(), client.got(), client.got()];
-    assert_eq!(got, [value(), error("42704"), value(), Got::Empty]);
+    let response = [client.response(), client.response(), client.response(), client.response()];
+    assert_eq!(response, [value(), error("42704"), value(), ClientResponse::Empty]);
     drop(client);
-    assert!(front.replica.seen.lock().expect("no panic").len() <= 1);
+    assert!(router.replica.statements.lock().expect("no panic").len() <= 1);
 }
 
 #[test]
 fn a_call_out_whose_store_drains_while_it_connects_is_not_sent() {
-    let front = Front::without_probes();
-    let (open, gate) = channel();
-    *front.primary.gate.lock().expect("no panic") = Some(gate);
-    let mut client = Client::open(front.listen);
+    let router = RouterProcess::without_probes();
+    let (open, startup_gate) = channel();
+    *router.primary.startup_gate.lock().expect("no panic") = Some(startup_gate);
+    let mut client = Client::open(router.listen);
     client.send(&statement("order", "good", 3000));
-    front.knocks.recv_timeout(LIMIT).expect("its connection is being made");
-    front.list(5, &host(&front.primary, "p", "DRAINING"));
+    router.arrivals.recv_timeout(LIMIT).expect("its connection is being made");
+    router.list(5, &host(&router.primary, "p", "DRAINING"));
     open.send(()).expect("the store waits");
-    let Got::Error(code, _) = client.got() else { panic!("served by a store that drains") };
+    let ClientResponse::Error(code, _) = client.response() else { panic!("served by a store that drains") };
     assert_eq!(code, "53300", "it never ran");
-    assert!(front.primary.seen.lock().expect("no panic").is_empty());
+    assert!(router.primary.statements.lock().expect("no panic").is_empty());
 }
 
 #[test]
 fn an_older_list_turns_nothing_back_and_a_new_start_ends_old_connections() {
-    let front = Front::without_probes();
-    let mut client = Client::open(front.listen);
-    assert_eq!(client.ask("order", "good", 3000), value());
-    assert_eq!(client.ask("order", "good", 3000), value());
-    assert_eq!(front.primary.starts.load(Ordering::Acquire), 1, "one connection for both");
-    front.list(5, &host(&front.primary, "p", "SERVING").replace('{', r#"{"born_ms":1000,"#));
-    front.list(3, &host(&front.primary, "p", "DRAINING"));
-    assert_eq!(client.ask("order", "good", 3000), value());
-    assert_eq!(front.primary.starts.load(Ordering::Acquire), 2);
+    let router = RouterProcess::without_probes();
+    let mut client = Client::open(router.listen);
+    assert_eq!(client.request("order", "good", 3000), value());
+    assert_eq!(client.request("order", "good", 3000), value());
+    assert_eq!(router.primary.connections.load(Ordering::Acquire), 1, "one connection for both");
+    router.list(5, &host(&router.primary, "p", "SERVING").replace('{', r#"{"born_ms":1000,"#));
+    router.list(3, &host(&router.primary, "p", "DRAINING"));
+    assert_eq!(client.request("order", "good", 3000), value());
+    assert_eq!(router.primary.connections.load(Ordering::Acquire), 2);
 }
 
 #[test]
 fn a_call_out_right_behind_another_waits_for_its_connection_and_opens_none() {
-    let front = Front::start();
-    let mut client = Client::open(front.listen);
+    let router = RouterProcess::start();
+    let mut client = Client::open(router.listen);
     for _ in 0..20 {
-        assert_eq!(client.ask("read", "good", 1500), value());
-        assert_eq!(client.ask("order", "good", 3000), value());
+        assert_eq!(client.request("read", "good", 1500), value());
+        assert_eq!(client.request("order", "good", 3000), value());
     }
-    let starts = [&front.primary, &front.replica].map(|store| store.starts.load(Ordering::Acquire));
-    assert_eq!(starts, [1, 1], "one connection to each, for probes and call-outs");
+    let connections = [&router.primary, &router.replica].map(|stub| stub.connections.load(Ordering::Acquire));
+    assert_eq!(connections, [1, 1], "one connection to each, for probes and call-outs");
 }
 
 #[test]
 fn a_connection_that_never_proves_itself_holds_up_nobody_for_long() {
-    let front = Front::without_probes();
-    let mut client = Client::open(front.listen);
-    for nth in 1..4 {
-        assert_eq!(client.ask("order", "mute", 3000), value());
+    let router = RouterProcess::without_probes();
+    let mut client = Client::open(router.listen);
+    for index in 1..4 {
+        assert_eq!(client.request("order", "mute", 3000), value());
         let began = Instant::now();
-        assert_eq!(client.ask("order", "good", 3000), value());
+        assert_eq!(client.request("order", "good", 3000), value());
         assert!(began.elapsed() < Duration::from_secs(1), "most of its time was spent on waiting");
-        assert_eq!(front.primary.starts.load(Ordering::Acquire), nth + 1, "a new one in its place");
+        assert_eq!(router.primary.connections.load(Ordering::Acquire), index + 1, "a new one in its place");
     }
 }
 
 #[test]
 fn a_second_copy_behind_an_answer_reaches_nobody_and_a_spoilt_one_is_told_at_once() {
-    let front = Front::without_probes();
-    let mut client = Client::open(front.listen);
+    let router = RouterProcess::without_probes();
+    let mut client = Client::open(router.listen);
     for _ in 0..3 {
-        assert_eq!(client.ask("order", "twice", 3000), Got::Value(vec![0, 255, b'\n', 7, 2]));
-        assert_eq!(client.ask("order", "good", 3000), value(), "its own");
+        assert_eq!(client.request("order", "twice", 3000), ClientResponse::Value(vec![0, 255, b'\n', 7, 2]));
+        assert_eq!(client.request("order", "good", 3000), value(), "its own");
         thread::sleep(Duration::from_millis(30));
     }
-    assert!(front.primary.starts.load(Ordering::Acquire) >= 3, "what had more behind it is closed");
+    assert!(router.primary.connections.load(Ordering::Acquire) >= 3, "what had more behind it is closed");
     let began = Instant::now();
-    assert_eq!(client.ask("order", "spoilt", 5000), error("58000"), "it may have run");
+    assert_eq!(client.request("order", "spoilt", 5000), error("58000"), "it may have run");
     assert!(began.elapsed() < Duration::from_secs(2), "told by its head, not by its end");
 }
 
 #[test]
 fn sigterm_answers_what_is_out_takes_what_still_comes_and_ends_soon() {
-    let mut front = Front::start();
-    let mut busy = Client::open(front.listen);
-    let mut idle = Client::open(front.listen);
-    while busy.ask("order", "good", 1000) != value() {}
-    let mut gone = Client::open(front.listen);
+    let mut router = RouterProcess::start();
+    let mut busy = Client::open(router.listen);
+    let mut idle = Client::open(router.listen);
+    while busy.request("order", "good", 1000) != value() {}
+    let mut gone = Client::open(router.listen);
     gone.send(&statement("order", "silent", 60_000));
     drop(gone);
     busy.send(&statement("order", "slow", 3000));
-    front.knocks.recv_timeout(LIMIT).expect("the statement arrives");
-    front.signal("-TERM");
+    router.arrivals.recv_timeout(LIMIT).expect("the statement arrives");
+    router.signal("-TERM");
     assert_eq!(
-        idle.got(),
-        Got::Ended,
+        idle.response(),
+        ClientResponse::Ended,
         "idle sessions go first; a word behind an answer would be a second one"
     );
-    let mut late = Client::open(front.listen);
-    assert_eq!(late.ask("read", "good", 1500), value());
-    assert_eq!((late.got(), busy.got(), busy.got()), (Got::Ended, value(), Got::Ended));
-    assert!(front.ended().success(), "nobody is waited for who is gone");
+    let mut late = Client::open(router.listen);
+    assert_eq!(late.request("read", "good", 1500), value());
+    assert_eq!(
+        (late.response(), busy.response(), busy.response()),
+        (ClientResponse::Ended, value(), ClientResponse::Ended)
+    );
+    assert!(router.ended().success(), "nobody is waited for who is gone");
 }
 
 #[test]
 fn sighup_turns_the_watch_to_the_address_in_the_file_and_an_unfit_file_changes_nothing() {
-    let front = Front::start();
-    let mut client = Client::open(front.listen);
-    while client.ask("order", "good", 1000) != value() {}
+    let router = RouterProcess::start();
+    let mut client = Client::open(router.listen);
+    while client.request("order", "good", 1000) != value() {}
     client.send(&statement("order", "slow", 3000));
-    front.knocks.recv_timeout(LIMIT).expect("the statement arrives");
-    let path = config_at(front.listen);
+    router.arrivals.recv_timeout(LIMIT).expect("the statement arrives");
+    let path = config_at(router.listen);
     let text = std::fs::read_to_string(&path).expect("the file of the start");
     for unfit in
         [String::new(), text.clone(), text.replacen('{', r#"{"discovery":"nowhere","#, 1), "{".into()]
     {
         std::fs::write(&path, unfit).expect("written");
-        front.signal("-HUP");
+        router.signal("-HUP");
     }
-    assert_eq!(client.got(), value(), "an RPC that is out across it");
-    front.list(5, &host(&front.replica, "r2", "SERVING"));
+    assert_eq!(client.response(), value(), "an RPC that is out across it");
+    router.list(5, &host(&router.replica, "r2", "SERVING"));
     // The new one's versions go on from ours, and it speaks at once.
     let (addr, lines) = discovery();
     let file = text.replacen('{', &format!(r#"{{"discovery":"{addr}","name":"other","#), 1);
     std::fs::write(&path, file).expect("written");
-    front.signal("-HUP");
-    let told = format!(r#"{{"seq":200,"hosts":[{}]}}"#, host(&front.primary, "p", "DRAINING"));
+    router.signal("-HUP");
+    let told = format!(r#"{{"seq":200,"hosts":[{}]}}"#, host(&router.primary, "p", "DRAINING"));
     lines.send(told).expect("a watch");
     let until = Instant::now() + Duration::from_secs(2);
-    while client.ask("order", "good", 300) == value() {
+    while client.request("order", "good", 300) == value() {
         assert!(Instant::now() < until, "the new address is not heard");
     }
-    assert_eq!(client.ask("read", "good", 1500), value());
+    assert_eq!(client.request("read", "good", 1500), value());
 }
 
 #[test]
 fn a_killed_front_starts_again_on_its_address_and_serves_though_discovery_floods_it() {
-    let mut front = Front::start();
-    let mut client = Client::open(front.listen);
-    while client.ask("order", "good", 1000) != value() {}
-    front.signal("-KILL");
-    assert!(!front.ended().success());
-    let hosts = host(&front.primary, "p", "SERVING");
+    let mut router = RouterProcess::start();
+    let mut client = Client::open(router.listen);
+    while client.request("order", "good", 1000) != value() {}
+    router.signal("-KILL");
+    assert!(!router.ended().success());
+    let hosts = host(&router.primary, "p", "SERVING");
     let config =
         format!(r#"{{"seed":"1","known":{{"seq":4,"whole":true,"hosts":[{hosts}]}},"settings":{SETTINGS}}}"#);
     // Nobody holds the other end of this one's lines: it sends empty ones without a pause, which must starve
     // nobody.
-    front.child = launch(&config, front.listen, discovery().0);
-    let mut client = Client::open(front.listen);
-    assert_eq!(client.ask("order", "good", 3000), value());
+    router.child = launch(&config, router.listen, discovery().0);
+    let mut client = Client::open(router.listen);
+    assert_eq!(client.request("order", "good", 3000), value());
 }
 
 #[test]
@@ -235,22 +240,26 @@
 
 #[test]
 fn a_flood_costs_silent_clients_their_place_then_those_longest_idle_and_nobody_who_waits() {
-    let front = Front::within(100, 192, SETTINGS);
-    let mut first = Client::open(front.listen);
+    let router = RouterProcess::within(100, 192, SETTINGS);
+    let mut first = Client::open(router.listen);
     let silent: Vec<TcpStream> =
-        (0..45).map(|_| TcpStream::connect(front.listen).expect("the listener goes on")).collect();
+        (0..45).map(|_| TcpStream::connect(router.listen).expect("the listener goes on")).collect();
     thread::sleep(Duration::from_millis(150));
-    let mut clients: Vec<Client> = (0..30).map(|_| Client::open(front.listen)).collect();
+    let mut clients: Vec<Client> = (0..30).map(|_| Client::open(router.listen)).collect();
     for mut stream in silent {
         stream.set_read_timeout(Some(Duration::from_secs(3))).expect("a time-out");
         let _ = stream.read_to_end(&mut Vec::new()).expect("an error or a close within three seconds");
     }
-    assert_eq!(first.ask("read", "good", 1500), value(), "who has asked keeps its place as long as that");
+    assert_eq!(first.request("read", "good", 1500), value(), "who has asked keeps its place as long as that");
     thread::sleep(Duration::from_millis(2100));
-    clients.extend((0..20).map(|_| Client::open(front.listen)));
-    assert_eq!(clients[0].got(), Got::Ended, "of the others, the first has been idle longest");
+    clients.extend((0..20).map(|_| Client::open(router.listen)));
+    assert_eq!(
+        clients[0].response(),
+        ClientResponse::Ended,
+        "of the others, the first has been idle longest"
+    );
     let last = clients.last_mut().expect("fifty");
-    while last.ask("order", "good", 1000) != value() {}
+    while last.request("order", "good", 1000) != value() {}
     // Those with an RPC out are let be, and what comes on top of them is told so.
     clients.drain(..30).for_each(drop);
     for client in &mut clients {
@@ -258,13 +267,15 @@
     }
     let mut turned_away = 0;
     for _ in 0..40 {
-        let mut stream = TcpStream::connect(front.listen).expect("the listener goes on");
+        let mut stream = TcpStream::connect(router.listen).expect("the listener goes on");
         stream.set_read_timeout(Some(LIMIT)).expect("a time-out");
         let mut out = startup_message();
         query(&mut out, &statement("order", "silent", 5000));
         stream.write_all(&out).expect("sent");
         let mut client = Client(stream);
-        if client.0.peek(&mut [0]).expect("a greeting or an error") == 1 && client.got() == error("53300") {
+        if client.0.peek(&mut [0]).expect("a greeting or an error") == 1
+            && client.response() == error("53300")
+        {
             turned_away += 1;
         } else {
             clients.push(client);
@@ -272,13 +283,13 @@
     }
     assert!(turned_away >= 1, "never more than the descriptors allow");
     clients.clear();
-    assert_eq!(Client::open(front.listen).ask("read", "good", 1500), value(), "and room comes back");
+    assert_eq!(Client::open(router.listen).request("read", "good", 1500), value(), "and room comes back");
 }
 
 #[test]
 fn whoever_owes_a_message_or_lies_has_an_error_or_a_close_within_three_seconds() {
-    let front = Front::start();
-    let mut usual = Client::open(front.listen);
+    let router = RouterProcess::start();
+    let mut usual = Client::open(router.listen);
     let startup_and_query = |text: &str| {
         let mut out = startup_message();
         query(&mut out, text);
@@ -301,39 +312,39 @@
     ];
     let began = Instant::now();
     let streams = streams.map(|bytes| {
-        let mut stream = TcpStream::connect(front.listen).expect("the listener goes on");
+        let mut stream = TcpStream::connect(router.listen).expect("the listener goes on");
         stream.set_read_timeout(Some(LIMIT)).expect("a time-out");
         // The last is reset while it still sends, or is told first: both are answers.
         let _ = stream.write_all(&bytes);
         stream
     });
-    for (nth, mut stream) in streams.into_iter().enumerate() {
+    for (index, mut stream) in streams.into_iter().enumerate() {
         let mut said = Vec::new();
         let _ = stream.read_to_end(&mut said);
-        assert!(began.elapsed() < Duration::from_secs(3), "the {nth}th is still here");
-        assert!(!said.windows(8).any(|part| part == b"SELECT 1"), "the {nth}th was served");
+        assert!(began.elapsed() < Duration::from_secs(3), "the {index}th is still here");
+        assert!(!said.windows(8).any(|part| part == b"SELECT 1"), "the {index}th was served");
     }
-    let mut dribble = TcpStream::connect(front.listen).expect("the listener goes on");
+    let mut dribble = TcpStream::connect(router.listen).expect("the listener goes on");
     let began = Instant::now();
     while dribble.write_all(b"\0").is_ok() {
         assert!(began.elapsed() < Duration::from_secs(4), "byte after byte keeps it");
         thread::sleep(Duration::from_millis(50));
     }
-    assert_eq!(usual.ask("read", "good", 1500), value());
+    assert_eq!(usual.request("read", "good", 1500), value());
 }
 
 #[test]
 fn long_values_go_out_whole() {
-    let front = Front::start();
-    let mut client = Client::open(front.listen);
-    let Got::Value(value) = client.ask("read", "long", 1500) else { panic!("not served") };
+    let router = RouterProcess::start();
+    let mut client = Client::open(router.listen);
+    let ClientResponse::Value(value) = client.request("read", "long", 1500) else { panic!("not served") };
     assert!(value.len() == 400_000 && value.iter().all(|byte| *byte == 9));
 }
 
 #[test]
 fn buffers_beyond_the_memory_for_them_end_the_sessions_that_fill_them() {
-    let front = Front::within(1024, 1, SETTINGS);
-    let mut clients: Vec<Client> = (0..5).map(|_| Client::open(front.listen)).collect();
+    let router = RouterProcess::within(1024, 1, SETTINGS);
+    let mut clients: Vec<Client> = (0..5).map(|_| Client::open(router.listen)).collect();
     let mut part = vec![b'Q'];
     part.extend(150_000u32.to_be_bytes());
     part.resize(140_000, b'a');
@@ -344,13 +355,13 @@
             continue;
         }
         client.0.set_read_timeout(Some(Duration::from_millis(500))).expect("a time-out");
-        ended += usize::from(client.got() == error("53200"));
+        ended += usize::from(client.response() == error("53200"));
     }
     assert!((1..5).contains(&ended), "{ended} of five were ended, a third of a megabyte is for all");
     drop(clients);
-    let mut client = Client::open(front.listen);
+    let mut client = Client::open(router.listen);
     let until = Instant::now() + LIMIT;
-    while client.ask("read", "good", 1500) != value() {
+    while client.request("read", "good", 1500) != value() {
         assert!(Instant::now() < until, "the memory is not given back");
     }
 }
--- a/server/tests/sessions.rs
+++ b/server/tests/sessions.rs
@@ -1,4 +1,4 @@
-//! Sessions that their clients carry, over two fronts, lag, restarts and a switch that loses the tail of a
+//! Sessions that their clients carry, over two instances, lag, restarts and a failover that loses the tail of a
 //! log.
 
 use std::net::SocketAddr;
@@ -6,111 +6,113 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
-use test_servers::client::{Answer, Client, Kind, Record};
-use test_servers::daemon::{Daemon, Start};
-use test_servers::discovery::{host, Discovery, Mode};
-use test_servers::starts::settings;
-use test_servers::store::{free_address, serve, Served};
-use test_servers::world::{Branch, Cold, Machine, Reach, World};
+use test_servers::client::{Answer, Client, Kind, RequestRecord};
+use test_servers::cluster::{unix_ms, Branch, Cluster, EndpointModel, OldPrimary, Reachability};
+use test_servers::daemon::{Daemon, DaemonOptions};
+use test_servers::discovery::{list_entry, Discovery, DiscoveryMode};
+use test_servers::endpoint::{free_address, serve, ServedEndpoint};
+use test_servers::settings::{settings, DRAIN_GRACE_MS, NO_SLOW_START};
 
 const KEYS: [&str; 2] = [
     "1 000102030405060708090a0b0c0d0e0f\n",
     "1 000102030405060708090a0b0c0d0e0f\n2 ffeeddccbbaa99887766554433221100\n",
 ];
 
-/// One group of three, its two replicas at different lags, and two fronts on it.
-struct Place {
+/// One group of three, its two replicas at different lags, and two instances on it.
+struct Fixture {
     folder: tempfile::TempDir,
     listen: [SocketAddr; 2],
     discovery: Discovery,
-    world: Arc<World>,
-    served: Vec<Served>,
+    cluster: Arc<Cluster>,
+    served: Vec<ServedEndpoint>,
 }
 
-impl Place {
-    fn new(lags: [i64; 2]) -> Place {
-        let cold = Cold { from: 1.0, for_ms: 1, overload_multiple: 9.0, window_ms: 500, work_ms: 1 };
-        let world = Arc::new(World::new(cold, 250));
-        let machine = |nth: usize| {
-            let lag_ms = if nth == 0 { 0 } else { lags[nth - 1] };
-            Machine::of(format!("s-{nth}"), 1, (nth > 0).then_some(0), lag_ms)
+impl Fixture {
+    fn new(lags: [i64; 2]) -> Fixture {
+        let cluster = Arc::new(Cluster::new(NO_SLOW_START, DRAIN_GRACE_MS));
+        let endpoint = |index: usize| {
+            let lag_ms = if index == 0 { 0 } else { lags[index - 1] };
+            EndpointModel::new(format!("s-{index}"), 1, (index > 0).then_some(0), lag_ms)
         };
-        world.lock().branches.insert(1, vec![Branch { forked_ms: 0, truth: true }]);
-        world.lock().machines = (0..3).map(machine).collect();
-        let served: Vec<Served> = (0..3).map(|ix| serve(&world, ix)).collect();
+        cluster.lock().branches.insert(1, vec![Branch::initial()]);
+        cluster.lock().endpoints = (0..3).map(endpoint).collect();
+        let served: Vec<ServedEndpoint> = (0..3).map(|index| serve(&cluster, index)).collect();
         let folder = tempfile::tempdir().expect("a folder");
         std::fs::write(folder.path().join("keys"), KEYS[0]).expect("written");
-        let discovery = Discovery::start(Mode::Up, 1, Vec::new());
-        let place = Place { folder, listen: [free_address(), free_address()], discovery, world, served };
-        place.list(2, 0);
-        place
+        let discovery = Discovery::start(DiscoveryMode::Up, 1, Vec::new());
+        let fixture =
+            Fixture { folder, listen: [free_address(), free_address()], discovery, cluster, served };
+        fixture.list(2, 0);
+        fixture
     }
 
-    fn list(&self, seq: i64, primary: usize) {
-        let entry =
-            |nth: usize| host(&format!("s-{nth}"), &self.served[nth].addr, 1, nth == primary, "SERVING", 0);
-        self.discovery.tell(seq, (0..3).map(entry).collect());
+    fn list(&self, version: i64, primary: usize) {
+        let entry = |index: usize| {
+            list_entry(&format!("s-{index}"), &self.served[index].addr, 1, index == primary, "SERVING", 0)
+        };
+        self.discovery.set_list(version, (0..3).map(entry).collect());
     }
 
-    fn start(&self, nth: usize) -> Daemon {
-        let folder = self.folder.path().join(format!("front-{nth}"));
+    fn start(&self, index: usize) -> Daemon {
+        let folder = self.folder.path().join(format!("instance-{index}"));
         std::fs::create_dir_all(&folder).expect("made");
-        let facts = format!(r#"{{"seed":"{nth}","settings":{}}}"#, settings());
-        let conf = format!("session-keys {}\nsession-lasts 10s\n", self.folder.path().join("keys").display());
-        let start = Start {
+        let bootstrap = format!(r#"{{"seed":"{index}","settings":{}}}"#, settings());
+        let operator_file =
+            format!("session-keys {}\nsession-lasts 10s\n", self.folder.path().join("keys").display());
+        let options = DaemonOptions {
             program: Path::new(env!("CARGO_BIN_EXE_query-router")),
-            facts: &facts,
-            conf: Some(&conf),
+            bootstrap: &bootstrap,
+            operator_file: Some(&operator_file),
             folder: &folder,
-            listen: self.listen[nth],
+            listen: self.listen[index],
             discovery: self.discovery.addr,
         };
-        let daemon = Daemon::start(&start).expect("it starts");
-        self.client(nth, None);
+        let daemon = Daemon::start(&options).expect("it starts");
+        self.client(index, None);
         daemon
     }
 
-    /// A client of a front, as soon as that takes it.
-    fn client(&self, nth: usize, session: Option<&str>) -> Client {
-        self.client_of(nth, "backend", session)
+    /// A client of an instance, as soon as that takes it.
+    fn client(&self, index: usize, session: Option<&str>) -> Client {
+        self.client_of(index, "backend", session)
     }
 
-    fn client_of(&self, nth: usize, user: &str, session: Option<&str>) -> Client {
+    fn client_of(&self, index: usize, user: &str, session: Option<&str>) -> Client {
         let began = Instant::now();
         loop {
-            match Client::with_session(&self.listen[nth], user, session) {
+            match Client::with_session(&self.listen[index], user, session) {
                 Ok(client) => return client,
-                Err(why) => assert!(began.elapsed() < Duration::from_secs(10), "{why}"),
+                Err(error) => assert!(began.elapsed() < Duration::from_secs(10), "{error}"),
             }
             thread::sleep(Duration::from_millis(5));
         }
     }
 }
 
-/// Up to when an answer's data is true, in Unix milliseconds.
-fn shown(record: &Record) -> Option<i64> {
+/// Up to when the data of an answer is consistent, in Unix milliseconds.
+fn consistent_until_ms(record: &RequestRecord) -> Option<i64> {
     match &record.answer {
-        Answer::Value(value) => value.split(' ').nth(1).and_then(|word| word.parse().ok()),
+        Answer::Value(value) => value.split(' ').nth(1).and_then(|field| field.parse().ok()),
         _ => None,
     }
 }
 
-/// Asks until it is told something else than to come back.
-fn answered(client: &mut Client, kind: Kind, name: &str) -> Record {
-    for nth in 0..200 {
-        let record = client.ask(&format!("{name}-{nth}"), 1, kind, 800);
-        if !matches!(record.answer, Answer::PushedBack(_)) {
+/// Sends requests until one is not rejected.
+fn answered(client: &mut Client, kind: Kind, name: &str) -> RequestRecord {
+    for index in 0..200 {
+        let record = client.request(&format!("{name}-{index}"), 1, kind, 800);
+        if !matches!(record.answer, Answer::Rejected(_)) {
             return record;
         }
         thread::sleep(Duration::from_millis(10));
     }
-    panic!("{name} is only pushed back");
+    panic!("{name} is rejected again and again");
 }
 
-/// Asks until it is served.
-fn served(client: &mut Client, kind: Kind, name: &str) -> Record {
-    for nth in 0..200 {
-        let record = answered(client, kind, &format!("{name}-{nth}"));
+/// Sends requests until one is served.
+fn served(client: &mut Client, kind: Kind, name: &str) -> RequestRecord {
+    for index in 0..200 {
+        let record = answered(client, kind, &format!("{name}-{index}"));
         if matches!(record.answer, Answer::Value(_)) {
             return record;
         }
@@ -119,123 +121,123 @@
 }
 
 #[test]
-fn a_session_that_moves_between_fronts_and_restarts_never_sees_less_than_it_has_seen() {
-    let place = Place::new([15, 700]);
-    let mut daemons = [place.start(0), place.start(1)].map(Some);
-    let mut token = place.client(0, Some("new")).token.expect("a token is given");
-    let (mut saw, mut without, mut less_without) = (0, 0, 0);
+fn a_session_that_moves_between_instances_and_restarts_never_sees_less_than_before() {
+    let fixture = Fixture::new([15, 700]);
+    let mut daemons = [fixture.start(0), fixture.start(1)].map(Some);
+    let mut token = fixture.client(0, Some("new")).token.expect("a token is given");
+    let (mut seen, mut seen_without_session, mut steps_back) = (0, 0, 0);
     for round in 0..60 {
-        let nth = round % 2;
+        let index = round % 2;
         if round % 20 == 19 {
-            daemons[nth].take().map(Daemon::kill);
-            daemons[nth] = Some(place.start(nth));
+            daemons[index].take().map(Daemon::kill);
+            daemons[index] = Some(fixture.start(index));
         }
-        let mut client = place.client(nth, Some(&token));
-        assert_eq!(client.refused, None);
+        let mut client = fixture.client(index, Some(&token));
+        assert_eq!(client.rejected_with, None);
         let kind = if round % 5 == 0 { Kind::Write } else { Kind::Read };
         let record = served(&mut client, kind, &format!("r{round}"));
         if kind == Kind::Read {
-            let shows = shown(&record).expect("a value");
-            assert!(shows >= saw, "round {round}: shown up to {shows}, had seen {saw}");
-            saw = shows;
+            let shows = consistent_until_ms(&record).expect("a value");
+            assert!(shows >= seen, "round {round}: shown up to {shows}, had seen {seen}");
+            seen = shows;
         } else {
-            saw = saw.max(record.sent_ms);
+            seen = seen.max(record.sent_ms);
         }
         token = client.token.clone().expect("a token goes with each answer");
         // The same without a session, to see that it is the session which holds.
-        let mut plain = place.client(nth, None);
+        let mut plain = fixture.client(index, None);
         assert_eq!(plain.token, None);
-        let shows = shown(&served(&mut plain, Kind::Read, &format!("p{round}"))).expect("a value");
-        less_without += usize::from(shows < without);
-        without = shows;
+        let shows =
+            consistent_until_ms(&served(&mut plain, Kind::Read, &format!("p{round}"))).expect("a value");
+        steps_back += usize::from(shows < seen_without_session);
+        seen_without_session = shows;
     }
-    assert!(less_without > 0, "nothing here would have gone back: the test shows nothing");
-    println!("{less_without} of 60 reads without a session showed less than the one before");
+    assert!(steps_back > 0, "nothing here would have gone back: the test shows nothing");
+    println!("{steps_back} of 60 reads without a session showed less than the one before");
 }
 
 #[test]
-fn a_switch_that_loses_what_a_session_saw_is_told_once_and_clearly() {
-    let place = Place::new([400, 400]);
-    let mut daemons = [place.start(0), place.start(1)].map(Some);
-    // Sessions that both fronts remember.
+fn a_failover_that_loses_what_a_session_saw_is_told_once() {
+    let fixture = Fixture::new([400, 400]);
+    let mut daemons = [fixture.start(0), fixture.start(1)].map(Some);
+    // Sessions that both instances remember.
     let [token, read, write] = ["a", "b", "c"].map(|name| {
         let mut token = "new".to_string();
-        for nth in 0..2 {
-            let mut client = place.client(nth, Some(&token));
-            served(&mut client, Kind::Write, &format!("{name}{nth}"));
+        for index in 0..2 {
+            let mut client = fixture.client(index, Some(&token));
+            served(&mut client, Kind::Write, &format!("{name}{index}"));
             token = client.token.expect("a token");
         }
         token
     });
-    // The heir lacks the last 400 ms, the session's write among them; the former primary is gone.
+    // The successor lacks the last 400 ms, the session's write among them; the old primary is gone.
     {
-        let mut truth = place.world.lock();
-        let now = test_servers::world::unix_ms();
-        let fork = truth.position(1, now);
-        truth.promote(1, false, fork);
-        truth.machines[0].reach = Reach::Silent;
+        let mut state = fixture.cluster.lock();
+        let forked_ms = state.position(1, unix_ms());
+        state.promote(1, OldPrimary::Follows, forked_ms);
+        state.endpoints[0].reachability = Reachability::Silent;
     }
-    place.list(3, 1);
-    // A front that has just started has heard nothing of epochs, and the first that it gets is a write.
+    fixture.list(3, 1);
+    // An instance that has just started has heard nothing of epochs, and the first that it gets is a write.
     daemons[0].take().map(Daemon::kill);
-    daemons[0] = Some(place.start(0));
-    let told = answered(&mut place.client(0, Some(&token)), Kind::Write, "first");
+    daemons[0] = Some(fixture.start(0));
+    let told = answered(&mut fixture.client(0, Some(&token)), Kind::Write, "first");
     assert_eq!(told.answer, Answer::Error("ZG001".into()));
-    assert!(!place.world.lock().runs.contains_key(&told.id), "told of a loss, and it ran");
-    // Both fronts hear of the new epoch by other clients.
-    for nth in 0..2 {
-        let mut other = place.client(nth, None);
-        served(&mut other, Kind::Write, &format!("o{nth}"));
+    assert!(!fixture.cluster.lock().executions.contains_key(&told.id), "told of a loss, and it ran");
+    // Both instances hear of the new epoch by other clients.
+    for index in 0..2 {
+        let mut other = fixture.client(index, None);
+        served(&mut other, Kind::Write, &format!("o{index}"));
     }
     for (kind, token) in [(Kind::Read, read), (Kind::Write, write)] {
-        let mut moved = place.client(0, Some(&token));
-        let told = moved.ask(&format!("t-{kind:?}"), 1, kind, 800);
+        let mut moved = fixture.client(0, Some(&token));
+        let told = moved.request(&format!("t-{kind:?}"), 1, kind, 800);
         assert_eq!(told.answer, Answer::Error("ZG001".into()), "{kind:?}");
         let next = moved.token.clone().expect("a token without what was lost");
-        // Told once: the front that remembers what was lost does not bring it back.
-        for nth in 0..2 {
-            let mut again = place.client(nth, Some(&next));
-            let record = answered(&mut again, Kind::Read, &format!("a-{kind:?}-{nth}"));
+        // Told once: the instance that remembers what was lost does not bring it back.
+        for index in 0..2 {
+            let mut again = fixture.client(index, Some(&next));
+            let record = answered(&mut again, Kind::Read, &format!("a-{kind:?}-{index}"));
             assert!(matches!(record.answer, Answer::Value(_)), "{record:?}");
         }
     }
     // A session that saw nothing of it is not troubled.
-    let mut fresh = place.client(1, Some("new"));
+    let mut fresh = fixture.client(1, Some("new"));
     served(&mut fresh, Kind::Read, "f");
     drop(daemons);
 }
 
 #[test]
-fn a_token_counts_for_its_client_in_its_time_under_keys_that_may_change() {
-    let place = Place::new([15, 15]);
-    let daemons = [place.start(0), place.start(1)];
-    let mut client = place.client(0, Some("new"));
+fn a_token_is_valid_for_its_client_until_it_expires_though_keys_change() {
+    let fixture = Fixture::new([15, 15]);
+    let daemons = [fixture.start(0), fixture.start(1)];
+    let mut client = fixture.client(0, Some("new"));
     served(&mut client, Kind::Write, "w");
     let token = client.token.clone().expect("a token");
     println!("{} characters: {token}", token.len());
-    for (user, word, code) in [
+    for (user, token, code) in [
         ("backend", "forged", "ZG002"),
         ("backend", &token[..token.len() - 2], "ZG002"),
         ("another", token.as_str(), "ZG002"),
         ("backend", &token.replace(&token[40..41], if &token[40..41] == "A" { "B" } else { "A" }), "ZG002"),
     ] {
-        let refused = place.client_of(1, user, Some(word));
-        assert_eq!(refused.refused.as_deref(), Some(code), "{word}");
+        let client = fixture.client_of(1, user, Some(token));
+        assert_eq!(client.rejected_with.as_deref(), Some(code), "{token}");
     }
-    // The keys change while the fronts run: what was sealed before still counts, also at the other one.
-    std::fs::write(place.folder.path().join("keys"), KEYS[1]).expect("written");
+    // The keys change while the instances run: what was sealed before still counts, also at the other one.
+    std::fs::write(fixture.folder.path().join("keys"), KEYS[1]).expect("written");
     daemons.iter().for_each(|daemon| daemon.signal("HUP"));
     thread::sleep(Duration::from_millis(200));
-    let mut later = place.client(1, Some(&token));
-    assert_eq!(later.refused, None);
+    let mut later = fixture.client(1, Some(&token));
+    assert_eq!(later.rejected_with, None);
     served(&mut later, Kind::Read, "r");
     let newer = later.token.clone().expect("sealed with the new key");
     // A bad file changes nothing.
-    std::fs::write(place.folder.path().join("keys"), "1 00\n").expect("written");
+    std::fs::write(fixture.folder.path().join("keys"), "1 00\n").expect("written");
     daemons[0].signal("HUP");
     thread::sleep(Duration::from_millis(200));
-    assert_eq!(place.client(0, Some(&newer)).refused, None);
+    assert_eq!(fixture.client(0, Some(&newer)).rejected_with, None);
     thread::sleep(Duration::from_millis(10_500));
-    assert_eq!(place.client(0, Some(&token)).refused.as_deref(), Some("ZG003"));
+    assert_eq!(fixture.client(0, Some(&token)).rejected_with.as_deref(), Some("ZG003"));
     drop(daemons);
 }
--- a/server/tests/starts.rs
+++ b/server/tests/starts.rs
@@ -9,87 +9,90 @@
 use std::thread;
 use std::time::{Duration, Instant};
 use test_servers::client::{Answer, Client, Kind};
-use test_servers::daemon::{Daemon, Start};
-use test_servers::discovery::{host, Discovery, Mode};
-use test_servers::each_seed;
-use test_servers::starts::{play, settings, Build, Plan, Times};
-use test_servers::store::{free_address, serve, Served};
-use test_servers::world::{unix_ms, Branch, Cold, Machine, World};
+use test_servers::cluster::{unix_ms, Branch, Cluster, EndpointModel};
+use test_servers::daemon::{Daemon, DaemonOptions};
+use test_servers::discovery::{list_entry, Discovery, DiscoveryMode};
+use test_servers::endpoint::{free_address, serve, ServedEndpoint};
+use test_servers::restart::{run_plan, Phases, Plan};
+use test_servers::settings::{settings, DRAIN_GRACE_MS, NO_SLOW_START};
+use test_servers::{each_seed, Build};
 
 const DAEMON: &str = env!("CARGO_BIN_EXE_query-router");
 
 #[test]
-fn with_discovery_down_and_an_untrue_list_no_rule_breaks_and_writes_flow_once_they_may() {
-    let times = Times { down: Duration::from_millis(1_500), back: Duration::from_millis(6_000) };
-    let build = Build { program: Path::new(DAEMON), keeps: true };
-    // Daemons, stores and clients of one plan keep a core or two busy; starved of them answers are late.
+fn no_rule_breaks_with_discovery_down_and_a_wrong_list_and_writes_are_served_once_they_may() {
+    let phases =
+        Phases { discovery_down: Duration::from_millis(1_500), discovery_back: Duration::from_millis(6_000) };
+    let build = Build { program: Path::new(DAEMON), has_operator_file: true };
+    // Daemons, endpoints and clients of one plan keep a core or two busy; starved of them answers are late.
     let cores = thread::available_parallelism().map_or(2, usize::from);
     let failed = each_seed(0..18, (cores / 2).clamp(1, 6), |seed| {
         let plan = Plan::draw(seed);
         println!("seed {seed}: {plan:?}");
-        let played = play(&plan, &build, times).expect("it can be played");
-        let idle = played.groups_writing < played.groups_able;
-        (!played.audit.offences.is_empty() || idle).then(|| format!("{plan:?}\n{played:#?}"))
+        let outcome = run_plan(&plan, &build, phases).expect("it can be run here");
+        let lacks_writes = outcome.groups_writing < outcome.groups_with_primary;
+        (!outcome.verdict.violations.is_empty() || lacks_writes).then(|| format!("{plan:?}\n{outcome:#?}"))
     });
     let failed: Vec<String> = failed.into_iter().flatten().collect();
     assert!(failed.is_empty(), "{}", failed.join("\n"));
 }
 
-/// Two stores of one group that nothing ails, and discovery.
-struct Place {
+/// A primary and its replica, and discovery.
+struct Fixture {
     folder: tempfile::TempDir,
     listen: SocketAddr,
     discovery: Discovery,
-    world: Arc<World>,
-    _served: Vec<Served>,
+    cluster: Arc<Cluster>,
+    _served: Vec<ServedEndpoint>,
 }
 
-impl Place {
-    fn new(mode: Mode) -> Place {
-        let cold = Cold { from: 1.0, for_ms: 1, overload_multiple: 9.0, window_ms: 500, work_ms: 1 };
-        let world = Arc::new(World::new(cold, 250));
-        let machine = |nth: usize| {
+impl Fixture {
+    fn new(mode: DiscoveryMode) -> Fixture {
+        let cluster = Arc::new(Cluster::new(NO_SLOW_START, DRAIN_GRACE_MS));
+        let endpoint = |index: usize| {
             let lag_ms = 20;
-            Machine::of(format!("s-{nth}"), 1, (nth > 0).then_some(0), lag_ms)
+            EndpointModel::new(format!("s-{index}"), 1, (index > 0).then_some(0), lag_ms)
+        };
+        cluster.lock().branches.insert(1, vec![Branch::initial()]);
+        cluster.lock().endpoints = (0..2).map(endpoint).collect();
+        let served: Vec<ServedEndpoint> = (0..2).map(|index| serve(&cluster, index)).collect();
+        let entry = |index: usize| {
+            list_entry(&format!("s-{index}"), &served[index].addr, 1, index == 0, "SERVING", 0)
         };
-        world.lock().branches.insert(1, vec![Branch { forked_ms: 0, truth: true }]);
-        world.lock().machines = (0..2).map(machine).collect();
-        let served: Vec<Served> = (0..2).map(|ix| serve(&world, ix)).collect();
-        let entry = |nth: usize| host(&format!("s-{nth}"), &served[nth].addr, 1, nth == 0, "SERVING", 0);
         let discovery = Discovery::start(mode, 7, vec![entry(0), entry(1)]);
         let folder = tempfile::tempdir().expect("a folder");
         std::fs::create_dir(folder.path().join("state")).expect("made");
-        Place { folder, listen: free_address(), discovery, world, _served: served }
+        Fixture { folder, listen: free_address(), discovery, cluster, _served: served }
     }
 
     fn state(&self) -> PathBuf {
         self.folder.path().join("state")
     }
 
-    fn start(&self, conf: &str) -> Daemon {
-        let facts = format!(r#"{{"seed":"1","settings":{}}}"#, settings());
-        let start = Start {
+    fn start(&self, operator_file: &str) -> Daemon {
+        let bootstrap = format!(r#"{{"seed":"1","settings":{}}}"#, settings());
+        let options = DaemonOptions {
             program: Path::new(DAEMON),
-            facts: &facts,
-            conf: Some(conf),
+            bootstrap: &bootstrap,
+            operator_file: Some(operator_file),
             folder: self.folder.path(),
             listen: self.listen,
             discovery: self.discovery.addr,
         };
-        Daemon::start(&start).expect("it starts")
+        Daemon::start(&options).expect("it starts")
     }
 
-    fn conf(&self) -> String {
+    fn operator_file(&self) -> String {
         format!("state-dir {}\nstore-identity postgres\nsave-gap 100ms\n", self.state().display())
     }
 
-    /// Asks until it is served, for ten seconds at most; the time it took.
-    fn served(&self, kind: Kind, name: &str) -> Duration {
-        let (began, mut nth) = (Instant::now(), 0);
+    /// Sends requests until one is served, for ten seconds at most; the time it took.
+    fn time_until_served(&self, kind: Kind, name: &str) -> Duration {
+        let (began, mut index) = (Instant::now(), 0);
         while began.elapsed() < Duration::from_secs(10) {
             if let Ok(mut client) = Client::open(&self.listen) {
-                nth += 1;
-                let record = client.ask(&format!("{name}{nth}"), 1, kind, 500);
+                index += 1;
+                let record = client.request(&format!("{name}{index}"), 1, kind, 500);
                 if matches!(record.answer, Answer::Value(_)) {
                     return began.elapsed();
                 }
@@ -99,13 +102,13 @@
         panic!("{kind:?} {name} is not served");
     }
 
-    fn kept_within(&self, wanted: impl Fn(&CachedEndpointList) -> bool) -> CachedEndpointList {
+    fn wait_for_cached(&self, wanted: impl Fn(&CachedEndpointList) -> bool) -> CachedEndpointList {
         let began = Instant::now();
         loop {
             let loaded = CacheDirectory::read(&self.state());
             assert!(loaded.errors.is_empty(), "{:?}", loaded.errors);
             match loaded.list {
-                Some((kept, _)) if wanted(&kept) => return kept,
+                Some((list, _)) if wanted(&list) => return list,
                 found => assert!(began.elapsed() < Duration::from_secs(10), "{found:?}"),
             }
             thread::sleep(Duration::from_millis(5));
@@ -114,148 +117,148 @@
 }
 
 #[test]
-fn what_was_kept_through_a_kill_serves_the_next_start_without_discovery() {
-    let place = Place::new(Mode::Up);
-    let daemon = place.start(&place.conf());
-    place.served(Kind::Write, "a");
+fn a_cached_list_that_outlives_a_kill_serves_the_next_start_without_discovery() {
+    let fixture = Fixture::new(DiscoveryMode::Up);
+    let daemon = fixture.start(&fixture.operator_file());
+    fixture.time_until_served(Kind::Write, "a");
     let knows = |kept: &CachedEndpointList| {
         kept.version == 7
             && kept.endpoints.iter().filter_map(|store| store.report).any(|report| report.primary)
     };
-    let kept = place.kept_within(knows);
+    let kept = fixture.wait_for_cached(knows);
     assert_eq!(kept.endpoints.len(), 2);
     daemon.kill();
-    place.discovery.turn(Mode::Down);
+    fixture.discovery.set_mode(DiscoveryMode::Down);
     // Killed again and again while it starts and saves: the list stays whole, and it serves each time.
     for round in 0..6 {
-        let daemon = place.start(&place.conf());
-        place.served(Kind::Write, &format!("b{round}"));
-        place.served(Kind::Read, &format!("c{round}"));
-        assert!(daemon.says("starting from the cached endpoint list"), "{}", daemon.kill());
+        let daemon = fixture.start(&fixture.operator_file());
+        fixture.time_until_served(Kind::Write, &format!("b{round}"));
+        fixture.time_until_served(Kind::Read, &format!("c{round}"));
+        assert!(daemon.has_logged("starting from the cached endpoint list"), "{}", daemon.kill());
         daemon.kill();
-        place.kept_within(knows);
+        fixture.wait_for_cached(knows);
     }
     // Another life of discovery is taken, and kept.
-    let daemon = place.start(&place.conf());
-    let entries = place.kept_within(knows).endpoints;
-    let hosts = entries.iter().enumerate().map(|(nth, store)| {
+    let daemon = fixture.start(&fixture.operator_file());
+    let entries = fixture.wait_for_cached(knows).endpoints;
+    let hosts = entries.iter().enumerate().map(|(index, store)| {
         let dial = store.dial.parse().expect("an address");
-        host(&store.host, &dial, 1, nth == 0, "SERVING", 0)
+        list_entry(&store.host, &dial, 1, index == 0, "SERVING", 0)
     });
-    place.discovery.tell(2, hosts.collect());
-    place.discovery.turn(Mode::Up);
-    place.kept_within(|kept| kept.version == 2);
-    assert!(daemon.says("endpoint list of a new discovery incarnation accepted"), "{}", daemon.kill());
-    assert!(place.world.lock().runs.values().flatten().all(|run| run.by_primary));
+    fixture.discovery.set_list(2, hosts.collect());
+    fixture.discovery.set_mode(DiscoveryMode::Up);
+    fixture.wait_for_cached(|kept| kept.version == 2);
+    assert!(daemon.has_logged("endpoint list of a new discovery incarnation accepted"), "{}", daemon.kill());
+    assert!(fixture.cluster.lock().executions.values().flatten().all(|run| run.at_primary));
 }
 
 #[test]
-fn a_directory_of_no_use_costs_one_line_and_no_service() {
-    let place = Place::new(Mode::Up);
-    let missing = place.start(&place.conf().replace("/state", "/nowhere"));
-    place.served(Kind::Write, "a");
-    missing.says("endpoint list not cached");
+fn an_unusable_state_directory_costs_one_line_of_the_log_and_no_service() {
+    let fixture = Fixture::new(DiscoveryMode::Up);
+    let missing = fixture.start(&fixture.operator_file().replace("/state", "/nowhere"));
+    fixture.time_until_served(Kind::Write, "a");
+    missing.has_logged("endpoint list not cached");
     // A second line would come with the next saves.
     thread::sleep(Duration::from_millis(300));
     let log = missing.kill();
     assert_eq!(log.matches("endpoint list not cached").count(), 1, "{log}");
 
-    let first = place.start(&place.conf());
-    place.served(Kind::Write, "b");
-    let second = Place { listen: free_address(), ..Place::new(Mode::Up) };
-    let other = second.start(&place.conf());
-    second.served(Kind::Write, "c");
-    assert!(other.says("another front uses it"), "{}", other.kill());
+    let first = fixture.start(&fixture.operator_file());
+    fixture.time_until_served(Kind::Write, "b");
+    let second = Fixture { listen: free_address(), ..Fixture::new(DiscoveryMode::Up) };
+    let other = second.start(&fixture.operator_file());
+    second.time_until_served(Kind::Write, "c");
+    assert!(other.has_logged("another process uses it"), "{}", other.kill());
     // No room: saving fails from now on, and is said once.
-    let entries = place.kept_within(|kept| kept.version == 7).endpoints;
-    let blocked = place.state().join("list.new");
+    let entries = fixture.wait_for_cached(|kept| kept.version == 7).endpoints;
+    let blocked = fixture.state().join("list.new");
     // A save may just be under way.
     while std::fs::create_dir(&blocked).is_err() {
         thread::sleep(Duration::from_millis(1));
     }
     let only: Vec<_> = entries
         .iter()
-        .map(|store| host(&store.host, &store.dial.parse().expect("one"), 1, false, "SERVING", 0))
+        .map(|store| list_entry(&store.host, &store.dial.parse().expect("one"), 1, false, "SERVING", 0))
         .collect();
     for seq in 8..12 {
-        place.discovery.tell(seq, only.clone());
+        fixture.discovery.set_list(seq, only.clone());
         thread::sleep(Duration::from_millis(150));
-        place.served(Kind::Read, &format!("d{seq}"));
+        fixture.time_until_served(Kind::Read, &format!("d{seq}"));
     }
-    first.says("endpoint list not cached");
+    first.has_logged("endpoint list not cached");
     std::fs::remove_dir(&blocked).expect("gone");
-    place.kept_within(|kept| kept.version == 11);
-    first.says("endpoint list cached again");
+    fixture.wait_for_cached(|kept| kept.version == 11);
+    first.has_logged("endpoint list cached again");
     let log = first.kill();
     assert_eq!(log.matches("endpoint list not cached").count(), 1, "{log}");
     assert_eq!(log.matches("endpoint list cached again").count(), 1, "{log}");
 }
 
 #[test]
-fn a_list_of_ten_thousand_stores_most_of_them_gone_holds_up_nobody_who_waits() {
-    let place = Place::new(Mode::Up);
-    let daemon = place.start(&place.conf());
-    place.served(Kind::Write, "a");
-    let mut kept = place.kept_within(|kept| kept.endpoints.iter().any(|store| store.report.is_some()));
+fn a_list_of_ten_thousand_endpoints_most_of_them_gone_delays_no_request() {
+    let fixture = Fixture::new(DiscoveryMode::Up);
+    let daemon = fixture.start(&fixture.operator_file());
+    fixture.time_until_served(Kind::Write, "a");
+    let mut kept = fixture.wait_for_cached(|kept| kept.endpoints.iter().any(|store| store.report.is_some()));
     daemon.kill();
-    place.discovery.turn(Mode::Down);
+    fixture.discovery.set_mode(DiscoveryMode::Down);
     let nobody = free_address().to_string();
-    kept.endpoints.extend((0..9_998).map(|nth| CachedEndpoint {
-        host: format!("a-{nth:05}"),
+    kept.endpoints.extend((0..9_998).map(|index| CachedEndpoint {
+        host: format!("a-{index:05}"),
         dial: nobody.clone(),
-        block: 2 + nth / 3,
+        block: 2 + index / 3,
         health: "SERVING".into(),
         ..CachedEndpoint::default()
     }));
     kept.confirmed_ms = unix_ms() - 600_000;
-    CacheDirectory::open(&place.state()).expect("free again").0.save(&mut kept).expect("saved");
-    let daemon = place.start(&place.conf());
-    let took = place.served(Kind::Write, "b");
+    CacheDirectory::open(&fixture.state()).expect("free again").0.save(&mut kept).expect("saved");
+    let daemon = fixture.start(&fixture.operator_file());
+    let took = fixture.time_until_served(Kind::Write, "b");
     assert!(took < Duration::from_secs(5), "{took:?}");
     let status = std::fs::read_to_string(format!("/proc/{}/status", daemon.pid())).unwrap_or_default();
     let resident = status.lines().find_map(|line| line.strip_prefix("VmHWM:")?.split_whitespace().next());
     println!("first write after {took:?}, {} kB at most", resident.unwrap_or("?"));
 }
 
-fn run(args: &[&str], facts: &Path) -> (Option<i32>, String, String) {
+fn run(args: &[&str], bootstrap: &Path) -> (Option<i32>, String, String) {
     let mut command = Command::new(DAEMON);
-    command.env_clear().env("ROUTER_CONFIG", facts).env("ROUTER_LISTEN", "127.0.0.1:1");
+    command.env_clear().env("ROUTER_CONFIG", bootstrap).env("ROUTER_LISTEN", "127.0.0.1:1");
     let output = command.env("ROUTER_DISCOVERY", "127.0.0.1:2").args(args).output().expect("it runs");
     let text = |bytes: Vec<u8>| String::from_utf8(bytes).expect("text");
     (output.status.code(), text(output.stdout), text(output.stderr))
 }
 
 #[test]
-fn the_command_line_says_all_faults_and_ends_with_the_codes_of_sysexits() {
+fn the_command_line_reports_all_errors_and_ends_with_the_statuses_of_sysexits() {
     let folder = tempfile::tempdir().expect("a folder");
-    let [facts, conf] = ["config.json", "gingerwick.conf"].map(|name| folder.path().join(name));
+    let [bootstrap, conf] = ["config.json", "gingerwick.conf"].map(|name| folder.path().join(name));
     let good = format!("{{\"seed\":\"1\",\n\"settings\":{}}}", settings());
-    std::fs::write(&facts, &good).expect("written");
+    std::fs::write(&bootstrap, &good).expect("written");
     std::fs::write(&conf, "log-format json\n").expect("written");
     let with = conf.to_str().expect("text");
-    assert_eq!(run(&["check", "--conf", with], &facts).0, Some(0));
+    assert_eq!(run(&["check", "--conf", with], &bootstrap).0, Some(0));
 
-    std::fs::write(&facts, good.replace("\"seed\":\"1\"", "\"listen\":\"here\",\n\"seed\":\"xyz\""))
+    std::fs::write(&bootstrap, good.replace("\"seed\":\"1\"", "\"listen\":\"here\",\n\"seed\":\"xyz\""))
         .expect("written");
     std::fs::write(&conf, "log-fromat json\n\nstate-dir there\n").expect("written");
-    let (code, _, said) = run(&["check", "--conf", with], &facts);
+    let (code, _, said) = run(&["check", "--conf", with], &bootstrap);
     assert_eq!(code, Some(78));
     for words in [
-        format!("ROUTER_CONFIG: {}: 2: seed: not hex digits", facts.display()),
+        format!("ROUTER_CONFIG: {}: 2: seed: not hex digits", bootstrap.display()),
         format!("{with}:1: log-fromat: is no keyword; is log-format meant?"),
         format!("{with}:3: state-dir: \"there\" is not an absolute path"),
     ] {
         assert!(said.contains(&words), "{words} in {said}");
     }
-    let (code, _, said) = run(&["--conf", with], &facts);
+    let (code, _, said) = run(&["--conf", with], &bootstrap);
     assert!(code == Some(78) && said.lines().count() == 3, "{said}");
 
-    assert_eq!(run(&["frobnicate"], &facts).0, Some(64));
-    assert_eq!(run(&["--help"], &facts).0, Some(0));
-    assert!(run(&["completions", "bash"], &facts).1.contains("query-router"));
+    assert_eq!(run(&["frobnicate"], &bootstrap).0, Some(64));
+    assert_eq!(run(&["--help"], &bootstrap).0, Some(0));
+    assert!(run(&["completions", "bash"], &bootstrap).1.contains("query-router"));
     let state = folder.path().to_str().expect("text");
-    assert_eq!(run(&["list", "show", "/nowhere/at/all"], &facts).0, Some(66));
-    assert_eq!(run(&["list", "verify", state], &facts).0, Some(65));
+    assert_eq!(run(&["list", "show", "/nowhere/at/all"], &bootstrap).0, Some(66));
+    assert_eq!(run(&["list", "verify", state], &bootstrap).0, Some(65));
     let (mut dir, _) = CacheDirectory::open(folder.path()).expect("it opens");
     let endpoints = vec![CachedEndpoint { host: "s-1".into(), block: 4, ..CachedEndpoint::default() }];
     let mut kept = CachedEndpointList {
@@ -266,31 +269,31 @@
         ..CachedEndpointList::default()
     };
     dir.save(&mut kept).expect("saved");
-    let (code, shown, _) = run(&["list", "show", state], &facts);
+    let (code, shown, _) = run(&["list", "show", state], &bootstrap);
     assert!(code == Some(0) && shown.contains("version     41") && shown.contains("old"), "{shown}");
-    assert_eq!(run(&["list", "verify", state], &facts).0, Some(0));
+    assert_eq!(run(&["list", "verify", state], &bootstrap).0, Some(0));
     std::fs::write(folder.path().join("list"), "gingerwick-list 1 9").expect("written");
-    let (code, _, said) = run(&["list", "verify", state], &facts);
+    let (code, _, said) = run(&["list", "verify", state], &bootstrap);
     assert!(code == Some(65) && said.contains("torn"), "{said}");
 }
 
 #[test]
-fn the_log_is_json_where_it_is_asked_for_and_a_reload_says_what_must_wait() {
-    let place = Place::new(Mode::Up);
-    let conf = place.conf() + "log-format json\nlog-level debug\n";
-    let daemon = place.start(&conf);
-    place.served(Kind::Write, "a");
-    let file = place.folder.path().join("gingerwick.conf");
+fn the_log_is_json_if_configured_and_a_reload_says_which_changes_wait_for_a_start() {
+    let fixture = Fixture::new(DiscoveryMode::Up);
+    let conf = fixture.operator_file() + "log-format json\nlog-level debug\n";
+    let daemon = fixture.start(&conf);
+    fixture.time_until_served(Kind::Write, "a");
+    let file = fixture.folder.path().join("gingerwick.conf");
     std::fs::write(&file, conf.replace("postgres", "none").replace("100ms", "2s")).expect("written");
     daemon.signal("HUP");
-    daemon.says("changed setting takes effect at the next start");
+    daemon.has_logged("changed setting takes effect at the next start");
     std::fs::write(&file, "save-gap never\n").expect("written");
     daemon.signal("HUP");
-    daemon.says("not usable, nothing changed");
-    place.served(Kind::Write, "b");
+    daemon.has_logged("not usable, nothing changed");
+    fixture.time_until_served(Kind::Write, "b");
     daemon.signal("TERM");
     let mut daemon = daemon;
-    assert_eq!(daemon.ends_within(Duration::from_secs(5)), Some(0));
+    assert_eq!(daemon.exit_status_within(Duration::from_secs(5)), Some(0));
     let log = daemon.kill();
     let lines: Vec<serde_json::Value> =
         log.lines().map(|line| serde_json::from_str(line).unwrap_or_else(|_| panic!("{line}"))).collect();
--- a/test-servers/src/bin/sessions.rs
+++ b/test-servers/src/bin/sessions.rs
@@ -1,75 +1,79 @@
-//! Plays sessions through kills, moves, lag and a switch against one build or two, and says which guarantees
-//! broke.
+//! Runs sessions through kills, lag and a failover against one build or two, and prints which guarantees broke.
 
 use clap::Parser;
 use history_checker::Verdict;
 use std::path::PathBuf;
-use test_servers::each_seed;
-use test_servers::sessions::{play, Plan, Played};
-use test_servers::starts::Build;
+use std::process::ExitCode;
+use test_servers::sessions::{run_plan, Outcome, Plan};
+use test_servers::{each_seed, Build};
 
-/// Sessions and writes while fronts are killed.
+const VIOLATIONS_SHOWN: usize = 3;
+
+/// Sessions and writes while instances are killed.
 #[derive(Parser)]
-struct Line {
-    /// The daemon to try
+struct Arguments {
+    /// The daemon to test
     #[arg(long)]
     daemon: PathBuf,
-    /// An earlier build without sessions and journal, set beside it
+    /// An earlier build without sessions and journal, for comparison
     #[arg(long)]
     before: Option<PathBuf>,
+    /// Runs
     #[arg(long, default_value_t = 50)]
     seeds: u64,
+    /// The first seed
     #[arg(long, default_value_t = 1)]
     first: u64,
-    /// Kills in each plan
+    /// Kills in each run
     #[arg(long, default_value_t = 10)]
     kills: usize,
-    /// Plans played at the same time
+    /// Runs at the same time
     #[arg(long, default_value_t = 4)]
     at_once: usize,
 }
 
-fn main() {
-    let line = Line::parse();
-    let mut builds = vec![("this build", Build { program: &line.daemon, keeps: true })];
-    if let Some(before) = &line.before {
-        builds.push(("before", Build { program: before, keeps: false }));
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let this = Build { program: &arguments.daemon, has_operator_file: true };
+    let failed = run_build("this build", &this, &arguments);
+    if let Some(before) = &arguments.before {
+        run_build("before", &Build { program: before, has_operator_file: false }, &arguments);
     }
-    let mut failed = false;
-    for (name, build) in builds {
-        let all = each_seed(line.first..line.first + line.seeds, line.at_once, |seed| {
-            let plan = Plan::draw(seed, line.kills);
-            let played = play(&plan, &build).expect("a plan can be played here");
-            (plan, played)
-        });
-        let (mut sum, mut broke) = (Verdict::default(), 0);
-        let total = |of: fn(&Played) -> usize| all.iter().map(|(_, played)| of(played)).sum::<usize>();
-        for (plan, played) in &all {
-            sum.add(played.verdict.clone());
-            if !played.verdict.offences.is_empty() {
-                broke += 1;
-                println!("  {name}: {plan:?}");
-                played.verdict.offences.iter().take(3).for_each(|offence| println!("    {offence:?}"));
-            }
+    ExitCode::from(u8::from(failed))
+}
+
+/// Whether a guarantee broke.
+fn run_build(name: &str, build: &Build, arguments: &Arguments) -> bool {
+    let seeds = arguments.first..arguments.first + arguments.seeds;
+    let runs = each_seed(seeds, arguments.at_once, |seed| {
+        let plan = Plan::draw(seed, arguments.kills);
+        let outcome = run_plan(&plan, build).expect("a plan can be run here");
+        (plan, outcome)
+    });
+    let (mut sum, mut broke) = (Verdict::default(), 0);
+    for (plan, outcome) in &runs {
+        sum.add(outcome.verdict.clone());
+        if !outcome.verdict.violations.is_empty() {
+            broke += 1;
+            println!("  {name}: {plan:?}");
+            let shown = outcome.verdict.violations.iter().take(VIOLATIONS_SHOWN);
+            shown.for_each(|violation| println!("    {violation:?}"));
         }
-        println!(
-            "{name}: {broke} of {} plans broke a guarantee {:?}; {} kills, {} RPCs, {} ok",
-            all.len(),
-            sum.broken(),
-            total(|played| played.kills),
-            sum.asked,
-            sum.ok
-        );
-        println!(
-            "{name}: {} writes in doubt, {} fates told, {} served when sent again, {} losses told",
-            total(|played| played.in_doubt),
-            total(|played| played.told),
-            total(|played| played.served_again),
-            total(|played| played.losses)
-        );
-        failed |= broke > 0 && build.keeps;
-    }
-    if failed {
-        std::process::exit(1);
     }
+    let total = |value: fn(&Outcome) -> usize| runs.iter().map(|(_, run)| value(run)).sum::<usize>();
+    let (plans, broken_rules) = (runs.len(), sum.broken_rules());
+    let (requests, succeeded) = (sum.requests, sum.succeeded);
+    println!(
+        "{name}: {broke} of {plans} plans broke a guarantee {broken_rules:?}; {} kills, {requests} requests, \
+         {succeeded} ok",
+        total(|run| run.kills)
+    );
+    println!(
+        "{name}: {} writes in doubt, {} fates told, {} served when sent again, {} losses told",
+        total(|run| run.writes_in_doubt),
+        total(|run| run.fates_told),
+        total(|run| run.served_on_retry),
+        total(|run| run.losses_told)
+    );
+    broke > 0
 }
--- a/test-servers/src/bin/starts.rs
+++ b/test-servers/src/bin/starts.rs
@@ -1,38 +1,48 @@
-//! Plays starts with discovery down against one build or two, and says what broke.
+//! Runs starts with discovery down against one build or two, and prints which rules broke.
 
 use clap::{Parser, ValueEnum};
 use history_checker::Verdict;
 use std::path::PathBuf;
+use std::process::ExitCode;
 use std::time::Duration;
-use test_servers::each_seed;
-use test_servers::starts::{play, rate, Build, Plan, Times};
+use test_servers::restart::{reads_per_second, run_plan, Outcome, Phases, Plan};
+use test_servers::{each_seed, Build};
+
+/// Ages of the cached list, in seconds.
+const AGES_S: [i64; 5] = [5, 60, 3_600, 86_400, 200_000];
+const DISCOVERY_DOWN: Duration = Duration::from_millis(1_500);
+const VIOLATIONS_SHOWN: usize = 4;
+const THROUGHPUT_CLIENTS: usize = 16;
+const THROUGHPUT_DURATION: Duration = Duration::from_secs(3);
 
 #[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
-enum What {
-    /// Drawn faults; what broke
+enum Experiment {
+    /// Drawn faults; which rules broke
     Faults,
-    /// No fault; how long the first read and the first write take, by the list's age
+    /// No faults; how long the first read and the first write take, by the list's age
     Ages,
-    /// Answers a second with the list kept and not kept, in turn
+    /// Reads per second with the list cached and not cached, in turn
     Rate,
 }
 
 /// Starts with discovery down and a list that may no longer be true.
 #[derive(Parser)]
-struct Line {
-    #[arg(value_enum, default_value_t = What::Faults)]
-    what: What,
-    /// The daemon to try
+struct Arguments {
+    #[arg(value_enum, default_value_t = Experiment::Faults)]
+    experiment: Experiment,
+    /// The daemon to test
     #[arg(long)]
     daemon: PathBuf,
-    /// An earlier build without state directories, set beside it
+    /// An earlier build without state directories, for comparison
     #[arg(long)]
     before: Option<PathBuf>,
+    /// Runs
     #[arg(long, default_value_t = 200)]
     seeds: u64,
+    /// The first seed
     #[arg(long, default_value_t = 1)]
     first: u64,
-    /// Plans played at the same time
+    /// Runs at the same time
     #[arg(long, default_value_t = 4)]
     at_once: usize,
     /// Prints the log of the daemon wherever something broke
@@ -40,111 +50,128 @@
     logs: bool,
 }
 
-fn main() {
-    let line = Line::parse();
-    match line.what {
-        What::Faults => faults(&line),
-        What::Ages => ages(&line),
-        What::Rate => rates(&line),
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    match arguments.experiment {
+        Experiment::Faults => return run_faults(&arguments),
+        Experiment::Ages => run_ages(&arguments),
+        Experiment::Rate => run_rate(&arguments),
     }
+    ExitCode::SUCCESS
 }
 
-fn builds(line: &Line) -> Vec<(&'static str, Build<'_>)> {
-    let mut builds = vec![("this build", Build { program: &line.daemon, keeps: true })];
-    if let Some(before) = &line.before {
-        builds.push(("before", Build { program: before, keeps: false }));
+fn builds(arguments: &Arguments) -> Vec<(&'static str, Build<'_>)> {
+    let mut builds = vec![("this build", Build { program: &arguments.daemon, has_operator_file: true })];
+    if let Some(before) = &arguments.before {
+        builds.push(("before", Build { program: before, has_operator_file: false }));
     }
     builds
 }
 
-fn faults(line: &Line) {
-    let times = Times { down: Duration::from_millis(1_500), back: Duration::from_millis(5_500) };
+/// Fails if this build broke a rule.
+fn run_faults(arguments: &Arguments) -> ExitCode {
+    let phases = Phases { discovery_down: DISCOVERY_DOWN, discovery_back: Duration::from_millis(5_500) };
     let mut failed = false;
-    for (name, build) in builds(line) {
-        let all = each_seed(line.first..line.first + line.seeds, line.at_once, |seed| {
+    for (name, build) in builds(arguments) {
+        let seeds = arguments.first..arguments.first + arguments.seeds;
+        let runs = each_seed(seeds, arguments.at_once, |seed| {
             let plan = Plan::draw(seed);
-            let played = play(&plan, &build, times).expect("a plan can be played here");
-            (plan, played)
+            let outcome = run_plan(&plan, &build, phases).expect("a plan can be run here");
+            (plan, outcome)
         });
-        let (mut sum, mut broke, mut able, mut writing) = (Verdict::default(), 0, 0, 0);
-        let served = all.iter().filter(|(_, played)| played.served_without).count();
-        for (plan, played) in &all {
-            sum.add(played.audit.clone());
-            (able, writing) = (able + played.groups_able, writing + played.groups_writing);
-            if build.keeps && played.groups_writing < played.groups_able {
-                let (writing, able) = (played.groups_writing, played.groups_able);
-                println!("  seed {}: {writing} of {able} groups write in the end: {plan:?}", plan.seed);
-                if line.logs {
-                    played.log.lines().for_each(|words| println!("    | {words}"));
-                }
-            }
-            if !played.audit.offences.is_empty() {
-                broke += 1;
-                let Plan { seed, faults, age_s, comes_back, just_started, .. } = plan;
-                println!(
-                    "  seed {seed}: {faults:?}, {age_s} s old, {comes_back:?}, just started {just_started}"
-                );
-                played.audit.offences.iter().take(4).for_each(|offence| println!("    {offence:?}"));
-                if line.logs {
-                    played.log.lines().for_each(|words| println!("    | {words}"));
-                }
-            }
+        for (plan, outcome) in &runs {
+            print_failure(plan, outcome, build.has_operator_file, arguments.logs);
         }
-        println!(
-            "{name}: {broke} of {} plans broke a rule {:?}; of {} RPCs {} ok",
-            all.len(),
-            sum.broken(),
-            sum.asked,
-            sum.ok
-        );
-        println!(
-            "{name}: writes served while discovery was down in {served} of {} plans; after discovery's return \
-             in {writing} of {able} groups with a primary in reach",
-            all.len()
-        );
-        failed |= broke > 0 && build.keeps;
+        print_summary(name, &runs);
+        let broke = runs.iter().any(|(_, outcome)| !outcome.verdict.violations.is_empty());
+        failed |= broke && build.has_operator_file;
+    }
+    ExitCode::from(u8::from(failed))
+}
+
+fn print_failure(plan: &Plan, outcome: &Outcome, expects_writes: bool, logs: bool) {
+    let (writing, able) = (outcome.groups_writing, outcome.groups_with_primary);
+    let lacks_writes = expects_writes && writing < able;
+    let is_broken = !outcome.verdict.violations.is_empty();
+    if lacks_writes {
+        println!("  seed {}: {writing} of {able} groups write in the end: {plan:?}", plan.seed);
+    }
+    if is_broken {
+        println!("  seed {}: {plan:?}", plan.seed);
+        let shown = outcome.verdict.violations.iter().take(VIOLATIONS_SHOWN);
+        shown.for_each(|violation| println!("    {violation:?}"));
     }
-    if failed {
-        std::process::exit(1);
+    if logs && (lacks_writes || is_broken) {
+        outcome.log.lines().for_each(|line| println!("    | {line}"));
     }
 }
 
-fn ages(line: &Line) {
-    let times = Times { down: Duration::from_millis(1_500), back: Duration::from_millis(10) };
-    println!("ms from the start of the process, median (worst) of {} seeds", line.seeds);
+fn print_summary(name: &str, runs: &[(Plan, Outcome)]) {
+    let mut sum = Verdict::default();
+    runs.iter().for_each(|(_, outcome)| sum.add(outcome.verdict.clone()));
+    let count = |matches: fn(&Outcome) -> bool| runs.iter().filter(|(_, run)| matches(run)).count();
+    let total = |value: fn(&Outcome) -> usize| runs.iter().map(|(_, run)| value(run)).sum::<usize>();
+    let (plans, broke) = (runs.len(), count(|run| !run.verdict.violations.is_empty()));
+    let broken_rules = sum.broken_rules();
+    let (requests, succeeded) = (sum.requests, sum.succeeded);
+    println!(
+        "{name}: {broke} of {plans} plans broke a rule {broken_rules:?}; of {requests} requests {succeeded} ok"
+    );
+    let without_discovery = count(|run| run.wrote_without_discovery);
+    let (writing, able) = (total(|run| run.groups_writing), total(|run| run.groups_with_primary));
+    println!(
+        "{name}: writes served while discovery was down in {without_discovery} of {plans} plans; after \
+         discovery's return in {writing} of {able} groups with a primary in reach"
+    );
+}
+
+fn run_ages(arguments: &Arguments) {
+    println!("ms from the start of the process, median (worst) of {} seeds", arguments.seeds);
     println!("{:<12} {:>10} {:>20} {:>20}", "build", "age", "first read", "first write");
-    for age_s in [5, 60, 3_600, 86_400, 200_000] {
-        for (name, build) in builds(line) {
-            let mut firsts = [Vec::new(), Vec::new()];
-            for nth in 0..line.seeds {
-                let played =
-                    play(&Plan::calm(line.first + nth, age_s), &build, times).expect("it can be played");
-                firsts[0].push(played.first_read.unwrap_or(f64::INFINITY));
-                firsts[1].push(played.first_write.unwrap_or(f64::INFINITY));
+    for age_s in AGES_S {
+        for (name, build) in builds(arguments) {
+            let (mut reads, mut writes) = (Vec::new(), Vec::new());
+            for seed in arguments.first..arguments.first + arguments.seeds {
+                let outcome = run_without_faults(seed, age_s, &build);
+                reads.push(outcome.first_read_ms.unwrap_or(f64::INFINITY));
+                writes.push(outcome.first_write_ms.unwrap_or(f64::INFINITY));
             }
-            firsts.iter_mut().for_each(|all| all.sort_by(f64::total_cmp));
-            let show = |all: &[f64]| format!("{:.0} ({:.0})", all[all.len() / 2], all[all.len() - 1]);
-            println!("{name:<12} {age_s:>8} s {:>20} {:>20}", show(&firsts[0]), show(&firsts[1]));
+            println!("{name:<12} {age_s:>8} s {:>20} {:>20}", summary(reads), summary(writes));
         }
     }
 }
 
-fn rates(line: &Line) {
-    let (mut kept, mut plain) = (Vec::new(), Vec::new());
-    for nth in 0..line.seeds {
-        for keeps in [nth % 2 == 0, nth % 2 == 1] {
-            let many = rate(&line.daemon, keeps, 16, Duration::from_secs(3)).expect("it can be played");
-            if keeps { &mut kept } else { &mut plain }.push(many);
+fn run_without_faults(seed: u64, age_s: i64, build: &Build) -> Outcome {
+    let phases = Phases { discovery_down: DISCOVERY_DOWN, discovery_back: Duration::from_millis(10) };
+    run_plan(&Plan::without_faults(seed, age_s), build, phases).expect("a plan can be run here")
+}
+
+/// Median and worst.
+fn summary(mut times_ms: Vec<f64>) -> String {
+    times_ms.sort_by(f64::total_cmp);
+    format!("{:.0} ({:.0})", times_ms[times_ms.len() / 2], times_ms[times_ms.len() - 1])
+}
+
+fn run_rate(arguments: &Arguments) {
+    let (mut cached, mut plain) = (Vec::new(), Vec::new());
+    for pair in 0..arguments.seeds {
+        // Whichever is first may find the machine in another state.
+        for caches_list in [pair % 2 == 0, pair % 2 == 1] {
+            let daemon = &arguments.daemon;
+            let rate = reads_per_second(daemon, caches_list, THROUGHPUT_CLIENTS, THROUGHPUT_DURATION);
+            let rates = if caches_list { &mut cached } else { &mut plain };
+            rates.push(rate.expect("it can be run here"));
         }
     }
-    let median = |all: &mut Vec<f64>| {
-        all.sort_by(f64::total_cmp);
-        all[all.len() / 2]
-    };
-    let (kept, plain) = (median(&mut kept), median(&mut plain));
+    let (cached, plain) = (median(cached), median(plain));
     println!(
-        "reads answered a second, median of {} pairs: kept {kept:.0}, not {plain:.0}, ratio {:.3}",
-        line.seeds,
-        kept / plain
+        "reads answered a second, median of {} pairs: cached {cached:.0}, not {plain:.0}, ratio {:.3}",
+        arguments.seeds,
+        cached / plain
     );
 }
+
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values[values.len() / 2]
+}
--- a/test-servers/src/bin/writes.rs
+++ b/test-servers/src/bin/writes.rs
@@ -1,25 +1,39 @@
-//! What the journal of writes costs: writes a second and their times, by how many are at once and how far a
-//! record must come before the write leaves.
+//! What the journal of writes costs: writes per second and their latency, by how many are sent at once and how far a record must
+//! have come before the write is sent.
 
 use clap::Parser;
 use hdrhistogram::Histogram;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 use test_servers::client::{Answer, Client, Kind};
+use test_servers::cluster::unix_ms;
 use test_servers::daemon::Daemon;
-use test_servers::lone::Lone;
-use test_servers::store::free_address;
-use test_servers::world::unix_ms;
+use test_servers::endpoint::free_address;
+use test_servers::single_endpoint::SingleEndpoint;
 use write_journal::journal::{ClockReading, Durability, Journal, Operation, Retention};
 use write_journal::record_state::RecordEvent;
 
-/// The cost of keeping writes on record.
+const CLIENT_COUNTS: [usize; 3] = [1, 64, 512];
+const JOURNAL_MODES: [&str; 3] = ["off", "system", "disk"];
+const WARM_UP: Duration = Duration::from_millis(1_500);
+const WRITE_TIMEOUT_MS: i64 = 900;
+const DESCRIPTORS: usize = 4_096;
+const MAX_RECORDS: u64 = 100_000_000;
+const RECONNECT_DELAY: Duration = Duration::from_millis(5);
+/// Starts on one journal.
+const STARTS: usize = 3;
+/// Sizes on disk follow with a delay, so they are looked at only after so many batches.
+const BATCHES_PER_LOOK: u64 = 20;
+const RECORDS_PER_BATCH: u64 = 8_192;
+
+/// The cost of recording writes.
 #[derive(Parser)]
-struct Line {
+struct Arguments {
+    /// The daemon to test
     #[arg(long)]
     daemon: PathBuf,
     /// Seconds for each row
@@ -31,133 +45,173 @@
 }
 
 fn main() {
-    let line = Line::parse();
-    if let Some(mb) = line.start_on_mb {
-        return start_on(&line, mb);
+    let arguments = Arguments::parse();
+    match arguments.start_on_mb {
+        Some(mb) => measure_starts(&arguments, mb),
+        None => measure_writes(&arguments),
     }
-    println!(
-        "{:<8} {:>8} {:>12} {:>10} {:>10} {:>10}",
-        "journal", "at once", "ok a second", "p50 us", "p99 us", "other"
-    );
-    for at_once in [1, 64, 512] {
-        for journal in ["off", "system", "disk"] {
-            row(&line, journal, at_once);
+}
+
+fn start(arguments: &Arguments, fixture: &SingleEndpoint, listen: SocketAddr, journal: &str) -> Daemon {
+    let folder = fixture.folder.path();
+    let state_dir = folder.join("state").display().to_string();
+    let operator_file =
+        format!("state-dir {state_dir}\nwrite-journal {journal}\nwrite-journal-most {MAX_RECORDS}\n");
+    fixture.start(&arguments.daemon, folder, listen, DESCRIPTORS, &operator_file)
+}
+
+fn measure_starts(arguments: &Arguments, mb: u64) {
+    let (fixture, listen) = (SingleEndpoint::new(0), free_address());
+    let path = fixture.folder.path().join("state").join("writes");
+    std::fs::create_dir_all(&path).expect("a writable folder");
+    let records = fill_journal(&path, mb);
+    println!("{records} records, {} MB on disk", folder_bytes(&path) >> 20);
+    for _ in 0..STARTS {
+        let started = Instant::now();
+        let daemon = start(arguments, &fixture, listen, "system");
+        let first_write = wait_for_write(&listen, started);
+        let status = std::fs::read_to_string(format!("/proc/{}/status", daemon.pid())).unwrap_or_default();
+        let memory = status.lines().find(|line| line.starts_with("VmHWM")).unwrap_or_default();
+        println!("first write after {first_write:?}; {memory}");
+        daemon.kill();
+    }
+}
+
+/// Records writes until the journal takes so many MB; how many.
+fn fill_journal(path: &Path, mb: u64) -> u64 {
+    let retention = Retention { max_records: MAX_RECORDS, max_age_ms: 3_600_000 };
+    let mut journal = Journal::open(path, Durability::System, retention, 7).expect("it opens");
+    let mut records = 0;
+    while folder_bytes(path) < mb << 20 {
+        for _ in 0..BATCHES_PER_LOOK {
+            let operations: Vec<Operation> =
+                (records..records + RECORDS_PER_BATCH).map(record_operation).collect();
+            records += RECORDS_PER_BATCH;
+            let clock = ClockReading { wall_ms: unix_ms(), uptime: None };
+            journal.apply(clock, &operations).expect("it is recorded");
         }
     }
+    records
 }
 
-fn start(line: &Line, place: &Lone, listen: SocketAddr, journal: &str) -> Daemon {
-    let folder = place.folder.path();
-    let state = folder.join("state").display().to_string();
-    let conf = format!("state-dir {state}\nwrite-journal {journal}\nwrite-journal-most 100000000\n");
-    place.start(&line.daemon, folder, listen, 4_096, &conf)
+/// A record whose id is as long as an id may be, and as unlike the next.
+fn record_operation(index: u64) -> Operation {
+    let id = [1u64, 3, 5, 7].map(|odd| format!("{:016x}", mix_bits(index.wrapping_mul(odd)))).concat();
+    Operation::Record { id, event: RecordEvent::Starting, deduplication: None }
 }
 
-/// What lies in a folder and the folders in it, in bytes.
-fn bytes_in(path: &Path) -> u64 {
+/// Spreads a number over all its bits.
+fn mix_bits(number: u64) -> u64 {
+    let number = (number ^ (number >> 31)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (number ^ (number >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
+}
+
+/// The bytes of all files in a folder and its folders.
+fn folder_bytes(path: &Path) -> u64 {
     let entries = std::fs::read_dir(path).into_iter().flatten().flatten();
     let size = |entry: std::fs::DirEntry| match entry.metadata() {
-        Ok(meta) if meta.is_dir() => bytes_in(&entry.path()),
-        Ok(meta) => meta.len(),
+        Ok(metadata) if metadata.is_dir() => folder_bytes(&entry.path()),
+        Ok(metadata) => metadata.len(),
         Err(_) => 0,
     };
     entries.map(size).sum()
 }
 
-/// Spreads a number over all its bits.
-fn mixed(nth: u64) -> u64 {
-    let nth = (nth ^ (nth >> 31)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    (nth ^ (nth >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
+/// Sends writes until one is served; the time since the start.
+fn wait_for_write(listen: &SocketAddr, started: Instant) -> Duration {
+    loop {
+        let Ok(mut client) = Client::open(listen) else { continue };
+        let id = format!("first-{}", unix_ms());
+        let answer = client.request(&id, 1, Kind::Write, WRITE_TIMEOUT_MS).answer;
+        if matches!(answer, Answer::Value(_)) {
+            return started.elapsed();
+        }
+    }
 }
 
-fn start_on(line: &Line, mb: u64) {
-    let (place, listen) = (Lone::new(0), free_address());
-    let path = place.folder.path().join("state").join("writes");
-    std::fs::create_dir_all(&path).expect("made");
-    let retention = Retention { max_records: 100_000_000, max_age_ms: 3_600_000 };
-    let mut journal = Journal::open(&path, Durability::System, retention, 7).expect("it opens");
-    let mut records = 0u64;
-    // Sizes on disk follow with a delay, so the folder is looked at now and then.
-    while bytes_in(&path) < mb << 20 {
-        for _ in 0..20 {
-            let one = |nth: u64| Operation::Record {
-                // As long as an id may be, and as unlike the next.
-                id: [1u64, 3, 5, 7].map(|odd| format!("{:016x}", mixed(nth * odd))).concat(),
-                event: RecordEvent::Starting,
-                deduplication: None,
-            };
-            let operations: Vec<Operation> = (records..records + 8_192).map(one).collect();
-            records += 8_192;
-            journal.apply(ClockReading { wall_ms: unix_ms(), uptime: None }, &operations).expect("kept");
+fn measure_writes(arguments: &Arguments) {
+    println!(
+        "{:<8} {:>8} {:>12} {:>10} {:>10} {:>10}",
+        "journal", "at once", "ok a second", "p50 us", "p99 us", "other"
+    );
+    for clients in CLIENT_COUNTS {
+        for journal in JOURNAL_MODES {
+            measure_row(arguments, journal, clients);
         }
     }
-    drop(journal);
-    println!("{records} records, {} MB on disk", bytes_in(&path) >> 20);
-    for _ in 0..3 {
-        let began = Instant::now();
-        let daemon = start(line, &place, listen, "system");
-        let mut first = None;
-        while first.is_none() {
-            let asked = Client::open(&listen).map(|mut client| {
-                let id = format!("first-{}", unix_ms());
-                client.ask(&id, 1, Kind::Write, 900).answer
-            });
-            first = asked.ok().filter(|answer| matches!(answer, Answer::Value(_))).map(|_| began.elapsed());
-        }
-        let status = std::fs::read_to_string(format!("/proc/{}/status", daemon.pid())).unwrap_or_default();
-        let memory = status.lines().find(|line| line.starts_with("VmHWM")).unwrap_or_default();
-        println!("first write after {:?}; {memory}", first.unwrap_or_default());
-        daemon.kill();
+}
+
+/// What one client, or all of them, measured.
+struct Measured {
+    latency_us: Histogram<u64>,
+    /// Requests that were not served.
+    others: u64,
+}
+
+impl Measured {
+    fn new() -> Measured {
+        let latency_us = Histogram::new_with_bounds(1, 10_000_000, 3).expect("sound bounds");
+        Measured { latency_us, others: 0 }
+    }
+
+    fn add(&mut self, other: &Measured) {
+        self.latency_us.add(&other.latency_us).expect("the same bounds");
+        self.others += other.others;
     }
 }
 
-fn row(line: &Line, journal: &str, at_once: usize) {
-    let (place, listen) = (Lone::new(0), free_address());
-    let daemon = start(line, &place, listen, journal);
-    let (over, counts) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
-    let times = Arc::new(Mutex::new((
-        Histogram::<u64>::new_with_bounds(1, 10_000_000, 3).expect("sound bounds"),
-        0u64,
-    )));
-    let asking: Vec<_> = (0..at_once)
-        .map(|nth| {
-            let (over, counts, times) = (over.clone(), counts.clone(), times.clone());
-            thread::spawn(move || {
-                let (mut mine, mut other) =
-                    (Histogram::<u64>::new_with_bounds(1, 10_000_000, 3).expect("sound bounds"), 0);
-                while !over.load(Ordering::Acquire) {
-                    let Ok(mut client) = Client::open(&listen) else {
-                        thread::sleep(Duration::from_millis(5));
-                        continue;
-                    };
-                    let mut serial = 0u64;
-                    while !over.load(Ordering::Acquire) {
-                        serial += 1;
-                        let began = Instant::now();
-                        let record = client.ask(&format!("{nth:x}.{serial:x}"), 1, Kind::Write, 900);
-                        let took = began.elapsed().as_micros() as u64;
-                        match record.answer {
-                            Answer::None => break,
-                            _ if !counts.load(Ordering::Acquire) => {}
-                            Answer::Value(_) => mine.saturating_record(took),
-                            _ => other += 1,
-                        }
-                    }
-                }
-                let mut all = times.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
-                all.0.add(&mine).expect("the same bounds");
-                all.1 += other;
-            })
-        })
-        .collect();
-    thread::sleep(Duration::from_millis(1_500));
-    counts.store(true, Ordering::Release);
-    thread::sleep(Duration::from_secs(line.seconds));
-    over.store(true, Ordering::Release);
-    asking.into_iter().for_each(|asking| asking.join().expect("no client panics"));
+/// What the clients of one row share.
+#[derive(Default)]
+struct RowState {
+    is_counting: AtomicBool,
+    is_over: AtomicBool,
+}
+
+fn measure_row(arguments: &Arguments, journal: &str, clients: usize) {
+    let (fixture, listen) = (SingleEndpoint::new(0), free_address());
+    let daemon = start(arguments, &fixture, listen, journal);
+    let state = Arc::new(RowState::default());
+    let start_client = |index: usize| {
+        let state = state.clone();
+        thread::spawn(move || write_until_over(&listen, index, &state))
+    };
+    let writing: Vec<_> = (0..clients).map(start_client).collect();
+    thread::sleep(WARM_UP);
+    state.is_counting.store(true, Ordering::Release);
+    thread::sleep(Duration::from_secs(arguments.seconds));
+    state.is_over.store(true, Ordering::Release);
+    let mut sum = Measured::new();
+    for client in writing {
+        sum.add(&client.join().expect("no client panics"));
+    }
     drop(daemon);
-    let (times, other) = &*times.lock().expect("no client panicked");
-    let rate = times.len() as f64 / line.seconds as f64;
-    let (p50, p99) = (times.value_at_quantile(0.5), times.value_at_quantile(0.99));
-    println!("{journal:<8} {at_once:>8} {rate:>12.0} {p50:>10} {p99:>10} {other:>10}");
+    let Measured { latency_us, others } = sum;
+    let rate = latency_us.len() as f64 / arguments.seconds as f64;
+    let (p50, p99) = (latency_us.value_at_quantile(0.5), latency_us.value_at_quantile(0.99));
+    println!("{journal:<8} {clients:>8} {rate:>12.0} {p50:>10} {p99:>10} {others:>10}");
+}
+
+fn write_until_over(listen: &SocketAddr, index: usize, state: &RowState) -> Measured {
+    let mut measured = Measured::new();
+    let mut serial = 0u64;
+    while !state.is_over.load(Ordering::Acquire) {
+        let Ok(mut client) = Client::open(listen) else {
+            thread::sleep(RECONNECT_DELAY);
+            continue;
+        };
+        while !state.is_over.load(Ordering::Acquire) {
+            serial += 1;
+            let sent = Instant::now();
+            let id = format!("{index:x}.{serial:x}");
+            let answer = client.request(&id, 1, Kind::Write, WRITE_TIMEOUT_MS).answer;
+            let took_us = sent.elapsed().as_micros() as u64;
+            match answer {
+                Answer::Missing => break,
+                _ if !state.is_counting.load(Ordering::Acquire) => {}
+                Answer::Value(_) => measured.latency_us.saturating_record(took_us),
+                _ => measured.others += 1,
+            }
+        }
+    }
+    measured
 }
--- a/test-servers/src/client.rs
+++ b/test-servers/src/client.rs
@@ -1,77 +1,100 @@
-//! A client that remembers what it asked and what it got.
+//! A client that records what it sent and what it got.
 
-use crate::message::{self, field};
-use crate::world::unix_ms;
-pub use history_checker::{Answer, Kind, Record};
-use std::io::Write;
+use crate::cluster::unix_ms;
+use crate::wire::{self, error_field, Message};
+pub use history_checker::{Answer, Kind, RequestRecord};
+use std::io::{self, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::time::Duration;
 
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+const DEFAULT_USER: &str = "backend";
+const SESSION_PARAMETER: &str = "gingerwick.session";
+const ORIGIN_PARAMETER: &str = "gingerwick.origin";
+/// Bytes before the value in a DataRow of one column.
+const COLUMN_HEADER_BYTES: usize = 6;
+const READ: &str = "SELECT content FROM kv WHERE name = '00000000000000aa'";
+const INSERT: &str = "INSERT INTO kv (name, content) VALUES ('00000000000000aa', '\\x01') RETURNING content";
+
+/// A connection.
 pub struct Client {
     stream: TcpStream,
     /// The token of its session as it was last given.
     pub token: Option<String>,
-    /// Where its writes are on record, as it was told at its start.
+    /// Where its writes are recorded, as it was told at its start.
     pub origin: Option<String>,
-    /// Why its start was refused: SQLSTATE.
-    pub refused: Option<String>,
+    /// The SQLSTATE with which its start was rejected.
+    pub rejected_with: Option<String>,
     /// When it was told to come back, in milliseconds.
-    pub retry_after: Option<i64>,
+    pub retry_after_ms: Option<i64>,
+}
+
+/// An answer, and whether anything came behind it that belongs to no request.
+struct Received {
+    answer: Answer,
+    surplus: bool,
 }
 
 impl Client {
-    pub fn open(addr: &SocketAddr) -> std::io::Result<Client> {
-        Client::with_session(addr, "backend", None)
+    /// Connects and starts a session.
+    ///
+    /// # Errors
+    /// There is no connection, or it ends.
+    pub fn open(addr: &SocketAddr) -> io::Result<Client> {
+        Client::with_session(addr, DEFAULT_USER, None)
     }
 
-    /// Asks for a session, `new` or one that a token carries. A start that is refused leaves a client that
-    /// says why.
-    pub fn with_session(addr: &SocketAddr, user: &str, session: Option<&str>) -> std::io::Result<Client> {
-        Client::start(TcpStream::connect_timeout(addr, Duration::from_secs(1))?, user, session)
+    /// Asks for a session, `new` or one that a token carries. If the start is rejected the client says why.
+    ///
+    /// # Errors
+    /// As [`Client::open`].
+    pub fn with_session(addr: &SocketAddr, user: &str, session: Option<&str>) -> io::Result<Client> {
+        Client::start(TcpStream::connect_timeout(addr, CONNECT_TIMEOUT)?, user, session)
     }
 
-    /// From an address of loopback's own.
-    pub fn from_address(addr: &SocketAddr, local: Ipv4Addr) -> std::io::Result<Client> {
+    /// Connects from an address of loopback's own.
+    ///
+    /// # Errors
+    /// As [`Client::open`].
+    pub fn from_address(addr: &SocketAddr, local: Ipv4Addr) -> io::Result<Client> {
         let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
         socket.bind(&SocketAddr::from((local, 0)).into())?;
-        socket.connect_timeout(&(*addr).into(), Duration::from_secs(1))?;
-        Client::start(socket.into(), "backend", None)
+        socket.connect_timeout(&(*addr).into(), CONNECT_TIMEOUT)?;
+        Client::start(socket.into(), DEFAULT_USER, None)
     }
 
-    fn start(mut stream: TcpStream, user: &str, session: Option<&str>) -> std::io::Result<Client> {
+    fn start(mut stream: TcpStream, user: &str, session: Option<&str>) -> io::Result<Client> {
         stream.set_nodelay(true)?;
-        stream.set_read_timeout(Some(Duration::from_secs(5)))?;
-        let mut words = b"\0\x03\0\0".to_vec();
-        let session = session.map(|word| ["gingerwick.session", word]);
-        for word in ["user", user, "database", "store"].into_iter().chain(session.into_iter().flatten()) {
-            words.extend(word.as_bytes());
-            words.push(0);
-        }
-        words.push(0);
-        stream.write_all(&(words.len() as u32 + 4).to_be_bytes())?;
-        stream.write_all(&words)?;
-        let mut client = Client { stream, token: None, origin: None, refused: None, retry_after: None };
+        stream.set_read_timeout(Some(READ_TIMEOUT))?;
+        stream.write_all(&startup_message(user, session))?;
+        let mut client =
+            Client { stream, token: None, origin: None, rejected_with: None, retry_after_ms: None };
         loop {
-            let (tag, body) = client.next().ok_or(std::io::ErrorKind::UnexpectedEof)?;
+            let Message { tag, body } = client.read_message().ok_or(io::ErrorKind::UnexpectedEof)?;
             match tag {
                 b'Z' => return Ok(client),
                 b'E' => {
-                    client.refused = field(&body, b'C');
-                    client.retry_after = field(&body, b'D').and_then(|wait| wait.parse().ok());
+                    client.rejected_with = error_field(&body, b'C');
+                    client.retry_after_ms = retry_after_ms(&body);
                     return Ok(client);
                 }
-                _ => client.note(tag, &body),
+                _ => client.keep_parameter(tag, &body),
             }
         }
     }
 
+    fn read_message(&mut self) -> Option<Message> {
+        wire::read_message(&mut self.stream)
+    }
+
     /// Keeps the token and the origin that a ParameterStatus gives.
-    fn note(&mut self, tag: u8, body: &[u8]) {
+    fn keep_parameter(&mut self, tag: u8, body: &[u8]) {
         let text = String::from_utf8_lossy(body);
-        let mut words = text.split('\0');
-        match words.next().filter(|_| tag == b'S') {
-            Some("gingerwick.session") => self.token = words.next().map(str::to_string),
-            Some("gingerwick.origin") => self.origin = words.next().map(str::to_string),
+        let mut fields = text.split('\0');
+        match fields.next().filter(|_| tag == b'S') {
+            Some(SESSION_PARAMETER) => self.token = fields.next().map(str::to_string),
+            Some(ORIGIN_PARAMETER) => self.origin = fields.next().map(str::to_string),
             _ => {}
         }
     }
@@ -79,80 +102,103 @@
     /// Asks what became of a write.
     pub fn fate(&mut self, id: &str, origin: &str) -> Answer {
         let mut out = Vec::new();
-        let text = format!("/* fate={id},at={origin} */ SHOW gingerwick.fate\0");
-        message::message(&mut out, b'Q', text.as_bytes());
+        wire::query(&mut out, &format!("/* fate={id},at={origin} */ SHOW gingerwick.fate"));
         if self.stream.write_all(&out).is_err() {
-            return Answer::None;
+            return Answer::Missing;
         }
-        self.answer().0
-    }
-
-    fn next(&mut self) -> Option<(u8, Vec<u8>)> {
-        message::next(&mut self.stream)
+        self.receive().answer
     }
 
-    /// Asks many at once on the one connection; answers come in the order of the questions.
-    pub fn burst(&mut self, ids: &[String], group: i64, kind: Kind, patience_ms: i64) -> Vec<Record> {
+    /// Sends many requests at once on the one connection; answers come in their order.
+    pub fn pipeline(
+        &mut self,
+        ids: &[String],
+        group: i64,
+        kind: Kind,
+        timeout_ms: i64,
+    ) -> Vec<RequestRecord> {
         let mut out = Vec::new();
-        ids.iter().for_each(|id| {
-            message::message(&mut out, b'Q', statement(id, group, kind, patience_ms).as_bytes())
-        });
+        for id in ids {
+            wire::query(&mut out, &statement(id, group, kind, timeout_ms));
+        }
         let sent_ms = unix_ms();
         let sent = self.stream.write_all(&out).is_ok();
-        let one = |id: &String| {
-            let (answer, more) = if sent { self.answer() } else { (Answer::None, false) };
-            let (id, answered_ms) = (id.clone(), unix_ms());
-            Record { id, group, kind, sent_ms, answered_ms, patience_ms, answer, more, cut: false }
+        let record = |id: &String| {
+            let received =
+                if sent { self.receive() } else { Received { answer: Answer::Missing, surplus: false } };
+            RequestRecord {
+                id: id.clone(),
+                group,
+                kind,
+                sent_ms,
+                answered_ms: unix_ms(),
+                timeout_ms,
+                answer: received.answer,
+                surplus: received.surplus,
+                cut_off: false,
+            }
         };
-        ids.iter().map(one).collect()
+        ids.iter().map(record).collect()
     }
 
-    pub fn ask(&mut self, id: &str, group: i64, kind: Kind, patience_ms: i64) -> Record {
-        let text = statement(id, group, kind, patience_ms);
-        let mut out = Vec::new();
-        message::message(&mut out, b'Q', text.as_bytes());
-        let sent_ms = unix_ms();
-        let sent = self.stream.write_all(&out).is_ok();
-        let (answer, more) = if sent { self.answer() } else { (Answer::None, false) };
-        let (id, answered_ms) = (id.to_string(), unix_ms());
-        Record { id, group, kind, sent_ms, answered_ms, patience_ms, answer, more, cut: false }
+    /// Sends a request and waits for its answer.
+    pub fn request(&mut self, id: &str, group: i64, kind: Kind, timeout_ms: i64) -> RequestRecord {
+        let mut records = self.pipeline(&[id.to_string()], group, kind, timeout_ms);
+        records.remove(0)
     }
 
-    fn answer(&mut self) -> (Answer, bool) {
-        let (mut answer, mut answers) = (Answer::None, 0);
-        while let Some((tag, body)) = self.next() {
+    /// What comes up to the next ReadyForQuery.
+    fn receive(&mut self) -> Received {
+        let (mut answer, mut answers) = (Answer::Missing, 0);
+        while let Some(Message { tag, body }) = self.read_message() {
             match tag {
                 b'D' => {
-                    let value = body.get(6..).unwrap_or_default();
-                    (answer, answers) =
-                        (Answer::Value(String::from_utf8_lossy(value).into_owned()), answers + 1);
+                    let value = body.get(COLUMN_HEADER_BYTES..).unwrap_or_default();
+                    answer = Answer::Value(String::from_utf8_lossy(value).into_owned());
+                    answers += 1;
                 }
                 b'E' => {
-                    let code = field(&body, b'C').unwrap_or_default();
-                    answer = match code.as_str() {
-                        "53300" | "57P03" => {
-                            Answer::PushedBack(field(&body, b'D').and_then(|wait| wait.parse().ok()))
-                        }
-                        "58000" => Answer::Aborted,
-                        _ => Answer::Error(code),
-                    };
+                    answer = error_answer(&body);
                     answers += 1;
                 }
-                b'Z' => return (answer, answers > 1),
-                _ => self.note(tag, &body),
+                b'Z' => return Received { answer, surplus: answers > 1 },
+                _ => self.keep_parameter(tag, &body),
             }
         }
-        (Answer::None, answers > 1)
+        Received { answer: Answer::Missing, surplus: answers > 1 }
     }
 }
 
-const INSERT: &str = "INSERT INTO kv (name, content) VALUES ('00000000000000aa', '\\x01') RETURNING content";
+fn startup_message(user: &str, session: Option<&str>) -> Vec<u8> {
+    let mut body = b"\0\x03\0\0".to_vec();
+    let mut parameters = vec!["user", user, "database", "store"];
+    parameters.extend(session.into_iter().flat_map(|session| [SESSION_PARAMETER, session]));
+    for text in parameters {
+        body.extend(text.as_bytes());
+        body.push(0);
+    }
+    body.push(0);
+    [&(body.len() as u32 + 4).to_be_bytes()[..], &body].concat()
+}
+
+fn retry_after_ms(error: &[u8]) -> Option<i64> {
+    error_field(error, b'D')?.parse().ok()
+}
+
+fn error_answer(body: &[u8]) -> Answer {
+    let code = error_field(body, b'C').unwrap_or_default();
+    match code.as_str() {
+        "53300" | "57P03" => Answer::Rejected(retry_after_ms(body)),
+        "58000" => Answer::Aborted,
+        _ => Answer::Error(code),
+    }
+}
 
-fn statement(id: &str, group: i64, kind: Kind, patience_ms: i64) -> String {
-    let (method, rest) = match kind {
-        Kind::Read => ("read", "SELECT content FROM kv WHERE name = '00000000000000aa'"),
+fn statement(id: &str, group: i64, kind: Kind, timeout_ms: i64) -> String {
+    let (method, text) = match kind {
+        Kind::Read => ("read", READ),
         Kind::Write => ("order", INSERT),
-        Kind::Tokened => ("deposit", INSERT),
+        Kind::KeyedWrite => ("deposit", INSERT),
     };
-    format!("/* id={id},c={method},d={patience_ms},cluster={group} */ {rest}\0")
+    format!("/* id={id},c={method},d={timeout_ms},cluster={group} */ {text}")
 }
--- a/test-servers/src/discovery.rs
+++ b/test-servers/src/discovery.rs
@@ -1,68 +1,98 @@
-//! Discovery: the whole list, a watch, and all the ways in which it can be of no help.
+//! Discovery: the complete list, a watch, and all the ways in which it can be of no help.
 
+use crate::lock;
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// An empty line is sent when nothing has changed for this time.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+const RESPONSE_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+/// The length of an empty line of a request, with its line end.
+const EMPTY_LINE_BYTES: usize = 2;
+
+/// What discovery does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Mode {
-    /// Connections are closed without a word.
+pub enum DiscoveryMode {
+    /// Connections are closed without an answer.
     Down,
+    /// It answers.
     Up,
-    /// The list is whole and empty.
+    /// The list is complete and empty.
     Empty,
-    /// Each line breaks off in its middle, with the connection.
-    HalfALine,
+    /// Each line is cut off in its middle, with the connection.
+    TruncatedLine,
     /// Up and down in turn, so long each.
     Flapping(Duration),
 }
 
 struct State {
-    mode: Mode,
-    since: Instant,
-    seq: i64,
-    hosts: Vec<Value>,
+    mode: DiscoveryMode,
+    mode_since: Instant,
+    version: i64,
+    entries: Vec<Value>,
 }
 
 impl State {
     fn is_down(&self) -> bool {
         match self.mode {
-            Mode::Down => true,
-            Mode::Flapping(each) => {
-                let turns = self.since.elapsed().as_millis() / each.as_millis().max(1);
-                turns % 2 == 1
+            DiscoveryMode::Down => true,
+            DiscoveryMode::Flapping(period) => {
+                let periods = self.mode_since.elapsed().as_millis() / period.as_millis().max(1);
+                periods % 2 == 1
             }
             _ => false,
         }
     }
 
-    fn whole(&self) -> String {
-        let hosts = if self.mode == Mode::Empty { Vec::new() } else { self.hosts.clone() };
-        json!({ "seq": self.seq, "whole": true, "hosts": hosts }).to_string() + "\n"
+    fn complete_list(&self) -> String {
+        let entries = if self.mode == DiscoveryMode::Empty { Vec::new() } else { self.entries.clone() };
+        json!({ "seq": self.version, "whole": true, "hosts": entries }).to_string() + "\n"
     }
 }
 
+/// What is sent next on a watch.
+enum Next {
+    Nothing,
+    List(String),
+    /// Half of a list, and then the end.
+    TruncatedList(String),
+    Down,
+}
+
+/// A discovery that listens.
 #[derive(Clone)]
 pub struct Discovery {
+    /// Where.
     pub addr: SocketAddr,
     state: Arc<Mutex<State>>,
 }
 
-/// One entry, in discovery's words.
-pub fn host(name: &str, dial: &SocketAddr, group: i64, primary: bool, health: &str, born_ms: i64) -> Value {
+/// One entry of the list, as discovery words it.
+pub fn list_entry(
+    name: &str,
+    address: &SocketAddr,
+    group: i64,
+    primary: bool,
+    health: &str,
+    born_ms: i64,
+) -> Value {
     let recovery = if primary { "off" } else { "on" };
-    json!({ "host": name, "dial": dial.to_string(), "site": "a", "class": "m", "block": group,
+    json!({ "host": name, "dial": address.to_string(), "site": "a", "class": "m", "block": group,
         "health": health, "share": 1.0, "born_ms": born_ms, "recovery": recovery })
 }
 
 impl Discovery {
-    pub fn start(mode: Mode, seq: i64, hosts: Vec<Value>) -> Discovery {
+    /// Starts one.
+    pub fn start(mode: DiscoveryMode, version: i64, entries: Vec<Value>) -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
         let addr = listener.local_addr().expect("a bound listener has an address");
-        let state = State { mode, since: Instant::now(), seq, hosts };
+        let state = State { mode, mode_since: Instant::now(), version, entries };
         let discovery = Discovery { addr, state: Arc::new(Mutex::new(state)) };
         let serving = discovery.clone();
         thread::spawn(move || {
@@ -74,66 +104,81 @@
         discovery
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-    }
-
-    pub fn turn(&self, mode: Mode) {
-        let mut state = self.lock();
-        (state.mode, state.since) = (mode, Instant::now());
+    /// Changes what it does.
+    pub fn set_mode(&self, mode: DiscoveryMode) {
+        let mut state = lock(&self.state);
+        state.mode = mode;
+        state.mode_since = Instant::now();
     }
 
-    /// A new version, higher or lower than the one before.
-    pub fn tell(&self, seq: i64, hosts: Vec<Value>) {
-        let mut state = self.lock();
-        (state.seq, state.hosts) = (seq, hosts);
+    /// Gives a new version of the list, higher or lower than the one before.
+    pub fn set_list(&self, version: i64, entries: Vec<Value>) {
+        let mut state = lock(&self.state);
+        state.version = version;
+        state.entries = entries;
     }
 
-    fn serve(&self, stream: TcpStream) -> Option<()> {
-        if self.lock().is_down() {
+    /// Serves one connection; none when it ends before its answer does.
+    fn serve(&self, mut stream: TcpStream) -> Option<()> {
+        if lock(&self.state).is_down() {
             return None;
         }
-        let mut reader = BufReader::new(stream.try_clone().ok()?);
-        let mut request = String::new();
-        reader.read_line(&mut request).ok()?;
+        let is_watch = read_request(&stream)?.contains("watch=1");
+        stream.write_all(RESPONSE_HEAD).ok()?;
+        let (mut sent, mut last_sent) = (None, Instant::now());
         loop {
-            let mut line = String::new();
-            if reader.read_line(&mut line).ok()? <= 2 {
-                break;
-            }
-        }
-        let mut stream = stream;
-        let watches = request.contains("watch=1");
-        stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
-        let (mut told, mut quiet) = (None, Instant::now());
-        loop {
-            let (line, half) = {
-                let state = self.lock();
-                if state.is_down() {
+            match self.next(&mut sent) {
+                Next::Down => return None,
+                Next::TruncatedList(half) => {
+                    // The connection ends in any case.
+                    let _ = write_chunk(&mut stream, &half);
                     return None;
                 }
-                let news = told != Some((state.seq, state.mode));
-                told = Some((state.seq, state.mode));
-                (news.then(|| state.whole()), state.mode == Mode::HalfALine)
-            };
-            let line = match line {
-                Some(line) if half => {
-                    let part = &line[..line.len() / 2];
-                    let _ = stream.write_all(format!("{:x}\r\n{part}\r\n", part.len()).as_bytes());
-                    return None;
-                }
-                Some(line) => line,
-                None if quiet.elapsed() > Duration::from_millis(500) => "\n".to_string(),
-                None => {
-                    thread::sleep(Duration::from_millis(5));
+                Next::List(list) => write_chunk(&mut stream, &list)?,
+                Next::Nothing if last_sent.elapsed() > HEARTBEAT_INTERVAL => write_chunk(&mut stream, "\n")?,
+                Next::Nothing => {
+                    thread::sleep(POLL_INTERVAL);
                     continue;
                 }
-            };
-            quiet = Instant::now();
-            stream.write_all(format!("{:x}\r\n{line}\r\n", line.len()).as_bytes()).ok()?;
-            if !watches {
-                return stream.write_all(b"0\r\n\r\n").ok();
+            }
+            last_sent = Instant::now();
+            if !is_watch {
+                return stream.write_all(LAST_CHUNK).ok();
             }
         }
     }
+
+    fn next(&self, sent: &mut Option<(i64, DiscoveryMode)>) -> Next {
+        let state = lock(&self.state);
+        if state.is_down() {
+            return Next::Down;
+        }
+        let present = Some((state.version, state.mode));
+        if std::mem::replace(sent, present) == present {
+            return Next::Nothing;
+        }
+        let list = state.complete_list();
+        if state.mode == DiscoveryMode::TruncatedLine {
+            Next::TruncatedList(list[..list.len() / 2].to_string())
+        } else {
+            Next::List(list)
+        }
+    }
+}
+
+/// Reads a request; its first line.
+fn read_request(stream: &TcpStream) -> Option<String> {
+    let mut reader = BufReader::new(stream.try_clone().ok()?);
+    let mut request = String::new();
+    reader.read_line(&mut request).ok()?;
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? <= EMPTY_LINE_BYTES {
+            return Some(request);
+        }
+    }
+}
+
+fn write_chunk(stream: &mut TcpStream, text: &str) -> Option<()> {
+    stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).ok()
 }
--- a/test-servers/src/lib.rs
+++ b/test-servers/src/lib.rs
@@ -1,44 +1,68 @@
-//! Stand-ins for what a front talks to, on loopback and without privileges: stores with a log that ships and
-//! lags, roles that change, cold starts and drains ([`world`], [`store`]), discovery with lives and outages
-//! ([`discovery`]), a client that remembers what it asked and saw ([`client`]), the daemon as a child
-//! process ([`daemon`]), the smallest place to start one ([`lone`]), and what is drawn from a seed: starts with discovery down ([`starts`]), sessions
-//! through kills, moves, lag and a switch ([`sessions`]).
+//! Stand-ins for what an instance of the router talks to, on loopback and without privileges, and runs drawn from a seed.
+//!
+//! - [`cluster`]: groups, their logs in branches, primaries, slow starts and drains
+//! - [`endpoint`]: a listening endpoint of a cluster
+//! - [`discovery`]: discovery with outages and restarts
+//! - [`client`]: a client that records what it sent and saw
+//! - [`daemon`]: the daemon as a child process
+//! - [`settings`]: bootstrap settings for all of them
+//! - [`single_endpoint`]: the smallest cluster
+//! - [`restart`]: starts with discovery down and a cached list that may be wrong
+//! - [`sessions`]: sessions through kills, lag and a failover
+//! - [`wire`]: messages of the protocol
 //!
 //! Written from the public description of PostgreSQL's protocol, version 3, and of HTTP/1.1.
 
+#![warn(missing_docs)]
+
 pub mod client;
+pub mod cluster;
 pub mod daemon;
 pub mod discovery;
-pub mod lone;
-pub mod message;
+pub mod endpoint;
+pub mod restart;
 pub mod sessions;
-pub mod starts;
-pub mod store;
-pub mod world;
+pub mod settings;
+pub mod single_endpoint;
+pub mod wire;
 
+use std::ops::Range;
+use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Mutex;
+use std::sync::{Mutex, MutexGuard};
+use std::thread;
+
+/// A build of the daemon.
+#[derive(Clone, Copy, Debug)]
+pub struct Build<'a> {
+    /// Its program.
+    pub program: &'a Path,
+    /// It knows operators' files. An earlier build is started without one.
+    pub has_operator_file: bool,
+}
 
-/// Plays each seed once, so many at a time; what came of them in the order of the seeds.
-pub fn each_seed<T: Send>(
-    seeds: std::ops::Range<u64>,
-    at_once: usize,
-    play: impl Fn(u64) -> T + Sync,
-) -> Vec<T> {
-    let (next, all) = (AtomicU64::new(seeds.start), Mutex::new(Vec::new()));
-    std::thread::scope(|scope| {
+/// Runs each seed once, so many at a time; the results in the order of the seeds.
+pub fn each_seed<T: Send>(seeds: Range<u64>, at_once: usize, run: impl Fn(u64) -> T + Sync) -> Vec<T> {
+    let next = AtomicU64::new(seeds.start);
+    let results = Mutex::new(Vec::new());
+    thread::scope(|scope| {
         for _ in 0..at_once {
             scope.spawn(|| loop {
                 let seed = next.fetch_add(1, Ordering::Relaxed);
                 if seed >= seeds.end {
                     return;
                 }
-                let played = play(seed);
-                all.lock().expect("no play panicked").push((seed, played));
+                let result = run(seed);
+                results.lock().expect("no run panicked").push((seed, result));
             });
         }
     });
-    let mut all = all.into_inner().expect("no play panicked");
-    all.sort_by_key(|(seed, _)| *seed);
-    all.into_iter().map(|(_, played)| played).collect()
+    let mut results = results.into_inner().expect("no run panicked");
+    results.sort_by_key(|(seed, _)| *seed);
+    results.into_iter().map(|(_, result)| result).collect()
+}
+
+/// Locks, whatever a thread that panicked has left behind.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
--- /dev/null
+++ b/test-servers/src/restart/faults.rs
@@ -0,0 +1,90 @@
+//! How each fault changes a cluster.
+
+use super::plan::Fault;
+use crate::cluster::{ClusterState, EndpointIndex, OldPrimary, Reachability, BOUND_MS};
+use crate::endpoint::free_address;
+use routing::rng::Mwc;
+use std::net::SocketAddr;
+
+/// How long before the start a failover was, at the least, and how much that varies.
+const FAILOVER_AGO_MS: i64 = 5_000;
+const FAILOVER_JITTER_MS: usize = 3_000;
+/// How far a replica on the old primary's log stopped before the failover.
+const STOPPED_BEFORE_MS: i64 = 100;
+
+/// The endpoints of one group: its first primary, two replicas, and one that no list knows.
+struct GroupMembers {
+    primary: EndpointIndex,
+    successor: EndpointIndex,
+    replica: EndpointIndex,
+    unlisted: EndpointIndex,
+}
+
+/// Endpoints of each group.
+pub const GROUP_SIZE: usize = 4;
+
+impl GroupMembers {
+    fn starting_at(first: EndpointIndex) -> GroupMembers {
+        GroupMembers { primary: first, successor: first + 1, replica: first + 2, unlisted: first + 3 }
+    }
+}
+
+/// Lets a fault happen to the group whose endpoints begin at `first`. `listed_addresses` is what the list says, by endpoint.
+pub fn apply_fault(
+    state: &mut ClusterState,
+    fault: Fault,
+    first: EndpointIndex,
+    now_ms: i64,
+    listed_addresses: &mut [SocketAddr],
+    rng: &mut Mwc,
+) {
+    let members = GroupMembers::starting_at(first);
+    let at_ms = now_ms - FAILOVER_AGO_MS - rng.below(FAILOVER_JITTER_MS) as i64;
+    match fault {
+        Fault::None => {}
+        Fault::OldPrimaryIsolated => state.promote(members.successor, OldPrimary::Isolated, at_ms),
+        Fault::OldPrimaryIsolatedNewSilent => {
+            state.promote(members.successor, OldPrimary::Isolated, at_ms);
+            state.endpoints[members.successor].reachability = Reachability::Silent;
+        }
+        Fault::OldPrimaryIsolatedWithReplica => {
+            state.promote(members.successor, OldPrimary::Isolated, at_ms);
+            let stopped = &mut state.endpoints[members.replica];
+            stopped.branch = 0;
+            stopped.timeline = 1;
+            stopped.stopped_at_ms = Some(at_ms - STOPPED_BEFORE_MS);
+        }
+        Fault::PrimarySwitched => state.promote(members.successor, OldPrimary::Follows, at_ms),
+        Fault::NewPrimaryUnlisted => state.promote(members.unlisted, OldPrimary::Isolated, at_ms),
+        Fault::AddressReused => {
+            state.promote(members.successor, OldPrimary::Follows, at_ms);
+            state.endpoints[members.primary].reachability = Reachability::Refused;
+            // The address went to the primary of the next group, or to this one's own successor if it is alone.
+            let next_primary = (first + GROUP_SIZE) % listed_addresses.len();
+            listed_addresses[members.primary] = listed_addresses[next_primary];
+        }
+        Fault::AddressUnused => {
+            state.promote(members.successor, OldPrimary::Follows, at_ms);
+            state.endpoints[members.primary].reachability = Reachability::Refused;
+            listed_addresses[members.primary] = free_address();
+        }
+        Fault::ReplicaSilent => state.endpoints[members.replica].reachability = Reachability::Silent,
+        Fault::ReplicasLag => {
+            state.endpoints[members.successor].lag_ms = BOUND_MS * 2;
+            state.endpoints[members.replica].lag_ms = BOUND_MS * 2;
+        }
+        Fault::NoPrimary => {
+            remove_primary(state, &members, at_ms);
+            listed_addresses[members.primary] = free_address();
+        }
+    }
+}
+
+fn remove_primary(state: &mut ClusterState, members: &GroupMembers, at_ms: i64) {
+    for index in [members.successor, members.replica, members.unlisted] {
+        state.endpoints[index].stopped_at_ms = Some(at_ms);
+        state.endpoints[index].upstream = None;
+    }
+    state.endpoints[members.primary].reachability = Reachability::Refused;
+    state.endpoints[members.primary].primary = false;
+}
--- /dev/null
+++ b/test-servers/src/restart/run.rs
@@ -0,0 +1,197 @@
+//! One run: instances start while discovery is down, clients send requests, discovery comes back, and the checker judges.
+
+use super::client_loop::{ClientRun, FirstServed};
+use super::plan::{DiscoveryReturn, Plan};
+use super::scenario::Scenario;
+use crate::client::{Answer, Kind, RequestRecord};
+use crate::cluster::unix_ms;
+use crate::daemon::{Daemon, DaemonOptions};
+use crate::discovery::{Discovery, DiscoveryMode};
+use crate::endpoint::free_address;
+use crate::settings::settings_for;
+use crate::{lock, Build};
+use endpoint_cache::{CacheDirectory, CachedEndpointList};
+use history_checker::{check, Verdict};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// The version that the list has.
+pub(super) const LIST_VERSION: i64 = 1_000;
+/// The version that a discovery begins with that was restored from a backup.
+const RESTORED_VERSION: i64 = 3;
+/// How long discovery is of no use yet after it has come back.
+const BROKEN_RETURN: Duration = Duration::from_millis(400);
+const FLAPPING_PERIOD: Duration = Duration::from_millis(1_000);
+
+/// How long discovery stays down after the start, and how long the run goes on after that.
+#[derive(Clone, Copy, Debug)]
+pub struct Phases {
+    /// Down.
+    pub discovery_down: Duration,
+    /// Back.
+    pub discovery_back: Duration,
+}
+
+/// What came of a run.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// The checker's verdict.
+    pub verdict: Verdict,
+    /// When the first read was served, in milliseconds since the start of the processes.
+    pub first_read_ms: Option<f64>,
+    /// When the first write was served.
+    pub first_write_ms: Option<f64>,
+    /// Groups with a primary that can be reached in which writes were served after discovery came back.
+    pub groups_writing: usize,
+    /// Groups with a primary that can be reached.
+    pub groups_with_primary: usize,
+    /// A write was served while discovery was down.
+    pub wrote_without_discovery: bool,
+    /// Requests that were rejected.
+    pub rejected: usize,
+    /// The log of all instances.
+    pub log: String,
+}
+
+/// An instance, and where it listens.
+struct Instance {
+    daemon: Daemon,
+    listen: SocketAddr,
+}
+
+/// Runs a plan with a build. Each call sets up a cluster of its own, so two builds can be compared.
+///
+/// # Errors
+/// A process cannot be started, or a file not written.
+pub fn run_plan(plan: &Plan, build: &Build, phases: Phases) -> std::io::Result<Outcome> {
+    let folder = tempfile::tempdir()?;
+    let scenario = Scenario::new(plan);
+    let discovery = Discovery::start(DiscoveryMode::Down, LIST_VERSION, scenario.present_list.clone());
+    let started = Instant::now();
+    let instances: Vec<Instance> = (0..plan.instances)
+        .map(|index| start_instance(index, plan, build, &scenario, &discovery, folder.path()))
+        .collect::<Result<_, _>>()?;
+    let run = Arc::new(ClientRun {
+        started,
+        groups: scenario.groups.clone(),
+        is_over: AtomicBool::new(false),
+        records: Mutex::default(),
+    });
+    let clients = start_clients(plan, &instances, &run);
+    thread::sleep(phases.discovery_down);
+    bring_back(plan, &discovery, &scenario);
+    let back_at_ms = unix_ms();
+    thread::sleep(phases.discovery_back);
+    run.is_over.store(true, Ordering::Release);
+    let first: Vec<FirstServed> = clients.into_iter().filter_map(|client| client.join().ok()).collect();
+    let log = instances.into_iter().map(|instance| instance.daemon.kill()).collect();
+    let records = std::mem::take(&mut *lock(&run.records));
+    let mut outcome = judge(&scenario, &records, back_at_ms);
+    outcome.first_read_ms = earliest(first.iter().filter_map(|first| first.read_ms));
+    outcome.first_write_ms = earliest(first.iter().filter_map(|first| first.write_ms));
+    let down_ms = phases.discovery_down.as_secs_f64() * 1e3;
+    outcome.wrote_without_discovery = outcome.first_write_ms.is_some_and(|ms| ms < down_ms);
+    outcome.log = log;
+    drop(scenario.served);
+    Ok(outcome)
+}
+
+fn start_instance(
+    index: usize,
+    plan: &Plan,
+    build: &Build,
+    scenario: &Scenario,
+    discovery: &Discovery,
+    folder: &Path,
+) -> std::io::Result<Instance> {
+    let list = serde_json::json!({ "seq": LIST_VERSION, "whole": true, "hosts": scenario.old_list });
+    let bootstrap = format!(
+        r#"{{"seed":"{:x}{index}","limits":{{"sockets":512,"memory_mb":64}},"known":{list},"settings":{}}}"#,
+        plan.seed & 0xffff_ffff,
+        settings_for(plan.instances.max(2))
+    );
+    let folder = folder.join(format!("instance-{index}"));
+    let state_dir = folder.join("state");
+    std::fs::create_dir_all(&state_dir)?;
+    let operator_file = format!("state-dir {}\nstore-identity postgres\n", state_dir.display());
+    if build.has_operator_file {
+        write_cache(&state_dir, plan, scenario)?;
+    }
+    let listen = free_address();
+    let daemon = Daemon::start(&DaemonOptions {
+        program: build.program,
+        bootstrap: &bootstrap,
+        operator_file: build.has_operator_file.then_some(operator_file.as_str()),
+        folder: &folder,
+        listen,
+        discovery: discovery.addr,
+    })?;
+    Ok(Instance { daemon, listen })
+}
+
+fn write_cache(state_dir: &Path, plan: &Plan, scenario: &Scenario) -> std::io::Result<()> {
+    let saved_ms = unix_ms() - plan.age_s * 1_000;
+    let mut list = CachedEndpointList {
+        generation: 0,
+        version: LIST_VERSION,
+        confirmed_ms: saved_ms,
+        saved_ms,
+        endpoints: scenario.cached.clone(),
+    };
+    let (mut directory, _) = CacheDirectory::open(state_dir).map_err(std::io::Error::other)?;
+    directory.save(&mut list).map_err(std::io::Error::other)?;
+    Ok(())
+}
+
+fn start_clients(plan: &Plan, instances: &[Instance], run: &Arc<ClientRun>) -> Vec<JoinHandle<FirstServed>> {
+    let start = |index: usize| {
+        let run = run.clone();
+        let seed = plan.seed.wrapping_mul(31).wrapping_add(index as u64);
+        let listen = instances[index % instances.len()].listen;
+        thread::spawn(move || run.run(&listen, index, seed))
+    };
+    (0..plan.clients).map(start).collect()
+}
+
+fn bring_back(plan: &Plan, discovery: &Discovery, scenario: &Scenario) {
+    let broken_first = |mode: DiscoveryMode| {
+        discovery.set_mode(mode);
+        thread::sleep(BROKEN_RETURN);
+    };
+    discovery.set_list(LIST_VERSION + 5, scenario.present_list.clone());
+    match plan.discovery_return {
+        DiscoveryReturn::AtOnce => {}
+        DiscoveryReturn::LowerVersion => discovery.set_list(RESTORED_VERSION, scenario.present_list.clone()),
+        DiscoveryReturn::EmptyFirst => broken_first(DiscoveryMode::Empty),
+        DiscoveryReturn::TruncatedLineFirst => broken_first(DiscoveryMode::TruncatedLine),
+        DiscoveryReturn::Flapping => return discovery.set_mode(DiscoveryMode::Flapping(FLAPPING_PERIOD)),
+    }
+    discovery.set_mode(DiscoveryMode::Up);
+}
+
+fn judge(scenario: &Scenario, records: &[RequestRecord], back_at_ms: i64) -> Outcome {
+    let groups = scenario.groups_with_primary();
+    let is_served_write = |record: &&RequestRecord| {
+        record.kind == Kind::Write && matches!(record.answer, Answer::Value(_)) && record.sent_ms > back_at_ms
+    };
+    let writes = |group: &&i64| {
+        let mut served = records.iter().filter(is_served_write);
+        served.any(|record| record.group == **group)
+    };
+    let is_rejected = |record: &&RequestRecord| matches!(record.answer, Answer::Rejected(_));
+    Outcome {
+        verdict: check(&scenario.cluster.history(records.to_vec(), Vec::new(), Vec::new())),
+        groups_writing: groups.iter().filter(writes).count(),
+        groups_with_primary: groups.len(),
+        rejected: records.iter().filter(is_rejected).count(),
+        ..Outcome::default()
+    }
+}
+
+fn earliest(times_ms: impl Iterator<Item = f64>) -> Option<f64> {
+    times_ms.min_by(f64::total_cmp)
+}
--- /dev/null
+++ b/test-servers/src/restart/scenario.rs
@@ -0,0 +1,136 @@
+//! A cluster after its faults, and the lists of before and after them.
+
+use super::faults::{apply_fault, GROUP_SIZE};
+use super::plan::Plan;
+use crate::cluster::{unix_ms, Branch, Cluster, ClusterState, EndpointIndex, EndpointModel, Reachability};
+use crate::discovery::list_entry;
+use crate::endpoint::{serve, ServedEndpoint};
+use crate::settings::{DRAIN_GRACE_MS, SLOW_START};
+use endpoint_cache::{CachedEndpoint, CachedReport};
+use routing::rng::Mwc;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+const LONG_AGO_MS: i64 = 3_600_000;
+const SEED_FOR_CLUSTER: u64 = 0x5eed;
+
+/// A cluster after its faults.
+pub struct Scenario {
+    pub cluster: Arc<Cluster>,
+    pub served: Vec<ServedEndpoint>,
+    /// The list of before the faults, as discovery words it.
+    pub old_list: Vec<Value>,
+    /// The same, as an instance has cached it.
+    pub cached: Vec<CachedEndpoint>,
+    /// The list that is true now.
+    pub present_list: Vec<Value>,
+    pub groups: Vec<i64>,
+}
+
+impl Scenario {
+    /// Sets up a plan's cluster, and lets its faults happen.
+    pub fn new(plan: &Plan) -> Scenario {
+        let cluster = Arc::new(Cluster::new(SLOW_START, DRAIN_GRACE_MS));
+        let mut rng = Mwc::new(plan.seed ^ SEED_FOR_CLUSTER);
+        let now_ms = unix_ms();
+        let started_ms = if plan.just_started { now_ms } else { now_ms - LONG_AGO_MS };
+        let groups: Vec<i64> = (1..=plan.faults.len() as i64).collect();
+        for &group in &groups {
+            add_group(&mut cluster.lock(), group, started_ms, &mut rng);
+        }
+        let count = cluster.lock().endpoints.len();
+        let served: Vec<ServedEndpoint> = (0..count).map(|index| serve(&cluster, index)).collect();
+        let addresses: Vec<SocketAddr> = served.iter().map(|served| served.addr).collect();
+        let mut listed_addresses = addresses.clone();
+        for (group, fault) in plan.faults.iter().enumerate() {
+            let first = group * GROUP_SIZE;
+            let state = &mut cluster.lock();
+            apply_fault(state, *fault, first, now_ms, &mut listed_addresses, &mut rng);
+        }
+        let state = cluster.lock();
+        let listed = || (0..count).filter(|index| is_listed(*index));
+        let old_list = listed().map(|index| old_entry(&state, index, &listed_addresses[index])).collect();
+        let cached =
+            listed().map(|index| cached_entry(&state, index, &listed_addresses[index], now_ms, plan));
+        let cached = cached.collect();
+        let present = (0..count).filter(|index| is_member(&state, *index));
+        let present_list =
+            present.map(|index| present_entry(&state, index, &addresses[index], plan)).collect();
+        drop(state);
+        Scenario { cluster, served, old_list, cached, present_list, groups }
+    }
+
+    /// The groups whose primary can be reached.
+    pub fn groups_with_primary(&self) -> Vec<i64> {
+        let state = self.cluster.lock();
+        let has_primary = |group: &i64| {
+            let primary = state.primary_of(*group);
+            primary.is_some_and(|index| state.endpoints[index].reachability == Reachability::Up)
+        };
+        self.groups.iter().copied().filter(has_primary).collect()
+    }
+}
+
+fn add_group(state: &mut ClusterState, group: i64, started_ms: i64, rng: &mut Mwc) {
+    state.branches.insert(group, vec![Branch::initial()]);
+    let first = state.endpoints.len();
+    for member in 0..GROUP_SIZE {
+        let upstream = (member > 0).then_some(first);
+        let lag_ms = 10 + rng.below(60) as i64;
+        let endpoint = EndpointModel::new(format!("s-{group}-{member}"), group, upstream, lag_ms);
+        state.endpoints.push(EndpointModel { started_ms, ..endpoint });
+    }
+}
+
+/// The last of each group joined after the list was made.
+fn is_listed(index: EndpointIndex) -> bool {
+    index % GROUP_SIZE != GROUP_SIZE - 1
+}
+
+fn was_primary(index: EndpointIndex) -> bool {
+    index.is_multiple_of(GROUP_SIZE)
+}
+
+/// Discovery knows of isolation: what was left behind is no member any more.
+fn is_member(state: &ClusterState, index: EndpointIndex) -> bool {
+    let endpoint = &state.endpoints[index];
+    endpoint.reachability == Reachability::Up && state.branches[&endpoint.group][endpoint.branch].is_live
+}
+
+fn old_entry(state: &ClusterState, index: EndpointIndex, address: &SocketAddr) -> Value {
+    let endpoint = &state.endpoints[index];
+    list_entry(&endpoint.name, address, endpoint.group, was_primary(index), "SERVING", 0)
+}
+
+fn present_entry(state: &ClusterState, index: EndpointIndex, address: &SocketAddr, plan: &Plan) -> Value {
+    let endpoint = &state.endpoints[index];
+    let born_ms = if plan.just_started { endpoint.started_ms } else { 0 };
+    list_entry(&endpoint.name, address, endpoint.group, endpoint.primary, "SERVING", born_ms)
+}
+
+fn cached_entry(
+    state: &ClusterState,
+    index: EndpointIndex,
+    address: &SocketAddr,
+    now_ms: i64,
+    plan: &Plan,
+) -> CachedEndpoint {
+    let endpoint = &state.endpoints[index];
+    let report = CachedReport {
+        primary: was_primary(index),
+        position_ms: Some(now_ms - plan.age_s.abs() * 1_000 - 10),
+        timeline: Some(1),
+        at_ms: now_ms - plan.age_s * 1_000,
+    };
+    CachedEndpoint {
+        host: endpoint.name.clone(),
+        dial: address.to_string(),
+        site: "a".into(),
+        block: endpoint.group,
+        health: "SERVING".into(),
+        born_ms: 0.0,
+        recovery: if was_primary(index) { "off" } else { "on" }.into(),
+        report: Some(report),
+    }
+}
