--- /dev/null
+++ b/test-servers/src/restart/throughput.rs
@@ -0,0 +1,104 @@
+//! What caching the endpoint list costs: reads per second with and without it.
+
+use super::plan::Plan;
+use super::run::LIST_VERSION;
+use super::scenario::Scenario;
+use crate::client::{Answer, Client, Kind};
+use crate::daemon::{Daemon, DaemonOptions};
+use crate::discovery::{Discovery, DiscoveryMode};
+use crate::endpoint::free_address;
+use crate::settings::settings;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const WARM_UP: Duration = Duration::from_millis(1_500);
+const LIST_INTERVAL: Duration = Duration::from_millis(100);
+const RETRY_DELAY: Duration = Duration::from_millis(2);
+const READ_TIMEOUT_MS: i64 = 400;
+
+/// Reads answered per second, with discovery up and a new version of the list every 100 ms; each client sends its requests one
+/// after the other.
+///
+/// # Errors
+/// The daemon cannot be started.
+pub fn reads_per_second(
+    program: &Path,
+    caches_list: bool,
+    clients: usize,
+    duration: Duration,
+) -> std::io::Result<f64> {
+    let folder = tempfile::tempdir()?;
+    let scenario = Scenario::new(&Plan::without_faults(1, 5));
+    let discovery = Discovery::start(DiscoveryMode::Up, LIST_VERSION, scenario.present_list.clone());
+    let listen = free_address();
+    let daemon = start_daemon(program, caches_list, folder.path(), listen, &discovery)?;
+    let count_from = Instant::now() + WARM_UP;
+    let is_over = Arc::new(AtomicBool::new(false));
+    let start = |index: usize| {
+        let (is_over, groups) = (is_over.clone(), scenario.groups.clone());
+        thread::spawn(move || count_reads(&listen, index, &groups, count_from, &is_over))
+    };
+    let counting: Vec<_> = (0..clients).map(start).collect();
+    let mut version = LIST_VERSION;
+    while Instant::now() < count_from + duration {
+        thread::sleep(LIST_INTERVAL);
+        version += 1;
+        discovery.set_list(version, scenario.present_list.clone());
+    }
+    is_over.store(true, Ordering::Release);
+    let reads: usize = counting.into_iter().filter_map(|client| client.join().ok()).sum();
+    daemon.kill();
+    Ok(reads as f64 / duration.as_secs_f64())
+}
+
+fn start_daemon(
+    program: &Path,
+    caches_list: bool,
+    folder: &Path,
+    listen: SocketAddr,
+    discovery: &Discovery,
+) -> std::io::Result<Daemon> {
+    let bootstrap =
+        format!(r#"{{"seed":"1","limits":{{"sockets":512,"memory_mb":64}},"settings":{}}}"#, settings());
+    let state_dir = folder.join("state");
+    std::fs::create_dir(&state_dir)?;
+    let operator_file =
+        format!("state-dir {}\nstore-identity postgres\nsave-gap 100ms\n", state_dir.display());
+    Daemon::start(&DaemonOptions {
+        program,
+        bootstrap: &bootstrap,
+        operator_file: caches_list.then_some(operator_file.as_str()),
+        folder,
+        listen,
+        discovery: discovery.addr,
+    })
+}
+
+/// Sends reads until the run is over; how many were served since `count_from`.
+fn count_reads(
+    listen: &SocketAddr,
+    index: usize,
+    groups: &[i64],
+    count_from: Instant,
+    is_over: &AtomicBool,
+) -> usize {
+    let (mut count, mut serial) = (0, 0);
+    while !is_over.load(Ordering::Acquire) {
+        let Ok(mut client) = Client::open(listen) else { continue };
+        while !is_over.load(Ordering::Acquire) {
+            serial += 1;
+            let id = format!("{index:04x}{serial:012x}");
+            let record = client.request(&id, groups[serial % groups.len()], Kind::Read, READ_TIMEOUT_MS);
+            match record.answer {
+                Answer::Value(_) => count += usize::from(Instant::now() > count_from),
+                Answer::Missing => break,
+                _ => thread::sleep(RETRY_DELAY),
+            }
+        }
+    }
+    count
+}
--- a/test-servers/src/sessions.rs
+++ b/test-servers/src/sessions.rs
@@ -1,274 +1,355 @@
-//! Sessions and writes through kills of fronts, moves between them, lag and a switch that loses the tail of a
-//! log, drawn from a seed. What came of it is for the checker to judge.
+//! Sessions and writes through kills of instances, moves between them, lag and a failover that loses the tail of a log, drawn
+//! from a seed. What came of it is for the checker to judge.
 
-use crate::client::{Answer, Client, Kind, Record};
-use crate::daemon::{Daemon, Start};
-use crate::discovery::{host, Discovery, Mode};
-use crate::starts::{settings, Build};
-use crate::store::{free_address, serve, Served};
-use crate::world::{unix_ms, Branch, Cold, EndpointIndex, Machine, World};
-use history_checker::{judge, Fate, Verdict, LOST};
+use crate::client::{Answer, Client, Kind, RequestRecord};
+use crate::cluster::{unix_ms, Branch, Cluster, EndpointIndex, EndpointModel, OldPrimary};
+use crate::daemon::{Daemon, DaemonOptions};
+use crate::discovery::{list_entry, Discovery, DiscoveryMode};
+use crate::endpoint::{free_address, serve, ServedEndpoint};
+use crate::settings::{settings, DRAIN_GRACE_MS, NO_SLOW_START};
+use crate::{lock, Build};
+use history_checker::{check, FateAnswer, Verdict, SESSION_LOST};
 use routing::rng::Mwc;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
-use std::thread;
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
+const GROUPS: [i64; 2] = [1, 2];
+/// Endpoints of each group.
+const GROUP_SIZE: usize = 3;
+const SESSION_KEYS: &str = "1 000102030405060708090a0b0c0d0e0f\n";
+const CLIENTS: usize = 6;
+/// Seeds that follow each other must not draw alike.
+const SEED_MIX: u64 = 0x9e37_79b9_7f4a_7c15;
+const SEED_FOR_KILLS: u64 = 0x5eed;
+const READ_TIMEOUT_MS: i64 = 400;
+const WRITE_TIMEOUT_MS: i64 = 700;
+/// How long clients go on after the last kill.
+const AFTER_LAST_KILL: Duration = Duration::from_millis(600);
+const RECONNECT_DELAY: Duration = Duration::from_millis(3);
+/// How often a client tries to reach an instance that was killed.
+const MAX_RECONNECTS: usize = 400;
+/// How long after a write that is in doubt its client asks; the longest is past the window of duplicates.
+const QUERY_DELAYS_MS: [u64; 4] = [0, 0, 40, 1_700];
+
+/// A plan.
 #[derive(Clone, Debug)]
 pub struct Plan {
+    /// The seed that it was drawn from.
     pub seed: u64,
-    pub fronts: usize,
-    /// Of each group's two replicas.
-    pub lags: [i64; 2],
+    /// Instances.
+    pub instances: usize,
+    /// The lag of each group's two replicas.
+    pub lags_ms: [i64; 2],
+    /// Kills.
     pub kills: usize,
+    /// Clients.
     pub clients: usize,
-    /// How long after the switch discovery says so.
-    pub notice_ms: u64,
+    /// How long after the failover discovery says so.
+    pub discovery_delay_ms: u64,
 }
 
 impl Plan {
+    /// Draws a plan.
     pub fn draw(seed: u64, kills: usize) -> Plan {
-        let mut rng = Mwc::new(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15));
-        let lags = [10 + rng.below(60) as i64, 150 + rng.below(550) as i64];
-        let fronts = 2 + rng.below(2);
-        Plan { seed, fronts, lags, kills, clients: 6, notice_ms: rng.below(300) as u64 }
+        let mut rng = Mwc::new(seed.wrapping_mul(SEED_MIX));
+        let lags_ms = [10 + rng.below(60) as i64, 150 + rng.below(550) as i64];
+        let instances = 2 + rng.below(2);
+        let discovery_delay_ms = rng.below(300) as u64;
+        Plan { seed, instances, lags_ms, kills, clients: CLIENTS, discovery_delay_ms }
     }
 }
 
+/// What came of a run.
 #[derive(Debug, Default)]
-pub struct Played {
+pub struct Outcome {
+    /// The checker's verdict.
     pub verdict: Verdict,
+    /// Kills.
     pub kills: usize,
-    /// Writes of which an answer was lost or which were aborted.
-    pub in_doubt: usize,
-    /// Of these: told *ran* or *never*; served when they were sent again.
-    pub told: usize,
-    pub served_again: usize,
-    /// Sessions told that a switch had lost something.
-    pub losses: usize,
-}
-
-const GROUPS: [i64; 2] = [1, 2];
-const KEYS: &str = "1 000102030405060708090a0b0c0d0e0f\n";
-
-fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
-    of.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    /// Writes whose answer was lost, or which were aborted.
+    pub writes_in_doubt: usize,
+    /// Of these, those that were told *ran* or *never* ...
+    pub fates_told: usize,
+    /// ... and those that were served when they were sent again.
+    pub served_on_retry: usize,
+    /// Sessions that were told that a failover had lost something.
+    pub losses_told: usize,
 }
 
-/// What clients and the one that kills share.
-struct Stage {
+/// What clients and the thread that kills share.
+struct Shared {
     listen: Vec<SocketAddr>,
-    /// When each front was killed.
-    killed: Vec<Mutex<Vec<i64>>>,
-    over: AtomicBool,
+    /// When each instance was killed.
+    killed_ms: Vec<Mutex<Vec<i64>>>,
+    is_over: AtomicBool,
 }
 
-struct Fleet<'a> {
+/// A cluster with its instances.
+struct Deployment<'a> {
     plan: &'a Plan,
     build: &'a Build<'a>,
     folder: tempfile::TempDir,
     discovery: Discovery,
-    world: Arc<World>,
-    served: Vec<Served>,
-    stage: Arc<Stage>,
+    cluster: Arc<Cluster>,
+    served: Vec<ServedEndpoint>,
+    shared: Arc<Shared>,
 }
 
-impl<'a> Fleet<'a> {
-    fn set(plan: &'a Plan, build: &'a Build<'a>) -> std::io::Result<Fleet<'a>> {
-        let cold = Cold { from: 1.0, for_ms: 1, overload_multiple: 9.0, window_ms: 500, work_ms: 1 };
-        let world = Arc::new(World::new(cold, 250));
+impl<'a> Deployment<'a> {
+    fn new(plan: &'a Plan, build: &'a Build<'a>) -> std::io::Result<Deployment<'a>> {
+        let cluster = Arc::new(Cluster::new(NO_SLOW_START, DRAIN_GRACE_MS));
         for group in GROUPS {
-            let mut truth = world.lock();
-            truth.branches.insert(group, vec![Branch { forked_ms: 0, truth: true }]);
-            let first = truth.machines.len();
-            for (nth, lag_ms) in [0].into_iter().chain(plan.lags).enumerate() {
-                let upstream = (nth > 0).then_some(first);
-                truth.machines.push(Machine::of(format!("s-{group}-{nth}"), group, upstream, lag_ms));
-            }
+            add_group(&cluster, group, plan.lags_ms);
         }
-        let count = world.lock().machines.len();
-        let served: Vec<Served> = (0..count).map(|ix| serve(&world, ix)).collect();
+        let count = cluster.lock().endpoints.len();
+        let served: Vec<ServedEndpoint> = (0..count).map(|index| serve(&cluster, index)).collect();
         let folder = tempfile::tempdir()?;
-        std::fs::write(folder.path().join("keys"), KEYS)?;
-        let stage = Stage {
-            listen: (0..plan.fronts).map(|_| free_address()).collect(),
-            killed: (0..plan.fronts).map(|_| Mutex::default()).collect(),
-            over: AtomicBool::new(false),
-        };
-        let discovery = Discovery::start(Mode::Up, 1, Vec::new());
-        let fleet = Fleet { plan, build, folder, discovery, world, served, stage: Arc::new(stage) };
-        fleet.list(2);
-        Ok(fleet)
+        std::fs::write(folder.path().join("keys"), SESSION_KEYS)?;
+        let shared = Arc::new(Shared {
+            listen: (0..plan.instances).map(|_| free_address()).collect(),
+            killed_ms: (0..plan.instances).map(|_| Mutex::default()).collect(),
+            is_over: AtomicBool::new(false),
+        });
+        let discovery = Discovery::start(DiscoveryMode::Up, 1, Vec::new());
+        let deployment = Deployment { plan, build, folder, discovery, cluster, served, shared };
+        deployment.list(2);
+        Ok(deployment)
     }
 
-    fn list(&self, seq: i64) {
-        let truth = self.world.lock();
-        let entry = |ix: EndpointIndex| {
-            let machine = &truth.machines[ix];
-            host(&machine.name, &self.served[ix].addr, machine.group, machine.primary, "SERVING", 0)
+    /// Discovery gives the list as things are.
+    fn list(&self, version: i64) {
+        let state = self.cluster.lock();
+        let entry = |index: EndpointIndex| {
+            let endpoint = &state.endpoints[index];
+            let address = &self.served[index].addr;
+            list_entry(&endpoint.name, address, endpoint.group, endpoint.primary, "SERVING", 0)
         };
-        self.discovery.tell(seq, (0..truth.machines.len()).map(entry).collect());
+        self.discovery.set_list(version, (0..state.endpoints.len()).map(entry).collect());
     }
 
-    fn start(&self, nth: usize) -> std::io::Result<Daemon> {
-        let folder = self.folder.path().join(format!("front-{nth}"));
-        let state = folder.join("state");
-        std::fs::create_dir_all(&state)?;
-        let facts = format!(r#"{{"seed":"{:x}{nth}","settings":{}}}"#, self.plan.seed, settings());
+    fn start_instance(&self, index: usize) -> std::io::Result<Daemon> {
+        let folder = self.folder.path().join(format!("instance-{index}"));
+        let state_dir = folder.join("state");
+        std::fs::create_dir_all(&state_dir)?;
+        let bootstrap = format!(r#"{{"seed":"{:x}{index}","settings":{}}}"#, self.plan.seed, settings());
         let keys = self.folder.path().join("keys");
-        let conf =
-            format!("session-keys {}\nstate-dir {}\nwrite-journal system\n", keys.display(), state.display());
-        let start = Start {
+        let operator_file = format!(
+            "session-keys {}\nstate-dir {}\nwrite-journal system\n",
+            keys.display(),
+            state_dir.display()
+        );
+        Daemon::start(&DaemonOptions {
             program: self.build.program,
-            facts: &facts,
-            conf: self.build.keeps.then_some(conf.as_str()),
-            folder: Path::new(&folder),
-            listen: self.stage.listen[nth],
+            bootstrap: &bootstrap,
+            operator_file: self.build.has_operator_file.then_some(operator_file.as_str()),
+            folder: &folder,
+            listen: self.shared.listen[index],
             discovery: self.discovery.addr,
+        })
+    }
+
+    fn start_clients(&self) -> Vec<JoinHandle<Session>> {
+        let start = |index: usize| {
+            let seed = self.plan.seed.wrapping_mul(31).wrapping_add(index as u64);
+            let session = Session::new(seed, index, self.build.has_operator_file, self.shared.clone());
+            thread::spawn(move || session.run())
         };
-        Daemon::start(&start)
+        (0..self.plan.clients).map(start).collect()
     }
-}
 
-/// Plays a plan against a build; one that does not keep is started without an operators' file.
-pub fn play(plan: &Plan, build: &Build) -> std::io::Result<Played> {
-    let fleet = Fleet::set(plan, build)?;
-    let mut rng = Mwc::new(plan.seed ^ 0x5eed);
-    let mut daemons: Vec<Option<Daemon>> =
-        (0..plan.fronts).map(|nth| fleet.start(nth).map(Some)).collect::<Result<_, _>>()?;
-    let clients: Vec<_> = (0..plan.clients)
-        .map(|nth| {
-            let seed = plan.seed.wrapping_mul(31).wrapping_add(nth as u64);
-            let session = Session::new(seed, nth, build.keeps, fleet.stage.clone());
-            thread::spawn(move || session.live())
-        })
-        .collect();
-    for kill in 0..plan.kills {
-        thread::sleep(Duration::from_millis(120 + rng.below(200) as u64));
-        if kill == plan.kills / 2 {
-            // The second store takes over, and lacks what the first had beyond it.
-            let mut truth = fleet.world.lock();
-            let heir = 1 + rng.below(2) * 3;
-            let fork = truth.position(heir, unix_ms());
-            truth.promote(heir, false, fork);
-            drop(truth);
-            thread::sleep(Duration::from_millis(plan.notice_ms));
-            fleet.list(3);
+    /// Kills instances one after the other, each started again at once; half-way there is a failover.
+    fn kill_instances(&self, daemons: &mut [Option<Daemon>]) -> std::io::Result<()> {
+        let mut rng = Mwc::new(self.plan.seed ^ SEED_FOR_KILLS);
+        for kill in 0..self.plan.kills {
+            thread::sleep(Duration::from_millis(120 + rng.below(200) as u64));
+            if kill == self.plan.kills / 2 {
+                self.fail_over(&mut rng);
+            }
+            let index = rng.below(self.plan.instances);
+            lock(&self.shared.killed_ms[index]).push(unix_ms());
+            daemons[index].take().map(Daemon::kill);
+            daemons[index] = Some(self.start_instance(index)?);
         }
-        let nth = rng.below(plan.fronts);
-        lock(&fleet.stage.killed[nth]).push(unix_ms());
-        daemons[nth].take().map(Daemon::kill);
-        daemons[nth] = Some(fleet.start(nth)?);
+        Ok(())
+    }
+
+    /// The first replica of a group takes over, and lacks what the primary had beyond it.
+    fn fail_over(&self, rng: &mut Mwc) {
+        let mut state = self.cluster.lock();
+        let successor = 1 + rng.below(GROUPS.len()) * GROUP_SIZE;
+        let forked_ms = state.position(successor, unix_ms());
+        state.promote(successor, OldPrimary::Follows, forked_ms);
+        drop(state);
+        thread::sleep(Duration::from_millis(self.plan.discovery_delay_ms));
+        self.list(3);
     }
-    thread::sleep(Duration::from_millis(600));
-    fleet.stage.over.store(true, Ordering::Release);
-    let mut played = Played { kills: plan.kills, ..Played::default() };
+}
+
+fn add_group(cluster: &Cluster, group: i64, replica_lags_ms: [i64; 2]) {
+    let mut state = cluster.lock();
+    state.branches.insert(group, vec![Branch::initial()]);
+    let first = state.endpoints.len();
+    for (member, lag_ms) in [0].into_iter().chain(replica_lags_ms).enumerate() {
+        let upstream = (member > 0).then_some(first);
+        state.endpoints.push(EndpointModel::new(format!("s-{group}-{member}"), group, upstream, lag_ms));
+    }
+}
+
+/// Runs a plan with a build.
+///
+/// # Errors
+/// A process cannot be started, a file not written, or a client panicked.
+pub fn run_plan(plan: &Plan, build: &Build) -> std::io::Result<Outcome> {
+    let deployment = Deployment::new(plan, build)?;
+    let mut daemons: Vec<Option<Daemon>> = (0..plan.instances)
+        .map(|index| deployment.start_instance(index).map(Some))
+        .collect::<Result<_, _>>()?;
+    let clients = deployment.start_clients();
+    deployment.kill_instances(&mut daemons)?;
+    thread::sleep(AFTER_LAST_KILL);
+    deployment.shared.is_over.store(true, Ordering::Release);
+    let mut outcome = Outcome { kills: plan.kills, ..Outcome::default() };
     let (mut sessions, mut fates) = (Vec::new(), Vec::new());
     for client in clients {
-        let Ok(session) = client.join() else { return Err(std::io::Error::other("a client panicked")) };
-        played.in_doubt += session.in_doubt;
-        played.served_again += session.served_again;
-        let is_lost = |record: &&Record| record.answer == Answer::Error(LOST.into());
-        played.losses += session.records.iter().filter(is_lost).count();
-        played.told += session.fates.iter().filter(|fate| matches!(fate.answer, Answer::Value(_))).count();
+        let session = client.join().map_err(|_| std::io::Error::other("a client panicked"))?;
+        outcome.add(&session);
         sessions.push(session.records);
         fates.extend(session.fates);
     }
     drop(daemons);
-    played.verdict = judge(&fleet.world.history(Vec::new(), sessions, fates));
-    Ok(played)
+    outcome.verdict = check(&deployment.cluster.history(Vec::new(), sessions, fates));
+    Ok(outcome)
+}
+
+impl Outcome {
+    fn add(&mut self, session: &Session) {
+        let is_loss = |record: &&RequestRecord| record.answer == Answer::Error(SESSION_LOST.into());
+        let is_told = |fate: &&FateAnswer| matches!(fate.answer, Answer::Value(_));
+        self.writes_in_doubt += session.writes_in_doubt;
+        self.served_on_retry += session.served_on_retry;
+        self.losses_told += session.records.iter().filter(is_loss).count();
+        self.fates_told += session.fates.iter().filter(is_told).count();
+    }
 }
 
-/// One client with one session, which it takes along from front to front.
+/// One client with one session, which it takes along from instance to instance.
 struct Session {
-    stage: Arc<Stage>,
-    keeps: bool,
-    nth: usize,
+    shared: Arc<Shared>,
+    has_token: bool,
+    index: usize,
     rng: Mwc,
     serial: usize,
     token: Option<String>,
-    records: Vec<Record>,
-    fates: Vec<Fate>,
-    in_doubt: usize,
-    served_again: usize,
+    records: Vec<RequestRecord>,
+    fates: Vec<FateAnswer>,
+    writes_in_doubt: usize,
+    served_on_retry: usize,
 }
 
-/// A connection, the front that it goes to and when it was opened.
-struct Line {
+/// A connection, the instance that it goes to and when it was opened.
+struct Connection {
     client: Client,
-    front: usize,
+    instance: usize,
     opened_ms: i64,
 }
 
+/// A write.
+struct Write<'a> {
+    id: &'a str,
+    group: i64,
+    kind: Kind,
+}
+
 impl Session {
-    fn new(seed: u64, nth: usize, keeps: bool, stage: Arc<Stage>) -> Session {
-        let (rng, token) = (Mwc::new(seed), None);
-        let (serial, in_doubt, served_again) = (0, 0, 0);
-        let (records, fates) = (Vec::new(), Vec::new());
-        Session { stage, keeps, nth, rng, serial, token, records, fates, in_doubt, served_again }
+    fn new(seed: u64, index: usize, has_token: bool, shared: Arc<Shared>) -> Session {
+        Session {
+            shared,
+            has_token,
+            index,
+            rng: Mwc::new(seed),
+            serial: 0,
+            token: None,
+            records: Vec::new(),
+            fates: Vec::new(),
+            writes_in_doubt: 0,
+            served_on_retry: 0,
+        }
     }
 
-    fn live(mut self) -> Session {
-        let mut line: Option<Line> = None;
-        while !self.stage.over.load(Ordering::Acquire) {
+    /// Sends requests until the run is over.
+    fn run(mut self) -> Session {
+        let mut connection = None;
+        while !self.shared.is_over.load(Ordering::Acquire) {
             if self.rng.below(4) == 0 {
-                line = None;
-            }
-            let front = self.rng.below(self.stage.listen.len());
-            let Some(mut at) = line.take().or_else(|| self.open(front)) else { continue };
-            self.serial += 1;
-            let id = format!("{:x}.{:x}", self.nth, self.serial);
-            let kind = [Kind::Read, Kind::Read, Kind::Read, Kind::Write, Kind::Tokened][self.rng.below(5)];
-            let group = GROUPS[self.rng.below(GROUPS.len())];
-            let answer = self.ask(&mut at, &id, group, kind);
-            let doubt = matches!(answer, Answer::None | Answer::Aborted) && kind != Kind::Read;
-            let (front, origin) = (at.front, at.client.origin.clone());
-            line = (answer != Answer::None).then_some(at);
-            if doubt {
-                self.in_doubt += 1;
-                line = None;
-                self.find_out(front, &id, group, kind, origin);
+                connection = None;
             }
+            let instance = self.rng.below(self.shared.listen.len());
+            let Some(present) = connection.take().or_else(|| self.open(instance)) else { continue };
+            connection = self.send_next(present);
             thread::sleep(Duration::from_millis(2 + self.rng.below(10) as u64));
         }
         self
     }
 
-    fn open(&mut self, front: usize) -> Option<Line> {
+    /// Sends one request; the connection, if it can be used further.
+    fn send_next(&mut self, mut connection: Connection) -> Option<Connection> {
+        self.serial += 1;
+        let id = format!("{:x}.{:x}", self.index, self.serial);
+        let kind = [Kind::Read, Kind::Read, Kind::Read, Kind::Write, Kind::KeyedWrite][self.rng.below(5)];
+        let group = GROUPS[self.rng.below(GROUPS.len())];
+        let answer = self.request(&mut connection, &id, group, kind);
+        let is_in_doubt = matches!(answer, Answer::Missing | Answer::Aborted) && kind != Kind::Read;
+        if is_in_doubt {
+            self.writes_in_doubt += 1;
+            let Connection { client, instance, .. } = connection;
+            let origin = client.origin.clone();
+            drop(client);
+            self.resolve_doubt(instance, &Write { id: &id, group, kind }, origin);
+            return None;
+        }
+        (answer != Answer::Missing).then_some(connection)
+    }
+
+    fn open(&mut self, instance: usize) -> Option<Connection> {
         let opened_ms = unix_ms();
-        let word = self.keeps.then(|| self.token.as_deref().unwrap_or("new"));
-        let client = Client::with_session(&self.stage.listen[front], "backend", word).ok();
-        let client = client.filter(|client| client.refused.is_none());
+        let session = self.has_token.then(|| self.token.as_deref().unwrap_or("new"));
+        let client = Client::with_session(&self.shared.listen[instance], "backend", session).ok();
+        let client = client.filter(|client| client.rejected_with.is_none());
         if client.is_none() {
-            thread::sleep(Duration::from_millis(3));
+            thread::sleep(RECONNECT_DELAY);
         }
-        client.map(|client| Line { client, front, opened_ms })
+        client.map(|client| Connection { client, instance, opened_ms })
     }
 
-    fn ask(&mut self, line: &mut Line, id: &str, group: i64, kind: Kind) -> Answer {
-        let mut record = line.client.ask(id, group, kind, if kind == Kind::Read { 400 } else { 700 });
-        record.cut = lock(&self.stage.killed[line.front]).iter().any(|&at| at >= line.opened_ms);
-        self.token = line.client.token.clone().or(self.token.take());
+    fn request(&mut self, connection: &mut Connection, id: &str, group: i64, kind: Kind) -> Answer {
+        let timeout_ms = if kind == Kind::Read { READ_TIMEOUT_MS } else { WRITE_TIMEOUT_MS };
+        let mut record = connection.client.request(id, group, kind, timeout_ms);
+        let killed_ms = lock(&self.shared.killed_ms[connection.instance]);
+        record.cut_off = killed_ms.iter().any(|&at_ms| at_ms >= connection.opened_ms);
+        drop(killed_ms);
+        self.token = connection.client.token.clone().or(self.token.take());
         let answer = record.answer.clone();
         self.records.push(record);
         answer
     }
 
-    /// What became of a write: its client asks, or sends it again where repeats are dropped, sometimes too
-    /// late for that; always where it sent it first.
-    fn find_out(&mut self, front: usize, id: &str, group: i64, kind: Kind, origin: Option<String>) {
-        thread::sleep(Duration::from_millis([0, 0, 40, 1_700][self.rng.below(4)]));
-        let mut tries = 0..400;
-        let Some(mut line) = tries.find_map(|_| self.open(front)) else { return };
-        if kind == Kind::Tokened && self.rng.below(3) > 0 {
-            let answer = self.ask(&mut line, id, group, kind);
-            self.served_again += usize::from(matches!(answer, Answer::Value(_)));
+    /// What became of a write: its client asks, or sends it again if duplicates are dropped, sometimes too late for that; always
+    /// where it sent it first.
+    fn resolve_doubt(&mut self, instance: usize, write: &Write, origin: Option<String>) {
+        let delay_ms = QUERY_DELAYS_MS[self.rng.below(QUERY_DELAYS_MS.len())];
+        thread::sleep(Duration::from_millis(delay_ms));
+        let mut tries = 0..MAX_RECONNECTS;
+        let Some(mut connection) = tries.find_map(|_| self.open(instance)) else { return };
+        if write.kind == Kind::KeyedWrite && self.rng.below(3) > 0 {
+            let answer = self.request(&mut connection, write.id, write.group, write.kind);
+            self.served_on_retry += usize::from(matches!(answer, Answer::Value(_)));
         }
         if let Some(origin) = origin {
-            let answer = line.client.fate(id, &origin);
-            self.fates.push(Fate { id: id.to_string(), told_ms: unix_ms(), answer });
+            let answer = connection.client.fate(write.id, &origin);
+            self.fates.push(FateAnswer { id: write.id.to_string(), answered_ms: unix_ms(), answer });
         }
     }
 }
