--- a/admission/src/lib.rs
+++ b/admission/src/lib.rs
@@ -9,7 +9,7 @@
 //! - [`retry_budget`]: how many of them may be retries
 //! - [`accept_backoff`]: what is done if a connection cannot be accepted
 
-#![warn(missing_docs)]
+#![warn(clippy::too_many_lines)]
 
 pub mod accept_backoff;
 pub mod client_address;
--- a/admission/tests/handshakes.rs
+++ b/admission/tests/handshakes.rs
@@ -22,7 +22,7 @@
         match lobby.enqueue(address(1)) {
             Enqueued::Free(_) => {}
             Enqueued::Displacing { displaced: other, .. } => {
-                assert!(!lobby.leave(other), "it was asked to make way")
+                assert!(!lobby.leave(other), "it was asked to make way");
             }
             Enqueued::Full => panic!("those asked have left"),
         }
--- a/endpoint-cache/src/lib.rs
+++ b/endpoint-cache/src/lib.rs
@@ -4,7 +4,7 @@
 //! next has done so. A file counts only if its head line, its length and its checksum fit. `docs/recovery.md` weighs this
 //! against embedded stores.
 
-#![warn(missing_docs)]
+#![warn(clippy::too_many_lines)]
 
 mod directory;
 mod encoding;
--- a/history-checker/src/lib.rs
+++ b/history-checker/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! Times are Unix milliseconds of one clock, that of the machine on which clients and endpoints ran.
 
-#![warn(missing_docs)]
+#![warn(clippy::too_many_lines)]
 
 pub mod checker;
 pub mod history;
--- a/history-checker/tests/histories.rs
+++ b/history-checker/tests/histories.rs
@@ -88,7 +88,7 @@
             h.sessions[0][4].answer = Answer::Value("b 1 x".into());
         }),
         ("an answer to a write that no endpoint ran", Rule::OneAnswer, "a", |h| {
-            h.executions.retain(|execution| execution.id != "a")
+            h.executions.retain(|execution| execution.id != "a");
         }),
         ("an id for two", Rule::OneAnswer, "p", |h| {
             h.without_session.push(record("p", Kind::Write, 1_060, Answer::Aborted));
@@ -96,7 +96,7 @@
         ("late", Rule::InTime, "r", |h| h.sessions[0][1].answered_ms += 400),
         ("run twice", Rule::AtMostOnce, "x", |h| h.executions.push(execution("x", at(0, 1_006)))),
         ("a keyed write run twice", Rule::AtMostOnce, "t", |h| {
-            h.executions.push(execution("t", at(1, 1_126)))
+            h.executions.push(execution("t", at(1, 1_126)));
         }),
         ("rejected and run", Rule::AtMostOnce, "x", |h| {
             h.without_session[0].answer = Answer::Rejected(None);
@@ -110,7 +110,7 @@
         }),
         ("an old primary", Rule::WritesAtPrimary, "x", |h| h.executions[1].at_primary = false),
         ("not its own write", Rule::ReadYourWrites, "r", |h| {
-            h.sessions[0][1].answer = value("r", at(0, 999))
+            h.sessions[0][1].answer = value("r", at(0, 999));
         }),
         ("its own write on the log that was left", Rule::ReadYourWrites, "l", |h| {
             h.sessions[0][2].answer = value("l", at(1, 1_119));
@@ -130,10 +130,10 @@
         }),
         ("never, and it ran", Rule::FateCorrect, "x", |h| h.fates[0].answer = Answer::Value("never".into())),
         ("never, and it ran later", Rule::FateCorrect, "p", |h| {
-            h.executions.push(execution("p", at(1, 5_000)))
+            h.executions.push(execution("p", at(1, 5_000)));
         }),
         ("ran, and it did not", Rule::FateCorrect, "p", |h| {
-            h.fates[1].answer = Answer::Value("ran 1050".into())
+            h.fates[1].answer = Answer::Value("ran 1050".into());
         }),
         ("another commit", Rule::FateCorrect, "x", |h| h.fates[0].answer = Answer::Value("ran 1004".into())),
         ("told by an unknown code", Rule::FateCorrect, "t", |h| {
--- a/host-support/src/lib.rs
+++ b/host-support/src/lib.rs
@@ -5,7 +5,7 @@
 //! - [`id_interner`]: identifiers to dense indices and back
 //! - [`request_registry`]: what a host keeps of each open request
 
-#![warn(missing_docs)]
+#![warn(clippy::too_many_lines)]
 
 pub mod bootstrap_config;
 pub mod id_interner;
--- a/operator-config/src/lib.rs
+++ b/operator-config/src/lib.rs
@@ -1,7 +1,7 @@
 //! The operators' file: a keyword and its values on each line, `#` begins a comment, quotes keep blanks. Free of I/O: text in,
 //! settings out, or everything that is wrong with their lines.
 
-#![warn(missing_docs)]
+#![warn(clippy::too_many_lines)]
 
 mod client_class_line;
 mod error;
--- a/recovery/src/lib.rs
+++ b/recovery/src/lib.rs
@@ -13,7 +13,7 @@
 //!
 //! `docs/recovery.md` describes the whole.
 
-#![warn(missing_docs)]
+#![warn(clippy::too_many_lines)]
 
 pub mod discovery_incarnation;
 pub mod endpoint_state;
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -10,7 +10,7 @@
 //! - `state`: what is known of requests, endpoints, groups and sessions, without decisions
 //! - [`snapshot`]: what operators see of that state
 
-#![warn(missing_docs)]
+#![warn(clippy::too_many_lines)]
 
 pub mod events;
 mod policy;
--- a/routing/src/policy/request_lifecycle.rs
+++ b/routing/src/policy/request_lifecycle.rs
@@ -92,7 +92,7 @@
             };
             match (step, event) {
                 (Step::StartAttempt, RequestEvent::EndpointSelected(endpoint)) => {
-                    self.start_attempt(id, endpoint)
+                    self.start_attempt(id, endpoint);
                 }
                 (Step::GiveUp, _) => self.give_up(id),
                 _ => {}
--- a/routing/tests/support/mod.rs
+++ b/routing/tests/support/mod.rs
@@ -281,7 +281,7 @@
                     self.probes.push(endpoint);
                 }
                 Action::StartAttempt { request, endpoint, timeout } => {
-                    self.check_send(request, endpoint, timeout)
+                    self.check_send(request, endpoint, timeout);
                 }
                 Action::Reject { request, .. } => {
                     let live = self.live.remove(&request).expect("one final answer, to a live RPC");
@@ -310,7 +310,7 @@
         match self.cleared[live.group] {
             PrimaryEligibility::Nobody => assert!(!writes, "a write to a group without a cleared primary"),
             PrimaryEligibility::Only(one) => {
-                assert!(!writes || endpoint == one, "a write to another than the cleared one")
+                assert!(!writes || endpoint == one, "a write to another than the cleared one");
             }
             PrimaryEligibility::Any => {}
         }
--- a/server/src/lib.rs
+++ b/server/src/lib.rs
@@ -16,7 +16,7 @@
 //! - [`startup`]: from the start to the end of the process
 //! - [`cli`]: the command line
 
-pub mod runtime;
+#![warn(clippy::too_many_lines)]
 
 pub mod admin;
 pub mod cli;
@@ -28,5 +28,6 @@
 pub mod exit_status;
 pub mod messages;
 pub mod protocol;
+pub mod runtime;
 pub mod startup;
 pub mod storage;
--- a/server/tests/loopback/fixture.rs
+++ b/server/tests/loopback/fixture.rs
@@ -330,7 +330,7 @@
                 }
                 Some((b'Z', _)) => return response,
                 Some((b'D', body)) => {
-                    response = ClientResponse::Value(only_column(&body).expect("a column").to_vec())
+                    response = ClientResponse::Value(only_column(&body).expect("a column").to_vec());
                 }
                 Some((b'E', body)) => {
                     let field = |name| error_field(&body, name).map(str::to_string);
--- a/sessions/src/lib.rs
+++ b/sessions/src/lib.rs
@@ -8,7 +8,7 @@
 //!
 //! `docs/sessions.md` states what is guaranteed.
 
-#![warn(missing_docs)]
+#![warn(clippy::too_many_lines)]
 
 pub mod epochs;
 pub mod positions;
--- a/test-servers/src/lib.rs
+++ b/test-servers/src/lib.rs
@@ -13,7 +13,7 @@
 //!
 //! Written from the public description of PostgreSQL's protocol, version 3, and of HTTP/1.1.
 
-#![warn(missing_docs)]
+#![warn(clippy::too_many_lines)]
 
 pub mod client;
 pub mod cluster;
--- a/write-journal/src/lib.rs
+++ b/write-journal/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! `docs/sessions.md` states what is guaranteed.
 
-#![warn(missing_docs)]
+#![warn(clippy::too_many_lines)]
 
 mod encoding;
 pub mod journal;
