--- a/admission/tests/connection_limiter.rs
+++ b/admission/tests/connection_limiter.rs
@@ -33,8 +33,8 @@
     }
 }
 
-fn begin(classes: Vec<ClientClass>, room: usize) -> ConnectionLimiter {
-    ConnectionLimiter::new(connection_limits(classes, room), TimeDelta::from_millis(60_000), 7)
+fn begin(classes: Vec<ClientClass>, capacity: usize) -> ConnectionLimiter {
+    ConnectionLimiter::new(connection_limits(classes, capacity), TimeDelta::from_millis(60_000), 7)
         .expect("they fit")
 }
 
@@ -104,15 +104,20 @@
     let mut front =
         begin(vec![ClientClass { max_connections: Some(1), ..ClientClass::named(DEFAULT_CLASS) }], 50);
     let _held = front.admit(at(0), v4(1, 1, 1), None).expect("the first");
-    let told: Vec<i64> = (0..1_000)
+    let decisions: Vec<i64> = (0..1_000)
         .map(|nth| front.admit(at(1), v4(1, 2, nth as u8), None).expect_err("full").retry_after.0 / 1_000_000)
         .collect();
     // All at the same moment: the later ones are told to wait longer, and no tenth of a second gets a tenth
     // of them.
     let mut tenths: BTreeMap<i64, usize> = BTreeMap::new();
-    told.iter().for_each(|ms| *tenths.entry(ms / 100).or_default() += 1);
+    decisions.iter().for_each(|ms| *tenths.entry(ms / 100).or_default() += 1);
     assert!(tenths.values().all(|many| *many < 100), "{tenths:?}");
-    assert!(told[990..].iter().min() > told[..10].iter().max(), "{:?} {:?}", &told[..10], &told[990..]);
+    assert!(
+        decisions[990..].iter().min() > decisions[..10].iter().max(),
+        "{:?} {:?}",
+        &decisions[..10],
+        &decisions[990..]
+    );
 }
 
 #[test]
@@ -123,9 +128,9 @@
     let _held = front.admit(at(0), v4(1, 1, 1), None).expect("the first");
     let mut tenths: BTreeMap<i64, usize> = BTreeMap::new();
     for nth in 0..1_000 {
-        let told = front.admit(at(1), v4(1, 2, nth as u8), None).expect_err("full").retry_after;
-        assert!(told <= longest);
-        *tenths.entry(told.0 / 100_000_000).or_default() += 1;
+        let decisions = front.admit(at(1), v4(1, 2, nth as u8), None).expect_err("full").retry_after;
+        assert!(decisions <= longest);
+        *tenths.entry(decisions.0 / 100_000_000).or_default() += 1;
     }
     assert!(tenths.values().all(|many| *many < 400), "{tenths:?}");
 }
@@ -197,26 +202,26 @@
         ..ProptestConfig::default()
     })]
 
-    /// Any story of arrivals, ends and new settings: nobody is let in past a limit, nobody is turned away
+    /// Any story of arrivals, ends and new settings: nobody is let in past a limit, nobody is rejected
     /// without one, and what is kept for a class is there for it.
     #[test]
     fn nobody_gets_in_past_a_limit_and_nobody_is_turned_away_without_one(
-        keeps in (0..6usize, 0..6usize),
+        reserves in (0..6usize, 0..6usize),
         limits in (1..9usize, 1..9usize, 1..20u32, 1..5u32),
         steps in prop::collection::vec((0..10u8, 0..4u8, 0..4u8, 0..400i64), 1..200),
     ) {
-        let room = 16;
+        let capacity = 16;
         let rate = ConnectionRate { per_second: limits.2, burst: limits.3 };
         let ranged = |name: &str, range: &str, reserved| {
             ClientClass { networks: vec![range.parse().expect("a range")], reserved, ..ClientClass::named(name) }
         };
         let classes = |lower: usize| vec![
-            ranged("desk", "127.9.0.0/16", keeps.0),
+            ranged("desk", "127.9.0.0/16", reserves.0),
             // Round the first: the narrowest range counts.
-            ClientClass { max_connections: Some((5 + limits.0 - lower.min(4)).max(keeps.1)), ..ranged("house", "127.8.0.0/15", keeps.1) },
+            ClientClass { max_connections: Some((5 + limits.0 - lower.min(4)).max(reserves.1)), ..ranged("house", "127.8.0.0/15", reserves.1) },
             ClientClass { max_per_address: Some(limits.1), rate: Some(rate), ..ClientClass::named(DEFAULT_CLASS) },
         ];
-        let mut front = begin(classes(0), room);
+        let mut front = begin(classes(0), capacity);
         let (mut now, mut passes, mut lower, mut changed) = (Timestamp(0), Vec::<(AdmittedConnection, IpAddr)>::new(), 0, false);
         let mut came: BTreeMap<IpAddr, Vec<Timestamp>> = BTreeMap::new();
         for (what, net, host, wait) in steps {
@@ -224,7 +229,7 @@
             if what == 9 {
                 lower = usize::from(host);
                 changed = true;
-                front.set_limits(connection_limits(classes(lower), room)).expect("they fit");
+                front.set_limits(connection_limits(classes(lower), capacity)).expect("they fit");
                 continue;
             }
             if what >= 6 {
@@ -238,18 +243,18 @@
             let class = match net { 2 => &classes[0], 1 => &classes[1], _ => &classes[2] };
             let mine = passes.iter().filter(|(pass, _)| pass.class == class.name).count();
             let by_source = passes.iter().filter(|(_, other)| *other == networks).count();
-            let kept = |class: &ClientClass| {
+            let reserved = |class: &ClientClass| {
                 let held = passes.iter().filter(|(pass, _)| pass.class == class.name).count();
                 class.reserved.saturating_sub(held)
             };
-            let for_others: usize = classes.iter().filter(|other| other.name != class.name).map(kept).sum();
+            let for_others: usize = classes.iter().filter(|other| other.name != class.name).map(reserved).sum();
             match front.admit(now, networks, None) {
                 Ok(pass) => {
                     prop_assert_eq!(&pass.class, &class.name);
                     prop_assert!(class.max_connections.is_none_or(|max_connections| mine < max_connections));
                     prop_assert!(class.max_per_address.is_none_or(|max_per_address| by_source < max_per_address));
-                    prop_assert!(passes.len() < room);
-                    prop_assert!(changed || mine < class.reserved || passes.len() + for_others < room);
+                    prop_assert!(passes.len() < capacity);
+                    prop_assert!(changed || mine < class.reserved || passes.len() + for_others < capacity);
                     let came = came.entry(networks).or_default();
                     came.push(now);
                     if class.rate.is_some() {
@@ -263,7 +268,7 @@
                         RejectionReason::Rate => class.rate.is_some(),
                         RejectionReason::AddressLimit => class.max_per_address.is_some_and(|max_per_address| by_source >= max_per_address),
                         RejectionReason::ClassLimit => class.max_connections.is_some_and(|max_connections| mine >= max_connections),
-                        RejectionReason::Reserved => passes.len() + for_others >= room,
+                        RejectionReason::Reserved => passes.len() + for_others >= capacity,
                         RejectionReason::Handshakes => false,
                     };
                     prop_assert!(cause, "{refusal:?}");
--- a/admission/tests/handshakes.rs
+++ b/admission/tests/handshakes.rs
@@ -17,81 +17,81 @@
 
 #[test]
 fn a_flood_that_never_says_its_name_pushes_out_itself() {
-    let mut lobby = HandshakeQueue::new(8);
+    let mut queue = HandshakeQueue::new(8);
     for _ in 0..1_000 {
-        match lobby.enqueue(address(1)) {
+        match queue.enqueue(address(1)) {
             Enqueued::Free(_) => {}
             Enqueued::Displacing { displaced: other, .. } => {
-                assert!(!lobby.leave(other), "it was asked to make way");
+                assert!(!queue.leave(other), "it was asked to make way");
             }
             Enqueued::Full => panic!("those asked have left"),
         }
     }
-    let Enqueued::Displacing { entered: desk, .. } = lobby.enqueue(address(2)) else {
+    let Enqueued::Displacing { entered: desk, .. } = queue.enqueue(address(2)) else {
         panic!("it always comes in")
     };
     // Of many sources too: who came first goes first, and a client needs one round trip to say its name.
     for nth in 3..10 {
-        let Enqueued::Displacing { displaced: other, .. } = lobby.enqueue(address(nth)) else {
+        let Enqueued::Displacing { displaced: other, .. } = queue.enqueue(address(nth)) else {
             panic!("it always comes in")
         };
         assert_ne!(other, desk);
-        lobby.leave(other);
+        queue.leave(other);
     }
-    assert!(lobby.leave(desk), "it says its name and is through");
+    assert!(queue.leave(desk), "it says its name and is through");
 }
 
 #[test]
 fn while_nobody_goes_no_more_come_in_than_there_are_descriptors() {
-    let mut lobby = HandshakeQueue::new(4);
+    let mut queue = HandshakeQueue::new(4);
     let (mut asked, mut full) = (Vec::new(), 0);
     for nth in 0..100 {
-        match lobby.enqueue(address(nth)) {
+        match queue.enqueue(address(nth)) {
             Enqueued::Free(_) => {}
             Enqueued::Displacing { displaced: other, .. } => asked.push(other),
             Enqueued::Full => full += 1,
         }
     }
-    assert_eq!((asked.len(), full, lobby.len()), (4, 92, 4));
-    lobby.leave(asked[0]);
-    assert!(matches!(lobby.enqueue(address(200)), Enqueued::Displacing { .. }));
+    assert_eq!((asked.len(), full, queue.len()), (4, 92, 4));
+    queue.leave(asked[0]);
+    assert!(matches!(queue.enqueue(address(200)), Enqueued::Displacing { .. }));
 }
 
 #[test]
 fn the_door_neither_spins_nor_stands_still() {
-    for trouble in [
+    for error in [
         AcceptError::Aborted,
         AcceptError::NoDescriptor,
         AcceptError::NoMemory,
         AcceptError::Interrupted,
         AcceptError::Other,
     ] {
-        let (mut door, mut waited, mut longest) =
+        let (mut acceptor, mut waited, mut longest) =
             (AcceptBackoff::default(), TimeDelta::ZERO, TimeDelta::ZERO);
         for _ in 0..1_000 {
-            let wait = match door.failed(trouble) {
+            let wait = match acceptor.failed(error) {
                 AcceptStep::RetryNow => TimeDelta::ZERO,
                 AcceptStep::Wait(wait) => wait,
-                AcceptStep::RejectOne { wait: told, wait_on_failure: not } => {
-                    assert!(trouble == AcceptError::NoDescriptor && not > told);
-                    told
+                AcceptStep::RejectOne { wait: decisions, wait_on_failure: not } => {
+                    assert!(error == AcceptError::NoDescriptor && not > decisions);
+                    decisions
                 }
             };
             (waited, longest) = (waited + wait, longest.max(wait));
         }
-        assert!(waited >= TimeDelta::from_millis(100), "{trouble:?}: a thousand tries in {waited:?}");
-        assert!(longest <= TimeDelta::from_millis(100), "{trouble:?}: it stands still for {longest:?}");
+        assert!(waited >= TimeDelta::from_millis(100), "{error:?}: a thousand tries in {waited:?}");
+        assert!(longest <= TimeDelta::from_millis(100), "{error:?}: it stands still for {longest:?}");
     }
-    let mut door = AcceptBackoff::default();
+    let mut acceptor = AcceptBackoff::default();
     assert_eq!(
-        door.failed(AcceptError::Aborted),
+        acceptor.failed(AcceptError::Aborted),
         AcceptStep::RetryNow,
         "one that is over costs the next nothing"
     );
-    (0..10).for_each(|_| _ = door.failed(AcceptError::NoMemory));
-    door.accepted();
+    (0..10).for_each(|_| _ = acceptor.failed(AcceptError::NoMemory));
+    acceptor.accepted();
     assert_eq!(
-        door.failed(AcceptError::NoMemory),
+        acceptor.failed(AcceptError::NoMemory),
         AcceptStep::Wait(TimeDelta::from_millis(1)),
         "what is past is past"
     );
@@ -142,21 +142,21 @@
         max_connections in 1..6usize,
         steps in prop::collection::vec((0..8u8, any::<u8>()), 1..200),
     ) {
-        let mut lobby = HandshakeQueue::new(max_connections);
+        let mut queue = HandshakeQueue::new(max_connections);
         let (mut inside, mut leaving) = (BTreeMap::<HandshakeId, u8>::new(), Vec::new());
         for (what, nth) in steps {
             if what == 7 {
                 if !leaving.is_empty() {
                     let place = leaving.swap_remove(usize::from(nth) % leaving.len());
-                    prop_assert!(!lobby.leave(place));
+                    prop_assert!(!queue.leave(place));
                 }
             } else if what >= 5 {
                 if let Some(place) = inside.keys().nth(usize::from(nth) % inside.len().max(1)).copied() {
                     inside.remove(&place);
-                    prop_assert!(lobby.leave(place));
+                    prop_assert!(queue.leave(place));
                 }
             } else {
-                match lobby.enqueue(address(what)) {
+                match queue.enqueue(address(what)) {
                     Enqueued::Free(place) => {
                         prop_assert!(inside.len() < max_connections);
                         inside.insert(place, what);
@@ -171,8 +171,8 @@
                     Enqueued::Full => prop_assert!(inside.len() >= max_connections && leaving.len() >= max_connections),
                 }
             }
-            prop_assert_eq!(lobby.len(), inside.len());
-            prop_assert!(lobby.len() + leaving.len() <= lobby.max_descriptors());
+            prop_assert_eq!(queue.len(), inside.len());
+            prop_assert!(queue.len() + leaving.len() <= queue.max_descriptors());
         }
     }
 }
--- a/endpoint-cache/tests/crashes.rs
+++ b/endpoint-cache/tests/crashes.rs
@@ -151,16 +151,16 @@
             .expect("it starts");
         let mut lines = BufReader::new(child.stderr.take().expect("its words")).lines();
         // Its last word before it is killed, after more and more of them.
-        let mut word = |lines: &mut dyn Iterator<Item = std::io::Result<String>>| {
+        let mut byte = |lines: &mut dyn Iterator<Item = std::io::Result<String>>| {
             let report = lines.next()?.ok()?;
             last = report.strip_prefix("saved ").and_then(|number| number.parse().ok()).unwrap_or(last);
             Some(())
         };
         for _ in 0..=round % 7 {
-            word(&mut lines);
+            byte(&mut lines);
         }
         child.kill().expect("killed");
-        while word(&mut lines).is_some() {}
+        while byte(&mut lines).is_some() {}
         child.wait().expect("ended");
         let loaded = CacheDirectory::read(folder.path());
         let (list, _) = loaded.list.expect("a whole one");
--- a/recovery/tests/primary_discovery.rs
+++ b/recovery/tests/primary_discovery.rs
@@ -34,7 +34,7 @@
 
 /// A recovery, and what its host has been told by it.
 struct Rig {
-    regain: PrimaryDiscovery,
+    discovery: PrimaryDiscovery,
     now: i64,
     out: BTreeSet<usize>,
     open: BTreeSet<usize>,
@@ -44,12 +44,12 @@
 }
 
 impl Rig {
-    /// `groups` groups of three stores each, listed `age` milliseconds ago.
+    /// `groups` groups of three endpoints each, listed `age` milliseconds ago.
     fn new(groups: usize, age: i64) -> Rig {
         let confirmed = at(START - age);
         let times = Some(CacheTimes { confirmed, saved: confirmed });
         let mut rig = Rig {
-            regain: PrimaryDiscovery::new(DiscoverySettings {
+            discovery: PrimaryDiscovery::new(DiscoverySettings {
                 cache_times: times,
                 may_query: true,
                 descriptors: usize::MAX,
@@ -68,11 +68,11 @@
 
     fn give(&mut self, event: Event) {
         let mut actions = Vec::new();
-        self.regain.on_event(at(self.now), event, &mut actions);
+        self.discovery.on_event(at(self.now), event, &mut actions);
         for action in actions {
             match action {
                 Action::Query { endpoint } => {
-                    assert!(self.out.insert(endpoint), "a store has one question at a time");
+                    assert!(self.out.insert(endpoint), "an endpoint has one question at a time");
                     self.queried_at += 1;
                 }
                 Action::Admit { endpoint } => assert!(self.open.insert(endpoint), "admitted once"),
@@ -103,7 +103,7 @@
             }
             self.pass(100);
         }
-        assert!(self.out.remove(&endpoint), "store {endpoint} is asked in the end");
+        assert!(self.out.remove(&endpoint), "endpoint {endpoint} is asked in the end");
         let queried_at = at(self.now);
         self.now += 1;
         self.give(Event::Answered { endpoint, queried_at, identity, report });
@@ -246,7 +246,7 @@
         rig.answer(1, untold(primary(rig.now, 1)));
         assert_eq!(rig.eligibility(0), PrimaryEligibility::Nobody);
     }
-    assert_eq!(rig.regain.group_state(0), Some(GroupState::Contested));
+    assert_eq!(rig.discovery.group_state(0), Some(GroupState::Contested));
     // The first stands still: asked after the other had told more, it says less.
     let still = rig.now - 50;
     rig.answer(1, untold(primary(rig.now, 1)));
@@ -289,7 +289,7 @@
         rig.say(0, Identity::Unknown, RoleReport { timeline: None, ..primary(START, 1) });
     }
     assert!(fresh.open.contains(&0) && !old.open.contains(&0));
-    assert_eq!(old.regain.endpoint(0).map(|endpoint| endpoint.state), Some(EndpointState::Anonymous));
+    assert_eq!(old.discovery.endpoint(0).map(|endpoint| endpoint.state), Some(EndpointState::Anonymous));
     old.vouch(0..3);
     old.say(0, Identity::Unknown, RoleReport { timeline: None, ..primary(old.now, 1) });
     old.fail(1, QueryFailure::NoAnswer);
@@ -310,9 +310,9 @@
     rig.vouch(1..3);
     assert!(!rig.open.contains(&0));
     assert_eq!(rig.eligibility(0), PrimaryEligibility::Any);
-    assert!(rig.regain.is_over());
+    assert!(rig.discovery.is_over());
     rig.pass(60_000);
-    assert_eq!(rig.regain.due(at(rig.now)), None, "nobody is asked any more");
+    assert_eq!(rig.discovery.due(at(rig.now)), None, "nobody is asked any more");
 }
 
 #[test]
@@ -330,7 +330,7 @@
 #[test]
 fn where_stores_cannot_be_asked_only_discovery_frees() {
     let mut rig = Rig::new(1, 5_000);
-    rig.regain =
+    rig.discovery =
         PrimaryDiscovery::new(DiscoverySettings { cache_times: None, may_query: false, descriptors: 8 });
     rig.out.clear();
     let members = (0..3).map(|endpoint| Member { endpoint, group: 0 }).collect();
@@ -347,14 +347,14 @@
         let mut rig = Rig::new(groups, age);
         let wanted = groups - 1;
         rig.give(Event::RequestWaiting { group: wanted });
-        let (mut claims_required, mut wanted_at, mut heard) = (0, None, BTreeSet::new());
-        while heard.len() < groups * 3 {
+        let (mut claims_required, mut wanted_at, mut answered) = (0, None, BTreeSet::new());
+        while answered.len() < groups * 3 {
             claims_required += 1;
             assert!(claims_required < 100_000, "all are heard in the end");
             let queried_at: Vec<usize> = rig.out.iter().copied().collect();
             for endpoint in queried_at {
                 rig.out.remove(&endpoint);
-                heard.insert(endpoint);
+                answered.insert(endpoint);
                 let report = if endpoint % 3 == 0 { primary(rig.now, 1) } else { replica(rig.now, 1) };
                 let queried_at = at(rig.now);
                 rig.give(Event::Answered { endpoint, queried_at, identity: Identity::Confirmed, report });
@@ -384,39 +384,42 @@
     );
     assert_eq!(age(times(START - 1_000, START - 60_000), None), Staleness::Unknown, "the clock was set back");
     assert_eq!(age(None, None), Staleness::Unknown);
-    // Our clock says five seconds, the stores say an hour and more.
+    // Our clock says five seconds, the endpoints say an hour and more.
     assert_eq!(age(times(START - 5_000, START - 5_000), Some(at(START + DAY / 12))), Staleness::Old);
 }
 
 #[test]
 fn another_life_of_discovery_is_taken_once_it_has_shown_itself_twice_and_an_old_copy_is_not() {
     let complete = |version| OfferedList { version, complete: true, empty: false };
-    let mut lives = IncarnationTracker::new(40, true);
+    let mut tracker = IncarnationTracker::new(40, true);
     assert_eq!(
-        lives.offer(at(0), OfferedList { empty: true, ..complete(50) }),
+        tracker.offer(at(0), OfferedList { empty: true, ..complete(50) }),
         ListDecision::Ignore,
         "all is lost there"
     );
-    assert_eq!(lives.offer(at(0), complete(41)), ListDecision::Accept);
+    assert_eq!(tracker.offer(at(0), complete(41)), ListDecision::Accept);
     // An old copy, then our own life again: forgotten.
-    assert_eq!(lives.offer(at(100), complete(5)), ListDecision::Suspect);
-    assert_eq!(lives.offer(at(200), complete(42)), ListDecision::Accept);
-    assert_eq!(lives.offer(at(9_000), complete(5)), ListDecision::Suspect);
-    assert_eq!(lives.poll_again_at(), Some(at(9_000) + CONFIRMATION_INTERVAL));
-    assert_eq!(lives.offer(at(9_100), complete(5)), ListDecision::Suspect, "too soon");
-    assert_eq!(lives.offer(at(9_200), OfferedList { complete: false, ..complete(6) }), ListDecision::Ignore);
+    assert_eq!(tracker.offer(at(100), complete(5)), ListDecision::Suspect);
+    assert_eq!(tracker.offer(at(200), complete(42)), ListDecision::Accept);
+    assert_eq!(tracker.offer(at(9_000), complete(5)), ListDecision::Suspect);
+    assert_eq!(tracker.poll_again_at(), Some(at(9_000) + CONFIRMATION_INTERVAL));
+    assert_eq!(tracker.offer(at(9_100), complete(5)), ListDecision::Suspect, "too soon");
     assert_eq!(
-        lives.offer(at(9_000) + CONFIRMATION_INTERVAL, complete(4)),
+        tracker.offer(at(9_200), OfferedList { complete: false, ..complete(6) }),
+        ListDecision::Ignore
+    );
+    assert_eq!(
+        tracker.offer(at(9_000) + CONFIRMATION_INTERVAL, complete(4)),
         ListDecision::Suspect,
         "older than what it showed"
     );
     assert_eq!(
-        lives.offer(at(9_000) + CONFIRMATION_INTERVAL + CONFIRMATION_INTERVAL, complete(4)),
+        tracker.offer(at(9_000) + CONFIRMATION_INTERVAL + CONFIRMATION_INTERVAL, complete(4)),
         ListDecision::Accept
     );
-    assert_eq!(lives.version(), 4);
+    assert_eq!(tracker.version(), 4);
     assert_eq!(
-        lives.offer(at(20_000), OfferedList { empty: true, ..complete(9) }),
+        tracker.offer(at(20_000), OfferedList { empty: true, ..complete(9) }),
         ListDecision::Accept,
         "its life, its word"
     );
@@ -425,23 +428,23 @@
 #[test]
 fn saves_follow_changes_and_leave_a_failing_disk_alone() {
     let gap = TimeDelta::from_millis(1_000);
-    let mut pace = SaveSchedule::new(gap);
-    assert_eq!(pace.due(), None);
-    pace.changed(at(START));
-    pace.changed(at(START + 100));
-    let due = pace.due().expect("soon");
+    let mut schedule = SaveSchedule::new(gap);
+    assert_eq!(schedule.due(), None);
+    schedule.changed(at(START));
+    schedule.changed(at(START + 100));
+    let due = schedule.due().expect("soon");
     assert!(due >= at(START) && due <= at(START + 200), "soon after the first of several changes");
-    pace.started(due);
-    pace.ended(due, true);
-    pace.changed(due);
-    assert_eq!(pace.due(), Some(due + gap));
+    schedule.started(due);
+    schedule.ended(due, true);
+    schedule.changed(due);
+    assert_eq!(schedule.due(), Some(due + gap));
     let (mut now, mut pauses) = (due, Vec::new());
     for _ in 0..12 {
-        let next = pace.due().expect("what failed is made up for");
+        let next = schedule.due().expect("what failed is made up for");
         pauses.push(next - now);
         now = next;
-        pace.started(now);
-        pace.ended(now, false);
+        schedule.started(now);
+        schedule.ended(now, false);
     }
     assert!(pauses.windows(2).all(|two| two[0] <= two[1]), "{pauses:?}");
     assert_eq!(pauses.last(), Some(&TimeDelta::from_millis(60_000)));
@@ -463,7 +466,7 @@
 
     /// A world in which each group has one true primary on the latest timeline, which may be another at any
     /// time, and former ones that go on claiming on theirs. Whatever is asked, answered and lost in whatever
-    /// order: nobody but a store that was true primary when it was last asked is ever cleared.
+    /// order: nobody but an endpoint that was true primary when it was last asked is ever cleared.
     #[test]
     fn only_a_true_primary_is_cleared(
         ages in 0..5usize,
@@ -471,7 +474,7 @@
     ) {
         let age = [1_000, 50_000, 600_000, 2 * DAY, -DAY][ages];
         let mut rig = Rig::new(3, age);
-        // By store: the timeline it is on, whether it believes itself primary, and where it stands since it
+        // By endpoint: the timeline it is on, whether it believes itself primary, and where it stands since it
         // was cut.
         let mut timeline = [1u32; 9];
         let mut claims: [bool; 9] = std::array::from_fn(|endpoint| endpoint % 3 == 0);
@@ -519,7 +522,7 @@
                 }
                 8 => {
                     if rig.out.remove(&endpoint) {
-                        // Who refuses is not running; a store that claims is.
+                        // Who refuses is not running; an endpoint that claims is.
                         let why = if how % 3 == 0 && !claims[endpoint] { QueryFailure::Refused } else { QueryFailure::NoAnswer };
                         rig.give(Event::Failed { endpoint, failure: why });
                     }
@@ -542,7 +545,7 @@
                     cleared[group] = None;
                 }
             }
-            prop_assert!(rig.out.len() <= rig.regain.verification_level(at(rig.now)).max_queries.max(64));
+            prop_assert!(rig.out.len() <= rig.discovery.verification_level(at(rig.now)).max_queries.max(64));
         }
         // Whatever happened: once all can be heard and discovery is back, each group has its primary.
         rig.vouch(0..9);
@@ -565,6 +568,6 @@
             }
             rig.pass(50);
         }
-        prop_assert!(rig.regain.is_over(), "{:?}", rig.cleared);
+        prop_assert!(rig.discovery.is_over(), "{:?}", rig.cleared);
     }
 }
--- /dev/null
+++ b/routing/tests/health_checks.rs
@@ -0,0 +1,107 @@
+//! When health checks are made, and what their results change.
+
+#[allow(dead_code)] // Each test file uses a part of it.
+mod support;
+
+use routing::time::TimeDelta;
+use routing::*;
+use support::*;
+
+#[test]
+fn health_checks_follow_the_instance_s_own_traffic() {
+    let mut harness = Harness::with_reports(LagHandling::ServeStale, 20, 1);
+    harness.advance(TimeDelta::from_millis(20_000));
+    assert_eq!(
+        harness.health_checks.len(),
+        0,
+        "no request, no health check, however old all that was told has grown"
+    );
+    for _ in 0..10 {
+        harness.arrive(BOUNDED_READ, 0, 1.0);
+        harness.advance(TimeDelta::from_millis(1000));
+    }
+    let health_checks = harness.health_checks.len();
+    assert!(
+        (1..=10).contains(&health_checks),
+        "{health_checks} health checks for ten reads in one of twenty groups"
+    );
+}
+
+#[test]
+fn waiting_reads_check_slowly_and_a_rejected_health_check_ejects_nobody() {
+    let mut harness = Harness::with_reports(LagHandling::ServeStale, 1, 1);
+    harness.advance(TimeDelta::from_millis(200));
+    harness.health_check_ended(1, AttemptOutcome::Rejected, harness.now, false);
+    let reads = [(); 3].map(|()| harness.arrive(ANY_READ, 0, 1.0));
+    assert!(
+        harness.sent.iter().any(|sent| sent.1 == 1),
+        "one goes to the one that was too busy for a health check"
+    );
+    reads.iter().for_each(|&read| harness.end(read, AttemptOutcome::Succeeded, None));
+    harness.advance(BOUND * 2);
+    let before = harness.health_checks.len();
+    harness.arrive(BOUNDED_READ, 0, 1.0);
+    harness.advance(TimeDelta::from_millis(250));
+    assert!(
+        harness.health_checks.len() - before <= 2,
+        "its own health check and one more in its first five beats"
+    );
+}
+
+#[test]
+fn no_health_check_is_made_for_a_write_and_of_many_instances_one_for_a_waiting_read() {
+    let mut harness = Harness::with_instances(100, LagHandling::ServeStale, 1, 1);
+    harness.advance(BOUND * 2);
+    let write = harness.arrive(WRITE, 0, 1.0);
+    harness.end(write, AttemptOutcome::Succeeded, Some(true));
+    harness.advance(BOUND * 2);
+    assert_eq!(harness.health_checks, [], "nobody reads, and the primary has spoken");
+    for (instances, most) in [(2, 2), (100, 1)] {
+        let mut harness = Harness::with_instances(instances, LagHandling::ServeStale, 1, 1);
+        harness.advance(BOUND + TICK * 4);
+        harness.arrive(BOUNDED_READ, 0, 1.0);
+        harness.advance(TimeDelta::from_millis(290));
+        assert_eq!(harness.health_checks.len(), most, "{instances} instances");
+    }
+}
+
+#[test]
+fn a_health_check_is_made_only_if_no_replica_qualifies_and_of_the_least_behind_first() {
+    let mut harness = Harness::with_instances(100, LagHandling::ServeStale, 1, 1);
+    for _ in 0..3 {
+        let read = harness.arrive(BOUNDED_READ, 0, 1.0);
+        harness.advance(TimeDelta::from_millis(60));
+        harness.end(read, AttemptOutcome::Succeeded, None);
+        harness.advance(TimeDelta::from_millis(150));
+    }
+    assert_eq!(harness.health_checks.len(), 0, "what is known of a replica was enough for each of them");
+    for behind in [1, 2] {
+        harness.advance(BOUND * 2);
+        harness.health_check_ended(behind, AttemptOutcome::Succeeded, harness.now - BOUND * 2, false);
+        harness.health_check_ended(3 - behind, AttemptOutcome::Succeeded, harness.now, false);
+        harness.advance(BOUND * 2);
+        harness.arrive(BOUNDED_READ, 0, 1.0);
+        assert_eq!(harness.health_checks.first(), Some(&(3 - behind)));
+        harness.advance(BOUND * 2);
+        harness.health_checks.clear();
+    }
+}
+
+#[test]
+fn a_waiting_read_checks_no_sound_primary() {
+    let mut harness = Harness::with_reports(LagHandling::ServeStale, 1, 1);
+    // Behind by more than the bound, and near enough to be waited for.
+    harness.advance(BOUND + TICK * 4);
+    for replica in [1, 2] {
+        harness.health_check_ended(replica, AttemptOutcome::Succeeded, harness.now - BOUND - TICK, false);
+    }
+    harness.advance(TimeDelta::from_millis(150));
+    let read = harness.arrive(BOUNDED_READ, 0, 1.0);
+    assert!(harness.open_requests[&read].in_flight.is_none(), "no replica is known to be fit");
+    harness.advance(TimeDelta::from_millis(250));
+    assert!(
+        !harness.health_checks.is_empty() && !harness.health_checks.contains(&0),
+        "{:?}",
+        harness.health_checks
+    );
+}
--- a/routing/tests/replay.rs
+++ b/routing/tests/replay.rs
@@ -52,16 +52,16 @@
 
 /// A host that plays drawn events.
 struct Player {
-    router: RoutingPolicy,
+    policy: RoutingPolicy,
     routing_settings: RoutingSettings,
     now: Timestamp,
     draws: Mwc,
     next_rpc: RequestId,
     attempts: Vec<Attempt>,
     /// Attempts made, by RPC that is still open.
-    open: BTreeMap<RequestId, u32>,
+    open_requests: BTreeMap<RequestId, u32>,
     timers: BTreeSet<(Timestamp, u64)>,
-    probes: Vec<EndpointIndex>,
+    pending_health_checks: Vec<EndpointIndex>,
     actions: usize,
     checksum: u64,
 }
@@ -70,23 +70,23 @@
     fn new(routing_settings: RoutingSettings, seed: u64) -> Player {
         let now = Timestamp(1_000_000_000_000);
         let mut actions = Vec::new();
-        let router = RoutingPolicy::new(seed, &routing_settings, now, &mut actions);
+        let policy = RoutingPolicy::new(seed, &routing_settings, now, &mut actions);
         let mut player = Player {
-            router,
+            policy,
             routing_settings,
             now,
             draws: Mwc::new(seed ^ 0x5eed),
             next_rpc: 0,
             attempts: Vec::new(),
-            open: BTreeMap::new(),
+            open_requests: BTreeMap::new(),
             timers: BTreeSet::new(),
-            probes: Vec::new(),
+            pending_health_checks: Vec::new(),
             actions: 0,
             checksum: 0xcbf2_9ce4_8422_2325,
         };
-        player.carry_out(actions);
+        player.apply_actions(actions);
         let records = (0..STORES).map(|endpoint| player.entry(endpoint, EndpointStatus::Serving)).collect();
-        player.give(Event::EndpointList { complete: true, records });
+        player.report(Event::EndpointList { complete: true, records });
         player
     }
 
@@ -109,7 +109,7 @@
     }
 
     /// What a store says of itself: often right, sometimes old, in part, or of a time to come.
-    fn told(&mut self, endpoint: EndpointIndex) -> EndpointReport {
+    fn endpoint_report(&mut self, endpoint: EndpointIndex) -> EndpointReport {
         let lag = [0, 5, 40, 300, 1_200, -400][self.draw(6)];
         let position = (self.draw(5) > 0).then(|| self.now - TimeDelta::from_millis(lag));
         let primary = endpoint.is_multiple_of(3) != (self.draw(12) == 0);
@@ -124,7 +124,7 @@
             + self.routing_settings.methods[method].deadline.mul_f64(0.3 + self.draw(70) as f64 / 100.0);
         let request = self.next_rpc;
         self.next_rpc += 1;
-        self.open.insert(request, 0);
+        self.open_requests.insert(request, 0);
         let arrival = RequestArrival {
             request,
             method,
@@ -137,7 +137,7 @@
             deadline,
             client_retry: self.draw(6) == 0,
         };
-        self.give(Event::RequestArrived(arrival));
+        self.report(Event::RequestArrived(arrival));
     }
 
     fn end_attempt(&mut self) {
@@ -146,7 +146,7 @@
         }
         let nth = self.draw(self.attempts.len());
         let Attempt { request, number, endpoint, sent } = self.attempts.remove(nth);
-        let confirmed = self.router.confirm_attempt(self.now, request, number, endpoint);
+        let confirmed = self.policy.confirm_attempt(self.now, request, number, endpoint);
         self.record(&format!("confirms {request} {number} {endpoint} {confirmed}"));
         let outcomes = [
             AttemptOutcome::Failed,
@@ -160,11 +160,12 @@
         ];
         let outcome =
             if self.draw(4) > 0 { AttemptOutcome::Succeeded } else { outcomes[self.draw(outcomes.len())] };
-        let request_closed = outcome == AttemptOutcome::Succeeded || !self.open.contains_key(&request);
+        let request_closed =
+            outcome == AttemptOutcome::Succeeded || !self.open_requests.contains_key(&request);
         if request_closed {
-            self.open.remove(&request);
+            self.open_requests.remove(&request);
         }
-        let (answer_report, load_report) = (self.told(endpoint), self.told(endpoint));
+        let (answer_report, load_report) = (self.endpoint_report(endpoint), self.endpoint_report(endpoint));
         let write_session = (self.draw(3) == 0).then(|| self.draw(5) as u64);
         let elapsed = self.now - sent;
         let end = AttemptEnd {
@@ -178,11 +179,11 @@
             answer_report,
             load_report,
         };
-        self.give(Event::AttemptEnded(end));
+        self.report(Event::AttemptEnded(end));
     }
 
     fn end_probe(&mut self) {
-        let Some(endpoint) = self.probes.pop() else { return };
+        let Some(endpoint) = self.pending_health_checks.pop() else { return };
         let outcome = [
             AttemptOutcome::Succeeded,
             AttemptOutcome::Succeeded,
@@ -191,11 +192,16 @@
             AttemptOutcome::TimedOut,
         ][self.draw(5)];
         let load_report = if outcome == AttemptOutcome::Succeeded {
-            self.told(endpoint)
+            self.endpoint_report(endpoint)
         } else {
             EndpointReport::default()
         };
-        self.give(Event::HealthCheckEnded { endpoint, outcome, elapsed: support::TICK, report: load_report });
+        self.report(Event::HealthCheckEnded {
+            endpoint,
+            outcome,
+            elapsed: support::TICK,
+            report: load_report,
+        });
     }
 
     fn change_list(&mut self) {
@@ -207,32 +213,32 @@
             EndpointStatus::Removed,
         ][self.draw(4)];
         let records = vec![self.entry(endpoint, status)];
-        self.give(Event::EndpointList { complete: false, records });
+        self.report(Event::EndpointList { complete: false, records });
     }
 
-    fn clear(&mut self) {
+    fn change_eligibility(&mut self) {
         let group = self.draw(GROUPS);
         let only = PrimaryEligibility::Only(group * 3 + self.draw(3));
         let eligibility =
             [PrimaryEligibility::Any, PrimaryEligibility::Any, PrimaryEligibility::Nobody, only]
                 [self.draw(4)];
-        self.give(Event::PrimaryEligibility { group, eligibility });
+        self.report(Event::PrimaryEligibility { group, eligibility });
     }
 
     fn leave(&mut self) {
-        let open: Vec<RequestId> = self.open.keys().copied().collect();
-        if let Some(&request) = open.get(self.draw(open.len().max(1))) {
-            self.open.remove(&request);
-            self.give(Event::ClientGone { request });
+        let open_requests: Vec<RequestId> = self.open_requests.keys().copied().collect();
+        if let Some(&request) = open_requests.get(self.draw(open_requests.len().max(1))) {
+            self.open_requests.remove(&request);
+            self.report(Event::ClientGone { request });
         }
     }
 
-    fn pass(&mut self, span: TimeDelta) {
+    fn advance(&mut self, span: TimeDelta) {
         let until = self.now + span;
         while let Some(&due) = self.timers.first().filter(|due| due.0 <= until) {
             self.timers.remove(&due);
             self.now = self.now.max(due.0);
-            self.give(Event::TimerFired { tag: due.1 });
+            self.report(Event::TimerFired { tag: due.1 });
         }
         self.now = until;
     }
@@ -244,36 +250,36 @@
             15..=17 => self.end_probe(),
             18 => self.leave(),
             19 if self.draw(4) == 0 => self.change_list(),
-            19 if self.draw(4) == 0 => self.clear(),
-            19 if self.draw(4) == 0 => self.give(Event::EndpointListFailed),
+            19 if self.draw(4) == 0 => self.change_eligibility(),
+            19 if self.draw(4) == 0 => self.report(Event::EndpointListFailed),
             _ => {
                 let span = TimeDelta::from_millis([0, 1, 4, 20, 90][self.draw(5)]);
-                self.pass(span);
+                self.advance(span);
             }
         }
     }
 
-    fn give(&mut self, event: Event) {
+    fn report(&mut self, event: Event) {
         let mut actions = Vec::new();
-        self.router.on_event(self.now, event, &mut actions);
-        self.carry_out(actions);
+        self.policy.on_event(self.now, event, &mut actions);
+        self.apply_actions(actions);
     }
 
-    fn carry_out(&mut self, actions: Vec<Action>) {
+    fn apply_actions(&mut self, actions: Vec<Action>) {
         for action in actions {
             let line = match action {
                 Action::StartAttempt { request, endpoint, timeout } => {
-                    let made = self.open.entry(request).or_default();
+                    let made = self.open_requests.entry(request).or_default();
                     self.attempts.push(Attempt { request, number: *made, endpoint, sent: self.now });
                     *made += 1;
                     format!("send {request} {endpoint} {}", timeout.0)
                 }
                 Action::Reject { request, retry_after } => {
-                    self.open.remove(&request);
+                    self.open_requests.remove(&request);
                     format!("reject {request} {}", retry_after.map_or(-1, |span| span.0))
                 }
                 Action::Abort { request } => {
-                    self.open.remove(&request);
+                    self.open_requests.remove(&request);
                     format!("abort {request}")
                 }
                 Action::CancelAttempt { request, attempt } => format!("withdraw {request} {attempt}"),
@@ -282,7 +288,7 @@
                     format!("remind {tag} {}", at.0)
                 }
                 Action::CheckHealth { endpoint } => {
-                    self.probes.push(endpoint);
+                    self.pending_health_checks.push(endpoint);
                     format!("probe {endpoint}")
                 }
                 Action::WatchEndpointList => "watch".to_string(),
--- /dev/null
+++ b/routing/tests/requests.rs
@@ -0,0 +1,217 @@
+//! The way of single requests: waiting, retries, confirmation, giving up.
+
+#[allow(dead_code)] // Each test file uses a part of it.
+mod support;
+
+use routing::time::{TimeDelta, Timestamp};
+use routing::*;
+use support::*;
+
+fn end_attempt(
+    harness: &mut Harness,
+    request: RequestId,
+    outcome: AttemptOutcome,
+    role: Option<bool>,
+) -> Option<EndpointIndex> {
+    harness.end(request, outcome, role);
+    harness.open_requests.get(&request).and_then(|open| open.in_flight).map(|in_flight| in_flight.1)
+}
+
+#[test]
+fn a_bounded_read_goes_to_a_replica_and_waits_for_one_before_the_primary() {
+    let mut harness = Harness::with_reports(LagHandling::ServeStale, 1, 1);
+    harness.arrive(BOUNDED_READ, 0, 1.0);
+    assert_ne!(harness.sent[0].1, 0, "a fresh replica serves it");
+    harness.advance(BOUND + TICK);
+    let held = harness.arrive(BOUNDED_READ, 0, 1.0);
+    assert!(
+        harness.open_requests[&held].in_flight.is_none(),
+        "told positions have aged past the bound: held"
+    );
+    harness.health_check_ended(2, AttemptOutcome::Succeeded, harness.now, false);
+    assert_eq!(
+        harness.open_requests[&held].in_flight.map(|in_flight| in_flight.1),
+        Some(2),
+        "news of a fresh one lets it go"
+    );
+    harness.advance(BOUND + TICK);
+    let late = harness.arrive(BOUNDED_READ, 0, 1.0);
+    harness.advance(TimeDelta::from_millis(400));
+    assert_eq!(
+        harness.open_requests[&late].in_flight.map(|in_flight| in_flight.1),
+        Some(0),
+        "half of its time is spent: the primary"
+    );
+}
+
+#[test]
+fn a_keyed_retry_is_not_confirmed_past_its_deduplication_window() {
+    let mut routing_settings = routing_settings(LagHandling::ServeStale);
+    let dedup_window = TimeDelta::from_millis(300);
+    routing_settings.methods[WRITE].idempotency = Idempotency::Keyed { all_groups: false, dedup_window };
+    let (start, mut actions) = (Timestamp(1_000_000_000_000), Vec::new());
+    let mut policy = RoutingPolicy::new(1, &routing_settings, start, &mut actions);
+    let (endpoint, group, zone, status) = (0, 0, 0, EndpointStatus::Serving);
+    let entry = EndpointRecord {
+        endpoint,
+        group,
+        zone,
+        status,
+        primary: true,
+        started_at: None,
+        start_presumed: false,
+    };
+    policy.on_event(start, Event::EndpointList { complete: true, records: vec![entry] }, &mut actions);
+    let (session, deadline) = (None, start + TimeDelta::from_millis(3_000));
+    let (request, method, last_write, seen_position, client_retry) = (1, WRITE, None, None, false);
+    let new = RequestArrival {
+        request,
+        method,
+        group,
+        session,
+        last_write,
+        seen_position,
+        received_at: start,
+        deadline,
+        client_retry,
+    };
+    policy.on_event(start, Event::RequestArrived(new), &mut actions);
+    let broke = start + TimeDelta::from_millis(10);
+    let (outcome, elapsed, request_closed, write_session) =
+        (AttemptOutcome::ConnectionLost, TimeDelta::from_millis(10), false, None);
+    let (answer_report, load_report) = Default::default();
+    let end = AttemptEnd {
+        request,
+        attempt: 0,
+        endpoint,
+        outcome,
+        elapsed,
+        request_closed,
+        write_session,
+        answer_report,
+        load_report,
+    };
+    policy.on_event(broke, Event::AttemptEnded(end), &mut actions);
+    // The endpoint rests for a while after a failure.
+    let mut now = broke;
+    let again = |actions: &[Action]| {
+        actions.iter().filter(|action| matches!(action, Action::StartAttempt { .. })).count() == 2
+    };
+    while !again(&actions) && now < start + dedup_window {
+        now = now + TICK;
+        let load_report = EndpointReport { position: Some(now), role: Some(Role::Primary), load: None };
+        let outcome = AttemptOutcome::Succeeded;
+        policy.on_event(
+            now,
+            Event::HealthCheckEnded { endpoint, outcome, elapsed: TICK, report: load_report },
+            &mut actions,
+        );
+        policy.on_event(now, Event::TimerFired { tag: 0 }, &mut actions);
+    }
+    assert!(again(&actions), "it is repeated within its memory");
+    assert!(policy.confirm_attempt(now, 1, 1, 0));
+    assert!(
+        policy.confirm_attempt(start + dedup_window - TICK * 3, 1, 1, 0),
+        "as long as the endpoint knows the first"
+    );
+    assert!(
+        !policy.confirm_attempt(start + dedup_window - TICK, 1, 1, 0),
+        "its connection took too long: it may run twice"
+    );
+}
+
+#[test]
+fn a_replica_of_another_zone_is_selected_once_the_own_one_has_more_in_flight() {
+    let mut harness = Harness::with_reports(LagHandling::ServeStale, 1, 1);
+    let endpoints = [(); 3]
+        .map(|()| harness.arrive(BOUNDED_READ, 0, 1.0))
+        .map(|read| harness.open_requests[&read].in_flight.map(|in_flight| in_flight.1));
+    assert_eq!(endpoints, [Some(2), Some(2), Some(1)]);
+}
+
+#[test]
+fn a_position_in_the_future_makes_neither_a_fresh_replica_nor_a_primary() {
+    let mut harness = Harness::with_reports(LagHandling::ServeStale, 1, 1);
+    harness.health_check_ended(1, AttemptOutcome::Succeeded, harness.now + BOUND * 2, true);
+    let write = harness.arrive(WRITE, 0, 1.0);
+    assert_eq!(harness.open_requests[&write].in_flight.map(|in_flight| in_flight.1), Some(0));
+    harness.advance(BOUND + TICK);
+    let read = harness.arrive(BOUNDED_READ, 0, 1.0);
+    assert!(
+        harness.open_requests[&read].in_flight.is_none(),
+        "nothing told of since proves that it is fresh"
+    );
+}
+
+#[test]
+fn what_may_have_run_is_aborted_or_retried_only_as_its_method_allows() {
+    let mut harness = Harness::with_reports(LagHandling::ServeStale, 1, 1);
+    let write = harness.arrive(WRITE, 0, 1.0);
+    end_attempt(&mut harness, write, AttemptOutcome::ConnectionLost, None);
+    assert_eq!(harness.answers[&write], "aborted", "at once, not near its deadline");
+    harness.advance(TimeDelta::from_millis(1000));
+    harness.health_check_ended(0, AttemptOutcome::Succeeded, harness.now, true);
+    let keyed = harness.arrive(KEYED_WRITE, 0, 1.0);
+    assert_eq!(
+        end_attempt(&mut harness, keyed, AttemptOutcome::Failed, None),
+        Some(0),
+        "one bad answer rests nobody"
+    );
+    assert_eq!(
+        end_attempt(&mut harness, keyed, AttemptOutcome::Failed, None),
+        None,
+        "its only primary rests"
+    );
+    harness.advance(DEDUP_WINDOW);
+    assert_eq!(harness.answers[&keyed], "aborted", "past its group's memory");
+}
+
+#[test]
+fn an_attempt_is_confirmed_only_while_its_reason_holds() {
+    let mut harness = Harness::with_reports(LagHandling::ServeStale, 1, 1);
+    let read = harness.arrive(BOUNDED_READ, 0, 1.0);
+    let (attempt, endpoint, sent) = harness.open_requests[&read].in_flight.expect("three fresh endpoints");
+    let replica = [1, 2].into_iter().find(|&index| index != endpoint).expect("three endpoints");
+    let policy = &mut harness.policy;
+    assert!(policy.confirm_attempt(sent, read, attempt, endpoint));
+    assert!(!policy.confirm_attempt(sent, read, attempt + 1, endpoint), "another attempt");
+    assert!(!policy.confirm_attempt(sent, read + 1, attempt, endpoint), "no such request");
+    assert!(policy.confirm_attempt(sent + BOUND, read, attempt, replica));
+    assert!(
+        !policy.confirm_attempt(sent + BOUND + TICK, read, attempt, replica),
+        "connecting outlasted the bound"
+    );
+    assert!(policy.confirm_attempt(sent + BOUND + TICK, read, attempt, 0), "a primary stands at the present");
+    harness.list(0, EndpointStatus::Draining);
+    assert!(!harness.policy.confirm_attempt(sent, read, attempt, 0), "drained meanwhile");
+    let write = harness.arrive(WRITE, 0, 1.0);
+    assert!(!harness.policy.confirm_attempt(sent, write, 0, 0), "held, not out");
+}
+
+#[test]
+fn a_request_that_was_never_sent_is_given_up_by_half_of_its_time() {
+    let mut harness = Harness::with_reports(LagHandling::ServeStale, 1, 1);
+    let sent = harness.arrive(WRITE, 0, 1.0);
+    for endpoint in 0..3 {
+        harness.list(endpoint, EndpointStatus::Draining);
+    }
+    let held =
+        [harness.arrive(WRITE, 0, 1.0), harness.arrive(WRITE, 0, 0.5), harness.arrive(BOUNDED_READ, 0, 0.4)];
+    let start = harness.now;
+    for (request, half) in held.into_iter().zip([1500, 750, 300]).rev() {
+        harness.advance(start + TimeDelta::from_millis(half) - TICK * 3 - harness.now);
+        assert!(harness.open_requests.contains_key(&request), "{request} has time left to wait");
+        harness.advance(TICK * 2);
+        assert_eq!(harness.answers.get(&request).copied(), Some("rejected"), "{request}, never sent");
+    }
+    assert!(harness.open_requests.contains_key(&sent), "its attempt may still be answered");
+
+    // A attempt that no endpoint has had a byte of is none.
+    let mut harness = Harness::with_reports(LagHandling::ServeStale, 1, 1);
+    let unsent = harness.arrive(WRITE, 0, 1.0);
+    harness.advance(TimeDelta::from_millis(1000));
+    harness.list(0, EndpointStatus::Draining);
+    assert_eq!(end_attempt(&mut harness, unsent, AttemptOutcome::NotSent, None), None);
+    harness.advance(TimeDelta::from_millis(500));
+    assert_eq!(harness.answers.get(&unsent).copied(), Some("rejected"));
+}
--- a/routing/tests/slow_start.rs
+++ b/routing/tests/slow_start.rs
@@ -23,36 +23,36 @@
 /// Plays instances whose writes all wait for one primary that has just started and works on one core at its own pace.
 /// The greatest part of its budget that came within any window.
 fn worst_part_of_budget(instances: u32, work: TimeDelta) -> f64 {
-    let mut benches: Vec<Bench> = (0..instances)
-        .map(|instance| Bench::one_of(instances, LagHandling::ServeStale, 1, u64::from(instance)))
+    let mut benches: Vec<Harness> = (0..instances)
+        .map(|instance| Harness::with_instances(instances, LagHandling::ServeStale, 1, u64::from(instance)))
         .collect();
     // Each knows what its writes take on a warm server, which is half busy by all of them together.
     let gap = work * 2 * i64::from(instances);
-    for bench in &mut benches {
+    for harness in &mut benches {
         for _ in 0..10 {
-            let write = bench.arrive(WRITE, 0, 1.0);
+            let write = harness.arrive(WRITE, 0, 1.0);
             let mut waited = TimeDelta::ZERO;
-            while bench.live.get(&write).is_some_and(|live| live.out.is_none()) {
-                bench.pass(STEP);
+            while harness.open_requests.get(&write).is_some_and(|open| open.in_flight.is_none()) {
+                harness.advance(STEP);
                 waited += STEP;
             }
-            bench.pass(work);
-            bench.end(write, AttemptOutcome::Succeeded, Some(true));
-            bench.pass((gap - work - waited).max(TimeDelta::ZERO));
+            harness.advance(work);
+            harness.end(write, AttemptOutcome::Succeeded, Some(true));
+            harness.advance((gap - work - waited).max(TimeDelta::ZERO));
         }
-        assert!(bench.live.is_empty(), "nothing is out or held when the server starts anew");
+        assert!(harness.open_requests.is_empty(), "nothing is out or held when the server starts anew");
     }
-    let latest = benches.iter().map(|bench| bench.now).max().expect("one at the least");
-    for bench in &mut benches {
-        let behind = latest - bench.now;
-        bench.pass(behind);
+    let latest = benches.iter().map(|harness| harness.now).max().expect("one at the least");
+    for harness in &mut benches {
+        let behind = latest - harness.now;
+        harness.advance(behind);
     }
     let start = benches[0].now;
     let routing_settings = benches[0].routing_settings.clone();
-    for bench in &mut benches {
-        assert_eq!(bench.now, start);
-        bench.started_at[0] = Some(start);
-        bench.list(0, EndpointStatus::Serving);
+    for harness in &mut benches {
+        assert_eq!(harness.now, start);
+        harness.started_at[0] = Some(start);
+        harness.list(0, EndpointStatus::Serving);
     }
     let part = |now: Timestamp| {
         let warmed = (now - start).as_secs_f64() / routing_settings.slow_start_duration.as_secs_f64();
@@ -64,13 +64,13 @@
     let window = routing_settings.overload_window;
     while benches[0].now - start < TimeDelta::from_millis(4_000) {
         let now = benches[0].now;
-        for (instance, bench) in benches.iter_mut().enumerate() {
+        for (instance, harness) in benches.iter_mut().enumerate() {
             // There is always one that waits.
-            if bench.live.values().filter(|live| live.out.is_none()).count() < 2 {
-                bench.arrive(WRITE, 0, 1.0);
+            if harness.open_requests.values().filter(|open| open.in_flight.is_none()).count() < 2 {
+                harness.arrive(WRITE, 0, 1.0);
             }
-            for (&request, live) in &bench.live {
-                if live.out.is_some() && queued[instance].insert(request) {
+            for (&request, open) in &harness.open_requests {
+                if open.in_flight.is_some() && queued[instance].insert(request) {
                     queue.push_back((instance, request, work.as_secs_f64()));
                     arrivals.push_back(now);
                 }
@@ -94,7 +94,7 @@
             queued[instance].remove(&request);
             benches[instance].end(request, AttemptOutcome::Succeeded, Some(true));
         }
-        benches.iter_mut().for_each(|bench| bench.pass(STEP));
+        benches.iter_mut().for_each(|harness| harness.advance(STEP));
     }
     worst
 }
--- a/routing/tests/support/mod.rs
+++ b/routing/tests/support/mod.rs
@@ -1,4 +1,4 @@
-//! A router under scripted events, with the rules checked after each of them.
+//! A routing policy under scripted events, with the rules checked after each of them. Each test file uses a part of this.
 
 use routing::time::{TimeDelta, Timestamp};
 use routing::RoutingPolicy;
@@ -7,47 +7,64 @@
 
 pub const TICK: TimeDelta = TimeDelta::from_millis(5);
 pub const WRITE: MethodIndex = 0;
-pub const TOKENED: MethodIndex = 1;
-pub const CURRENT: MethodIndex = 2;
-pub const BOUNDED: MethodIndex = 3;
-pub const ANY: MethodIndex = 4;
-pub const LONG: MethodIndex = 5;
+pub const KEYED_WRITE: MethodIndex = 1;
+pub const STRONG_READ: MethodIndex = 2;
+pub const BOUNDED_READ: MethodIndex = 3;
+pub const ANY_READ: MethodIndex = 4;
+pub const LONG_READ: MethodIndex = 5;
 pub const BOUND: TimeDelta = TimeDelta::from_millis(800);
-pub const MEMORY: TimeDelta = TimeDelta::from_millis(3000);
+pub const DEDUP_WINDOW: TimeDelta = TimeDelta::from_millis(3000);
 
-pub struct Live {
+/// What endpoints may do with a read for which they are too stale.
+pub const LAG_HANDLINGS: [LagHandling; 3] =
+    [LagHandling::ServeStale, LagHandling::Reject, LagHandling::Wait(TimeDelta::from_millis(100))];
+/// All outcomes of an attempt.
+pub const OUTCOMES: [AttemptOutcome; 9] = [
+    AttemptOutcome::Succeeded,
+    AttemptOutcome::Failed,
+    AttemptOutcome::Rejected,
+    AttemptOutcome::TimedOut,
+    AttemptOutcome::Unreachable,
+    AttemptOutcome::ConnectionLost,
+    AttemptOutcome::Cancelled,
+    AttemptOutcome::NotSent,
+    AttemptOutcome::NotEligible,
+];
+
+pub struct OpenRequest {
     pub method: MethodIndex,
     pub group: GroupIndex,
     pub deadline: Timestamp,
-    pub out: Option<(u32, EndpointIndex, Timestamp)>,
+    pub in_flight: Option<(u32, EndpointIndex, Timestamp)>,
     pub attempts: u32,
-    pub ran_from: Option<Timestamp>,
+    pub first_run_at: Option<Timestamp>,
     /// What its session has seen.
     pub seen_position: Option<Timestamp>,
 }
 
-pub struct Bench {
-    pub router: RoutingPolicy,
+pub struct Harness {
+    pub policy: RoutingPolicy,
     pub routing_settings: RoutingSettings,
     pub now: Timestamp,
-    pub live: BTreeMap<RequestId, Live>,
+    pub open_requests: BTreeMap<RequestId, OpenRequest>,
     pub timers: Vec<(Timestamp, u64)>,
-    pub probes: Vec<EndpointIndex>,
+    pub health_checks: Vec<EndpointIndex>,
     pub group_of: Vec<GroupIndex>,
-    pub open: Vec<bool>,
-    /// The highest position told of each store, whether it ever claimed to be primary and was not denied by
-    /// an answer since, and when it started.
-    pub told: Vec<Option<Timestamp>>,
-    pub excused: Vec<bool>,
+    pub is_serving: Vec<bool>,
+    /// The highest position that each endpoint has reported.
+    pub reported: Vec<Option<Timestamp>>,
+    /// Whether it claimed to be primary, and no answer has denied that since.
+    pub claims_primary: Vec<bool>,
+    /// When it started.
     pub started_at: Vec<Option<Timestamp>>,
-    pub sent_cold: Vec<Vec<Timestamp>>,
+    pub sent_in_slow_start: Vec<Vec<Timestamp>>,
     /// By group: who may be taken for its primary.
-    pub cleared: Vec<PrimaryEligibility>,
+    pub eligibility_of: Vec<PrimaryEligibility>,
     pub answers: BTreeMap<RequestId, &'static str>,
     pub sent: Vec<(RequestId, EndpointIndex)>,
-    /// How busy the next stores probed say they are.
+    /// How busy the next endpoints checked say they are.
     pub load: Option<f64>,
-    /// What the next RPCs' session has seen.
+    /// What the next requests' session has seen.
     pub seen_position: Option<Timestamp>,
     next: RequestId,
 }
@@ -62,11 +79,11 @@
         priority_weight: 1.0,
         late_value_fraction,
     };
-    let tokened = Idempotency::Keyed { all_groups: false, dedup_window: MEMORY };
+    let keyed = Idempotency::Keyed { all_groups: false, dedup_window: DEDUP_WINDOW };
     RoutingSettings {
         methods: vec![
             method(Access::Write, Idempotency::NonIdempotent, 500, 3000, 0.5),
-            method(Access::Write, tokened, 500, 5000, 0.5),
+            method(Access::Write, keyed, 500, 5000, 0.5),
             method(Access::StrongRead, Idempotency::Idempotent, 400, 1500, 0.0),
             method(Access::BoundedRead(BOUND), Idempotency::Idempotent, 600, 1500, 0.0),
             method(Access::AnyRead, Idempotency::Idempotent, 500, 2000, 0.2),
@@ -90,55 +107,59 @@
     }
 }
 
-impl Bench {
+impl Harness {
     /// `groups` groups of three: the first member of each is listed as its primary, and all have answered a
-    /// probe that says so, with a position of now.
-    pub fn ready(lag_handling: LagHandling, groups: usize, seed: u64) -> Bench {
-        Bench::one_of(2, lag_handling, groups, seed)
+    /// health check that says so, with a position of now.
+    pub fn with_reports(lag_handling: LagHandling, groups: usize, seed: u64) -> Harness {
+        Harness::with_instances(2, lag_handling, groups, seed)
     }
 
-    pub fn one_of(instances: u32, lag_handling: LagHandling, groups: usize, seed: u64) -> Bench {
-        Bench::of(RoutingSettings { instances, ..routing_settings(lag_handling) }, groups, seed)
+    pub fn with_instances(instances: u32, lag_handling: LagHandling, groups: usize, seed: u64) -> Harness {
+        Harness::new(RoutingSettings { instances, ..routing_settings(lag_handling) }, groups, seed)
     }
 
-    /// Nobody may be probed, and the list tells of no roles: nothing is known of anybody.
-    pub fn blind(lag_handling: LagHandling, groups: usize, seed: u64) -> Bench {
-        Bench::of(RoutingSettings { may_check_health: false, ..routing_settings(lag_handling) }, groups, seed)
+    /// Nobody may be checked, and the list tells of no roles: nothing is known of anybody.
+    pub fn without_health_checks(lag_handling: LagHandling, groups: usize, seed: u64) -> Harness {
+        Harness::new(
+            RoutingSettings { may_check_health: false, ..routing_settings(lag_handling) },
+            groups,
+            seed,
+        )
     }
 
-    fn of(routing_settings: RoutingSettings, groups: usize, seed: u64) -> Bench {
+    fn new(routing_settings: RoutingSettings, groups: usize, seed: u64) -> Harness {
         let now = Timestamp(1_000_000_000_000);
         let mut actions = Vec::new();
-        let router = RoutingPolicy::new(seed, &routing_settings, now, &mut actions);
+        let policy = RoutingPolicy::new(seed, &routing_settings, now, &mut actions);
         let endpoints = groups * 3;
-        let mut bench = Bench {
-            router,
+        let mut harness = Harness {
+            policy,
             routing_settings,
             now,
-            live: BTreeMap::new(),
+            open_requests: BTreeMap::new(),
             timers: Vec::new(),
-            probes: Vec::new(),
-            group_of: (0..endpoints).map(|ix| ix / 3).collect(),
-            open: vec![true; endpoints],
-            told: vec![None; endpoints],
-            excused: vec![false; endpoints],
+            health_checks: Vec::new(),
+            group_of: (0..endpoints).map(|index| index / 3).collect(),
+            is_serving: vec![true; endpoints],
+            reported: vec![None; endpoints],
+            claims_primary: vec![false; endpoints],
             started_at: vec![None; endpoints],
-            sent_cold: vec![Vec::new(); endpoints],
-            cleared: vec![PrimaryEligibility::Any; groups],
+            sent_in_slow_start: vec![Vec::new(); endpoints],
+            eligibility_of: vec![PrimaryEligibility::Any; groups],
             answers: BTreeMap::new(),
             sent: Vec::new(),
             load: None,
             seen_position: None,
             next: 0,
         };
-        bench.check(actions);
-        let records = (0..endpoints).map(|ix| bench.entry(ix, EndpointStatus::Serving)).collect();
-        bench.give(Event::EndpointList { complete: true, records });
-        let probed = if bench.routing_settings.may_check_health { endpoints } else { 0 };
-        for ix in 0..probed {
-            bench.probed(ix, AttemptOutcome::Succeeded, now, ix % 3 == 0);
+        harness.check(actions);
+        let records = (0..endpoints).map(|index| harness.entry(index, EndpointStatus::Serving)).collect();
+        harness.report(Event::EndpointList { complete: true, records });
+        let health_check_ended = if harness.routing_settings.may_check_health { endpoints } else { 0 };
+        for index in 0..health_check_ended {
+            harness.health_check_ended(index, AttemptOutcome::Succeeded, now, index % 3 == 0);
         }
-        bench
+        harness
     }
 
     pub fn entry(&self, endpoint: EndpointIndex, status: EndpointStatus) -> EndpointRecord {
@@ -156,14 +177,14 @@
     }
 
     pub fn list(&mut self, endpoint: EndpointIndex, status: EndpointStatus) {
-        self.open[endpoint] = status == EndpointStatus::Serving;
+        self.is_serving[endpoint] = status == EndpointStatus::Serving;
         let records = vec![self.entry(endpoint, status)];
-        self.give(Event::EndpointList { complete: false, records });
+        self.report(Event::EndpointList { complete: false, records });
     }
 
-    pub fn clear(&mut self, group: GroupIndex, eligibility: PrimaryEligibility) {
-        self.cleared[group] = eligibility;
-        self.give(Event::PrimaryEligibility { group, eligibility });
+    pub fn set_eligibility(&mut self, group: GroupIndex, eligibility: PrimaryEligibility) {
+        self.eligibility_of[group] = eligibility;
+        self.report(Event::PrimaryEligibility { group, eligibility });
     }
 
     pub fn arrive(&mut self, method: MethodIndex, group: GroupIndex, share: f64) -> RequestId {
@@ -171,10 +192,18 @@
         let request = self.next;
         self.next += 1;
         let seen_position = self.seen_position;
-        let live = Live { method, group, deadline, out: None, attempts: 0, ran_from: None, seen_position };
-        self.live.insert(request, live);
+        let open = OpenRequest {
+            method,
+            group,
+            deadline,
+            in_flight: None,
+            attempts: 0,
+            first_run_at: None,
+            seen_position,
+        };
+        self.open_requests.insert(request, open);
         let (session, last_write) = (Some(7), None);
-        self.give(Event::RequestArrived(RequestArrival {
+        self.report(Event::RequestArrived(RequestArrival {
             request,
             method,
             group,
@@ -188,7 +217,7 @@
         request
     }
 
-    pub fn probed(
+    pub fn health_check_ended(
         &mut self,
         endpoint: EndpointIndex,
         outcome: AttemptOutcome,
@@ -199,26 +228,26 @@
         if outcome == AttemptOutcome::Succeeded {
             load_report.position = Some(position);
             load_report.role = Some(if primary { Role::Primary } else { Role::Replica });
-            // What speaks of a time to come proves nothing.
+            // A position in the future proves nothing.
             if position <= self.now + TICK * 2 {
-                self.told[endpoint] = self.told[endpoint].max(Some(position));
-                self.excused[endpoint] |= primary;
+                self.reported[endpoint] = self.reported[endpoint].max(Some(position));
+                self.claims_primary[endpoint] |= primary;
             }
         }
-        self.probes.retain(|&ix| ix != endpoint);
-        self.give(Event::HealthCheckEnded { endpoint, outcome, elapsed: TICK, report: load_report });
+        self.health_checks.retain(|&index| index != endpoint);
+        self.report(Event::HealthCheckEnded { endpoint, outcome, elapsed: TICK, report: load_report });
     }
 
-    /// Ends the call-out that an RPC has out.
+    /// Ends the attempt that an request has out.
     pub fn end(&mut self, request: RequestId, outcome: AttemptOutcome, primary: Option<bool>) {
-        let Some(live) = self.live.get_mut(&request) else { return };
-        let Some((attempt, endpoint, sent)) = live.out.take() else { return };
+        let Some(open) = self.open_requests.get_mut(&request) else { return };
+        let Some((attempt, endpoint, sent)) = open.in_flight.take() else { return };
         if !outcome.proves_not_executed() {
-            live.ran_from = live.ran_from.or(Some(sent));
+            open.first_run_at = open.first_run_at.or(Some(sent));
         }
         let request_closed = outcome == AttemptOutcome::Succeeded;
         if request_closed {
-            self.live.remove(&request);
+            self.open_requests.remove(&request);
             self.answers.insert(request, "ok");
         }
         let mut answer_report = EndpointReport::default();
@@ -226,11 +255,11 @@
             primary.filter(|_| matches!(outcome, AttemptOutcome::Succeeded | AttemptOutcome::NotEligible))
         {
             answer_report.role = Some(if primary { Role::Primary } else { Role::Replica });
-            self.excused[endpoint] = primary;
+            self.claims_primary[endpoint] = primary;
         }
         let (elapsed, load_report) = (self.now - sent, EndpointReport::default());
         let write_session = None;
-        self.give(Event::AttemptEnded(AttemptEnd {
+        self.report(Event::AttemptEnded(AttemptEnd {
             request,
             attempt,
             endpoint,
@@ -244,30 +273,30 @@
     }
 
     /// Lets time pass, firing the timers that fall due.
-    pub fn pass(&mut self, span: TimeDelta) {
-        let until = self.now + span;
+    pub fn advance(&mut self, time: TimeDelta) {
+        let until = self.now + time;
         while let Some(&(at, tag)) = self.timers.iter().min().filter(|due| due.0 <= until) {
             self.timers.retain(|&timer| timer != (at, tag));
             self.now = self.now.max(at);
-            self.give(Event::TimerFired { tag });
+            self.report(Event::TimerFired { tag });
         }
         self.now = until;
         self.overdue();
     }
 
-    pub fn give(&mut self, event: Event) {
+    pub fn report(&mut self, event: Event) {
         let mut actions = Vec::new();
-        self.router.on_event(self.now, event, &mut actions);
+        self.policy.on_event(self.now, event, &mut actions);
         self.check(actions);
         self.overdue();
     }
 
-    /// No RPC is lost: its answer stands at least a tick before its deadline.
+    /// No request is lost: its answer stands at least a tick before its deadline.
     fn overdue(&self) {
-        for (request, live) in &self.live {
+        for (request, open) in &self.open_requests {
             assert!(
-                self.now + TICK <= live.deadline,
-                "rpc {request} has no answer a tick before its deadline"
+                self.now + TICK <= open.deadline,
+                "request {request} has no answer a tick before its deadline"
             );
         }
     }
@@ -277,22 +306,23 @@
             match action {
                 Action::SetTimer { tag, at } => self.timers.push((at, tag)),
                 Action::CheckHealth { endpoint } => {
-                    assert!(self.routing_settings.may_check_health, "probed where it is not allowed");
-                    self.probes.push(endpoint);
+                    assert!(self.routing_settings.may_check_health, "checked where it is not allowed");
+                    self.health_checks.push(endpoint);
                 }
                 Action::StartAttempt { request, endpoint, timeout } => {
                     self.check_send(request, endpoint, timeout);
                 }
                 Action::Reject { request, .. } => {
-                    let live = self.live.remove(&request).expect("one final answer, to a live RPC");
-                    let ran = live.ran_from.is_some() || live.out.is_some();
+                    let open =
+                        self.open_requests.remove(&request).expect("one final answer, to a live request");
+                    let ran = open.first_run_at.is_some() || open.in_flight.is_some();
                     let safe =
-                        self.routing_settings.methods[live.method].idempotency == Idempotency::Idempotent;
-                    assert!(safe || !ran, "pushed back though it may have run");
-                    self.answers.insert(request, "pushed back");
+                        self.routing_settings.methods[open.method].idempotency == Idempotency::Idempotent;
+                    assert!(safe || !ran, "rejected though it may have run");
+                    self.answers.insert(request, "rejected");
                 }
                 Action::Abort { request } => {
-                    self.live.remove(&request).expect("one final answer, to a live RPC");
+                    self.open_requests.remove(&request).expect("one final answer, to a live request");
                     self.answers.insert(request, "aborted");
                 }
                 _ => {}
@@ -301,45 +331,50 @@
     }
 
     fn check_send(&mut self, request: RequestId, endpoint: EndpointIndex, timeout: TimeDelta) {
-        let live = self.live.get_mut(&request).expect("sent only while it is owed an answer");
-        let method = &self.routing_settings.methods[live.method];
-        assert!(live.out.is_none(), "two call-outs out at once");
-        assert!(live.attempts < self.routing_settings.max_attempts, "too many call-outs");
-        assert_eq!(self.group_of[endpoint], live.group, "sent outside its group");
+        let open = self.open_requests.get_mut(&request).expect("sent only while it is owed an answer");
+        let method = &self.routing_settings.methods[open.method];
+        assert!(open.in_flight.is_none(), "two attempts out at once");
+        assert!(open.attempts < self.routing_settings.max_attempts, "too many attempts");
+        assert_eq!(self.group_of[endpoint], open.group, "sent outside its group");
         let writes = method.access == Access::Write;
-        match self.cleared[live.group] {
-            PrimaryEligibility::Nobody => assert!(!writes, "a write to a group without a cleared primary"),
+        match self.eligibility_of[open.group] {
+            PrimaryEligibility::Nobody => assert!(!writes, "a write to a group without an eligible primary"),
             PrimaryEligibility::Only(one) => {
-                assert!(!writes || endpoint == one, "a write to another than the cleared one");
+                assert!(!writes || endpoint == one, "a write to another than the eligible one");
             }
             PrimaryEligibility::Any => {}
         }
-        assert!(self.open[endpoint], "sent to a store that drains or is gone");
-        assert!(timeout > TimeDelta::ZERO && self.now + timeout < live.deadline, "no time, or too much");
-        match (live.ran_from, method.idempotency) {
-            (Some(_), Idempotency::NonIdempotent) => panic!("a non-idempotent RPC went out again"),
-            (Some(ran), Idempotency::Keyed { .. }) => assert!(self.now < ran + MEMORY, "past its memory"),
+        assert!(self.is_serving[endpoint], "sent to an endpoint that drains or is gone");
+        assert!(timeout > TimeDelta::ZERO && self.now + timeout < open.deadline, "no time, or too much");
+        match (open.first_run_at, method.idempotency) {
+            (Some(_), Idempotency::NonIdempotent) => panic!("a non-idempotent request went out again"),
+            (Some(ran), Idempotency::Keyed { .. }) => {
+                assert!(self.now < ran + DEDUP_WINDOW, "past its deduplication window");
+            }
             _ => {}
         }
-        if self.routing_settings.lag_handling == LagHandling::ServeStale && !self.excused[endpoint] {
+        if self.routing_settings.lag_handling == LagHandling::ServeStale && !self.claims_primary[endpoint] {
             let needed = match method.access {
                 Access::BoundedRead(bound) => Some(self.now - bound),
-                Access::StrongRead => Some(live.deadline - method.deadline),
+                Access::StrongRead => Some(open.deadline - method.deadline),
                 _ => None,
             };
-            assert!(needed.is_none() || self.told[endpoint] >= needed, "no proof that it is fresh enough");
+            assert!(
+                needed.is_none() || self.reported[endpoint] >= needed,
+                "no proof that it is fresh enough"
+            );
         }
-        if !writes && !self.excused[endpoint] {
+        if !writes && !self.claims_primary[endpoint] {
             assert!(
-                live.seen_position.is_none() || self.told[endpoint] >= live.seen_position,
+                open.seen_position.is_none() || self.reported[endpoint] >= open.seen_position,
                 "less than its session has seen"
             );
         }
         if self.started_at[endpoint].is_some_and(|at| self.now - at < self.routing_settings.overload_window) {
-            self.sent_cold[endpoint].push(self.now);
+            self.sent_in_slow_start[endpoint].push(self.now);
         }
-        live.out = Some((live.attempts, endpoint, self.now));
-        live.attempts += 1;
+        open.in_flight = Some((open.attempts, endpoint, self.now));
+        open.attempts += 1;
         self.sent.push((request, endpoint));
     }
 }
--- a/sessions/tests/guarantees.rs
+++ b/sessions/tests/guarantees.rs
@@ -1,4 +1,4 @@
-//! Marks, epochs, tokens: what each refuses, and a random life of sessions over fronts, judged by a history
+//! Marks, epochs, tokens: what each refuses, and a random life of sessions over instances, judged by a history
 //! of its own.
 
 use proptest::prelude::*;
@@ -126,7 +126,7 @@
         "where no fork is known, by its number alone"
     );
     assert!(!epochs.shows(1, seen, get(5), Some(at(699))), "behind what was seen");
-    assert!(epochs.shows(1, seen, None, Some(at(700))), "a store that says no epoch");
+    assert!(epochs.shows(1, seen, None, Some(at(700))), "an endpoint that says no epoch");
 }
 
 #[test]
@@ -158,7 +158,7 @@
     let text = both.seal(&between, "a/b").expect("sealed");
     let opened = both.open(&text, "a/b", NOW).expect("it opens");
     assert!(opened.positions.get(3) >= between.positions.get(3), "rounded up: never less than was seen");
-    println!("a token with marks of 2 groups has {} characters", text.len());
+    println!("a token with positions of 2 groups has {} characters", text.len());
 }
 
 #[test]
@@ -184,7 +184,7 @@
 
 #[test]
 fn a_million_sessions_that_never_come_back_keep_to_their_room_and_leave_it() {
-    let mut kept = SessionCache::new(50_000, TimeDelta::from_millis(60_000));
+    let mut cached = SessionCache::new(50_000, TimeDelta::from_millis(60_000));
     let name = |nth: u32| {
         let mut name = [0; 16];
         name[..4].copy_from_slice(&nth.to_be_bytes());
@@ -193,15 +193,15 @@
     let mut positions = SessionPositions::default();
     positions.advance(1, mark(1, 5));
     for nth in 0..1_000_000 {
-        kept.merge(at(i64::from(nth)), name(nth), &mut positions.clone());
-        assert!(kept.len() <= 50_000);
+        cached.merge(at(i64::from(nth)), name(nth), &mut positions.clone());
+        assert!(cached.len() <= 50_000);
     }
     // A second connection of the newest one, which has seen less.
     let mut less = SessionPositions::default();
-    kept.merge(at(1_000_000), name(999_999), &mut less);
+    cached.merge(at(1_000_000), name(999_999), &mut less);
     assert_eq!(less.get(1), Some(mark(1, 5)));
-    kept.merge(at(2_000_000), name(5), &mut positions);
-    assert_eq!(kept.len(), 1, "their time is over");
+    cached.merge(at(2_000_000), name(5), &mut positions);
+    assert_eq!(cached.len(), 1, "their time is over");
 }
 
 proptest! {
@@ -232,7 +232,7 @@
         }
     }
 
-    /// Sessions on two fronts, whose members lag, with switches that lose the tail of the log. Every read
+    /// Sessions on two instances, whose members lag, with switches that lose the tail of the log. Every read
     /// that is let through is held against a history that knows all: it shows no less than the session has
     /// seen, unless the session was told of the loss in between.
     #[test]
@@ -273,7 +273,7 @@
                         }
                     }
                 }
-                // An answer: the front asks with what it knows, some store answers, the front judges the
+                // An answer: the instance asks with what it knows, some endpoint answers, the instance judges the
                 // answer.
                 _ => {
                     let (front, store) = (&mut fronts[usize::from(how) % 2], stores[usize::from(how / 2) % 3]);
--- a/write-journal/tests/fates.rs
+++ b/write-journal/tests/fates.rs
@@ -38,7 +38,7 @@
     }
     let ends = [record("ran", RecordEvent::Executed(Some(77))), record("never", RecordEvent::NotExecuted)];
     journal.apply(2, &ends).expect("kept");
-    // Another RPC with an id that is on record does not leave, whatever became of the first, once somebody was
+    // Another request with an id that is on record does not leave, whatever became of the first, once somebody was
     // told; before that one that is proved not to have run may come again.
     journal
         .apply(2, &[record("free", RecordEvent::Starting), record("free", RecordEvent::NotExecuted)])
@@ -54,15 +54,16 @@
     assert_eq!(journal.origin().journal, origin.journal);
     assert!(journal.origin().serial > origin.serial, "no serial is handed out twice");
     assert_eq!(journal.first_sent_ms("ran").expect("read"), Some(1));
-    let mut told = |id: &str, origin: Option<&Origin>| journal.apply(4, &[ask(id, origin)]).expect("kept")[0];
-    assert_eq!(told("ran", None), Reply::Fate(Fate::Executed(Some(77))));
-    assert_eq!(told("never", None), Reply::Fate(Fate::NeverExecuted));
-    assert_eq!(told("open", Some(&origin)), Reply::Fate(Fate::Unknown));
-    assert_eq!(told("free", Some(&origin)), Reply::Fate(Fate::Unknown), "the second may have run");
-    assert_eq!(told("lost", None), Reply::Fate(Fate::Unknown), "it may have gone to another front");
+    let mut reply_to =
+        |id: &str, origin: Option<&Origin>| journal.apply(4, &[ask(id, origin)]).expect("kept")[0];
+    assert_eq!(reply_to("ran", None), Reply::Fate(Fate::Executed(Some(77))));
+    assert_eq!(reply_to("never", None), Reply::Fate(Fate::NeverExecuted));
+    assert_eq!(reply_to("open", Some(&origin)), Reply::Fate(Fate::Unknown));
+    assert_eq!(reply_to("free", Some(&origin)), Reply::Fate(Fate::Unknown), "the second may have run");
+    assert_eq!(reply_to("lost", None), Reply::Fate(Fate::Unknown), "it may have gone to another instance");
     let other = Origin { journal: "0000000000000000".into(), ..origin.clone() };
-    assert_eq!(told("lost", Some(&other)), Reply::Fate(Fate::Unknown));
-    assert_eq!(told("lost", Some(&origin)), Reply::Fate(Fate::NeverExecuted));
+    assert_eq!(reply_to("lost", Some(&other)), Reply::Fate(Fate::Unknown));
+    assert_eq!(reply_to("lost", Some(&origin)), Reply::Fate(Fate::NeverExecuted));
     // It was on its way all the while: now it must not leave any more.
     assert_eq!(
         journal.apply(5, &[record("lost", RecordEvent::Starting)]).expect("kept"),
@@ -103,23 +104,27 @@
     // Another life, on a machine whose clock was set back by an hour.
     drop(journal);
     let mut journal = open(folder.path(), BOUNDS);
-    let mut told = |now: ClockReading, id: &str, deduplication: Deduplication| {
+    let mut reply_to = |now: ClockReading, id: &str, deduplication: Deduplication| {
         journal.apply(now, &intend(id, deduplication)).expect("kept")[0]
     };
     let join = |remaining_ms: i64| Reply::Permission(SendPermission::GrantedAsDuplicate { remaining_ms });
     let refuse = Reply::Permission(SendPermission::Denied);
-    assert_eq!(told(at(-3_591_000, 1, 2_500), "t", deduplication), join(990), "2 s have passed, and a grain");
     assert_eq!(
-        told(at(9_000, 1, 2_600), "t", deduplication),
+        reply_to(at(-3_591_000, 1, 2_500), "t", deduplication),
+        join(990),
+        "2 s have passed, and a grain"
+    );
+    assert_eq!(
+        reply_to(at(9_000, 1, 2_600), "t", deduplication),
         join(890),
         "counted from the first sending, not the last"
     );
-    assert_eq!(told(at(9_000, 1, 3_480), "t", deduplication), join(10));
+    assert_eq!(reply_to(at(9_000, 1, 3_480), "t", deduplication), join(10));
     for (why, now, id, deduplication) in [
         ("its memory has passed", at(9_000, 1, 3_490), "t", deduplication),
         ("another group", at(9_000, 1, 600), "t", Deduplication { group: Some(8), ..deduplication }),
         (
-            "all stores now, one group then",
+            "all endpoints now, one group then",
             at(9_000, 1, 600),
             "t",
             Deduplication { group: None, ..deduplication },
@@ -133,11 +138,11 @@
         ("the machine was started anew", at(9_000, 2, 600), "t", deduplication),
         ("time went back", at(9_000, 1, 400), "t", deduplication),
         ("nobody knows the time", ClockReading::from(9_000), "t", deduplication),
-        ("it was no tokened one", at(9_000, 1, 600), "plain", deduplication),
+        ("it was no keyed one", at(9_000, 1, 600), "plain", deduplication),
         ("it ran", at(9_000, 1, 600), "settled", deduplication),
         ("it never will", at(9_000, 1, 600), "never", deduplication),
     ] {
-        assert_eq!(told(now, id, deduplication), refuse, "{why}");
+        assert_eq!(reply_to(now, id, deduplication), refuse, "{why}");
     }
     // What became of it is entered as that of any other.
     journal.apply(9_000, &[record("t", RecordEvent::Executed(Some(8_999)))]).expect("kept");
@@ -189,29 +194,29 @@
     let later = journal.origin();
     let go = journal.apply(40, &[record("x", RecordEvent::Starting)]).expect("kept");
     assert_eq!(go, [Reply::Permission(SendPermission::Granted)]);
-    // It left, and its store may be at work on it. What came before it is dropped, and then it is itself.
+    // It left, and its endpoint may be at work on it. What came before it is dropped, and then it is itself.
     for round in 1..4 {
         others(round * 100, &mut journal);
-        let told = journal.apply(round * 100 + 40, &[ask("x", Some(&later))]).expect("kept");
-        assert_eq!(told, [Reply::Fate(Fate::Unknown)], "round {round}: it may have run");
+        let reply_to = journal.apply(round * 100 + 40, &[ask("x", Some(&later))]).expect("kept");
+        assert_eq!(reply_to, [Reply::Fate(Fate::Unknown)], "round {round}: it may have run");
     }
     // A token's memory counts from there as well.
     let deduplication = Some(Deduplication { group: Some(7), window_ms: 3_000 });
-    let mut told = |ms: i64, event: RecordEvent| {
+    let mut reply_to = |ms: i64, event: RecordEvent| {
         let op = Operation::Record { id: "t".into(), event, deduplication };
         journal
             .apply(ClockReading { wall_ms: 600, uptime: Some(Uptime { boot: 1, ms }) }, &[op])
             .expect("kept")[0]
     };
-    assert_eq!(told(500, RecordEvent::Starting), Reply::Permission(SendPermission::Granted));
-    told(600, RecordEvent::NotExecuted);
+    assert_eq!(reply_to(500, RecordEvent::Starting), Reply::Permission(SendPermission::Granted));
+    reply_to(600, RecordEvent::NotExecuted);
     assert_eq!(
-        told(3_000, RecordEvent::Starting),
+        reply_to(3_000, RecordEvent::Starting),
         Reply::Permission(SendPermission::Granted),
         "the first never ran"
     );
     assert_eq!(
-        told(4_000, RecordEvent::Starting),
+        reply_to(4_000, RecordEvent::Starting),
         Reply::Permission(SendPermission::GrantedAsDuplicate { remaining_ms: 1_990 })
     );
 }
@@ -238,7 +243,7 @@
         let mut say = |what: &str| _ = writeln!(out, "{what} {nth}");
         let replies = journal.apply(nth as i64, &[record(&id, RecordEvent::Starting)]).expect("kept");
         assert_eq!(replies, [Reply::Permission(SendPermission::Granted)]);
-        // Only now the write may leave; the store runs it or doesn't.
+        // Only now the write may leave; the endpoint runs it or doesn't.
         say("left");
         match nth % 3 {
             0 => {
@@ -260,7 +265,7 @@
 fn killed_at_any_point_it_tells_no_write_wrong() {
     let folder = tempfile::tempdir().expect("a folder");
     let program = std::env::current_exe().expect("its path");
-    let mut told: HashMap<u64, String> = HashMap::new();
+    let mut reply_to: HashMap<u64, String> = HashMap::new();
     let mut from = 0u64;
     for round in 0..30u64 {
         let mut child = Command::new(&program)
@@ -278,7 +283,7 @@
             }
             if let Some((what, number)) = line.split_once(' ') {
                 if let Ok(number) = number.parse() {
-                    told.insert(number, what.to_string());
+                    reply_to.insert(number, what.to_string());
                     from = from.max(number + 2);
                 }
             }
@@ -286,7 +291,7 @@
         child.wait().expect("ended");
         // A next life of the journal says nothing that its last one's words deny.
         let mut journal = open(folder.path(), Retention { max_records: 1 << 40, max_age_ms: i64::MAX });
-        for (nth, what) in &told {
+        for (nth, what) in &reply_to {
             let Reply::Fate(fate) = journal.apply(0, &[ask(&format!("w{nth}"), None)]).expect("kept")[0]
             else {
                 panic!("a fate")
@@ -304,7 +309,7 @@
             assert!(right, "w{nth}, {what}: {fate:?}");
         }
     }
-    assert!(told.len() > 100);
+    assert!(reply_to.len() > 100);
 }
 
 proptest! {
@@ -319,8 +324,8 @@
     /// told.
     #[test]
     fn no_fate_is_ever_taken_back(steps in prop::collection::vec((0..8u8, any::<bool>()), 1..40)) {
-        let (mut state, mut told, mut left): (Option<RecordState>, Option<Fate>, u32) = (None, None, 0);
-        // What is true of the store: a write that left may run; one that did can't be proved never to have.
+        let (mut state, mut reply_to, mut left): (Option<RecordState>, Option<Fate>, u32) = (None, None, 0);
+        // What is true of the endpoint: a write that left may run; one that did can't be proved never to have.
         let mut runs = 0;
         for (kind, luck) in steps {
             let event = match kind {
@@ -334,19 +339,19 @@
                     continue;
                 }
                 5 | 6 => {
-                    let FateDecision { fate: said, must_bar: bar } = fate(Evidence { state, covered: luck, request_open: false });
-                    match told {
-                        Some(before @ (Fate::Executed(_) | Fate::NeverExecuted)) if said != Fate::Unknown => {
-                            prop_assert_eq!(said, before);
+                    let FateDecision { fate: reply, must_bar: bar } = fate(Evidence { state, covered: luck, request_open: false });
+                    match reply_to {
+                        Some(before @ (Fate::Executed(_) | Fate::NeverExecuted)) if reply != Fate::Unknown => {
+                            prop_assert_eq!(reply, before);
                         }
                         _ => {}
                     }
-                    prop_assert!(!(said == Fate::NeverExecuted && runs > 0), "it ran");
-                    prop_assert!(!(matches!(said, Fate::Executed(_)) && runs == 0), "it did not run");
+                    prop_assert!(!(reply == Fate::NeverExecuted && runs > 0), "it ran");
+                    prop_assert!(!(matches!(reply, Fate::Executed(_)) && runs == 0), "it did not run");
                     if bar {
                         state = next(state, RecordEvent::Bar).state;
                     }
-                    told = Some(said);
+                    reply_to = Some(reply);
                     continue;
                 }
                 _ => continue,
@@ -354,12 +359,12 @@
             let Transition { state: to, permission: leave } = next(state, event);
             if let SendPermission::GrantedAsDuplicate { .. } = leave {
                 prop_assert_eq!((state, to), (Some(RecordState::Pending), Some(RecordState::Pending)), "what repeats is on record");
-                prop_assert_ne!(told, Some(Fate::NeverExecuted));
+                prop_assert_ne!(reply_to, Some(Fate::NeverExecuted));
                 left += 1;
             }
             let asks = matches!(event, RecordEvent::Starting | RecordEvent::Retrying);
             if asks && leave == SendPermission::Granted {
-                prop_assert_ne!(told, Some(Fate::NeverExecuted), "somebody was told that it never would");
+                prop_assert_ne!(reply_to, Some(Fate::NeverExecuted), "somebody was told that it never would");
                 prop_assert_eq!(to, Some(RecordState::Pending), "nothing leaves without a record");
                 left += 1;
             }
