--- a/routing/tests/primaries.rs
+++ b/routing/tests/primaries.rs
@@ -7,16 +7,6 @@
 use routing::*;
 use support::*;
 
-fn end_attempt(
-    harness: &mut Harness,
-    request: RequestId,
-    outcome: AttemptOutcome,
-    role: Option<bool>,
-) -> Option<EndpointIndex> {
-    harness.end(request, outcome, role);
-    harness.open_requests.get(&request).and_then(|open| open.in_flight).map(|in_flight| in_flight.1)
-}
-
 #[test]
 fn an_ineligible_claimant_gets_nothing() {
     let mut harness = Harness::with_reports(LagHandling::ServeStale, 1, 1);
--- a/routing/tests/support/mod.rs
+++ b/routing/tests/support/mod.rs
@@ -378,3 +378,14 @@
         self.sent.push((request, endpoint));
     }
 }
+
+/// Ends the attempt of a request; the endpoint of its next attempt, if there is one.
+pub fn end_attempt(
+    harness: &mut Harness,
+    request: RequestId,
+    outcome: AttemptOutcome,
+    role: Option<bool>,
+) -> Option<EndpointIndex> {
+    harness.end(request, outcome, role);
+    harness.open_requests.get(&request).and_then(|open| open.in_flight).map(|in_flight| in_flight.1)
+}
