Test of fates: asks for a write only once its instance knows the primary

Change: it waits for one served write of another id first, as its neighbours do; every check stands.

--- a/server/tests/fates.rs
+++ b/server/tests/fates.rs
@@ -146,6 +146,8 @@
 fn a_write_that_never_left_or_went_elsewhere_is_told_as_such() {
     let fixture = Fixture::new(300);
     let _daemons = [fixture.start(0), fixture.start(1)];
+    // Until it knows the primary an instance rejects a write by half of its time, whatever is recorded of it.
+    while !matches!(fixture.client(0).request("warm", 1, Kind::KeyedWrite, 900).answer, Answer::Value(_)) {}
     let mut client = fixture.client(0);
     let origin = client.origin.clone().expect("told at the start");
     assert_eq!(client.fate("nobody", &origin), Answer::Value("never".into()));
