--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p bin
-rustc --edition 2021 -O stand-ins/main.rs -o bin/review
+"${RUSTC:-rustc}" --edition 2021 -O stand-ins/main.rs -o bin/review
--- a/review/stand-ins/deployment.rs
+++ b/review/stand-ins/deployment.rs
@@ -99,8 +99,20 @@
     }
 }
 
+/// The temporary folder of the case, if there is one.
+static FOLDER: Mutex<Option<PathBuf>> = Mutex::new(None);
+
+/// Removes the temporary folder of the case.
+fn remove_folder() {
+    let folder = FOLDER.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).take();
+    if let Some(folder) = folder {
+        let _ = std::fs::remove_dir_all(folder);
+    }
+}
+
 /// Ends the case as one that could not run. The instances end with this process.
 pub fn cannot_run(reason: &str) -> ! {
+    remove_folder();
     eprintln!("the case could not run: {reason}");
     std::process::exit(2)
 }
@@ -120,13 +132,14 @@
     pub fn new() -> Folder {
         let path = std::env::temp_dir().join(format!("review-{}-{}", std::process::id(), unix_ms()));
         std::fs::create_dir_all(&path).unwrap_or_else(|error| cannot_run(&format!("{error}")));
+        *FOLDER.lock().unwrap_or_else(|poisoned| poisoned.into_inner()) = Some(path.clone());
         Folder(path)
     }
 }
 
 impl Drop for Folder {
     fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
+        remove_folder();
     }
 }
 
--- a/review/stand-ins/leavers.rs
+++ b/review/stand-ins/leavers.rs
@@ -4,7 +4,7 @@
 use crate::cluster::{unix_ms, Cluster};
 use crate::deployment::{cannot_run, Discovery, Folder, Instance, Record};
 use crate::wire::{query, startup, Answer, Client};
-use crate::{read_statement, write_statement, Setup};
+use crate::{ask_until_served, read_statement, write_statement, Setup};
 use std::io::Write;
 use std::net::TcpStream;
 use std::sync::{Arc, Mutex};
@@ -51,15 +51,9 @@
         let Some(mut client) = Client::open(&instance.listen, None, 5_000) else {
             cannot_run("an instance does not greet")
         };
-        for (id, text) in
-            [("a", read_statement(&format!("a{index}"))), ("b", write_statement(&format!("b{index}")))]
-        {
-            let answer = client.ask(&text);
-            record.line(&format!("n{}, before: {id}{index}: {}", index + 1, answer.text()));
-            if !matches!(answer, Answer::Value(_)) {
-                cannot_run("an instance does not serve");
-            }
-        }
+        ask_until_served(&mut client, &format!("read-{index}"), read_statement);
+        ask_until_served(&mut client, &format!("write-{index}"), write_statement);
+        record.line(&format!("n{}: a read and a write were served", index + 1));
     }
     for number in 0..LEAVERS {
         for (index, instance) in instances.iter().enumerate() {
--- a/review/stand-ins/lost_tail.rs
+++ b/review/stand-ins/lost_tail.rs
@@ -4,7 +4,7 @@
 use crate::cluster::{unix_ms, Cluster};
 use crate::deployment::{cannot_run, session_file, Discovery, Folder, Instance};
 use crate::wire::{Answer, Client};
-use crate::{write_statement, Setup};
+use crate::{ask_until_served, write_statement, Setup};
 use std::thread;
 use std::time::Duration;
 
@@ -26,6 +26,7 @@
         cannot_run("no session")
     };
 
+    ask_until_served(&mut client, "w0", write_statement);
     let first = client.ask(&write_statement("w1"));
     let died_ms = unix_ms();
     if setup.trouble {
--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -10,6 +10,9 @@
 
 use deployment::Record;
 use std::path::{Path, PathBuf};
+use std::thread;
+use std::time::Duration;
+use wire::{Answer, Client};
 
 /// What a case is started with.
 pub struct Setup {
@@ -61,6 +64,17 @@
     format!("/* id={id},c={VIEW},d=1500,cluster=1 */ SELECT content FROM kv WHERE name = '7f3a9c21e0b4d655'")
 }
 
+/// Sends statements that `statement` makes from an id until one is served; the instance may not know the list yet.
+pub fn ask_until_served(client: &mut Client, name: &str, statement: fn(&str) -> String) {
+    for number in 0..50 {
+        if matches!(client.ask(&statement(&format!("{name}-{number}"))), Answer::Value(_)) {
+            return;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    deployment::cannot_run(&format!("no statement {name} is served before the disruption"));
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, folder] = &arguments[..] else { deployment::cannot_run("expected a case and its folder") };
--- a/review/stand-ins/old_primary.rs
+++ b/review/stand-ins/old_primary.rs
@@ -4,7 +4,7 @@
 use crate::cluster::{unix_ms, Cluster};
 use crate::deployment::{cannot_run, session_file, Discovery, Folder, Instance};
 use crate::wire::{Answer, Client};
-use crate::{write_statement, Setup};
+use crate::{ask_until_served, write_statement, Setup};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -26,9 +26,7 @@
     };
     let (first, second) = (start("n1", 0), start("n2", 1));
     let Some(mut client) = Client::open(&first.listen, Some("new"), 5_000) else { cannot_run("no session") };
-    if !matches!(client.ask(&write_statement("w0")), Answer::Value(_)) {
-        cannot_run("the first write was not answered");
-    }
+    ask_until_served(&mut client, "w0", write_statement);
     record.line("the session's write w0 was served at n1");
 
     let cut_at = Instant::now();
