Count an attempt from the policy's request, so that a client that leaves cannot lose it

Cause: actions are performed at the end of a batch. Request and ClientGone of such a client are in one batch: on_client_gone removed the request, since no attempt was registered yet, and start_attempt (control/actions.rs, `state.requests.get_mut(request)?`) then started nothing and reported no end. The policy's count of attempts in flight was never reduced.

Evidence, a trial with the debug log and the admin socket, 3.5 s after the last of 40 clients at n1: s-1 serving primary in flight 4 limit 4.00 ejected for - lag 0.3ms s-2 serving replica in flight 4 limit 3.20 ejected for - lag 20ms s-3 serving replica in flight 4 limit 4.00 ejected for - lag 20ms 0 open, 0 queued Of the leaving clients only leaver-0-3 has a line `decision=attempt`; all 7 such lines of both instances have their `attempt ended`. Ruled out by this: ejection, an unknown primary, stale replicas, attempts that were started and lost.

Change: report_to_policy registers an attempt as soon as the policy requests it. A closed request then stays registered until its attempt has ended, and the attempt ends as NotSent without being started. This covers each event: new requests, retries, waiting requests, and aborts at the abort time. The write in flight that a session kept after such a loss ends too.

--- a/server/src/control/actions.rs
+++ b/server/src/control/actions.rs
@@ -1,17 +1,14 @@
 //! Performs the actions of the routing policy, in the order in which the policy requested them.
 
-use crate::control::active_request::{AttemptLocation, StartedAttempt};
 use crate::control::control_loop::ControlLoop;
 use crate::log;
 use crate::messages::control::{AttemptJob, AttemptResult, AttemptTimes};
 use crate::messages::response::Response;
-use crate::runtime::cancellation::CancellationToken;
 use routing::time::{TimeDelta, Timestamp};
 use routing::{Action, AttemptId, AttemptOutcome, EndpointIndex, EndpointReport, Event, RequestId};
-use std::sync::Arc;
 
 impl ControlLoop {
-    /// Performs all pending actions, and those that the policy requests because an attempt could not be started.
+    /// Performs all pending actions, and those that the policy requests because an attempt was not started.
     pub(super) fn perform_actions(&mut self, now: Timestamp) {
         while !self.state.actions.is_empty() {
             let mut not_sent = Vec::new();
@@ -24,7 +21,7 @@
         }
     }
 
-    /// Performs one action. The result of an attempt that cannot be started is appended to `not_sent`.
+    /// Performs one action. The result of an attempt that is not started is appended to `not_sent`.
     fn perform_action(&mut self, now: Timestamp, action: Action, not_sent: &mut Vec<AttemptResult>) {
         match action {
             Action::StartAttempt { request, endpoint, timeout } => {
@@ -44,7 +41,8 @@
         }
     }
 
-    /// Starts an attempt; returns its result if it cannot be started because the endpoint has no address.
+    /// Starts an attempt. Returns its result if it is not started: its request was closed after the policy requested
+    /// the attempt, or its endpoint has no address.
     fn start_attempt(
         &mut self,
         now: Timestamp,
@@ -52,18 +50,15 @@
         endpoint: EndpointIndex,
         timeout: TimeDelta,
     ) -> Option<AttemptResult> {
-        let state = &mut self.state;
-        let number = state.requests.start_attempt(request);
+        let state = &self.state;
         state.log_decision(request, "attempt", now);
-        let addr = state.addr(endpoint);
-        let active = state.requests.get_mut(request)?;
-        let cancellation = Arc::new(CancellationToken::default());
-        active.attempt = Some(StartedAttempt {
-            number,
-            cancellation: cancellation.clone(),
-            in_flight: Some(AttemptLocation { endpoint, started_at: now }),
-        });
-        let attempt = AttemptId { request, number, endpoint };
+        let attempt = state.requests.get(request).and_then(|active| Some((active, active.attempt.as_ref()?)));
+        let Some((active, started)) = attempt else {
+            log!(WARN, request = request; "attempt of a request that is not registered, not started");
+            return None;
+        };
+        let attempt = AttemptId { request, number: started.number, endpoint };
+        let addr = state.addr(endpoint).filter(|_| state.requests.is_open(request));
         let Some(addr) = addr else {
             return Some(AttemptResult::not_sent(attempt, now));
         };
@@ -72,12 +67,12 @@
             addr,
             times: AttemptTimes { started_at: now, deadline: now + timeout },
             outgoing: active.outgoing_request(),
-            cancellation,
+            cancellation: started.cancellation.clone(),
         });
         None
     }
 
-    /// Ends an attempt that was not sent because its endpoint has no address.
+    /// Ends an attempt that was not started.
     fn on_attempt_not_sent(&mut self, now: Timestamp, result: AttemptResult) {
         self.state.end_attempt(now, result, self.config.settings.max_retry_after);
     }
--- a/server/src/control/active_request.rs
+++ b/server/src/control/active_request.rs
@@ -15,7 +15,7 @@
 pub struct AttemptLocation {
     /// The endpoint that executes the attempt.
     pub endpoint: EndpointIndex,
-    /// When the attempt was started.
+    /// When the routing policy requested the attempt.
     pub started_at: Timestamp,
 }
 
@@ -29,6 +29,17 @@
     pub in_flight: Option<AttemptLocation>,
 }
 
+impl StartedAttempt {
+    /// Creates the state of an attempt that is in flight at `endpoint` since `started_at`.
+    pub fn new(number: u32, endpoint: EndpointIndex, started_at: Timestamp) -> StartedAttempt {
+        StartedAttempt {
+            number,
+            cancellation: Arc::default(),
+            in_flight: Some(AttemptLocation { endpoint, started_at }),
+        }
+    }
+}
+
 /// What is known of a request's execution, and whether the write journal has recorded the request.
 #[derive(Default)]
 pub struct ExecutionState {
--- a/server/src/control/router_state.rs
+++ b/server/src/control/router_state.rs
@@ -1,6 +1,6 @@
 //! The router state: the part of the control loop's state that is replaced after a panic of the routing policy.
 
-use crate::control::active_request::ActiveRequest;
+use crate::control::active_request::{ActiveRequest, StartedAttempt};
 use crate::control::deadlines::Deadlines;
 use crate::control::recovery_options::RecoveryOptions;
 use crate::control::request_queue::RequestQueue;
@@ -120,7 +120,24 @@
 
     /// Reports an event to the routing policy. The actions that the policy requests are appended to `actions`.
     pub fn report_to_policy(&mut self, now: Timestamp, event: Event) {
+        let first_new = self.actions.len();
         self.policy.on_event(now, event, &mut self.actions);
+        self.register_attempts(now, first_new);
+    }
+
+    /// Registers the attempts that the pending actions from the index `first_new` on start.
+    ///
+    /// The routing policy counts an attempt from its request for it until its end is reported. The attempt is therefore
+    /// registered before its action is performed: a request that is closed in between stays registered, so that the
+    /// end of its attempt can still be reported.
+    fn register_attempts(&mut self, now: Timestamp, first_new: usize) {
+        for action in &self.actions[first_new..] {
+            let Action::StartAttempt { request, endpoint, .. } = *action else { continue };
+            let number = self.requests.start_attempt(request);
+            if let Some(active) = self.requests.get_mut(request) {
+                active.attempt = Some(StartedAttempt::new(number, endpoint, now));
+            }
+        }
     }
 
     /// Reports an event to primary discovery, if there is one. The actions that it requests are appended to
--- a/server/tests/control_loop.rs
+++ b/server/tests/control_loop.rs
@@ -1,5 +1,5 @@
-//! The responses of the control loop, without client sockets: after a panic of the routing policy, above the limit of
-//! open requests, at timeouts during long batches, and for ids that are in use.
+//! The control loop without client sockets: its responses after a panic of the routing policy, above the limit of open
+//! requests, at timeouts during long batches, and for ids that are in use; and the attempts that it counts in flight.
 
 use host_support::bootstrap_config::BootstrapConfig;
 use host_support::routing_settings::routing_settings;
@@ -15,6 +15,7 @@
 use server::messages::endpoint_list::{ListedEndpoint, ListedHealth};
 use server::messages::request::{ClientRequest, RequestIdentity, RequestSession, RequestText};
 use server::messages::response::{RequestResponse, Response, ResponseChannel, ResponseTicket};
+use server::messages::snapshot::ServerSnapshot;
 use server::protocol::sqlstate::SqlState;
 use server::runtime::clock::{Clock, Timers};
 use server::runtime::metrics::Metrics;
@@ -34,6 +35,8 @@
 const READ: MethodIndex = 1;
 /// The group that has a primary in every test.
 const GROUP: GroupNumber = 3;
+/// A group without a primary.
+const OTHER_GROUP: GroupNumber = 4;
 const SECOND: TimeDelta = TimeDelta::from_millis(1000);
 /// How long a test waits for a response before it fails.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
@@ -149,6 +152,12 @@
         self.send(ControlMessage::Request(Box::new(IncomingRequest { header, text, ticket })));
     }
 
+    fn snapshot(&self) -> ServerSnapshot {
+        let (reply, snapshot) = std::sync::mpsc::channel();
+        self.send(ControlMessage::Snapshot { reply });
+        snapshot.recv_timeout(WAIT_TIMEOUT).expect("the control loop sent no snapshot")
+    }
+
     /// Waits until at least `count` responses have arrived. Returns them ordered by request.
     fn wait_for_responses(&self, count: usize) -> Vec<RequestResponse> {
         let deadline = Instant::now() + WAIT_TIMEOUT;
@@ -172,6 +181,12 @@
     }
 }
 
+/// The number of attempts in flight at all endpoints, as the routing policy counts them.
+fn attempts_in_flight(snapshot: &ServerSnapshot) -> u32 {
+    let states = snapshot.endpoints.iter().filter_map(|endpoint| endpoint.state);
+    states.map(|state| state.capacity.in_flight).sum()
+}
+
 /// Whether a response says that another request with the same id is open.
 fn is_duplicate_id_error(response: &Response) -> bool {
     matches!(response, Response::Error(error) if error.code == SqlState::DUPLICATE_OBJECT)
@@ -221,7 +236,6 @@
 
 #[test]
 fn a_timer_that_fires_while_a_batch_is_handled_is_not_lost() {
-    const OTHER_GROUP: GroupNumber = 4;
     let silent = start_silent_endpoint();
     let fixture = start_control_loop(&silent, 100);
     // No primary of the group is known, so a read of the latest data is open until its timer fires.
@@ -255,3 +269,31 @@
         assert!(Instant::now() < deadline, "the id is still in use after its attempt has ended");
     }
 }
+
+/// Guards against an endpoint whose capacity is used up for good by attempts that were never started, because their
+/// clients disconnected in the batch in which the routing policy requested the attempts.
+#[test]
+fn an_attempt_whose_client_disconnects_in_the_same_batch_does_not_stay_in_flight() {
+    let silent = start_silent_endpoint();
+    let fixture = start_control_loop(&silent, 100);
+    for request in 1..=3 {
+        // The next two messages arrive while the control loop handles this list, so that it handles them as one batch.
+        fixture.send(list_of_replicas(OTHER_GROUP, &silent));
+        fixture.send_write(request, 60_000);
+        fixture.send(ControlMessage::ClientGone { request });
+    }
+    let deadline = Instant::now() + WAIT_TIMEOUT;
+    loop {
+        let snapshot = fixture.snapshot();
+        let in_flight = attempts_in_flight(&snapshot);
+        if in_flight == 0 && snapshot.open_requests == 0 {
+            return;
+        }
+        assert!(
+            Instant::now() < deadline,
+            "{in_flight} attempts are counted in flight, with {} open requests",
+            snapshot.open_requests
+        );
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
--- a/server/tests/loopback/disconnects.rs
+++ b/server/tests/loopback/disconnects.rs
@@ -11,6 +11,9 @@
 /// Time that the instance has to detect a disconnect before the endpoint accepts the queued request.
 const DETECTION_TIME: Duration = Duration::from_millis(100);
 
+/// Number of clients that send one request and disconnect at once: far more than the endpoints' concurrency limits.
+const LEAVING_CLIENTS: usize = 80;
+
 /// Sends a write whose connection to the endpoint completes only after a message to the returned sender.
 fn send_gated_write(router: &RouterProcess) -> (Client, Sender<()>) {
     let (open_gate, startup_gate) = channel();
@@ -131,6 +134,25 @@
     );
 }
 
+/// Guards against an instance that rejects every request for good after clients have sent one request and closed their
+/// connection at once.
+#[test]
+fn requests_are_served_after_clients_have_disconnected_right_after_sending() {
+    let (router, mut client) = RouterProcess::start().with_client();
+    let until = Instant::now() + WAIT_TIMEOUT;
+    client.request_until_served("order", "good", 1000, until, "the primary was not found");
+    for index in 0..LEAVING_CLIENTS {
+        let method = if index % 2 == 0 { "order" } else { "read" };
+        let mut stream = TcpStream::connect(router.listen).expect("the connection was refused");
+        stream.write_all(&startup_and_query(&statement(method, "good", 3000))).expect("failed to send");
+        drop(stream);
+    }
+    // Once this later connection is served, those above have been accepted.
+    Client::connect(router.listen);
+    assert_eq!(client.request("order", "good", 3000), default_value(), "a write is not served");
+    assert_eq!(client.request("read", "good", 1500), default_value(), "a read is not served");
+}
+
 /// Sends SIGTERM and waits until the instance has begun its graceful shutdown.
 fn begin_shutdown(router: &RouterProcess) {
     let mut idle = Client::connect(router.listen);
