Log on which connection a request is about to be sent, and whether its epoch is queried

The log could not tell four explanations apart: the session's position has no epoch; the epoch was queried, but its report was lost; the epoch has no start; or the connection counts as one whose epoch is known, so nothing was queried.

Change: one line at debug level when an attempt has its connection: is_reused, needs_epoch, must_query_epoch.

No behaviour changes.

--- a/server/src/endpoints/attempt.rs
+++ b/server/src/endpoints/attempt.rs
@@ -12,7 +12,7 @@
 use crate::runtime::clock::NANOS_PER_MILLI;
 use crate::storage::journal::WriteJournal;
 use may::sync::mpsc::{channel, Sender};
-use routing::AttemptOutcome;
+use routing::{AttemptId, AttemptOutcome};
 
 /// The minimum timeout that is sent to an endpoint, in milliseconds. Endpoints do not accept a timeout of zero.
 const MIN_TIMEOUT_MS: i64 = 1;
@@ -92,7 +92,9 @@
     /// Runs the attempt on one connection; `is_reused` if it comes from the pool.
     fn run_on(&mut self, mut connection: PeerConnection, is_reused: bool) -> NextStep {
         connection.schedule_wake_ups(self.limits());
-        if self.job.outgoing.needs_epoch && !connection.epoch_confirmed {
+        let must_query_epoch = self.job.outgoing.needs_epoch && !connection.epoch_confirmed;
+        self.log_connection(must_query_epoch, is_reused);
+        if must_query_epoch {
             connection = match self.query_epoch(connection) {
                 Ok(connection) => connection,
                 Err(error) => return step_after_failed_send(error, is_reused),
@@ -114,6 +116,19 @@
         }
     }
 
+    /// Logs at debug level on which connection a request is about to be sent, and whether the endpoint's epoch is queried
+    /// on it first.
+    fn log_connection(&self, must_query_epoch: bool, is_reused: bool) {
+        if !tracing::enabled!(tracing::Level::DEBUG) {
+            return;
+        }
+        let AttemptId { request, number: attempt, .. } = self.job.attempt;
+        let (endpoint, needs_epoch) = (self.job.addr, self.job.outgoing.needs_epoch);
+        tracing::debug!(
+            request, attempt, %endpoint, is_reused, needs_epoch, must_query_epoch, "attempt has a connection"
+        );
+    }
+
     /// Sends the request, with its timeout replaced by the time that remains until the deadline.
     fn send(&self, connection: &mut PeerConnection) -> Result<(), IoError> {
         let text = &self.job.outgoing.text;
