Stand-in endpoints report their role and position with SHOW health, as real ones do

Change: both answers have the same ParameterStatus messages, encoded in one place.

Result: fates, histories, starts and admission pass with it (18 tests); they cannot show the fault, since none sends a session's write first after a health check has found a new primary.

--- a/test-servers/src/endpoint.rs
+++ b/test-servers/src/endpoint.rs
@@ -88,14 +88,11 @@
     service_time: Duration,
     /// The log point at which the data was read or written. A duplicate of a write has that of the first execution.
     log_point: LogPoint,
-    /// Position of the endpoint, in Unix milliseconds.
-    position_ms: i64,
     /// Position up to which the endpoint's data is that of the live branch, in Unix milliseconds; 0 if the endpoint
     /// belongs to another group than the requested one.
     consistent_until_ms: i64,
-    is_primary: bool,
-    /// The encoded ParameterStatus message that reports the endpoint's epoch.
-    epoch: Vec<u8>,
+    /// The encoded ParameterStatus messages that report the endpoint's state.
+    status: Vec<u8>,
 }
 
 impl Endpoint {
@@ -149,11 +146,20 @@
     }
 
     fn append_health(&self, out: &mut Vec<u8>) {
+        let now_ms = unix_ms();
         let state = self.cluster.lock();
-        let position_s = state.position(self.index, unix_ms()) as f64 / 1e3;
+        let position_s = state.position(self.index, now_ms) as f64 / 1e3;
         let primary = u8::from(state.endpoints[self.index].primary);
         append_single_value(out, format!("x0={position_s:.3},x1={primary},load_share=0.1").as_bytes());
-        self.append_epoch(&state, out);
+        self.append_status(&state, now_ms, out);
+    }
+
+    /// Appends ParameterStatus messages with the endpoint's role, position and epoch at `now_ms`.
+    fn append_status(&self, state: &ClusterState, now_ms: i64, out: &mut Vec<u8>) {
+        let recovery = if state.endpoints[self.index].primary { "off" } else { "on" };
+        append_parameter_status(out, "recovery", recovery);
+        append_parameter_status(out, "lsn_ms", &state.position(self.index, now_ms).to_string());
+        self.append_epoch(state, out);
     }
 
     /// Appends a ParameterStatus message with the endpoint's epoch: the number of the timeline and, unless the timeline
@@ -193,9 +199,7 @@
             out,
             format!("{} {} {branch} {position_ms}", statement.id, reply.consistent_until_ms).as_bytes(),
         );
-        append_parameter_status(out, "recovery", if reply.is_primary { "off" } else { "on" });
-        append_parameter_status(out, "lsn_ms", &reply.position_ms.to_string());
-        out.extend(reply.epoch);
+        out.extend(reply.status);
     }
 
     /// Executes a statement when it arrives, whatever its service time. Returns `None` if the statement is a write and
@@ -220,15 +224,13 @@
         // An endpoint of another group has none of the requested data.
         let is_own_group = endpoint.group == statement.group;
         let consistent_until_ms = state.consistent_until_ms(self.index, now_ms);
-        let mut epoch = Vec::new();
-        self.append_epoch(&state, &mut epoch);
+        let mut status = Vec::new();
+        self.append_status(&state, now_ms, &mut status);
         Some(Reply {
             service_time,
             log_point: duplicate_of.unwrap_or(log_point),
-            position_ms: log_point.position_ms,
             consistent_until_ms: if is_own_group { consistent_until_ms } else { 0 },
-            is_primary: endpoint.primary,
-            epoch,
+            status,
         })
     }
 
