Pass a connection's epoch with the question whether an attempt may be sent on it

Cause: PeerConnection::epoch_confirmed said only that the endpoint had reported an epoch on the connection (endpoints/answer.rs, at each answer of a primary). The epoch itself reached the control loop with the answer to a successful attempt or by the query before a write, not with a health check. The health check that found the new primary marked the connection that the waiting write then took, so the write was compared with the old epochs.

Change: the connection stores the epoch, and AttemptConfirmation carries it; the control loop records it before it compares. So the check has what it needs, whichever answer reported the epoch: role queries, failed attempts, a query for a request that was answered meanwhile, and connections that outlive the state after a panic had the same fault. ControlMessage::EpochReported is gone. Reads are not concerned, their answers carry their own epoch.

Result: a_loss_is_reported_to_a_write_if_only_a_health_check_has_seen_the_new_epoch failed before (a value in place of ZG001) and passes.

--- a/server/src/control/attempt_handling.rs
+++ b/server/src/control/attempt_handling.rs
@@ -12,7 +12,6 @@
 use crate::storage::journal::WriteJournal;
 use routing::time::{TimeDelta, Timestamp};
 use routing::{AttemptEnd, AttemptId, AttemptOutcome, Event, RequestId};
-use sessions::epochs::Epoch;
 use write_journal::record_state::RecordEvent;
 
 /// The error for a request whose id the write journal has recorded for an earlier write. The client can query the fate
@@ -22,21 +21,18 @@
 
 impl ControlLoop {
     /// Replies whether an attempt may still be sent: its request is open, the routing policy agrees, and the position
-    /// that the request's session has seen is not lost.
+    /// that the request's session has seen is not lost. The epoch of the attempt's connection is recorded first, because
+    /// it may be the first evidence of a loss.
     pub(super) fn on_confirm_attempt(&mut self, now: Timestamp, confirmation: &AttemptConfirmation) {
         let AttemptId { request, number, endpoint } = confirmation.attempt;
+        if let (Some(active), Some(epoch)) = (self.state.requests.get(request), confirmation.epoch) {
+            self.state.epochs.record(active.identity.group, epoch);
+        }
         let is_confirmed = self.state.requests.is_open(request)
             && self.state.policy.may_send_attempt(now, request, number, endpoint);
         let _ = confirmation.reply.send(is_confirmed && self.state.check_session(now, request));
     }
 
-    /// Records the epoch that an endpoint has reported before an attempt is sent to it.
-    pub(super) fn on_epoch_reported(&mut self, request: RequestId, epoch: Epoch) {
-        if let Some(active) = self.state.requests.get(request) {
-            self.state.epochs.record(active.identity.group, epoch);
-        }
-    }
-
     /// Handles the result of an attempt, and passes the endpoint's report to primary discovery.
     pub(super) fn on_attempt_ended(&mut self, now: Timestamp, result: AttemptResult) {
         let (endpoint, queried_at) = (result.attempt.endpoint, result.started_at);
--- a/server/src/control/control_loop.rs
+++ b/server/src/control/control_loop.rs
@@ -159,7 +159,6 @@
             }
             ControlMessage::ClientGone { request } => self.on_client_gone(now, request),
             ControlMessage::ConfirmAttempt(confirmation) => self.on_confirm_attempt(now, &confirmation),
-            ControlMessage::EpochReported { request, epoch } => self.on_epoch_reported(request, epoch),
             ControlMessage::AttemptEnded(result) => self.on_attempt_ended(now, *result),
             ControlMessage::HealthCheckEnded(result) => self.on_health_check_ended(now, result),
             ControlMessage::EndpointList { complete, endpoints } => {
--- a/server/src/endpoints/answer.rs
+++ b/server/src/endpoints/answer.rs
@@ -42,8 +42,9 @@
     let buffer = connection.take_buffer();
     let value = if outcome == AttemptOutcome::Succeeded { parser.value(buffer) } else { Vec::new() };
     let metadata = parser.metadata();
-    let is_primary = metadata.answer_report.role == Some(Role::Primary);
-    connection.epoch_confirmed |= is_primary && metadata.epoch.is_some();
+    if metadata.answer_report.role == Some(Role::Primary) {
+        connection.primary_epoch = metadata.epoch.or(connection.primary_epoch);
+    }
     Answer { outcome, value, metadata, connection: is_reusable.then_some(connection) }
 }
 
--- a/server/src/endpoints/attempt.rs
+++ b/server/src/endpoints/attempt.rs
@@ -13,6 +13,7 @@
 use crate::storage::journal::WriteJournal;
 use may::sync::mpsc::{channel, Sender};
 use routing::{AttemptId, AttemptOutcome};
+use sessions::epochs::Epoch;
 
 /// The minimum timeout that is sent to an endpoint, in milliseconds. Endpoints do not accept a timeout of zero.
 const MIN_TIMEOUT_MS: i64 = 1;
@@ -92,17 +93,17 @@
     /// Runs the attempt on one connection; `is_reused` if it comes from the pool.
     fn run_on(&mut self, mut connection: PeerConnection, is_reused: bool) -> NextStep {
         connection.schedule_wake_ups(self.limits());
-        let must_query_epoch = self.job.outgoing.needs_epoch && !connection.epoch_confirmed;
-        self.log_connection(must_query_epoch, is_reused);
-        if must_query_epoch {
-            connection = match self.query_epoch(connection) {
-                Ok(connection) => connection,
+        self.log_connection(&connection, is_reused);
+        let mut epoch = connection.primary_epoch;
+        if self.job.outgoing.needs_epoch && epoch.is_none() {
+            (connection, epoch) = match self.query_epoch(connection) {
+                Ok(answered) => answered,
                 Err(error) => return step_after_failed_send(error, is_reused),
             };
         }
         // Connecting and recording take time, in which the conditions under which the attempt was started may change.
         // So the control loop is asked for confirmation last, right before the request is sent.
-        if !self.record() || !self.confirm() {
+        if !self.record() || !self.confirm(epoch) {
             self.pool.return_unused(self.job.addr, connection);
             return NextStep::end(AttemptOutcome::NotSent);
         }
@@ -116,16 +117,17 @@
         }
     }
 
-    /// Logs at debug level on which connection a request is about to be sent, and whether the endpoint's epoch is queried
-    /// on it first.
-    fn log_connection(&self, must_query_epoch: bool, is_reused: bool) {
+    /// Logs at debug level on which connection a request is about to be sent, and the number of the epoch that is known
+    /// from it: 0 if none is.
+    fn log_connection(&self, connection: &PeerConnection, is_reused: bool) {
         if !tracing::enabled!(tracing::Level::DEBUG) {
             return;
         }
         let AttemptId { request, number: attempt, .. } = self.job.attempt;
         let (endpoint, needs_epoch) = (self.job.addr, self.job.outgoing.needs_epoch);
+        let known_epoch = connection.primary_epoch.map_or(0, |epoch| epoch.number);
         tracing::debug!(
-            request, attempt, %endpoint, is_reused, needs_epoch, must_query_epoch, "attempt has a connection"
+            request, attempt, %endpoint, is_reused, needs_epoch, known_epoch, "attempt has a connection"
         );
     }
 
@@ -153,33 +155,33 @@
         self.journal_verdict.is_some_and(JournalVerdict::allows_sending)
     }
 
-    /// Asks the control loop whether the attempt may still be sent, and waits for the reply.
-    fn confirm(&self) -> bool {
+    /// Asks the control loop whether the attempt may still be sent, and waits for the reply. `epoch` is that of the
+    /// attempt's connection, if it is known.
+    fn confirm(&self, epoch: Option<Epoch>) -> bool {
         let (reply, confirmed) = channel();
-        let question = AttemptConfirmation { attempt: self.job.attempt, reply };
+        let question = AttemptConfirmation { attempt: self.job.attempt, epoch, reply };
         let asked = self.control.send(ControlMessage::ConfirmAttempt(question));
         asked.is_ok() && confirmed.recv().unwrap_or(false)
     }
 
-    /// Queries the endpoint's epoch and reports it to the control loop, which checks the epoch when it confirms the
-    /// attempt.
+    /// Queries the endpoint's epoch, and returns it with the connection.
     ///
     /// An endpoint that reports no epoch is used as well, although the loss of a position cannot be detected there.
     ///
     /// # Errors
     /// The connection cannot be reused after the query.
-    fn query_epoch(&self, mut connection: PeerConnection) -> Result<PeerConnection, IoError> {
+    fn query_epoch(
+        &self,
+        mut connection: PeerConnection,
+    ) -> Result<(PeerConnection, Option<Epoch>), IoError> {
         send_query(&mut connection, HEALTH_STATEMENT, self.limits())?;
-        let answer = read_answer(connection, self.limits());
-        if let Some(epoch) = answer.metadata.epoch {
-            let message = ControlMessage::EpochReported { request: self.job.attempt.request, epoch };
-            let _ = self.control.send(message);
-        }
-        answer.connection.ok_or(match answer.outcome {
+        let Answer { outcome, metadata, connection, .. } = read_answer(connection, self.limits());
+        let connection = connection.ok_or(match outcome {
             AttemptOutcome::TimedOut => IoError::TimedOut,
             AttemptOutcome::Cancelled => IoError::Cancelled,
             _ => IoError::ConnectionLost,
-        })
+        })?;
+        Ok((connection, metadata.epoch))
     }
 }
 
--- a/server/src/endpoints/connection.rs
+++ b/server/src/endpoints/connection.rs
@@ -8,6 +8,7 @@
 use may::io::WaitIo;
 use may::net::TcpStream;
 use routing::time::{TimeDelta, Timestamp};
+use sessions::epochs::Epoch;
 use std::io::{ErrorKind, IoSlice, Read, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -60,9 +61,10 @@
     /// Bytes read since the coroutine last waited.
     burst_bytes: usize,
     descriptor: Descriptor,
-    /// The endpoint has reported on this connection that it is the primary, and its epoch. An endpoint closes its
-    /// connections when it stops being the primary, so the epoch is valid as long as the connection is open.
-    pub epoch_confirmed: bool,
+    /// The epoch that the endpoint has last reported on this connection as the primary; `None` if it has reported none.
+    /// An endpoint closes its connections when it stops being the primary, so the epoch is valid as long as the
+    /// connection is open.
+    pub primary_epoch: Option<Epoch>,
 }
 
 impl PeerConnection {
@@ -89,7 +91,7 @@
             charge: descriptor.buffer_charge(),
             burst_bytes: 0,
             descriptor,
-            epoch_confirmed: false,
+            primary_epoch: None,
         })
     }
 
--- a/server/src/messages/control.rs
+++ b/server/src/messages/control.rs
@@ -31,6 +31,9 @@
 pub struct AttemptConfirmation {
     /// The attempt that is about to be sent.
     pub attempt: AttemptId,
+    /// The epoch of the endpoint's log, as the endpoint has reported it on the connection of the attempt; `None` if it
+    /// is not known.
+    pub epoch: Option<Epoch>,
     /// Receives true if the attempt may be sent, and false otherwise.
     pub reply: Sender<bool>,
 }
@@ -88,13 +91,6 @@
     },
     /// An attempt is about to be sent and waits for confirmation.
     ConfirmAttempt(AttemptConfirmation),
-    /// An endpoint has reported its epoch before an attempt is sent.
-    EpochReported {
-        /// The request of the attempt.
-        request: RequestId,
-        /// The reported epoch.
-        epoch: Epoch,
-    },
     /// An attempt has ended.
     AttemptEnded(Box<AttemptResult>),
     /// A health check has ended.
--- a/server/tests/attempts.rs
+++ b/server/tests/attempts.rs
@@ -1,6 +1,7 @@
 //! Attempts on real connections, without a control loop. The tests guard against faults in the time between the last
 //! check of a pooled connection and the sending of a request on it: bytes that arrive in that time must not be taken
-//! for the request's answer, and a connection that the endpoint closes in that time must be replaced.
+//! for the request's answer, and a connection that the endpoint closes in that time must be replaced. The epoch that an
+//! endpoint has reported on a connection must be part of the question whether the next request may be sent on it.
 
 mod common {
     pub mod message;
@@ -10,17 +11,23 @@
 use common::message::message;
 use common::value_messages::value_messages;
 use may::sync::mpsc::{channel, Receiver, Sender};
-use routing::time::TimeDelta;
+use routing::time::{TimeDelta, Timestamp};
 use routing::{AttemptId, AttemptOutcome};
 use server::endpoints::attempt::run_attempt;
+use server::endpoints::health_check::check_health;
 use server::endpoints::pool::ConnectionPool;
-use server::messages::control::{AttemptJob, AttemptResult, AttemptTimes, ControlMessage, OutgoingRequest};
+use server::messages::control::{
+    AttemptConfirmation, AttemptJob, AttemptResult, AttemptTimes, ControlMessage, OutgoingRequest,
+};
 use server::messages::request::RequestText;
 use server::protocol::decode::first_row_value;
+use server::protocol::encode::{error_response_with_code, Severity};
 use server::runtime::cancellation::CancellationToken;
 use server::runtime::clock::{Clock, Timers};
 use server::runtime::resource_limits::ResourceLimits;
 use server::runtime::tasks::spawn;
+use sessions::epochs::Epoch;
+use std::cell::Cell;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -39,6 +46,26 @@
     [value_messages(value), message(b'Z', b"I")].concat()
 }
 
+/// Encodes a complete answer of a primary that consists of `result`, with the epoch [`EPOCH`].
+fn answer_with_epoch(result: Vec<u8>) -> Vec<u8> {
+    let role = message(b'S', b"recovery\0off\0");
+    let epoch = message(b'S', b"epoch\x002@1790000000000\0");
+    [result, role, epoch, message(b'Z', b"I")].concat()
+}
+
+/// The epoch that [`answer_with_epoch`] reports.
+const EPOCH: Epoch = Epoch { number: 2, start_position: Some(Timestamp(1_790_000_000_000_000_000)) };
+
+/// Encodes an error of an endpoint that has failed to execute a statement.
+fn internal_error() -> Vec<u8> {
+    let mut error = Vec::new();
+    error_response_with_code(&mut error, Severity::Error, "XX000", "failed", None);
+    error
+}
+
+/// Encodes an endpoint's answer to a statement, whose number among all statements is the parameter.
+type EncodeAnswer = fn(u8) -> Vec<u8>;
+
 /// An endpoint that answers each statement with the number of statements so far, and gives the test access to the
 /// first connection that it accepted.
 struct CountingEndpoint {
@@ -49,7 +76,12 @@
 }
 
 impl CountingEndpoint {
+    /// Starts an endpoint that answers with the number of statements so far and reports nothing about itself.
     fn start() -> CountingEndpoint {
+        CountingEndpoint::with_answers(|count| complete_answer(&[count]))
+    }
+
+    fn with_answers(encode_answer: EncodeAnswer) -> CountingEndpoint {
         let listener = TcpListener::bind("127.0.0.1:0").expect("failed to listen on loopback");
         let addr = listener.local_addr().expect("failed to read the listener's address");
         let endpoint =
@@ -62,7 +94,7 @@
                     *first_connection.lock().expect("an endpoint thread panicked") = stream.try_clone().ok();
                 }
                 let executed_on = executed_on.clone();
-                thread::spawn(move || serve_connection(stream, index, &executed_on));
+                thread::spawn(move || serve_connection(stream, index, &executed_on, encode_answer));
             }
         });
         endpoint
@@ -75,7 +107,12 @@
 }
 
 /// Answers the statements of a connection until it ends.
-fn serve_connection(mut stream: TcpStream, index: usize, executed_on: &Mutex<Vec<usize>>) -> Option<()> {
+fn serve_connection(
+    mut stream: TcpStream,
+    index: usize,
+    executed_on: &Mutex<Vec<usize>>,
+    encode_answer: EncodeAnswer,
+) -> Option<()> {
     read_body(&mut stream)?;
     stream.write_all(&[message(b'R', &[0; 4]), message(b'Z', b"I")].concat()).ok()?;
     loop {
@@ -87,7 +124,7 @@
         } else {
             let mut executed_on = executed_on.lock().expect("an endpoint thread panicked");
             executed_on.push(index);
-            complete_answer(&[executed_on.len() as u8])
+            encode_answer(executed_on.len() as u8)
         };
         stream.write_all(&response).ok()?;
     }
@@ -122,7 +159,22 @@
     /// Runs one attempt and returns its result. Calls `before_sending` when the attempt first asks for confirmation,
     /// and confirms it after that.
     fn run_attempt(&self, endpoint: &CountingEndpoint, before_sending: impl Fn()) -> AttemptResult {
-        self.run_cancellable_attempt(Arc::default(), endpoint, before_sending)
+        self.run_cancellable_attempt(Arc::default(), endpoint, |_| before_sending())
+    }
+
+    /// Runs one attempt and returns the epoch with which it asks for confirmation.
+    fn epoch_before_sending(&self, endpoint: &CountingEndpoint) -> Option<Epoch> {
+        let asked = Cell::new(None);
+        self.run_cancellable_attempt(Arc::default(), endpoint, |confirmation| asked.set(confirmation.epoch));
+        asked.get()
+    }
+
+    /// Runs a health check.
+    fn check_health(&self, endpoint: &CountingEndpoint) {
+        let (pool, control, addr) = (self.pool.clone(), self.control.clone(), endpoint.addr);
+        spawn(move || check_health(&pool, control, 0, addr, SECOND));
+        let message = self.messages.recv().expect("the health check ended without a result");
+        assert!(matches!(message, ControlMessage::HealthCheckEnded(_)), "no result of the health check");
     }
 
     /// Runs one attempt as [`Fixture::run_attempt`], with a cancellation token.
@@ -130,7 +182,7 @@
         &self,
         cancellation: Arc<CancellationToken>,
         endpoint: &CountingEndpoint,
-        before_sending: impl Fn(),
+        before_sending: impl Fn(&AttemptConfirmation),
     ) -> AttemptResult {
         let job = self.attempt_job(cancellation, endpoint);
         let (pool, control) = (self.pool.clone(), self.control.clone());
@@ -144,7 +196,7 @@
             match self.messages.recv().expect("the attempt ended without a result") {
                 ControlMessage::ConfirmAttempt(confirmation) => {
                     if std::mem::take(&mut is_first_confirmation) {
-                        before_sending();
+                        before_sending(&confirmation);
                     }
                     confirmation.reply.send(true).expect("the attempt does not wait for confirmation");
                 }
@@ -261,12 +313,29 @@
     );
 }
 
+/// Guards against a connection that counts as one whose epoch is known, although the control loop, which compares it with
+/// what sessions have seen, was not told of it: by a health check, a failed request, or before its state was replaced.
+#[test]
+fn an_epoch_that_any_answer_has_reported_is_part_of_the_next_confirmation_on_its_connection() {
+    let after_value = CountingEndpoint::with_answers(|count| answer_with_epoch(value_messages(&[count])));
+    let after_error = CountingEndpoint::with_answers(|_| answer_with_epoch(internal_error()));
+    for endpoint in [after_value, after_error] {
+        let fixture = Fixture::new();
+        assert_eq!(fixture.epoch_before_sending(&endpoint), None, "nothing was reported yet");
+        assert_eq!(fixture.epoch_before_sending(&endpoint), Some(EPOCH));
+    }
+    let checked = CountingEndpoint::with_answers(|count| answer_with_epoch(value_messages(&[count])));
+    let fixture = Fixture::new();
+    fixture.check_health(&checked);
+    assert_eq!(fixture.epoch_before_sending(&checked), Some(EPOCH), "not known after a health check");
+}
+
 #[test]
 fn an_attempt_cancelled_before_connecting_opens_no_connection() {
     let (fixture, endpoint) = (Fixture::new(), CountingEndpoint::start());
     let cancellation = Arc::new(CancellationToken::default());
     cancellation.cancel();
-    let result = fixture.run_cancellable_attempt(cancellation, &endpoint, || {
+    let result = fixture.run_cancellable_attempt(cancellation, &endpoint, |_| {
         panic!("a cancelled attempt asked for confirmation")
     });
     assert_eq!(result.outcome, AttemptOutcome::NotSent);
--- a/server/tests/control_loop.rs
+++ b/server/tests/control_loop.rs
@@ -201,7 +201,7 @@
     // The policy panics when it looks up endpoint 99, which is not in its table.
     let attempt = AttemptId { request: 1, number: 0, endpoint: 99 };
     let (reply, _reply_receiver) = channel();
-    fixture.send(ControlMessage::ConfirmAttempt(AttemptConfirmation { attempt, reply }));
+    fixture.send(ControlMessage::ConfirmAttempt(AttemptConfirmation { attempt, epoch: None, reply }));
     let aborted = [1, 2].map(|request| RequestResponse { request, response: Response::Aborted });
     assert_eq!(fixture.wait_for_responses(2), aborted);
     fixture.send_write(3, 200);
--- a/server/tests/sessions.rs
+++ b/server/tests/sessions.rs
@@ -97,6 +97,15 @@
         self.publish_list(3, 1);
     }
 
+    /// Ends the primary `s-0` and promotes the replica `s-1`, as in [`Fixture::fail_over_to_replica_1`]. Discovery does
+    /// not list the new primary, so an instance finds it by health checks.
+    fn replace_primary_unlisted(&mut self) {
+        drop(self.served.remove(0));
+        let mut state = self.cluster.lock();
+        let forked_ms = state.position(1, unix_ms());
+        state.promote(1, OldPrimary::Follows, forked_ms);
+    }
+
     /// Connects a client to an instance. `session` is a session token, or `Some("new")` to request a new session.
     fn client(&self, index: usize, session: Option<&str>) -> Client {
         self.client_of_user(index, "backend", session)
@@ -229,6 +238,34 @@
     drop(daemons);
 }
 
+/// Sends writes until one is neither rejected nor aborted, and returns its record.
+fn write_until_final(client: &mut Client, name: &str) -> RequestRecord {
+    for index in 0..200 {
+        let record = request_until_not_rejected(client, Kind::Write, &format!("{name}-{index}"));
+        if record.answer != Answer::Aborted {
+            return record;
+        }
+    }
+    panic!("the write {name} was aborted 200 times");
+}
+
+/// Guards against a session's write that is executed on a log without what the session has seen: the connection on which
+/// it was sent had reported the new epoch in the answer to a health check only.
+#[test]
+fn a_loss_is_reported_to_a_write_if_only_a_health_check_has_seen_the_new_epoch() {
+    let mut fixture = Fixture::new([400, 400]);
+    let _daemon = fixture.start(0);
+    let mut client = fixture.client(0, Some("new"));
+    request_until_served(&mut client, Kind::Write, "seen");
+    fixture.replace_primary_unlisted();
+    let record = write_until_final(&mut client, "after");
+    assert_eq!(record.answer, Answer::Error(SESSION_LOST.into()), "the loss was not reported");
+    assert!(
+        !fixture.cluster.lock().executions.contains_key(&record.id),
+        "the write was executed although the loss was reported"
+    );
+}
+
 /// Checks that the valid token `token` is rejected if it is truncated, altered or sent by another user, and that a
 /// forged token is rejected.
 fn assert_invalid_tokens_are_rejected(fixture: &Fixture, token: &str) {
