Test the attempt of a waiting request whose client leaves in the batch that selects it

Change: five writes wait for an endpoint that drains; in one batch each, the endpoint serves again, the report of a health check has the policy select it, and the client disconnects.

--- a/server/tests/control_loop.rs
+++ b/server/tests/control_loop.rs
@@ -7,11 +7,11 @@
 use may::net::TcpStream;
 use may::sync::mpsc::{channel, Sender};
 use routing::time::TimeDelta;
-use routing::{AttemptId, MethodIndex, RequestId};
+use routing::{AttemptId, AttemptOutcome, EndpointReport, MethodIndex, RequestId, Role};
 use server::control::control_loop::{ControlLoop, ControlSetup, RouterConfig};
 use server::endpoints::dispatcher::EndpointDispatcher;
 use server::endpoints::pool::ConnectionPool;
-use server::messages::control::{AttemptConfirmation, ControlMessage, IncomingRequest};
+use server::messages::control::{AttemptConfirmation, ControlMessage, HealthCheckResult, IncomingRequest};
 use server::messages::endpoint_list::{ListedEndpoint, ListedHealth};
 use server::messages::request::{ClientRequest, RequestIdentity, RequestSession, RequestText};
 use server::messages::response::{RequestResponse, Response, ResponseChannel, ResponseTicket};
@@ -158,6 +158,23 @@
         snapshot.recv_timeout(WAIT_TIMEOUT).expect("the control loop sent no snapshot")
     }
 
+    /// Waits until no request is registered and the routing policy counts no attempt in flight.
+    fn assert_no_attempt_stays_in_flight(&self) {
+        let deadline = Instant::now() + WAIT_TIMEOUT;
+        loop {
+            let snapshot = self.snapshot();
+            let (in_flight, open_requests) = (attempts_in_flight(&snapshot), snapshot.open_requests);
+            if in_flight == 0 && open_requests == 0 {
+                return;
+            }
+            assert!(
+                Instant::now() < deadline,
+                "{in_flight} attempts are counted in flight, with {open_requests} open requests"
+            );
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     /// Waits until at least `count` responses have arrived. Returns them ordered by request.
     fn wait_for_responses(&self, count: usize) -> Vec<RequestResponse> {
         let deadline = Instant::now() + WAIT_TIMEOUT;
@@ -282,18 +299,34 @@
         fixture.send_write(request, 60_000);
         fixture.send(ControlMessage::ClientGone { request });
     }
-    let deadline = Instant::now() + WAIT_TIMEOUT;
-    loop {
-        let snapshot = fixture.snapshot();
-        let in_flight = attempts_in_flight(&snapshot);
-        if in_flight == 0 && snapshot.open_requests == 0 {
-            return;
-        }
-        assert!(
-            Instant::now() < deadline,
-            "{in_flight} attempts are counted in flight, with {} open requests",
-            snapshot.open_requests
-        );
-        std::thread::sleep(Duration::from_millis(5));
+    fixture.assert_no_attempt_stays_in_flight();
+}
+
+/// As above, for a request that has waited for an endpoint: the batch in which its attempt is requested begins long after
+/// the one in which it arrived.
+#[test]
+fn an_attempt_of_a_waiting_request_whose_client_disconnects_in_the_same_batch_does_not_stay_in_flight() {
+    const WAITING_GROUP: GroupNumber = 5;
+    let silent = start_silent_endpoint();
+    let fixture = start_control_loop(&silent, 100);
+    let serving = ListedEndpoint { group: WAITING_GROUP, ..primary_entry("p", &silent) };
+    let draining = ListedEndpoint { health: ListedHealth::Draining, ..serving.clone() };
+    for request in 1..=5 {
+        fixture.send(ControlMessage::EndpointList { complete: false, endpoints: vec![draining.clone()] });
+        fixture.send_request(WRITE, WAITING_GROUP, request, &request.to_string(), 60_000);
+        let waiting = fixture.snapshot();
+        assert_eq!((waiting.open_requests, attempts_in_flight(&waiting)), (1, 0), "the write does not wait");
+        // As above, the next messages arrive while the control loop handles these lists. The report of a health check has
+        // the policy select an endpoint for the waiting request.
+        (0..2).for_each(|_| fixture.send(list_of_replicas(OTHER_GROUP, &silent)));
+        fixture.send(ControlMessage::EndpointList { complete: false, endpoints: vec![serving.clone()] });
+        fixture.send(ControlMessage::HealthCheckEnded(HealthCheckResult {
+            endpoint: 1,
+            outcome: AttemptOutcome::Succeeded,
+            elapsed: TimeDelta::ZERO,
+            report: EndpointReport { role: Some(Role::Primary), ..EndpointReport::default() },
+        }));
+        fixture.send(ControlMessage::ClientGone { request });
+        fixture.assert_no_attempt_stays_in_flight();
     }
 }
