Acquire a connection in one place for attempts, health checks and role queries

Cause: Attempt::run and query_endpoint each took a connection from the pool, or opened one, and scheduled its wake-ups; and the query of an epoch returned a pair.

Change: ConnectionPool::acquire returns an AcquiredConnection, with whether it is reused; EpochOnConnection names the result of the query; reuse and open are private to the pool. No behaviour changes.

--- a/server/src/endpoints/attempt.rs
+++ b/server/src/endpoints/attempt.rs
@@ -4,7 +4,7 @@
 use crate::endpoints::answer::{read_answer, Answer};
 use crate::endpoints::completion_guard::CompletionGuard;
 use crate::endpoints::connection::{IoError, IoLimits, PeerConnection};
-use crate::endpoints::pool::ConnectionPool;
+use crate::endpoints::pool::{AcquiredConnection, ConnectionPool};
 use crate::endpoints::query::{send_query, HEALTH_STATEMENT};
 use crate::messages::control::{AttemptConfirmation, AttemptJob, AttemptResult, ControlMessage};
 use crate::messages::journal_entry::JournalVerdict;
@@ -51,6 +51,13 @@
     journal_verdict: Option<JournalVerdict>,
 }
 
+/// A connection, and the epoch that its endpoint has reported on it.
+struct EpochOnConnection {
+    connection: PeerConnection,
+    /// The epoch; `None` if the endpoint has reported none.
+    epoch: Option<Epoch>,
+}
+
 /// How an attempt continues after it has used one connection.
 enum NextStep {
     /// The attempt has ended.
@@ -73,34 +80,25 @@
     /// Runs the attempt on one connection after another until it has ended.
     fn run(&mut self) -> Answer {
         loop {
-            let reused = self.pool.reuse(&self.job.addr, self.limits());
-            let is_reused = reused.is_some();
-            let connection = match reused {
-                Some(connection) => Ok(connection),
-                None => self.pool.open(&self.job.addr, self.limits()),
-            };
-            let connection = match connection {
-                Ok(connection) => connection,
+            let acquired = match self.pool.acquire(&self.job.addr, self.limits()) {
+                Ok(acquired) => acquired,
                 Err(error) => return Answer::not_received(error.outcome),
             };
-            match self.run_on(connection, is_reused) {
+            match self.run_on(acquired) {
                 NextStep::End(answer) => return *answer,
                 NextStep::TryAnotherConnection => {}
             }
         }
     }
 
-    /// Runs the attempt on one connection; `is_reused` if it comes from the pool.
-    fn run_on(&mut self, mut connection: PeerConnection, is_reused: bool) -> NextStep {
-        connection.schedule_wake_ups(self.limits());
-        self.log_connection(&connection, is_reused);
-        let mut epoch = connection.primary_epoch;
-        if self.job.outgoing.needs_epoch && epoch.is_none() {
-            (connection, epoch) = match self.query_epoch(connection) {
-                Ok(answered) => answered,
-                Err(error) => return step_after_failed_send(error, is_reused),
-            };
-        }
+    /// Runs the attempt on one connection.
+    fn run_on(&mut self, acquired: AcquiredConnection) -> NextStep {
+        self.log_connection(&acquired);
+        let AcquiredConnection { connection, is_reused } = acquired;
+        let EpochOnConnection { mut connection, epoch } = match self.query_epoch_if_needed(connection) {
+            Ok(queried) => queried,
+            Err(error) => return step_after_failed_send(error, is_reused),
+        };
         // Connecting and recording take time, in which the conditions under which the attempt was started may change.
         // So the control loop is asked for confirmation last, right before the request is sent.
         if !self.record() || !self.confirm(epoch) {
@@ -119,13 +117,14 @@
 
     /// Logs at debug level on which connection a request is about to be sent, and the number of the epoch that is known
     /// from it: 0 if none is.
-    fn log_connection(&self, connection: &PeerConnection, is_reused: bool) {
+    fn log_connection(&self, acquired: &AcquiredConnection) {
         if !tracing::enabled!(tracing::Level::DEBUG) {
             return;
         }
         let AttemptId { request, number: attempt, .. } = self.job.attempt;
         let (endpoint, needs_epoch) = (self.job.addr, self.job.outgoing.needs_epoch);
-        let known_epoch = connection.primary_epoch.map_or(0, |epoch| epoch.number);
+        let is_reused = acquired.is_reused;
+        let known_epoch = acquired.connection.primary_epoch.map_or(0, |epoch| epoch.number);
         tracing::debug!(
             request, attempt, %endpoint, is_reused, needs_epoch, known_epoch, "attempt has a connection"
         );
@@ -164,16 +163,26 @@
         asked.is_ok() && confirmed.recv().unwrap_or(false)
     }
 
-    /// Queries the endpoint's epoch, and returns it with the connection.
+    /// Returns the connection with the epoch that is known from it. If the request needs an epoch and none is known, the
+    /// epoch is queried first.
+    ///
+    /// # Errors
+    /// As for [`Attempt::query_epoch`].
+    fn query_epoch_if_needed(&self, connection: PeerConnection) -> Result<EpochOnConnection, IoError> {
+        let epoch = connection.primary_epoch;
+        if self.job.outgoing.needs_epoch && epoch.is_none() {
+            return self.query_epoch(connection);
+        }
+        Ok(EpochOnConnection { connection, epoch })
+    }
+
+    /// Queries the endpoint's epoch.
     ///
     /// An endpoint that reports no epoch is used as well, although the loss of a position cannot be detected there.
     ///
     /// # Errors
     /// The connection cannot be reused after the query.
-    fn query_epoch(
-        &self,
-        mut connection: PeerConnection,
-    ) -> Result<(PeerConnection, Option<Epoch>), IoError> {
+    fn query_epoch(&self, mut connection: PeerConnection) -> Result<EpochOnConnection, IoError> {
         send_query(&mut connection, HEALTH_STATEMENT, self.limits())?;
         let Answer { outcome, metadata, connection, .. } = read_answer(connection, self.limits());
         let connection = connection.ok_or(match outcome {
@@ -181,7 +190,7 @@
             AttemptOutcome::Cancelled => IoError::Cancelled,
             _ => IoError::ConnectionLost,
         })?;
-        Ok((connection, metadata.epoch))
+        Ok(EpochOnConnection { connection, epoch: metadata.epoch })
     }
 }
 
--- a/server/src/endpoints/pool.rs
+++ b/server/src/endpoints/pool.rs
@@ -37,6 +37,14 @@
     verification: Option<ResponseParser>,
 }
 
+/// A connection on which one query can be sent.
+pub struct AcquiredConnection {
+    /// The connection. Its reads and writes wake up at the limits with which it was acquired.
+    pub connection: PeerConnection,
+    /// The connection was idle in the pool, so the endpoint may have closed it meanwhile.
+    pub is_reused: bool,
+}
+
 /// Whether an idle connection can be reused.
 enum Reusability {
     /// The connection can be reused.
@@ -108,11 +116,23 @@
         self.idle.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
+    /// Takes a reusable idle connection out of the pool, or opens a new one.
+    ///
+    /// # Errors
+    /// As for [`ConnectionPool::open`].
+    pub fn acquire(&self, addr: &SocketAddr, limits: IoLimits) -> Result<AcquiredConnection, ConnectError> {
+        let reused = self.reuse(addr, limits);
+        let is_reused = reused.is_some();
+        let connection = reused.map_or_else(|| self.open(addr, limits), Ok)?;
+        connection.schedule_wake_ups(limits);
+        Ok(AcquiredConnection { connection, is_reused })
+    }
+
     /// Takes a reusable idle connection out of the pool; `None` if there is none.
     ///
     /// If all idle connections are being verified, waits for a verification. A verification takes the rest of one
     /// round trip, while a new connection takes several round trips and work at the endpoint.
-    pub fn reuse(&self, addr: &SocketAddr, limits: IoLimits) -> Option<PeerConnection> {
+    fn reuse(&self, addr: &SocketAddr, limits: IoLimits) -> Option<PeerConnection> {
         loop {
             let idle = self.take_idle(addr)?;
             if idle.verification.is_none() {
@@ -168,7 +188,7 @@
     /// # Errors
     /// The connection was not opened. The outcome is `Unreachable` or `Rejected` if the endpoint is the cause, and
     /// `NotSent` otherwise.
-    pub fn open(&self, addr: &SocketAddr, limits: IoLimits) -> Result<PeerConnection, ConnectError> {
+    fn open(&self, addr: &SocketAddr, limits: IoLimits) -> Result<PeerConnection, ConnectError> {
         if limits.cancellation.is_cancelled() {
             return Err(AttemptOutcome::NotSent.into());
         }
--- a/server/src/endpoints/query.rs
+++ b/server/src/endpoints/query.rs
@@ -2,7 +2,7 @@
 
 use crate::endpoints::answer::read_answer;
 use crate::endpoints::connection::{IoError, IoLimits, PeerConnection};
-use crate::endpoints::pool::ConnectionPool;
+use crate::endpoints::pool::{AcquiredConnection, ConnectionPool};
 use crate::messages::control::ConnectError;
 use crate::protocol::{decode, encode};
 use routing::AttemptOutcome;
@@ -30,10 +30,7 @@
     limits: IoLimits,
 ) -> Result<QueryResult, ConnectError> {
     loop {
-        let reused = pool.reuse(&addr, limits);
-        let is_reused = reused.is_some();
-        let mut connection = reused.map_or_else(|| pool.open(&addr, limits), Ok)?;
-        connection.schedule_wake_ups(limits);
+        let AcquiredConnection { mut connection, is_reused } = pool.acquire(&addr, limits)?;
         match send_query(&mut connection, statement, limits) {
             Ok(()) => {}
             // The endpoint closed the connection while it was idle in the pool.
