Tests that start the runtime themselves do not pin its worker, as the server does not

`may` pins its workers to cores by default, one worker to the first core. The server turns that off (configure_coroutines), three test files did not, so every such process shared the first core, whatever was idle.

With eight runs of control_loop at once and an idle machine, /proc shows the worker on cpu=0 in state R with 0.75 s run and 5.25 s waited. Ruled out: a lost wake-up (the worker is runnable), load (480 runs, twelve at once, passed in 26 s).

Change: set_worker_pin(false) in attempts, control_loop and operator_pages. Bounds and checks are as before.

--- a/server/tests/attempts.rs
+++ b/server/tests/attempts.rs
@@ -148,7 +148,7 @@
 
 impl Fixture {
     fn new() -> Fixture {
-        may::config().set_workers(1).set_stack_size(16 << 10);
+        may::config().set_workers(1).set_stack_size(16 << 10).set_worker_pin(false);
         let timers = Arc::new(Timers::start(Clock::start()));
         let resources = ResourceLimits::new(64, 1 << 20, false);
         let pool = Arc::new(ConnectionPool::new(timers, resources, SECOND, SECOND * 30));
--- a/server/tests/control_loop.rs
+++ b/server/tests/control_loop.rs
@@ -57,7 +57,7 @@
 
 /// Starts a control loop whose endpoint list has one entry: the endpoint `silent`, as the primary of [`GROUP`].
 fn start_control_loop(silent: &TcpListener, max_open_requests: usize) -> Fixture {
-    may::config().set_workers(1).set_stack_size(16 << 10);
+    may::config().set_workers(1).set_stack_size(16 << 10).set_worker_pin(false);
     let config: BootstrapConfig =
         serde_json::from_str(SETTINGS).expect("the bootstrap settings cannot be parsed");
     let settings = routing_settings(&config).expect("the bootstrap settings are invalid");
--- a/server/tests/operator_pages/fixture.rs
+++ b/server/tests/operator_pages/fixture.rs
@@ -49,7 +49,7 @@
 
     /// Starts to serve the pages. One of two client connections has been rejected.
     fn start() -> Fixture {
-        may::config().set_workers(1);
+        may::config().set_workers(1).set_worker_pin(false);
         let recorder = install_recorder().expect("a recorder is installed already");
         let resources = ResourceLimits::new(MAX_DESCRIPTORS, MEMORY_BYTES, true);
         let admission = admission_control(&resources);
