Fault library for system calls, and soak runs under faults judged by request id

Change: fault-shim is preloaded and makes accept, socket, connect, waits, reads, writes, syncs and the wall clock fail as Linux documents; it also traces how many bytes were read from each client before its close, which tells whether a request was read. fault-soak runs instances with failing endpoints, disturbing proxies, clients of five habits, crowds and signals, planned from a seed.

--- a/server/tests/common/start_router.rs
+++ b/server/tests/common/start_router.rs
@@ -26,6 +26,7 @@
         folder,
         listen,
         discovery,
+        environment: Vec::new(),
     };
     Daemon::start(&options).expect("the router did not start")
 }
--- a/test-servers/src/daemon.rs
+++ b/test-servers/src/daemon.rs
@@ -37,6 +37,8 @@
     pub listen: SocketAddr,
     /// Address of the discovery service.
     pub discovery: SocketAddr,
+    /// Further environment variables of the process.
+    pub environment: Vec<(&'static str, String)>,
 }
 
 impl Daemon {
@@ -56,6 +58,7 @@
         command.env_clear().env("ROUTER_CONFIG", &bootstrap).env("ROUTER_NAME", INSTANCE_NAME);
         command.env("ROUTER_LISTEN", options.listen.to_string());
         command.env("ROUTER_DISCOVERY", options.discovery.to_string());
+        command.envs(options.environment.iter().map(|(name, value)| (name, value)));
         let mut child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn()?;
         let log = Arc::new(Mutex::new(String::new()));
         let log_reader = child.stderr.take().map(|stderr| {
@@ -102,6 +105,11 @@
         true
     }
 
+    /// Whether the process has exited.
+    pub fn has_exited(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// Kills the process and returns its log.
     pub fn kill(mut self) -> String {
         self.kill_and_wait();
--- /dev/null
+++ b/test-servers/src/fault_soak/instance.rs
@@ -0,0 +1,147 @@
+//! An instance of the daemon that runs with the fault library, and what the library has traced.
+
+use crate::daemon::{Daemon, DaemonOptions};
+use crate::endpoint::free_address;
+use crate::fault_soak::plan::InstancePlan;
+use serde_json::Value;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How often the main thread looks whether an instance has exited.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+const NANOS_PER_MILLI: u64 = 1_000_000;
+
+/// The executables of a soak run.
+#[derive(Clone, Copy, Debug)]
+pub struct Programs<'a> {
+    /// The daemon.
+    pub daemon: &'a Path,
+    /// The fault library.
+    pub fault_shim: &'a Path,
+}
+
+/// How an instance has ended.
+#[derive(Clone, Debug)]
+pub struct InstanceEnd {
+    /// When it was told to end.
+    pub term_at: Instant,
+    /// When it was killed; `None` if it has exited before.
+    pub killed_at: Option<Instant>,
+    /// Its log.
+    pub log: String,
+    /// The number of bytes that it had read from each client when it closed the connection, by the client's port.
+    pub read_bytes: HashMap<u16, u64>,
+    /// The number of faults that were injected.
+    pub faults: usize,
+    /// The plan of its faults.
+    pub plan: InstancePlan,
+}
+
+/// A running instance.
+pub struct Instance {
+    /// The address that it listens on.
+    pub listen: SocketAddr,
+    daemon: Daemon,
+    plan: InstancePlan,
+    trace: PathBuf,
+}
+
+/// The settings of a deployment whose longest deadline is `deadline_ms`.
+fn settings(deadline_ms: u64) -> String {
+    let (deadline, objective) = (deadline_ms * NANOS_PER_MILLI, deadline_ms * NANOS_PER_MILLI / 2);
+    format!(
+        r#"{{"nInstances":2,"zone":0,"azs":["a"],"resolutionNs":5000000,"membershipMode":"push",
+        "classes":[{{"name":"read","aimNs":{objective},"deadlineNs":{deadline},"effect":"read_like"}},
+            {{"name":"order","aimNs":{objective},"deadlineNs":{deadline},"effect":"non_idempotent","lateValue":0.5}}],
+        "familyInfo":{{"classRead":["recent","update"],"guards":"off","lagAllowedNs":[800000000,0],
+            "sessionMarks":"client"}},
+        "allowed":{{"maxAttempts":6,"mayCancel":true,"probes":true,"retryAfter":true,"maxRetryAfterNs":500000000}},
+        "report":{{"names":["x0","x1","load_share"]}},"rules":{{}}}}"#
+    )
+}
+
+impl Instance {
+    /// Starts an instance in the existing directory `folder`.
+    ///
+    /// # Errors
+    /// A file cannot be written, or the process cannot be started.
+    pub fn start(
+        programs: Programs,
+        folder: &Path,
+        plan: &InstancePlan,
+        seed: u64,
+        deadline_ms: u64,
+        discovery: SocketAddr,
+        endpoints: &[Value],
+    ) -> io::Result<Instance> {
+        let listen = free_address();
+        let hosts = Value::from(endpoints.to_vec());
+        let settings = settings(deadline_ms);
+        let bootstrap = format!(
+            r#"{{"seed":"{seed:016x}","limits":{{"sockets":512,"memory_mb":128}},
+            "known":{{"seq":4,"whole":true,"hosts":{hosts}}},"settings":{settings}}}"#
+        );
+        let state_dir = folder.join("state");
+        std::fs::create_dir_all(&state_dir)?;
+        let operator_file = format!("state-dir {}\nwrite-journal system\n", state_dir.display());
+        let trace = folder.join("trace");
+        let daemon = Daemon::start(&DaemonOptions {
+            program: programs.daemon,
+            bootstrap: &bootstrap,
+            operator_file: plan.has_state_dir.then_some(&operator_file),
+            folder,
+            listen,
+            discovery,
+            environment: vec![
+                ("LD_PRELOAD", programs.fault_shim.display().to_string()),
+                ("FAULT_PLAN", plan.faults.clone()),
+                ("FAULT_SEED", seed.to_string()),
+                ("FAULT_TRACE", trace.display().to_string()),
+            ],
+        })?;
+        Ok(Instance { listen, daemon, plan: plan.clone(), trace })
+    }
+
+    /// Sends the planned signals, and waits until the instance has ended. `started` is the start of the run.
+    pub fn run_signals(mut self, started: Instant) -> InstanceEnd {
+        let plan = self.plan.clone();
+        let mut reloads = plan.reload_at.clone();
+        reloads.sort();
+        for reload_at in reloads.iter().filter(|reload_at| **reload_at < plan.term_at) {
+            sleep_until(started + *reload_at);
+            self.daemon.signal("HUP");
+        }
+        sleep_until(started + plan.term_at);
+        let term_at = Instant::now();
+        self.daemon.signal("TERM");
+        for reload_at in reloads.iter().filter(|reload_at| **reload_at >= plan.term_at) {
+            sleep_until(started + *reload_at);
+            self.daemon.signal("HUP");
+        }
+        let kill_at = term_at + (plan.kill_at - plan.term_at);
+        while Instant::now() < kill_at && !self.daemon.has_exited() {
+            thread::sleep(POLL_INTERVAL);
+        }
+        let killed_at = (!self.daemon.has_exited()).then(Instant::now);
+        let log = self.daemon.kill();
+        let trace = std::fs::read_to_string(&self.trace).unwrap_or_default();
+        let read_bytes = trace.lines().filter_map(parse_close).collect();
+        let faults = trace.lines().filter(|line| line.contains("descriptor=")).count();
+        InstanceEnd { term_at, killed_at, log, read_bytes, faults, plan }
+    }
+}
+
+fn sleep_until(at: Instant) {
+    thread::sleep(at.saturating_duration_since(Instant::now()));
+}
+
+/// Parses a traced close of a client's connection: the client's port and the number of bytes that were read.
+fn parse_close(line: &str) -> Option<(u16, u64)> {
+    let (_, fields) = line.split_once(" close port=")?;
+    let (port, read) = fields.split_once(" read=")?;
+    Some((port.parse().ok()?, read.parse().ok()?))
+}
--- /dev/null
+++ b/test-servers/src/fault_soak/mod.rs
@@ -0,0 +1,19 @@
+//! Soak runs under faults: several instances of the daemon as real processes on loopback, with endpoints that fail,
+//! proxies that disturb connections, system calls that fail, clients of all habits, and signals. Each run is planned
+//! from its seed and judged by the ids of the requests.
+//!
+//! - [`plan`]: what happens in a run
+//! - [`endpoint`]: endpoints that fail and that record what they are sent
+//! - [`proxy`]: a TCP proxy that disturbs connections
+//! - [`client`]: clients that record what becomes of their requests
+//! - [`instance`]: an instance of the daemon with the fault library, and its signals
+//! - [`verdict`]: the rules, applied to the records of a run
+//! - [`run`]: a run from its plan to its verdict
+
+pub mod client;
+pub mod endpoint;
+pub mod instance;
+pub mod plan;
+pub mod proxy;
+pub mod run;
+pub mod verdict;
--- /dev/null
+++ b/test-servers/src/fault_soak/plan.rs
@@ -0,0 +1,114 @@
+//! The plan of a run: which faults there are, when the instances are told to end, and how clients behave.
+
+use crate::random::{choose, one_in, plan_rng};
+use routing::rng::Mwc;
+use std::time::Duration;
+
+/// How long the clients of a run send requests, unless their instance is ended earlier.
+pub const RUN_TIME: Duration = Duration::from_millis(4_500);
+/// The earliest time of the first signal that ends an instance, in milliseconds.
+const MIN_TERM_MS: u64 = 1_000;
+/// The range of that time, in milliseconds.
+const TERM_RANGE_MS: usize = 2_000;
+/// By the operators' terms, an instance is killed this long plus the longest deadline after it was told to end.
+const KILL_MARGIN: Duration = Duration::from_millis(700);
+/// The longest deadlines of a deployment, in milliseconds.
+const LONGEST_DEADLINES_MS: [u64; 3] = [600, 1_500, 3_000];
+/// The maximum number of kinds of system call faults in one instance.
+const MAX_FAULT_KINDS: usize = 4;
+
+/// Kinds of system call faults, in the form of the fault library's plans. Each has one kind of cause.
+const FAULT_KINDS: [&str; 19] = [
+    "accept:ECONNABORTED:0.1;accept:EPROTO:0.05;accept:EINTR:0.1",
+    "accept:ENFILE:0.9:1200-2600",
+    "accept:ENOBUFS:0.3;accept:ENOMEM:0.1",
+    "socket:ENFILE:0.1;socket:ENOBUFS:0.1",
+    "connect:EADDRNOTAVAIL:0.1;connect:ENETUNREACH:0.1",
+    "connect:EINTR:0.2;connect:ETIMEDOUT:0.05;connect:ECONNREFUSED:0.05",
+    "epoll_wait:EINTR:0.3",
+    "poll:EINTR:0.5",
+    "client_recv:EINTR:0.2;client_send:EINTR:0.2",
+    "client_recv:SHORT:0.5;client_send:SHORT:0.5",
+    "client_recv:ENOMEM:0.02;client_send:ENOBUFS:0.02;client_send:ENOMEM:0.02",
+    "peer_recv:EINTR:0.2;peer_send:EINTR:0.2",
+    "peer_recv:SHORT:0.5;peer_send:SHORT:0.5",
+    "peer_recv:ECONNRESET:0.02;peer_recv:ETIMEDOUT:0.02;peer_recv:EHOSTUNREACH:0.02;peer_send:ECONNRESET:0.02",
+    "unix_send:EINTR:0.9",
+    "event_send:EINTR:0.2",
+    "wall_clock:STEP+3600:1:1500-9000",
+    "wall_clock:STEP-3600:1:1500-9000",
+    "wall_clock:STEP+5:1:800-2000;wall_clock:STEP-5:1:2000-9000",
+];
+
+/// Faults of the disk, for instances that have a state directory.
+const DISK_FAULTS: [&str; 2] =
+    ["file_write:ENOSPC:0.8:1000-2500", "file_write:EIO:0.3:800-3000;file_sync:EIO:0.5:800-3000"];
+
+/// What happens in a run.
+#[derive(Clone, Debug)]
+pub struct RunPlan {
+    /// The seed of the run.
+    pub seed: u64,
+    /// The longest time that a client waits for an answer, in milliseconds.
+    pub longest_deadline_ms: u64,
+    /// Whether endpoints fail.
+    pub endpoints_fail: bool,
+    /// Whether proxies disturb the connections to endpoints.
+    pub has_proxies: bool,
+    /// The instances.
+    pub instances: Vec<InstancePlan>,
+}
+
+/// What happens to an instance.
+#[derive(Clone, Debug)]
+pub struct InstancePlan {
+    /// The plan of the fault library; empty if no system call fails.
+    pub faults: String,
+    /// Whether the instance has a state directory with a write journal.
+    pub has_state_dir: bool,
+    /// When the instance is told to reload its configuration, since the start of the run.
+    pub reload_at: Vec<Duration>,
+    /// When the instance is told to end.
+    pub term_at: Duration,
+    /// When the instance is killed, if it still runs.
+    pub kill_at: Duration,
+    /// Whether a crowd of clients arrives shortly before the instance is told to end.
+    pub has_crowd: bool,
+}
+
+impl RunPlan {
+    /// Plans a run with a number of instances.
+    pub fn new(seed: u64, instances: usize) -> RunPlan {
+        let mut rng = plan_rng(seed);
+        let longest_deadline_ms = choose(&mut rng, &LONGEST_DEADLINES_MS);
+        RunPlan {
+            seed,
+            longest_deadline_ms,
+            endpoints_fail: !one_in(&mut rng, 3),
+            has_proxies: !one_in(&mut rng, 3),
+            instances: (0..instances).map(|_| InstancePlan::new(&mut rng, longest_deadline_ms)).collect(),
+        }
+    }
+}
+
+impl InstancePlan {
+    fn new(rng: &mut Mwc, longest_deadline_ms: u64) -> InstancePlan {
+        let has_state_dir = one_in(rng, 3);
+        let term_at = Duration::from_millis(MIN_TERM_MS + rng.below(TERM_RANGE_MS) as u64);
+        let kinds = 1 + rng.below(MAX_FAULT_KINDS);
+        let mut faults: Vec<&str> = (0..kinds).map(|_| choose(rng, &FAULT_KINDS)).collect();
+        if has_state_dir {
+            faults.push(choose(rng, &DISK_FAULTS));
+        }
+        let reloads = rng.below(4);
+        let reload_at = (0..reloads).map(|_| term_at.mul_f64(rng.below(120) as f64 / 100.0)).collect();
+        InstancePlan {
+            faults: faults.join(";"),
+            has_state_dir,
+            reload_at,
+            term_at,
+            kill_at: term_at + Duration::from_millis(longest_deadline_ms) + KILL_MARGIN,
+            has_crowd: one_in(rng, 3),
+        }
+    }
+}
--- a/test-servers/src/restart/run.rs
+++ b/test-servers/src/restart/run.rs
@@ -144,6 +144,7 @@
         folder: &folder,
         listen,
         discovery: discovery.addr,
+        environment: Vec::new(),
     })?;
     Ok(Instance { daemon, listen })
 }
--- a/test-servers/src/restart/throughput.rs
+++ b/test-servers/src/restart/throughput.rs
@@ -82,6 +82,7 @@
         folder,
         listen,
         discovery: discovery.addr,
+        environment: Vec::new(),
     })
 }
 
--- a/test-servers/src/sessions/deployment.rs
+++ b/test-servers/src/sessions/deployment.rs
@@ -92,6 +92,7 @@
             folder: &folder,
             listen: self.shared.listen[index],
             discovery: self.discovery.addr,
+            environment: Vec::new(),
         })
     }
 
--- a/test-servers/src/single_endpoint.rs
+++ b/test-servers/src/single_endpoint.rs
@@ -58,6 +58,7 @@
             folder,
             listen,
             discovery: self.discovery.addr,
+            environment: Vec::new(),
         };
         Daemon::start(&options).expect("the daemon could not be started")
     }
