Signals are handled although the handler cannot wake the main thread

Callers saw: an instance that had been told to end served on until it was killed, and what had reached it then got no answer. Cause: the handler of signal-hook wakes its thread by one send(2) whose failure it ignores, and the thread looked at the signals only when woken. Fix: the handlers set a flag before the wake-up, and the main thread looks at the flags every 50 ms as well, so no wake-up is needed; of several reloads the last file counts.

--- a/server/src/cli/run.rs
+++ b/server/src/cli/run.rs
@@ -34,7 +34,7 @@
 fn run_command(arguments: Arguments) -> Result<(), Failure> {
     let Arguments { conf, command } = arguments;
     match command.unwrap_or(Command::Serve) {
-        Command::Serve => startup::run(conf),
+        Command::Serve => startup::run(conf).map(|never| match never {}),
         Command::Check => check::run(conf.as_deref()),
         Command::List { command } => run_list_command(command, Vocabulary::Earlier),
         Command::Cache { command } => run_list_command(command, Vocabulary::Standard),
--- a/server/src/startup/mod.rs
+++ b/server/src/startup/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod configuration;
 mod initial_list;
+mod pending_signals;
 mod reload;
 mod server;
 mod shared_services;
--- a/server/tests/loopback/fixture.rs
+++ b/server/tests/loopback/fixture.rs
@@ -90,6 +90,16 @@
 /// Starts a router that listens on `listen` and watches discovery at `discovery`. `config` is the content of its
 /// bootstrap file.
 pub fn spawn_router(config: &str, listen: SocketAddr, discovery: SocketAddr) -> Child {
+    spawn_router_with(config, listen, discovery, &[])
+}
+
+/// As [`spawn_router`], with further environment variables.
+pub fn spawn_router_with(
+    config: &str,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    environment: &[(&str, String)],
+) -> Child {
     let path = config_path(listen);
     std::fs::write(&path, config).expect("failed to write the bootstrap file");
     Command::new(env!("CARGO_BIN_EXE_query-router"))
@@ -97,6 +107,7 @@
         .env("ROUTER_NAME", "n0")
         .env("ROUTER_LISTEN", listen.to_string())
         .env("ROUTER_DISCOVERY", discovery.to_string())
+        .envs(environment.iter().map(|(name, value)| (name, value)))
         .stderr(Stdio::piped())
         .spawn()
         .expect("failed to start the router")
@@ -153,6 +164,16 @@
 
     /// Starts an instance with a limit on sockets, a limit on buffer memory in MB, and `settings` in JSON.
     pub fn with_limits(sockets: usize, memory_mb: usize, settings: &str) -> RouterProcess {
+        RouterProcess::with_environment(sockets, memory_mb, settings, &[])
+    }
+
+    /// As [`RouterProcess::with_limits`], with further environment variables.
+    pub fn with_environment(
+        sockets: usize,
+        memory_mb: usize,
+        settings: &str,
+        environment: &[(&str, String)],
+    ) -> RouterProcess {
         let ((primary, arrivals), (replica, _)) = (StubEndpoint::start(true), StubEndpoint::start(false));
         let (discovery, watch_lines) = start_discovery();
         let hosts = [list_entry(&primary, "p", "SERVING"), list_entry(&replica, "r", "SERVING")].join(",");
@@ -161,7 +182,7 @@
                 "known":{{"seq":4,"whole":true,"hosts":[{hosts}]}},"settings":{settings}}}"#
         );
         let listen = free_address();
-        let child = spawn_router(&config, listen, discovery);
+        let child = spawn_router_with(&config, listen, discovery, environment);
         let next_marker = AtomicU32::new(100);
         RouterProcess { child, listen, watch_lines, primary, replica, arrivals, next_marker }
     }
--- a/server/tests/loopback/main.rs
+++ b/server/tests/loopback/main.rs
@@ -4,6 +4,7 @@
 mod discovery_watch;
 mod fixture;
 mod stub_endpoint;
+mod system_calls;
 
 use fixture::*;
 use server::protocol::encode::{query, startup_message};
