Answer every query before the process may be killed, also one completed late

Callers saw: a request whose last bytes came more than 0.7 s after SIGTERM on a connection that was still open got no answer, because the process was killed first. Cause: once the server is closed, the rest of a half-sent query was still read for up to 2.5 s, and the query got its whole timeout; the kill may come the longest timeout (3 s at most) plus 0.7 s after the signal.

--- a/server/src/clients/connection.rs
+++ b/server/src/clients/connection.rs
@@ -31,6 +31,8 @@
 const MESSAGE_TIMEOUT: &str = "what was begun did not come to its end in time";
 /// The error message for a large partial message that is discarded because buffer memory is short.
 const BUFFER_MEMORY_EXHAUSTED: &str = "the memory for buffers is used up";
+/// The error message for a partial message that is not complete when the shutdown ends.
+const SHUTTING_DOWN: &str = "the server shuts down";
 /// The error message after a panic of the connection's coroutine.
 const INTERNAL_FAULT: &str = "internal fault";
 
@@ -170,6 +172,7 @@
     fn serve(&mut self) -> CloseMode {
         loop {
             self.handle_messages();
+            self.reject_partial_message_before_kill();
             self.reject_if_displaced();
             self.collect_responses();
             match self.write_and_read() {
@@ -237,6 +240,14 @@
         }
     }
 
+    /// Rejects a message that is not complete when the shutdown no longer leaves the time to answer it.
+    fn reject_partial_message_before_kill(&mut self) {
+        if !self.input_closed && !self.codec.is_empty() && self.has_answer_time_passed() {
+            log!(INFO; "message of a client was not complete in time, rejected because the server shuts down");
+            self.reject(SHUTTING_DOWN, None);
+        }
+    }
+
     /// Reads bytes from the client, as many as the limits allow now.
     fn read(&mut self) -> NextStep {
         let max_bytes = self.max_read_bytes();
--- a/server/src/clients/connection_limits.rs
+++ b/server/src/clients/connection_limits.rs
@@ -14,9 +14,16 @@
         self.responses.len() < MAX_PIPELINED_QUERIES && self.socket.queued() < MAX_PIPELINED_QUERIES
     }
 
-    /// Whether the next message may be processed, if one was read.
+    /// Whether the next message may be processed, if one was read. Once queries are no longer taken, those that were
+    /// read are rejected at once, however many there are.
     pub fn may_handle_message(&self) -> bool {
-        !self.input_closed && self.responses.len() < MAX_PIPELINED_QUERIES
+        let may_wait = self.responses.len() >= MAX_PIPELINED_QUERIES && !self.has_answer_time_passed();
+        !self.input_closed && !may_wait
+    }
+
+    /// Whether the shutdown no longer leaves the time to answer a query.
+    pub fn has_answer_time_passed(&self) -> bool {
+        self.context.shutdown.has_answer_time_passed(self.context.timers.now())
     }
 
     /// The number of bytes that may be read now.
@@ -25,7 +32,7 @@
     /// must be answered, so otherwise a client that keeps sending would keep the connection open. The client can
     /// retry an unread query on another instance.
     pub fn max_read_bytes(&self) -> usize {
-        if self.input_closed || !self.may_read_more() {
+        if self.input_closed || !self.may_read_more() || self.has_answer_time_passed() {
             0
         } else if self.context.shutdown.is_closed() {
             self.codec.missing_bytes()
--- a/server/src/clients/graceful_shutdown.rs
+++ b/server/src/clients/graceful_shutdown.rs
@@ -1,18 +1,25 @@
-//! The graceful shutdown, in two phases. After SIGTERM or SIGINT the server accepts connections for a grace period,
-//! and closes connections as they become idle. Then the server is closed: no further queries are read, and the
-//! process exits once all connections have ended.
+//! The graceful shutdown, in three phases. After SIGTERM or SIGINT the server accepts connections for a grace period,
+//! and closes connections as they become idle. Then the server is closed: only the rest of a query that has begun to
+//! arrive is read. Shortly before the process may be killed all queries are answered and nothing more is read. The process
+//! exits once all connections have ended.
 
 use crate::log;
 use crate::messages::response::ResponseChannel;
 use crate::runtime::clock::Timers;
-use routing::time::TimeDelta;
+use routing::time::{TimeDelta, Timestamp};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 
 /// How long connections are accepted after the signal. Clients keep connecting to the instance for up to 0.4 s
 /// after the signal.
 const ACCEPT_GRACE_PERIOD: TimeDelta = TimeDelta::from_millis(500);
+/// The process may be killed this long after the signal, plus the longest timeout of a request.
+const KILL_DELAY: TimeDelta = TimeDelta::from_millis(700);
+/// A longer timeout does not delay the kill further.
+const MAX_KILL_TIMEOUT: TimeDelta = TimeDelta::from_millis(3_000);
+/// How long before the kill every query is answered. The process may be held up for that long.
+const KILL_MARGIN: TimeDelta = TimeDelta::from_millis(150);
 
 /// The registered connections.
 #[derive(Default)]
@@ -26,6 +33,10 @@
 pub struct GracefulShutdown {
     begun: AtomicBool,
     closed: AtomicBool,
+    /// The longest timeout of a request, by the settings.
+    longest_timeout: TimeDelta,
+    /// When every query must have been answered; set when the shutdown begins.
+    answer_by: OnceLock<Timestamp>,
     connections: Mutex<Connections>,
     /// Called once the server is closed and all connections have ended.
     on_end: Box<dyn Fn() + Send + Sync>,
@@ -62,11 +73,16 @@
 
 impl GracefulShutdown {
     /// Creates a shutdown that has not begun; `on_end` is called once the server is closed and all connections have
-    /// ended.
-    pub fn new(on_end: impl Fn() + Send + Sync + 'static) -> Arc<GracefulShutdown> {
+    /// ended. `longest_timeout` is that of the requests that the settings allow.
+    pub fn new(
+        longest_timeout: TimeDelta,
+        on_end: impl Fn() + Send + Sync + 'static,
+    ) -> Arc<GracefulShutdown> {
         Arc::new(GracefulShutdown {
             begun: AtomicBool::new(false),
             closed: AtomicBool::new(false),
+            longest_timeout,
+            answer_by: OnceLock::new(),
             connections: Mutex::default(),
             on_end: Box::new(on_end),
         })
@@ -102,15 +118,35 @@
         ConnectionGuard { shutdown: self.clone(), connection_id, accepted_before_shutdown }
     }
 
-    /// Begins the shutdown, and schedules `stop_accepting` for the end of the grace period. Called once, by the
-    /// thread that handles signals.
-    pub fn begin(&self, timers: &Timers, stop_accepting: impl FnOnce() + Send + 'static) {
+    /// Begins the shutdown, and schedules its later phases; `stop_accepting` is called at the end of the accept grace
+    /// period. Called once, by the thread that handles signals.
+    pub fn begin(self: &Arc<Self>, timers: &Timers, stop_accepting: impl FnOnce() + Send + 'static) {
         let connections = self.lock();
         log!(INFO, connections = connections.channels.len(); "shutting down");
+        let now = timers.now();
+        let answer_by = now + KILL_DELAY + self.longest_timeout.min(MAX_KILL_TIMEOUT) - KILL_MARGIN;
+        let _ = self.answer_by.set(answer_by);
         self.begun.store(true, Ordering::Release);
         connections.channels.values().for_each(|channel| channel.wake());
         drop(connections);
-        timers.call_at(timers.now() + ACCEPT_GRACE_PERIOD, stop_accepting);
+        timers.call_at(now + ACCEPT_GRACE_PERIOD, stop_accepting);
+        let this = self.clone();
+        timers.call_at(answer_by, move || this.wake_all());
+    }
+
+    /// When every query must have been answered, because the process may be killed soon after; `None` before the
+    /// shutdown.
+    pub fn answer_by(&self) -> Option<Timestamp> {
+        self.answer_by.get().copied()
+    }
+
+    /// Whether the time has come at which nothing more is read.
+    pub fn has_answer_time_passed(&self, now: Timestamp) -> bool {
+        self.answer_by().is_some_and(|answer_by| now >= answer_by)
+    }
+
+    fn wake_all(&self) {
+        self.lock().channels.values().for_each(|channel| channel.wake());
     }
 
     /// Closes the server. Called once, by the accept loop, after the listen queue has been drained, so no connection
--- a/server/src/clients/requests.rs
+++ b/server/src/clients/requests.rs
@@ -150,10 +150,13 @@
         let _ = self.context.control.send(ControlMessage::QueryFate(FateQuery { id, origin, ticket }));
     }
 
-    /// Sends a request to the control loop, or rejects it if buffer memory is short. `timeout_digits` is the range
-    /// of the digits of its timeout in the body.
+    /// Sends a request to the control loop, or rejects it if buffer memory is short or it could not be answered before
+    /// the process is killed. `timeout_digits` is the range of the digits of its timeout in the body.
     fn send_request(&mut self, mut header: ClientRequest, body: Vec<u8>, timeout_digits: Range<usize>) {
-        if self.context.resources.is_memory_short() {
+        if let Some(answer_by) = self.context.shutdown.answer_by() {
+            header.deadline = header.deadline.min(answer_by);
+        }
+        if self.context.resources.is_memory_short() || self.has_answer_time_passed() {
             let response = Response::Rejected { retry_after: self.context.max_retry_after };
             return self.responses.push_ready(encode_response(response, None));
         }
--- a/server/src/startup/server.rs
+++ b/server/src/startup/server.rs
@@ -129,7 +129,7 @@
         let incarnation = initial_list.incarnation();
         self.start_control_loop(messages, initial_list)?;
         let discovery_address = self.start_discovery(incarnation)?;
-        let shutdown = GracefulShutdown::new(exit_process);
+        let shutdown = GracefulShutdown::new(self.longest_timeout(), exit_process);
         let session_tokens = self.session_tokens();
         self.serve_admin_socket(&shutdown)?;
         let accept_loop = self.accept_connections(listener, &shutdown, session_tokens.clone());
@@ -148,6 +148,12 @@
         })
     }
 
+    /// The longest timeout of a request, by the methods' settings.
+    fn longest_timeout(&self) -> TimeDelta {
+        let methods = &self.configuration.bootstrap.config.methods;
+        TimeDelta(methods.iter().map(|method| method.deadline_ns).max().unwrap_or(0))
+    }
+
     fn cache_writer(&self) -> Option<Arc<EndpointCacheWriter>> {
         self.cache.as_ref().and_then(|cache| cache.writer.clone())
     }
--- a/server/tests/operator_pages/fixture.rs
+++ b/server/tests/operator_pages/fixture.rs
@@ -66,7 +66,7 @@
             control: start_control_loop(),
             resources,
             admission: Some(admission),
-            shutdown: GracefulShutdown::new(|| ()),
+            shutdown: GracefulShutdown::new(TimeDelta::from_millis(3_000), || ()),
             methods: vec!["view".into()],
         };
         let fixture =
