Shutdown closes its clients although the accept loop cannot empty the listen queue

Callers saw: while accept(2) failed during a shutdown, connections that should have been closed stayed open and were read until the kill, which took what had come last. Cause: the server was closed only by the accept loop once the listen queue was empty; ENFILE, or a wait for a descriptor, can last as long as the shutdown. Fix: the timer of the shutdown closes the server 0.55 s after the signal at the latest; the process exits once. Test: shutdown_closes_clients_and_exits_although_accept_fails failed before, passes now.

--- a/server/src/clients/graceful_shutdown.rs
+++ b/server/src/clients/graceful_shutdown.rs
@@ -14,6 +14,9 @@
 /// How long connections are accepted after the signal. Clients keep connecting to the instance for up to 0.4 s
 /// after the signal.
 const ACCEPT_GRACE_PERIOD: TimeDelta = TimeDelta::from_millis(500);
+/// When the server is closed after the signal, even if the accept loop has not emptied the listen queue, because
+/// accept(2) fails or no descriptor is free.
+const MAX_CLOSE_DELAY: TimeDelta = TimeDelta::from_millis(550);
 /// The process may be killed this long after the signal, plus the longest timeout of a request.
 const KILL_DELAY: TimeDelta = TimeDelta::from_millis(700);
 /// A longer timeout does not delay the kill further.
@@ -33,6 +36,7 @@
 pub struct GracefulShutdown {
     begun: AtomicBool,
     closed: AtomicBool,
+    ended: AtomicBool,
     /// The longest timeout of a request, by the settings.
     longest_timeout: TimeDelta,
     /// When every query must have been answered; set when the shutdown begins.
@@ -81,6 +85,7 @@
         Arc::new(GracefulShutdown {
             begun: AtomicBool::new(false),
             closed: AtomicBool::new(false),
+            ended: AtomicBool::new(false),
             longest_timeout,
             answer_by: OnceLock::new(),
             connections: Mutex::default(),
@@ -131,6 +136,8 @@
         drop(connections);
         timers.call_at(now + ACCEPT_GRACE_PERIOD, stop_accepting);
         let this = self.clone();
+        timers.call_at(now + MAX_CLOSE_DELAY, move || this.close());
+        let this = self.clone();
         timers.call_at(answer_by, move || this.wake_all());
     }
 
@@ -149,8 +156,8 @@
         self.lock().channels.values().for_each(|channel| channel.wake());
     }
 
-    /// Closes the server. Called once, by the accept loop, after the listen queue has been drained, so no connection
-    /// is registered later.
+    /// Closes the server: by the accept loop after it has emptied the listen queue, or after the maximum delay. Later
+    /// calls have no effect. A connection that is registered later is closed unread.
     pub fn close(&self) {
         let connections = self.lock();
         self.closed.store(true, Ordering::Release);
@@ -162,7 +169,7 @@
     fn end_if_empty(&self, connections: MutexGuard<'_, Connections>) {
         let has_ended = connections.channels.is_empty() && self.is_closed();
         drop(connections);
-        if has_ended {
+        if has_ended && !self.ended.swap(true, Ordering::AcqRel) {
             (self.on_end)();
         }
     }
--- a/server/tests/loopback/system_calls.rs
+++ b/server/tests/loopback/system_calls.rs
@@ -1,7 +1,11 @@
 //! Requests and signals while system calls of the instance fail as Linux documents.
 
 use crate::fixture::*;
+use server::protocol::encode::startup_message;
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
 
 /// The fault library, which cargo builds as a dependency of the tests.
 fn fault_shim() -> PathBuf {
@@ -46,10 +50,35 @@
         "read",
         "good",
         1000,
-        std::time::Instant::now() + WAIT_TIMEOUT,
+        Instant::now() + WAIT_TIMEOUT,
         "no request was served",
     );
     faulty.switch_on();
     faulty.router.signal("-TERM");
     assert!(faulty.router.wait_for_exit().success(), "the process did not exit by itself");
 }
+
+#[test]
+fn shutdown_closes_clients_and_exits_although_accept_fails() {
+    let mut faulty = FaultyRouter::start(SETTINGS, 1024, "accept:ENFILE:1");
+    Client::connect(faulty.router.listen).request_until_served(
+        "read",
+        "good",
+        1000,
+        Instant::now() + WAIT_TIMEOUT,
+        "no request was served",
+    );
+    let mut never_queried = TcpStream::connect(faulty.router.listen).expect("the connection was refused");
+    never_queried.set_read_timeout(Some(WAIT_TIMEOUT)).expect("failed to set the read timeout");
+    never_queried.write_all(&startup_message()).expect("failed to send");
+    never_queried.read_exact(&mut [0]).expect("the startup message was not answered");
+    faulty.switch_on();
+    // Arrives while accept(2) fails, so the listen queue stays filled.
+    let _waiting = TcpStream::connect(faulty.router.listen).expect("the connection was refused");
+    faulty.router.signal("-TERM");
+    let signalled = Instant::now();
+    let _ = never_queried.read_to_end(&mut Vec::new());
+    let closed_after = signalled.elapsed();
+    assert!(closed_after < Duration::from_millis(700), "closed {closed_after:?} after SIGTERM");
+    assert!(faulty.router.wait_for_exit().success(), "the process did not exit by itself");
+}
