Count the time that a request waited unread in the listen queue

Callers saw: while accept(2) failed for a while, a request that had waited in the listen queue was forwarded with its whole timeout although its client had almost none left, and answered after its time. Cause: a request's time was counted from when it was read. Fix: at a connection's first read, and at the first after reading was suspended, TCP_INFO tells how long ago the last bytes had arrived; the deadline is earlier by that, and a request whose time is over is rejected. Test: the_time_that_a_request_waited_to_be_accepted_is_no_longer_left_to_it failed before, passes now.

--- a/server/src/clients/connection.rs
+++ b/server/src/clients/connection.rs
@@ -73,6 +73,10 @@
     /// Since when the socket's send buffer has been full, because the client does not read its responses; `None`
     /// while all of them are written.
     pub stalled_since: Option<Timestamp>,
+    /// When the bytes that were read last had arrived; `None` once the coroutine has waited since.
+    pub received_at: Option<Timestamp>,
+    /// Whether bytes may have been waiting to be read: none were read yet, or reading was suspended.
+    may_have_waited: bool,
     /// Bytes read since the coroutine last waited.
     burst_bytes: usize,
     /// The registration as an idle client; `None` while the connection is in use.
@@ -108,6 +112,8 @@
         has_queried: false,
         message_due_since: Some(connected_at),
         stalled_since: None,
+        received_at: None,
+        may_have_waited: true,
         burst_bytes: 0,
         idle: None,
         session: None,
@@ -179,6 +185,7 @@
                 NextStep::Continue => {}
                 NextStep::Wait => {
                     self.burst_bytes = 0;
+                    self.received_at = None;
                     self.socket.wait();
                 }
                 NextStep::Close(mode) => return mode,
@@ -252,6 +259,7 @@
     fn read(&mut self) -> NextStep {
         let max_bytes = self.max_read_bytes();
         if max_bytes == 0 {
+            self.may_have_waited = true;
             return if self.has_client_disconnected() {
                 NextStep::Close(CloseMode::Immediate)
             } else {
@@ -262,6 +270,7 @@
         match self.socket.read(max_bytes, |bytes| codec.feed(bytes)) {
             ReadOutcome::Bytes(count) => {
                 self.unregister_idle();
+                self.record_arrival();
                 self.burst_bytes += count;
                 if self.burst_bytes >= MAX_BURST_BYTES {
                     self.burst_bytes = 0;
@@ -274,6 +283,14 @@
         }
     }
 
+    /// Records when the bytes that were just read had arrived. Bytes of a connection that waited in the listen queue may
+    /// be old.
+    fn record_arrival(&mut self) {
+        let waited = std::mem::take(&mut self.may_have_waited);
+        let age = if waited { self.socket.time_since_last_data() } else { TimeDelta::ZERO };
+        self.received_at = Some(self.context.timers.now() - age);
+    }
+
     /// Whether to close an idle connection, because its descriptor is needed or the server shuts down.
     fn should_close(&self) -> bool {
         self.channel.is_close_requested() || self.guard.should_close(self.has_queried, self.has_served)
--- a/server/src/clients/requests.rs
+++ b/server/src/clients/requests.rs
@@ -115,6 +115,7 @@
     /// Handles a Query: queues its response at once, or sends a request to the control loop.
     fn handle_query(&mut self, body: Vec<u8>) {
         let now = self.context.timers.now();
+        let waited = self.received_at.map_or(TimeDelta::ZERO, |received_at| now - received_at);
         let request = match statement::parse(&body) {
             Statement::Empty => return self.push_with_ready(encode::empty_query_response),
             Statement::NoEffect(command) => {
@@ -132,7 +133,10 @@
             }
         };
         match request {
-            Ok((request, timeout_digits)) => self.send_request(request, body, timeout_digits),
+            Ok((mut request, timeout_digits)) => {
+                request.deadline = request.deadline - waited;
+                self.send_request(request, body, timeout_digits);
+            }
             Err(error) => self.push_error(error),
         }
     }
@@ -150,13 +154,14 @@
         let _ = self.context.control.send(ControlMessage::QueryFate(FateQuery { id, origin, ticket }));
     }
 
-    /// Sends a request to the control loop, or rejects it if buffer memory is short or it could not be answered before
-    /// the process is killed. `timeout_digits` is the range of the digits of its timeout in the body.
+    /// Sends a request to the control loop, or rejects it if its time is over, buffer memory is short, or it could not be
+    /// answered before the process is killed. `timeout_digits` is the range of the digits of its timeout in the body.
     fn send_request(&mut self, mut header: ClientRequest, body: Vec<u8>, timeout_digits: Range<usize>) {
         if let Some(answer_by) = self.context.shutdown.answer_by() {
             header.deadline = header.deadline.min(answer_by);
         }
-        if self.context.resources.is_memory_short() || self.has_answer_time_passed() {
+        let has_expired = header.deadline <= self.context.timers.now();
+        if has_expired || self.context.resources.is_memory_short() || self.has_answer_time_passed() {
             let response = Response::Rejected { retry_after: self.context.max_retry_after };
             return self.responses.push_ready(encode_response(response, None));
         }
--- a/server/src/clients/socket.rs
+++ b/server/src/clients/socket.rs
@@ -2,6 +2,7 @@
 
 use may::io::{WaitIo, WaitIoWaker};
 use may::net::TcpStream;
+use routing::time::TimeDelta;
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::net::Shutdown;
@@ -161,6 +162,26 @@
         self.poll(libc::POLLIN) & libc::POLLIN != 0
     }
 
+    /// How long ago the last bytes arrived from the client, in steps of the kernel's clock; zero if unknown. After a read
+    /// it is how long the bytes that were read last had been waiting.
+    pub fn time_since_last_data(&self) -> TimeDelta {
+        // SAFETY: zeroes are a valid `tcp_info`, and the pointers are valid for it and its length.
+        let (result, info) = unsafe {
+            let mut info: libc::tcp_info = std::mem::zeroed();
+            let mut length = size_of::<libc::tcp_info>() as libc::socklen_t;
+            let pointer = (&raw mut info).cast();
+            let socket = self.stream.as_raw_fd();
+            let result =
+                libc::getsockopt(socket, libc::IPPROTO_TCP, libc::TCP_INFO, pointer, &raw mut length);
+            (result, info)
+        };
+        if result < 0 {
+            TimeDelta::ZERO
+        } else {
+            TimeDelta::from_millis(info.tcpi_last_data_recv.into())
+        }
+    }
+
     /// The number of bytes in the socket's send queue that the client's TCP stack has not acknowledged; 0 if unknown.
     pub fn unacknowledged_bytes(&self) -> usize {
         let mut bytes: libc::c_int = 0;
--- a/server/tests/loopback/system_calls.rs
+++ b/server/tests/loopback/system_calls.rs
@@ -37,6 +37,20 @@
         FaultyRouter { router, switch, _folder: folder }
     }
 
+    /// Starts an instance and waits until it serves requests.
+    fn serving(plan: &str) -> FaultyRouter {
+        let faulty = FaultyRouter::start(SETTINGS, 1024, plan);
+        let until = Instant::now() + WAIT_TIMEOUT;
+        let mut client = Client::connect(faulty.router.listen);
+        client.request_until_served("order", "good", 1000, until, "no request was served");
+        faulty
+    }
+
+    /// Lets system calls succeed again.
+    fn switch_off(&self) {
+        std::fs::remove_file(&self.switch).expect("the switch cannot be removed");
+    }
+
     /// Lets system calls fail from now on.
     fn switch_on(&self) {
         std::fs::write(&self.switch, "").expect("the switch cannot be written");
@@ -45,14 +59,7 @@
 
 #[test]
 fn signals_are_handled_although_the_handler_cannot_wake_its_thread() {
-    let mut faulty = FaultyRouter::start(SETTINGS, 1024, "unix_send:EINTR:1");
-    Client::connect(faulty.router.listen).request_until_served(
-        "read",
-        "good",
-        1000,
-        Instant::now() + WAIT_TIMEOUT,
-        "no request was served",
-    );
+    let mut faulty = FaultyRouter::serving("unix_send:EINTR:1");
     faulty.switch_on();
     faulty.router.signal("-TERM");
     assert!(faulty.router.wait_for_exit().success(), "the process did not exit by itself");
@@ -60,14 +67,7 @@
 
 #[test]
 fn shutdown_closes_clients_and_exits_although_accept_fails() {
-    let mut faulty = FaultyRouter::start(SETTINGS, 1024, "accept:ENFILE:1");
-    Client::connect(faulty.router.listen).request_until_served(
-        "read",
-        "good",
-        1000,
-        Instant::now() + WAIT_TIMEOUT,
-        "no request was served",
-    );
+    let mut faulty = FaultyRouter::serving("accept:ENFILE:1");
     let mut never_queried = TcpStream::connect(faulty.router.listen).expect("the connection was refused");
     never_queried.set_read_timeout(Some(WAIT_TIMEOUT)).expect("failed to set the read timeout");
     never_queried.write_all(&startup_message()).expect("failed to send");
@@ -82,3 +82,28 @@
     assert!(closed_after < Duration::from_millis(700), "closed {closed_after:?} after SIGTERM");
     assert!(faulty.router.wait_for_exit().success(), "the process did not exit by itself");
 }
+
+#[test]
+fn the_time_that_a_request_waited_to_be_accepted_is_no_longer_left_to_it() {
+    let faulty = FaultyRouter::serving("accept:ENFILE:1");
+    faulty.switch_on();
+    let mut stream = TcpStream::connect(faulty.router.listen).expect("the connection was refused");
+    stream.set_read_timeout(Some(WAIT_TIMEOUT)).expect("failed to set the read timeout");
+    stream.write_all(&startup_and_query(&statement("order", "waited", 1000))).expect("failed to send");
+    let sent = Instant::now();
+    std::thread::sleep(Duration::from_millis(500));
+    let remaining = Duration::from_millis(1000).saturating_sub(sent.elapsed());
+    faulty.switch_off();
+    let mut client = Client(stream);
+    client.read_response();
+    assert_eq!(client.read_response(), default_value());
+    let statements = faulty.router.primary.statements.lock().expect("a stub thread panicked").clone();
+    let forwarded = statements.iter().find(|text| text.contains("waited")).expect("not forwarded");
+    let digits = forwarded.split(",d=").nth(1).and_then(|rest| rest.split(',').next());
+    let timeout = digits.and_then(|digits| digits.parse().ok()).map(Duration::from_millis);
+    let timeout = timeout.expect("the forwarded statement has no timeout");
+    assert!(
+        timeout <= remaining + Duration::from_millis(150),
+        "a timeout of {timeout:?} was forwarded when {remaining:?} remained"
+    );
+}
