Retry a failed accept within 10 ms, so that clients do not lose their time in the queue

Callers saw: answers after their time when accept(2) failed now and then. Cause: without an operators' file the loop waited 50 ms after each ENFILE or EMFILE, and up to 100 ms after ENOBUFS or ENOMEM, however soon the call worked again. Fix: at most 10 ms, half of that without a descriptor; 200 failed calls a second cost little. Test: repeated_accept_errors_lead_to_short_waits_and_no_busy_loop has a bound of 10 ms instead of 100 ms and covers the wait after a failed rejection too; it failed before, passes now.

--- a/admission/src/accept_backoff.rs
+++ b/admission/src/accept_backoff.rs
@@ -37,8 +37,8 @@
 
 /// The first wait. Each consecutive one is twice as long, up to [`MAX_WAIT`].
 const MIN_WAIT: TimeDelta = TimeDelta::from_millis(1);
-/// The longest wait.
-const MAX_WAIT: TimeDelta = TimeDelta::from_millis(100);
+/// The longest wait. Clients in the listen queue lose this time from their timeouts.
+const MAX_WAIT: TimeDelta = TimeDelta::from_millis(10);
 /// Maximum number of consecutive retries without a wait. It is limited because a client can abort connections at any
 /// rate.
 const MAX_IMMEDIATE_RETRIES: u32 = 8;
--- a/admission/tests/handshakes.rs
+++ b/admission/tests/handshakes.rs
@@ -81,6 +81,7 @@
                 AcceptAction::Wait(wait) => wait,
                 AcceptAction::RejectOne { wait, wait_on_failure } => {
                     assert!(error == AcceptError::NoDescriptor && wait_on_failure > wait);
+                    longest = longest.max(wait_on_failure);
                     wait
                 }
             };
@@ -90,7 +91,8 @@
             total >= TimeDelta::from_millis(100),
             "{error:?}: the waits of 1,000 calls add up to only {total:?}"
         );
-        assert!(longest <= TimeDelta::from_millis(100), "{error:?}: a wait of {longest:?}");
+        // A tenth of the 100 ms within which a client that has left must be noticed.
+        assert!(longest <= TimeDelta::from_millis(10), "{error:?}: a wait of {longest:?}");
     }
 }
 
