A read or write for which the kernel has no memory is repeated, not taken for a close

Callers saw: their connection closed under requests that were read and executed, without an answer. Cause: ClientSocket::read and flush took every error but EAGAIN and EINTR for a broken connection; recv(2) documents ENOMEM, send(2) ENOBUFS and ENOMEM, after which the connection is intact. The same in PeerConnection::read, write and read_available, where it cost the attempt.

--- a/server/src/clients/connection.rs
+++ b/server/src/clients/connection.rs
@@ -17,6 +17,7 @@
 use crate::protocol::sqlstate::SqlState;
 use crate::runtime::idle_clients::{IdleRank, IdleRegistration};
 use crate::runtime::resource_limits::BufferCharge;
+use crate::runtime::socket_errors::MEMORY_RETRY_DELAY;
 use admission::concurrency_limiter::ClientKey;
 use admission::Rejection;
 use routing::time::{TimeDelta, Timestamp};
@@ -197,6 +198,9 @@
     fn write_and_read(&mut self) -> NextStep {
         let Ok(flushed) = self.socket.flush() else { return NextStep::Close(CloseMode::Immediate) };
         let now = self.context.timers.now();
+        if flushed == FlushOutcome::NoMemory {
+            self.wake_at(now + MEMORY_RETRY_DELAY);
+        }
         if self.is_stalled(flushed, now) {
             return NextStep::Close(CloseMode::Immediate);
         }
@@ -279,6 +283,10 @@
                 NextStep::Continue
             }
             ReadOutcome::WouldBlock => NextStep::Wait,
+            ReadOutcome::NoMemory => {
+                self.wake_at(self.context.timers.now() + MEMORY_RETRY_DELAY);
+                NextStep::Wait
+            }
             ReadOutcome::Closed => NextStep::Close(CloseMode::Immediate),
         }
     }
--- a/server/src/clients/socket.rs
+++ b/server/src/clients/socket.rs
@@ -1,5 +1,6 @@
 //! A client's socket, and its outbox of encoded responses.
 
+use crate::runtime::socket_errors::{classify_socket_error, SocketFailure};
 use may::io::{WaitIo, WaitIoWaker};
 use may::net::TcpStream;
 use routing::time::TimeDelta;
@@ -19,6 +20,8 @@
     Bytes(usize),
     /// No bytes are available.
     WouldBlock,
+    /// The kernel has no memory for the read; it must be repeated later.
+    NoMemory,
     /// The client has closed the connection, or the connection is broken.
     Closed,
 }
@@ -30,6 +33,8 @@
     Complete,
     /// The socket's send buffer is full, because the client has not read its responses.
     Blocked,
+    /// The kernel has no memory for the write; it must be repeated later.
+    NoMemory,
 }
 
 /// A non-blocking socket, and the encoded responses that are to be written to it.
@@ -69,9 +74,12 @@
                     consume(&bytes[..count]);
                     return ReadOutcome::Bytes(count);
                 }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return ReadOutcome::WouldBlock,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return ReadOutcome::Closed,
+                Err(error) => match classify_socket_error(&error) {
+                    SocketFailure::Retry => {}
+                    SocketFailure::NotReady => return ReadOutcome::WouldBlock,
+                    SocketFailure::NoMemory => return ReadOutcome::NoMemory,
+                    SocketFailure::Broken => return ReadOutcome::Closed,
+                },
             }
         }
     }
@@ -105,9 +113,12 @@
             match self.stream.inner().write_vectored(&self.unwritten()) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(count) => self.remove_written(count),
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(FlushOutcome::Blocked),
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) => return Err(error),
+                Err(error) => match classify_socket_error(&error) {
+                    SocketFailure::Retry => {}
+                    SocketFailure::NotReady => return Ok(FlushOutcome::Blocked),
+                    SocketFailure::NoMemory => return Ok(FlushOutcome::NoMemory),
+                    SocketFailure::Broken => return Err(error),
+                },
             }
         }
         Ok(FlushOutcome::Complete)
--- a/server/src/endpoints/attempt.rs
+++ b/server/src/endpoints/attempt.rs
@@ -3,13 +3,14 @@
 
 use crate::endpoints::answer::{read_answer, Answer};
 use crate::endpoints::completion_guard::CompletionGuard;
-use crate::endpoints::connection::{IoError, IoLimits, PeerConnection};
+use crate::endpoints::connection::{IdleReadError, IoError, IoLimits, PeerConnection};
 use crate::endpoints::pool::{AcquiredConnection, ConnectionPool};
 use crate::endpoints::query::{send_query, HEALTH_STATEMENT};
 use crate::messages::control::{AttemptConfirmation, AttemptJob, AttemptResult, ControlMessage};
 use crate::messages::journal_entry::JournalVerdict;
 use crate::protocol::framing::LENGTH_BYTES;
 use crate::runtime::clock::NANOS_PER_MILLI;
+use crate::runtime::socket_errors::MEMORY_RETRY_DELAY;
 use crate::storage::journal::WriteJournal;
 use may::sync::mpsc::{channel, Sender};
 use routing::{AttemptId, AttemptOutcome};
@@ -62,7 +63,8 @@
 enum NextStep {
     /// The attempt has ended.
     End(Box<Answer>),
-    /// The attempt uses another connection, because the endpoint closed the reused one before the request was sent.
+    /// The attempt uses another connection, because the endpoint closed the reused one before the request was sent, or
+    /// the state of the connection is unknown.
     TryAnotherConnection,
 }
 
@@ -106,8 +108,13 @@
             return NextStep::end(AttemptOutcome::NotSent);
         }
         // Bytes that arrive before the request is sent cannot belong to its answer, but would be parsed as part of it.
-        if !connection.is_open_without_data() {
-            return step_after_failed_send(IoError::ConnectionLost, is_reused);
+        match connection.check_open_without_data() {
+            Ok(()) => {}
+            Err(IdleReadError::Closed) => return step_after_failed_send(IoError::ConnectionLost, is_reused),
+            Err(IdleReadError::NoMemory) => {
+                self.pool.timers.sleep(MEMORY_RETRY_DELAY);
+                return NextStep::TryAnotherConnection;
+            }
         }
         match self.send(&mut connection) {
             Ok(()) => NextStep::End(Box::new(read_answer(connection, self.limits()))),
--- a/server/src/endpoints/connection.rs
+++ b/server/src/endpoints/connection.rs
@@ -5,6 +5,7 @@
 use crate::runtime::cancellation::CancellationToken;
 use crate::runtime::clock::{to_duration, Timers};
 use crate::runtime::resource_limits::{BufferCharge, Descriptor};
+use crate::runtime::socket_errors::{classify_socket_error, SocketFailure, MEMORY_RETRY_DELAY};
 use may::io::WaitIo;
 use may::net::TcpStream;
 use routing::time::{TimeDelta, Timestamp};
@@ -42,6 +43,17 @@
     Cancelled,
 }
 
+/// Why the bytes on an idle connection cannot be read.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum IdleReadError {
+    /// The connection cannot be used any more.
+    #[error("connection closed")]
+    Closed,
+    /// The kernel has no memory for the read, so the state of the connection is unknown.
+    #[error("no memory")]
+    NoMemory,
+}
+
 /// The conditions that end a read or a write before it has completed.
 #[derive(Clone, Copy)]
 pub struct IoLimits<'a> {
@@ -118,6 +130,23 @@
         Ok(())
     }
 
+    /// Waits until a failed read or write can be repeated.
+    ///
+    /// # Errors
+    /// The connection is broken, the deadline has passed, or the operation was cancelled.
+    fn wait_after(&self, error: &std::io::Error, limits: IoLimits) -> Result<(), IoError> {
+        match classify_socket_error(error) {
+            SocketFailure::Retry => Ok(()),
+            SocketFailure::NotReady => self.wait(limits),
+            SocketFailure::NoMemory => {
+                let waker = self.stream.waker();
+                self.timers.call_at(self.timers.now() + MEMORY_RETRY_DELAY, move || waker.wakeup());
+                self.wait(limits)
+            }
+            SocketFailure::Broken => Err(IoError::ConnectionLost),
+        }
+    }
+
     /// Waits for bytes and appends them to the buffer.
     ///
     /// # Errors
@@ -131,13 +160,9 @@
             if bytes > 0 {
                 return self.account_read(bytes);
             }
-            match result {
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {
-                    self.burst_bytes = 0;
-                    self.wait(limits)?;
-                }
-                Ok(_) | Err(_) => return Err(IoError::ConnectionLost),
-            }
+            let error = result.err().ok_or(IoError::ConnectionLost)?;
+            self.burst_bytes = 0;
+            self.wait_after(&error, limits)?;
         }
     }
 
@@ -179,33 +204,44 @@
             match self.stream.inner().write_vectored(&unwritten(parts, written)) {
                 Ok(0) => return Err(IoError::ConnectionLost),
                 Ok(bytes) => written += bytes,
-                Err(error) if error.kind() == ErrorKind::WouldBlock => self.wait(limits)?,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return Err(IoError::ConnectionLost),
+                Err(error) => self.wait_after(&error, limits)?,
             }
         }
         Ok(())
     }
 
-    /// Appends the bytes that have arrived on an idle connection to the buffer, without waiting for more. Returns
-    /// false if the peer has closed the connection or the buffer exceeds `MAX_IDLE_BYTES`.
-    pub fn read_available(&mut self) -> bool {
+    /// Appends the bytes that have arrived on an idle connection to the buffer, without waiting for more.
+    ///
+    /// # Errors
+    /// The peer has closed the connection, the buffer exceeds `MAX_IDLE_BYTES`, or the kernel has no memory.
+    pub fn read_available(&mut self) -> Result<(), IdleReadError> {
         let mut bytes = [0; IDLE_READ_BYTES];
         while self.buffer.len() <= MAX_IDLE_BYTES {
             match self.stream.inner().read(&mut bytes) {
-                Ok(0) => return false,
+                Ok(0) => return Err(IdleReadError::Closed),
                 Ok(count) => self.buffer.extend_from_slice(&bytes[..count]),
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return true,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return false,
+                Err(error) => match classify_socket_error(&error) {
+                    SocketFailure::Retry => {}
+                    SocketFailure::NotReady => return Ok(()),
+                    SocketFailure::NoMemory => return Err(IdleReadError::NoMemory),
+                    SocketFailure::Broken => return Err(IdleReadError::Closed),
+                },
             }
         }
-        false
+        Err(IdleReadError::Closed)
     }
 
-    /// Whether the connection is open and has received no bytes.
-    pub fn is_open_without_data(&mut self) -> bool {
-        self.read_available() && self.buffer.is_empty()
+    /// Checks that the connection is open and has received no bytes.
+    ///
+    /// # Errors
+    /// As for [`PeerConnection::read_available`], and `Closed` if bytes have arrived.
+    pub fn check_open_without_data(&mut self) -> Result<(), IdleReadError> {
+        self.read_available()?;
+        if self.buffer.is_empty() {
+            Ok(())
+        } else {
+            Err(IdleReadError::Closed)
+        }
     }
 
     /// Writes bytes without waiting. Returns false if the socket did not accept all of them.
--- a/server/src/endpoints/pool.rs
+++ b/server/src/endpoints/pool.rs
@@ -59,7 +59,7 @@
     /// Reads the bytes that have arrived, without waiting for more, and decides whether the connection can be reused.
     fn check_reusability(&mut self, now: Timestamp, pool: &ConnectionPool) -> Reusability {
         let idle_time = now - self.idle_since;
-        if idle_time >= pool.idle_timeout || !self.connection.read_available() {
+        if idle_time >= pool.idle_timeout || self.connection.read_available().is_err() {
             return Reusability::Unusable;
         }
         let Some(verification) = &mut self.verification else {
--- a/server/src/runtime/mod.rs
+++ b/server/src/runtime/mod.rs
@@ -8,5 +8,6 @@
 pub mod log;
 pub mod metrics;
 pub mod resource_limits;
+pub mod socket_errors;
 pub mod tasks;
 pub mod terms;
--- a/server/tests/loopback/system_calls.rs
+++ b/server/tests/loopback/system_calls.rs
@@ -107,3 +107,28 @@
         "a timeout of {timeout:?} was forwarded when {remaining:?} remained"
     );
 }
+
+/// Sends requests on some connections while system calls fail, and checks that each is served.
+fn assert_requests_are_served(faulty: &FaultyRouter) {
+    for _ in 0..10 {
+        let mut client = Client::connect(faulty.router.listen);
+        for _ in 0..10 {
+            assert_eq!(client.request("order", "good", 3000), default_value());
+        }
+    }
+}
+
+#[test]
+fn a_client_gets_its_answers_although_the_kernel_is_short_of_memory() {
+    let faulty =
+        FaultyRouter::serving("client_recv:ENOMEM:0.3;client_send:ENOBUFS:0.3;client_send:ENOMEM:0.3");
+    faulty.switch_on();
+    assert_requests_are_served(&faulty);
+}
+
+#[test]
+fn an_answer_of_an_endpoint_is_read_although_the_kernel_is_short_of_memory() {
+    let faulty = FaultyRouter::serving("peer_recv:ENOMEM:0.3;peer_send:ENOBUFS:0.3");
+    faulty.switch_on();
+    assert_requests_are_served(&faulty);
+}
