A client's disconnect is noticed although the poll for it is interrupted

Callers saw: requests were forwarded after their client had closed its connection. Cause: ClientSocket::poll took a failed poll(2) for no event; a signal interrupts even a poll without a timeout, the socket reports the close only once, and the connection then waited. has_unread took it for no unread bytes, after which a close may reset the connection under its last answer. Evidence: with poll:EINTR at 0.9 a write was forwarded behind 100 unread queries whose client had left. Fix: an interrupted poll is repeated; where another failure leaves the state unknown, unread bytes are assumed. Test: a_disconnect_is_detected_although_the_poll_for_it_is_interrupted failed before, passes now.

--- a/server/src/clients/socket.rs
+++ b/server/src/clients/socket.rs
@@ -151,26 +151,36 @@
         self.stream.shutdown(Shutdown::Write)
     }
 
-    /// Polls the socket without blocking; returns those of `events` that have occurred, and errors and hang-ups.
-    fn poll(&self, events: i16) -> i16 {
+    /// Polls the socket without blocking; returns those of `events` that have occurred, and errors and hang-ups. A poll
+    /// that a signal interrupts is repeated.
+    ///
+    /// # Errors
+    /// The kernel refuses the poll.
+    fn poll(&self, events: i16) -> io::Result<i16> {
         let mut request = libc::pollfd { fd: self.stream.as_raw_fd(), events, revents: 0 };
-        // SAFETY: the pointer is valid for the one entry that is passed; the timeout is zero.
-        let ready = unsafe { libc::poll(&mut request, 1, 0) };
-        if ready > 0 {
-            request.revents
-        } else {
-            0
+        loop {
+            // SAFETY: the pointer is valid for the one entry that is passed; the timeout is zero.
+            let ready = unsafe { libc::poll(&raw mut request, 1, 0) };
+            let error = io::Error::last_os_error();
+            match ready {
+                0 => return Ok(0),
+                1.. => return Ok(request.revents),
+                _ if error.kind() == ErrorKind::Interrupted => {}
+                _ => return Err(error),
+            }
         }
     }
 
     /// Whether the client has closed its side of the connection, even if bytes that it sent before are unread.
     pub fn is_closed_by_client(&self) -> bool {
-        self.poll(libc::POLLRDHUP) & (libc::POLLRDHUP | libc::POLLHUP | libc::POLLERR) != 0
+        let closed = libc::POLLRDHUP | libc::POLLHUP | libc::POLLERR;
+        self.poll(libc::POLLRDHUP).is_ok_and(|events| events & closed != 0)
     }
 
-    /// Whether there are unread bytes, with which closing the socket would reset the connection.
+    /// Whether there are unread bytes, with which closing the socket would reset the connection. If that is unknown,
+    /// there may be some.
     pub fn has_unread(&self) -> bool {
-        self.poll(libc::POLLIN) & libc::POLLIN != 0
+        self.poll(libc::POLLIN).map_or(true, |events| events & libc::POLLIN != 0)
     }
 
     /// How long ago the last bytes arrived from the client, in steps of the kernel's clock; zero if unknown. After a read
--- a/server/tests/loopback/disconnects.rs
+++ b/server/tests/loopback/disconnects.rs
@@ -116,20 +116,29 @@
     }
 }
 
+/// The settings of the tests with long timeouts and without health checks, so that a write can wait for its connection.
+pub fn settings_with_long_timeouts() -> String {
+    SETTINGS
+        .replace(r#""probes":true"#, r#""probes":false,"dialTimeoutNs":8000000000"#)
+        .replace(r#""deadlineNs":3000000000"#, r#""deadlineNs":60000000000"#)
+}
+
 #[test]
 fn a_disconnect_is_detected_behind_a_long_pipeline_of_unread_queries() {
-    let settings = SETTINGS
-        .replace(r#""probes":true"#, r#""probes":false,"dialTimeoutNs":8000000000"#)
-        .replace(r#""deadlineNs":3000000000"#, r#""deadlineNs":60000000000"#);
-    let router = RouterProcess::with_limits(1024, 192, &settings);
-    let (mut client, open_gate) = send_gated_write(&router);
+    let router = RouterProcess::with_limits(1024, 192, &settings_with_long_timeouts());
+    assert_disconnect_is_detected_behind_unread_queries(&router);
+}
+
+/// Checks that a write is not forwarded after its client has disconnected behind queries that the instance does not read.
+pub fn assert_disconnect_is_detected_behind_unread_queries(router: &RouterProcess) {
+    let (mut client, open_gate) = send_gated_write(router);
     // The instance reads at most 64 pipelined queries, so the end of the stream is behind unread bytes.
     let mut pipeline = Vec::new();
     (0..100).for_each(|_| query(&mut pipeline, ";"));
     client.0.write_all(&pipeline).expect("failed to send");
     drop(client);
     assert!(
-        !is_forwarded_after_connecting(&router, open_gate),
+        !is_forwarded_after_connecting(router, open_gate),
         "the request was forwarded: its client's disconnect behind unread queries was not detected"
     );
 }
--- a/server/tests/loopback/system_calls.rs
+++ b/server/tests/loopback/system_calls.rs
@@ -1,5 +1,6 @@
 //! Requests and signals while system calls of the instance fail as Linux documents.
 
+use crate::disconnects::{assert_disconnect_is_detected_behind_unread_queries, settings_with_long_timeouts};
 use crate::fixture::*;
 use server::protocol::encode::startup_message;
 use std::io::{Read, Write};
@@ -132,3 +133,12 @@
     faulty.switch_on();
     assert_requests_are_served(&faulty);
 }
+
+#[test]
+fn a_disconnect_is_detected_although_the_poll_for_it_is_interrupted() {
+    for _ in 0..5 {
+        let faulty = FaultyRouter::start(&settings_with_long_timeouts(), 1024, "poll:EINTR:0.9");
+        faulty.switch_on();
+        assert_disconnect_is_detected_behind_unread_queries(&faulty.router);
+    }
+}
