A client rejected for lack of a descriptor keeps its queries unread

Callers saw: of several queries sent at once on a new connection one was rejected and the others got no answer, although they had been read. Cause: reject_without_waiting read up to 4 KB before it wrote the one rejection and closed; it also ignored an interrupted or short write, after which nothing at all was answered.

--- a/server/tests/loopback/disconnects.rs
+++ b/server/tests/loopback/disconnects.rs
@@ -226,7 +226,7 @@
 }
 
 /// Whether the instance closed the connection before it had read all bytes. The operating system then resets it.
-fn closed_with_unread_bytes(client: &Client) -> bool {
+pub fn closed_with_unread_bytes(client: &Client) -> bool {
     let is_reset =
         |error: std::io::Error| matches!(error.raw_os_error(), Some(libc::EPIPE | libc::ECONNRESET));
     client.0.take_error().expect("a socket option failed").is_some_and(is_reset)
--- a/server/tests/loopback/system_calls.rs
+++ b/server/tests/loopback/system_calls.rs
@@ -1,8 +1,11 @@
 //! Requests and signals while system calls of the instance fail as Linux documents.
 
-use crate::disconnects::{assert_disconnect_is_detected_behind_unread_queries, settings_with_long_timeouts};
+use crate::disconnects::{
+    assert_disconnect_is_detected_behind_unread_queries, closed_with_unread_bytes,
+    settings_with_long_timeouts,
+};
 use crate::fixture::*;
-use server::protocol::encode::startup_message;
+use server::protocol::encode::{query, startup_message};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::path::{Path, PathBuf};
@@ -142,3 +145,31 @@
         assert_disconnect_is_detected_behind_unread_queries(&faulty.router);
     }
 }
+
+/// Guards against an accept loop that reads the queries of a client that it rejects, and answers only the first.
+#[test]
+fn a_query_of_a_client_that_is_rejected_for_lack_of_a_descriptor_stays_unread() {
+    let faulty = FaultyRouter::serving("accept:ENFILE:0.6");
+    faulty.switch_on();
+    // All queries have arrived before the first client is accepted.
+    faulty.router.signal("-STOP");
+    let connect = |_| TcpStream::connect(faulty.router.listen).expect("the connection was refused");
+    let mut clients: Vec<Client> = (0..40).map(connect).map(Client).collect();
+    for client in &mut clients {
+        let mut bytes = startup_and_query(&statement("order", "first", 2000));
+        query(&mut bytes, &statement("order", "second", 2000));
+        client.0.write_all(&bytes).expect("failed to send");
+    }
+    faulty.router.signal("-CONT");
+    std::thread::sleep(Duration::from_millis(500));
+    let mut rejected = 0;
+    for client in &mut clients {
+        // A client that is served keeps its connection, and the read ends with the timeout.
+        client.0.set_read_timeout(Some(Duration::from_millis(20))).expect("failed to set the read timeout");
+        if client.0.read_to_end(&mut Vec::new()).is_ok() {
+            rejected += 1;
+            assert!(closed_with_unread_bytes(client), "two queries were read, with one answer to both");
+        }
+    }
+    assert!(rejected > 0, "no client was rejected");
+}
