The time a request waited unread counts also if it is read in several pieces

Callers saw: as for the time in the listen queue, with reads of one byte. Cause: the fix for that looked at the first read of a connection only, and a query may come with a later read of the same turn. Fix: until a read finds nothing more, bytes may have waited.

--- a/server/src/clients/connection.rs
+++ b/server/src/clients/connection.rs
@@ -76,7 +76,8 @@
     pub stalled_since: Option<Timestamp>,
     /// When the bytes that were read last had arrived; `None` once the coroutine has waited since.
     pub received_at: Option<Timestamp>,
-    /// Whether bytes may have been waiting to be read: none were read yet, or reading was suspended.
+    /// Whether the next bytes may have been waiting to be read: all that had arrived was not read yet, or reading was
+    /// suspended.
     may_have_waited: bool,
     /// Bytes read since the coroutine last waited.
     burst_bytes: usize,
@@ -282,7 +283,10 @@
                 }
                 NextStep::Continue
             }
-            ReadOutcome::WouldBlock => NextStep::Wait,
+            ReadOutcome::WouldBlock => {
+                self.may_have_waited = false;
+                NextStep::Wait
+            }
             ReadOutcome::NoMemory => {
                 self.wake_at(self.context.timers.now() + MEMORY_RETRY_DELAY);
                 NextStep::Wait
@@ -294,8 +298,7 @@
     /// Records when the bytes that were just read had arrived. Bytes of a connection that waited in the listen queue may
     /// be old.
     fn record_arrival(&mut self) {
-        let waited = std::mem::take(&mut self.may_have_waited);
-        let age = if waited { self.socket.time_since_last_data() } else { TimeDelta::ZERO };
+        let age = if self.may_have_waited { self.socket.time_since_last_data() } else { TimeDelta::ZERO };
         self.received_at = Some(self.context.timers.now() - age);
     }
 
