Open connections with the server's timers, and again if this machine has no resources

Callers saw: while socket(2) or connect(2) failed for lack of descriptors, ports or memory, or was interrupted, requests were rejected although their endpoints were healthy. Cause: every error of a connect counted as an unreachable endpoint, which ejects it; an interrupted connect(2), which goes on in the background, did too. Fix: endpoints/connecting.rs classifies the errors; the attempt tries again every 5 ms within its time, and ends as not sent otherwise. Waiting with the server's own timers also lets a cancellation and a new address of discovery end the wait. Tests: a_request_is_sent_although_this_machine_refuses_some_connections failed before, passes now; a_request_is_answered_in_time_although_no_thread_can_wake_the_worker passed before too: the runtime's worker looks for work every 10 ms.

--- a/server/src/clients/acceptor.rs
+++ b/server/src/clients/acceptor.rs
@@ -10,15 +10,14 @@
 use crate::runtime::clock::Timers;
 use crate::runtime::descriptors::{classify_accept_error, ReserveDescriptor};
 use crate::runtime::resource_limits::{ClientDescriptor, Descriptor, DescriptorClass};
+use crate::runtime::sockets::register_with_runtime;
 use crate::runtime::tasks::spawn;
 use admission::accept_backoff::{AcceptAction, AcceptBackoff};
 use may::io::WaitIo;
 use may::net::{TcpListener, TcpStream};
 use routing::time::TimeDelta;
-use std::io::{Error, ErrorKind, Result};
+use std::io::{ErrorKind, Result};
 use std::net::IpAddr;
-use std::os::fd::{FromRawFd, IntoRawFd};
-use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
@@ -94,15 +93,6 @@
     }
 }
 
-/// Registers an accepted connection with the coroutine runtime, so that a coroutine can wait for its events.
-fn register_with_runtime(stream: std::net::TcpStream) -> Result<TcpStream> {
-    let descriptor = stream.into_raw_fd();
-    // SAFETY: `into_raw_fd` has transferred ownership of the descriptor, so nothing else closes it.
-    let registered = catch_unwind(AssertUnwindSafe(|| unsafe { TcpStream::from_raw_fd(descriptor) }));
-    // `from_raw_fd` panics if the kernel has no memory to add the socket to epoll; the unwinding closes the socket.
-    registered.map_err(|_| Error::from_raw_os_error(libc::ENOMEM))
-}
-
 /// Accepts connections and passes them to `on_accepted`, until the queue has stopped and is empty.
 pub fn run(queue: &mut impl AcceptQueue, mut on_accepted: impl FnMut(AcceptedConnection)) {
     let mut backoff = AcceptBackoff::default();
--- a/server/src/discovery/watch.rs
+++ b/server/src/discovery/watch.rs
@@ -154,7 +154,8 @@
     fn open(&mut self, address: &CurrentAddress) -> Result<PeerConnection, WatchEnd> {
         let descriptor = self.resources.acquire(DescriptorClass::Discovery).ok_or(WatchEnd::NoDescriptor)?;
         let deadline = self.timers.now() + OPEN_TIMEOUT;
-        let connection = PeerConnection::connect(&self.timers, &address.addr, deadline, descriptor);
+        let limits = IoLimits { deadline, cancellation: &address.changed };
+        let connection = PeerConnection::connect(&self.timers, &address.addr, limits, descriptor);
         let mut connection = connection.map_err(|_| WatchEnd::NoConnection)?;
         let deadline = self.progress.schedule.watch_requested(self.timers.now());
         let limits = IoLimits { deadline, cancellation: &address.changed };
--- a/server/src/endpoints/connection.rs
+++ b/server/src/endpoints/connection.rs
@@ -1,16 +1,17 @@
 //! Connections that the server opens to endpoints and to discovery. Every read and write has a deadline and can be
 //! cancelled.
 
+use crate::endpoints::connecting::{ConnectFailure, PendingConnection};
 use crate::log;
 use crate::runtime::cancellation::CancellationToken;
-use crate::runtime::clock::{to_duration, Timers};
+use crate::runtime::clock::Timers;
 use crate::runtime::resource_limits::{BufferCharge, Descriptor};
 use crate::runtime::socket_errors::{classify_socket_error, SocketFailure, MEMORY_RETRY_DELAY};
 use may::io::WaitIo;
 use may::net::TcpStream;
 use routing::time::{TimeDelta, Timestamp};
 use sessions::epochs::Epoch;
-use std::io::{ErrorKind, IoSlice, Read, Write};
+use std::io::{IoSlice, Read, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use thiserror::Error;
@@ -29,6 +30,9 @@
 /// The size of the buffer for reads on an idle connection. It is small because the buffer is on the coroutine's stack.
 const IDLE_READ_BYTES: usize = 512;
 
+/// The pause before a connection is opened again for which this machine had no descriptor, port or memory.
+const RESOURCE_RETRY_DELAY: TimeDelta = TimeDelta::from_millis(5);
+
 /// Why a read or a write has failed.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 pub enum IoError {
@@ -43,6 +47,16 @@
     Cancelled,
 }
 
+impl From<IoError> for ConnectFailure {
+    fn from(error: IoError) -> ConnectFailure {
+        match error {
+            IoError::ConnectionLost => ConnectFailure::Unreachable,
+            IoError::TimedOut => ConnectFailure::TimedOut,
+            IoError::Cancelled => ConnectFailure::Cancelled,
+        }
+    }
+}
+
 /// Why the bytes on an idle connection cannot be read.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 pub enum IdleReadError {
@@ -80,22 +94,27 @@
 }
 
 impl PeerConnection {
-    /// Connects to a peer.
+    /// Connects to a peer. If this machine has no resources for the connection, tries again until the deadline.
     ///
     /// # Errors
-    /// The peer refused the connection, or did not accept it before the deadline (`ErrorKind::TimedOut`).
+    /// The peer refused the connection or did not accept it before the deadline, this machine has had no resources for
+    /// it until then, or the operation was cancelled.
     pub fn connect(
         timers: &Arc<Timers>,
         addr: &SocketAddr,
-        deadline: Timestamp,
+        limits: IoLimits,
         descriptor: Descriptor,
-    ) -> std::io::Result<PeerConnection> {
-        let remaining = deadline - timers.now();
-        if remaining <= TimeDelta::ZERO {
-            return Err(ErrorKind::TimedOut.into());
-        }
-        let stream = TcpStream::connect_timeout(addr, to_duration(remaining))?;
-        stream.set_nodelay(true)?;
+    ) -> Result<PeerConnection, ConnectFailure> {
+        let stream = loop {
+            match open_stream(timers, addr, limits) {
+                Err(ConnectFailure::NoResources) if timers.now() + RESOURCE_RETRY_DELAY < limits.deadline => {
+                    timers.sleep_unless_cancelled(RESOURCE_RETRY_DELAY, limits.cancellation);
+                }
+                result => break result?,
+            }
+        };
+        // Nagle's algorithm would delay the last part of a request.
+        let _ = stream.set_nodelay(true);
         Ok(PeerConnection {
             stream,
             timers: timers.clone(),
@@ -110,24 +129,15 @@
     /// Ensures that reads and writes wake up at the deadline and on cancellation. Must be called before the first
     /// read or write with new limits.
     pub fn schedule_wake_ups(&self, limits: IoLimits) {
-        let waker = self.stream.waker();
-        self.timers.call_at(limits.deadline, move || waker.wakeup());
-        limits.cancellation.register_socket(self.stream.waker());
+        schedule_wake_ups(&self.timers, &self.stream, limits);
     }
 
-    /// Waits until the socket is ready, the deadline has passed or the operation is cancelled.
+    /// As [`wait`], for the connection's socket.
     ///
     /// # Errors
     /// The deadline has passed, or the operation was cancelled.
     fn wait(&self, limits: IoLimits) -> Result<(), IoError> {
-        if limits.cancellation.is_cancelled() {
-            return Err(IoError::Cancelled);
-        }
-        if self.timers.now() >= limits.deadline {
-            return Err(IoError::TimedOut);
-        }
-        self.stream.wait_io();
-        Ok(())
+        wait(&self.timers, &self.stream, limits)
     }
 
     /// Waits until a failed read or write can be repeated.
@@ -250,6 +260,41 @@
     }
 }
 
+/// Opens a connection.
+///
+/// # Errors
+/// As for [`PeerConnection::connect`].
+fn open_stream(timers: &Timers, addr: &SocketAddr, limits: IoLimits) -> Result<TcpStream, ConnectFailure> {
+    let mut pending = PendingConnection::start(addr)?;
+    schedule_wake_ups(timers, &pending.stream, limits);
+    while !pending.check_open()? {
+        wait(timers, &pending.stream, limits)?;
+    }
+    Ok(pending.stream)
+}
+
+/// Ensures that a wait for a socket ends at the deadline and on cancellation.
+fn schedule_wake_ups(timers: &Timers, stream: &TcpStream, limits: IoLimits) {
+    let waker = stream.waker();
+    timers.call_at(limits.deadline, move || waker.wakeup());
+    limits.cancellation.register_socket(stream.waker());
+}
+
+/// Waits until the socket is ready, the deadline has passed or the operation is cancelled.
+///
+/// # Errors
+/// The deadline has passed, or the operation was cancelled.
+fn wait(timers: &Timers, stream: &TcpStream, limits: IoLimits) -> Result<(), IoError> {
+    if limits.cancellation.is_cancelled() {
+        return Err(IoError::Cancelled);
+    }
+    if timers.now() >= limits.deadline {
+        return Err(IoError::TimedOut);
+    }
+    stream.wait_io();
+    Ok(())
+}
+
 /// The slices of `parts` that follow the first `written` bytes.
 fn unwritten<'a>(parts: &[&'a [u8]], mut written: usize) -> Vec<IoSlice<'a>> {
     let mut slices = Vec::with_capacity(parts.len());
--- a/server/src/endpoints/mod.rs
+++ b/server/src/endpoints/mod.rs
@@ -3,6 +3,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod completion_guard;
+pub mod connecting;
 pub mod connection;
 pub mod dispatcher;
 pub mod health_check;
--- a/server/src/endpoints/pool.rs
+++ b/server/src/endpoints/pool.rs
@@ -6,6 +6,7 @@
 //! and without effect. The connection is reused only if exactly the answer to the empty query has arrived. Extra
 //! bytes after the previous answer would precede the answer to the empty query.
 
+use crate::endpoints::connecting::ConnectFailure;
 use crate::endpoints::connection::{IoError, IoLimits, PeerConnection};
 use crate::endpoints::response_parser::ResponseParser;
 use crate::log;
@@ -16,7 +17,6 @@
 use routing::time::{TimeDelta, Timestamp};
 use routing::AttemptOutcome;
 use std::collections::{BTreeSet, HashMap};
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -199,13 +199,12 @@
         let is_deadline_first = limits.deadline < connect_deadline;
         let timed_out = if is_deadline_first { AttemptOutcome::NotSent } else { AttemptOutcome::Unreachable };
         let limits = IoLimits { deadline: limits.deadline.min(connect_deadline), ..limits };
-        let connection = PeerConnection::connect(&self.timers, addr, limits.deadline, descriptor);
-        let mut connection = connection.map_err(|error| match error.kind() {
-            ErrorKind::TimedOut => ConnectError::from(timed_out),
-            kind => {
-                let refused = kind == ErrorKind::ConnectionRefused;
-                ConnectError { outcome: AttemptOutcome::Unreachable, refused }
-            }
+        let connection = PeerConnection::connect(&self.timers, addr, limits, descriptor);
+        let mut connection = connection.map_err(|failure| match failure {
+            ConnectFailure::TimedOut => ConnectError::from(timed_out),
+            ConnectFailure::Cancelled | ConnectFailure::NoResources => AttemptOutcome::NotSent.into(),
+            ConnectFailure::Refused => ConnectError { outcome: AttemptOutcome::Unreachable, refused: true },
+            ConnectFailure::Unreachable => AttemptOutcome::Unreachable.into(),
         })?;
         connection.schedule_wake_ups(limits);
         start_session(&mut connection, limits, timed_out)?;
--- a/server/src/runtime/mod.rs
+++ b/server/src/runtime/mod.rs
@@ -9,5 +9,6 @@
 pub mod metrics;
 pub mod resource_limits;
 pub mod socket_errors;
+pub mod sockets;
 pub mod tasks;
 pub mod terms;
--- a/server/tests/loopback/system_calls.rs
+++ b/server/tests/loopback/system_calls.rs
@@ -173,3 +173,33 @@
     }
     assert!(rejected > 0, "no client was rejected");
 }
+
+/// How long after its time a request may get its answer without being lost.
+const LATE_ANSWER_LIMIT: Duration = Duration::from_millis(500);
+
+#[test]
+fn a_request_is_answered_in_time_although_no_thread_can_wake_the_worker() {
+    let faulty = FaultyRouter::serving("event_send:EINTR:1");
+    let mut client = Client::connect(faulty.router.listen);
+    faulty.switch_on();
+    for timeout_ms in [200, 500, 900] {
+        let sent = Instant::now();
+        client.send(&statement("order", "silent", timeout_ms));
+        client.read_response();
+        let late = sent.elapsed().saturating_sub(Duration::from_millis(timeout_ms.into()));
+        assert!(late < LATE_ANSWER_LIMIT, "a timeout of {timeout_ms} ms was answered {late:?} late");
+    }
+}
+
+#[test]
+fn a_request_is_sent_although_this_machine_refuses_some_connections() {
+    let faulty = FaultyRouter::serving(
+        "socket:ENFILE:0.5;connect:EADDRNOTAVAIL:0.3;connect:EINTR:0.3;connect:ENOBUFS:0.2",
+    );
+    faulty.switch_on();
+    let mut client = Client::connect(faulty.router.listen);
+    for _ in 0..30 {
+        // The connection cannot be used again after this, so each request needs a new one.
+        assert_eq!(client.request("order", "mute", 1500), default_value());
+    }
+}
