--- a/server/src/storage/journal.rs
+++ b/server/src/storage/journal.rs
@@ -4,6 +4,7 @@
 use crate::log;
 use crate::messages::journal_entry::{JournalEntry, JournalVerdict};
 use crate::runtime::clock::unix_time_ms;
+use crate::storage::reopened_journal::{JournalLocation, ReopenedJournal};
 use may::sync::mpsc::channel;
 use std::path::Path;
 use std::sync::mpsc::{self, Receiver};
@@ -12,7 +13,7 @@
 use std::time::Instant;
 use thiserror::Error;
 use write_journal::journal::{
-    ClockReading, Durability, Journal, JournalError, Operation, Reply, Retention, MAX_BATCH_OPERATIONS,
+    ClockReading, Durability, JournalError, Operation, Reply, Retention, MAX_BATCH_OPERATIONS,
 };
 use write_journal::record_state::{Fate, Origin, RecordEvent, SendPermission, Uptime};
 
@@ -75,7 +76,8 @@
         retention: Retention,
         random_id: u64,
     ) -> Result<Arc<WriteJournal>, JournalStartError> {
-        let journal = Journal::open(path, durability, retention, random_id)?;
+        let location = JournalLocation { path: path.to_path_buf(), durability, retention, random_id };
+        let journal = ReopenedJournal::open(location)?;
         let (jobs, received) = mpsc::channel();
         let origin = Mutex::new(journal.origin());
         let this = Arc::new(WriteJournal { jobs: Mutex::new(jobs), origin });
@@ -143,7 +145,7 @@
     }
 
     /// Applies the queued operations in batches, for the life of the process.
-    fn run(&self, mut journal: Journal, jobs: &Receiver<Job>) {
+    fn run(&self, mut journal: ReopenedJournal, jobs: &Receiver<Job>) {
         let mut is_failing = false;
         while let Ok(first) = jobs.recv() {
             let Batch { operations, callbacks } = collect_batch(first, jobs);
--- a/server/src/storage/mod.rs
+++ b/server/src/storage/mod.rs
@@ -3,3 +3,4 @@
 
 pub mod endpoint_cache_writer;
 pub mod journal;
+mod reopened_journal;
--- a/test-servers/src/single_endpoint.rs
+++ b/test-servers/src/single_endpoint.rs
@@ -47,6 +47,19 @@
         listen: SocketAddr,
         descriptors: usize,
         operator_file: &str,
+    ) -> Daemon {
+        self.start_with(program, folder, listen, descriptors, operator_file, Vec::new())
+    }
+
+    /// As [`SingleEndpoint::start`], with further environment variables.
+    pub fn start_with(
+        &self,
+        program: &Path,
+        folder: &Path,
+        listen: SocketAddr,
+        descriptors: usize,
+        operator_file: &str,
+        environment: Vec<(&'static str, String)>,
     ) -> Daemon {
         std::fs::create_dir_all(folder.join("state")).expect("the state directory could not be created");
         let limits = ResourceLimits { descriptors, memory_mb: MEMORY_MB }.to_json();
@@ -58,7 +71,7 @@
             folder,
             listen,
             discovery: self.discovery.addr,
-            environment: Vec::new(),
+            environment,
         };
         Daemon::start(&options).expect("the daemon could not be started")
     }
