Check at run time that no close or answer loses a request; log why connections end

Change: every end of a client connection passes ClientConnection::end with a CloseReason, which is logged at debug level and counted; a graceful close that leaves a request unanswered, and an answer more than half a second after its time, are logged as invariant violation and counted (gingerwick_invariant_violations_total). An attempt that is not confirmed logs which condition failed.

--- a/server/src/clients/closing.rs
+++ b/server/src/clients/closing.rs
@@ -1,9 +1,14 @@
-//! The graceful close of a client connection by the server.
+//! The end of a client connection. Every end passes through [`ClientConnection::end`], which checks that no request is
+//! lost with it.
 
+use crate::clients::close_reason::CloseReason;
 use crate::clients::connection::{ClientConnection, CLIENT_TIMEOUT};
 use crate::runtime::idle_clients::IdleRank;
+use crate::runtime::invariants::{record_violation, Invariant};
 use routing::time::{TimeDelta, Timestamp};
 
+/// The counter of ended client connections, by reason.
+const CLOSED_COUNTER: &str = "gingerwick_client_connections_closed_total";
 /// How long the server waits for a client to read its last responses and close its side.
 const CLOSE_TIMEOUT: TimeDelta = TimeDelta::from_millis(500);
 /// [`CLOSE_TIMEOUT`] is divided by this if the descriptor is needed for another client.
@@ -32,13 +37,28 @@
 }
 
 impl ClientConnection {
+    /// Ends the connection: counts and logs the reason, checks that a graceful close leaves no request without its
+    /// answer, and closes the socket.
+    pub fn end(&mut self, reason: CloseReason) {
+        let (unanswered, unwritten) = (self.responses.len(), self.socket.queued());
+        tracing::debug!(reason = reason.label(), unanswered, unwritten, "client connection ends");
+        metrics::counter!(CLOSED_COUNTER, "reason" => reason.label()).increment(1);
+        if !reason.is_graceful() {
+            return;
+        }
+        if unanswered + unwritten > 0 {
+            record_violation(Invariant::AnswerBeforeClose, unanswered + unwritten);
+        }
+        self.close_gracefully();
+    }
+
     /// Shuts down the sending side and waits for the client to close its own, without reading.
     ///
     /// A query that arrives during the close stays unread, so it is never executed. But closing a socket with
     /// unread bytes resets the connection, which discards response bytes that the client has not acknowledged. So
     /// if there are both unread and unacknowledged bytes, the wait goes on after the timeout, for as long as the
     /// client keeps acknowledging bytes.
-    pub fn close_gracefully(&mut self) {
+    fn close_gracefully(&mut self) {
         if self.socket.shutdown_write().is_err() {
             return;
         }
--- a/server/src/clients/connection.rs
+++ b/server/src/clients/connection.rs
@@ -3,6 +3,7 @@
 //! closes the connection. When it must not read more, it polls the socket for a close instead.
 
 use crate::clients::admission_control::ConnectionPermit;
+use crate::clients::close_reason::CloseReason;
 use crate::clients::context::{AdmissionDecision, ClientContext, NewConnection};
 use crate::clients::graceful_shutdown::ConnectionGuard;
 use crate::clients::response_encoding::encode_response;
@@ -37,23 +38,14 @@
 /// The error message after a panic of the connection's coroutine.
 const INTERNAL_FAULT: &str = "internal fault";
 
-/// How a connection is closed.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum CloseMode {
-    /// After the client has had time to read its last responses.
-    Graceful,
-    /// At once, because the client has closed the connection or does not respond.
-    Immediate,
-}
-
 /// How the connection loop continues after one step.
 enum NextStep {
     /// Repeat at once, because bytes were read or a response was queued.
     Continue,
     /// Wait for an event of the socket, or a wake-up.
     Wait,
-    /// Close the connection.
-    Close(CloseMode),
+    /// End the connection.
+    Close(CloseReason),
 }
 
 /// The state of a client connection.
@@ -128,11 +120,9 @@
         AdmissionDecision::Admitted(permit) => connection.set_permit(permit),
         AdmissionDecision::Rejected { reason, retry_after } => connection.reject(reason, retry_after),
     }
-    let close_mode = catch_unwind(AssertUnwindSafe(|| connection.serve()));
-    let close_mode = close_mode.unwrap_or_else(|_| connection.fail_after_panic());
-    if close_mode == CloseMode::Graceful {
-        connection.close_gracefully();
-    }
+    let reason = catch_unwind(AssertUnwindSafe(|| connection.serve()));
+    let reason = reason.unwrap_or_else(|_| connection.fail_after_panic());
+    connection.end(reason);
 }
 
 impl Drop for ClientConnection {
@@ -176,8 +166,8 @@
         self.reject(rejection.reason.message(), retry_after);
     }
 
-    /// Serves the client; returns how to close the connection.
-    fn serve(&mut self) -> CloseMode {
+    /// Serves the client; returns why the connection ends.
+    fn serve(&mut self) -> CloseReason {
         loop {
             self.handle_messages();
             self.reject_partial_message_before_kill();
@@ -190,20 +180,20 @@
                     self.received_at = None;
                     self.socket.wait();
                 }
-                NextStep::Close(mode) => return mode,
+                NextStep::Close(reason) => return reason,
             }
         }
     }
 
     /// Writes the responses that are ready, enforces the limits of the connection, and reads.
     fn write_and_read(&mut self) -> NextStep {
-        let Ok(flushed) = self.socket.flush() else { return NextStep::Close(CloseMode::Immediate) };
+        let Ok(flushed) = self.socket.flush() else { return NextStep::Close(CloseReason::ClientGone) };
         let now = self.context.timers.now();
         if flushed == FlushOutcome::NoMemory {
             self.wake_at(now + MEMORY_RETRY_DELAY);
         }
         if self.is_stalled(flushed, now) {
-            return NextStep::Close(CloseMode::Immediate);
+            return NextStep::Close(CloseReason::ClientStalled);
         }
         if let Some(step) = self.enforce_memory_limit(flushed) {
             return step;
@@ -219,8 +209,11 @@
         if self.responses.is_empty() && self.socket.queued() == 0 {
             // No error message is sent: the client would take it for a second response to its last request. A query
             // that arrives during the close is not executed; the client can retry it on another instance.
-            if self.input_closed || (self.codec.is_empty() && self.should_close()) {
-                return NextStep::Close(CloseMode::Graceful);
+            if self.input_closed {
+                return NextStep::Close(CloseReason::SessionEnded);
+            }
+            if self.codec.is_empty() && self.should_close() {
+                return NextStep::Close(CloseReason::Idle);
             }
             self.become_idle();
         }
@@ -235,7 +228,7 @@
         }
         if flushed == FlushOutcome::Blocked {
             log!(WARN, reason = "buffer memory is used up"; "client connection closed, the client does not read its responses");
-            return Some(NextStep::Close(CloseMode::Immediate));
+            return Some(NextStep::Close(CloseReason::BufferMemory));
         }
         if self.codec.buffer_bytes() > SMALL_BUFFER_BYTES {
             self.fail(SqlState::OUT_OF_MEMORY, BUFFER_MEMORY_EXHAUSTED);
@@ -266,7 +259,7 @@
         if max_bytes == 0 {
             self.may_have_waited = true;
             return if self.has_client_disconnected() {
-                NextStep::Close(CloseMode::Immediate)
+                NextStep::Close(CloseReason::ClientGone)
             } else {
                 NextStep::Wait
             };
@@ -291,7 +284,7 @@
                 self.wake_at(self.context.timers.now() + MEMORY_RETRY_DELAY);
                 NextStep::Wait
             }
-            ReadOutcome::Closed => NextStep::Close(CloseMode::Immediate),
+            ReadOutcome::Closed => NextStep::Close(CloseReason::ClientGone),
         }
     }
 
@@ -364,12 +357,12 @@
 
     /// Aborts all pending requests after a panic, and sends as many of the responses as the socket accepts without
     /// waiting.
-    fn fail_after_panic(&mut self) -> CloseMode {
+    fn fail_after_panic(&mut self) -> CloseReason {
         self.fail(SqlState::INTERNAL_ERROR, INTERNAL_FAULT);
         self.collect_responses();
         match self.socket.flush() {
-            Ok(FlushOutcome::Complete) => CloseMode::Graceful,
-            _ => CloseMode::Immediate,
+            Ok(FlushOutcome::Complete) => CloseReason::Panic,
+            _ => CloseReason::PanicWhileStalled,
         }
     }
 
--- a/server/src/clients/mod.rs
+++ b/server/src/clients/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod acceptor;
 pub mod admission_control;
+mod close_reason;
 mod closing;
 pub mod connection;
 mod connection_limits;
--- a/server/src/control/active_request.rs
+++ b/server/src/control/active_request.rs
@@ -5,8 +5,9 @@
 use crate::messages::request::{RequestIdentity, RequestSession, RequestText};
 use crate::messages::response::{Response, ResponseTicket};
 use crate::runtime::cancellation::CancellationToken;
+use crate::runtime::invariants::{record_violation, Invariant};
 use crate::runtime::metrics::{Metrics, ResponseKind};
-use routing::time::Timestamp;
+use routing::time::{TimeDelta, Timestamp};
 use routing::EndpointIndex;
 use std::sync::Arc;
 use write_journal::record_state::{Deduplication, RecordEvent};
@@ -102,6 +103,10 @@
     pub attempt: Option<StartedAttempt>,
 }
 
+/// How long after its time a request may be answered. Its client has then lost interest in the answer, but not yet
+/// counted the request as lost.
+const MAX_LATE_ANSWER: TimeDelta = TimeDelta::from_millis(500);
+
 impl ActiveRequest {
     /// Discards the response because the client has disconnected. Returns false if there is nothing to discard: the
     /// request was answered or discarded before.
@@ -115,6 +120,9 @@
     /// Answers the request. Has no effect if the request was answered or discarded before.
     pub fn answer(&mut self, metrics: &Metrics, now: Timestamp, response: Response) {
         if let Some(ticket) = self.response.ticket.take() {
+            if now > self.response.abort_at + MAX_LATE_ANSWER {
+                record_violation(Invariant::AnswerInTime, 1);
+            }
             self.count_response(metrics, now, response_kind(&response));
             ticket.answer(response);
         }
--- a/server/src/control/attempt_handling.rs
+++ b/server/src/control/attempt_handling.rs
@@ -28,9 +28,13 @@
         if let (Some(active), Some(epoch)) = (self.state.requests.get(request), confirmation.epoch) {
             self.state.epochs.record(active.identity.group, epoch);
         }
-        let is_confirmed = self.state.requests.is_open(request)
-            && self.state.policy.may_send_attempt(now, request, number, endpoint);
-        let _ = confirmation.reply.send(is_confirmed && self.state.check_session(now, request));
+        let is_open = self.state.requests.is_open(request);
+        let is_allowed = is_open && self.state.policy.may_send_attempt(now, request, number, endpoint);
+        let is_confirmed = is_allowed && self.state.check_session(now, request);
+        if !is_confirmed {
+            tracing::debug!(request, attempt = number, is_open, is_allowed, "attempt not confirmed");
+        }
+        let _ = confirmation.reply.send(is_confirmed);
     }
 
     /// Handles the result of an attempt, and passes the endpoint's report to primary discovery.
--- a/server/src/runtime/mod.rs
+++ b/server/src/runtime/mod.rs
@@ -5,6 +5,7 @@
 pub mod clock;
 pub mod descriptors;
 pub mod idle_clients;
+pub mod invariants;
 pub mod log;
 pub mod metrics;
 pub mod resource_limits;
