A client that reads slowly all the time is not closed under its answers

Callers saw: a client that read its answers slowly, but all the time, lost those that were still to be written; they had been executed. Cause: the limit for a client that does not read counted from the first full send buffer and looked at no progress. Evidence: 40 answers of 400 kB read at 3 MB/s: the connection ended before the last of them on the build before (the read found its end, panic in the test at the check of the count). Test: a_client_that_reads_slowly_all_the_time_gets_all_its_answers failed before, passes now. Found while the ways in which a connection ends were gone through.

--- a/server/src/clients/connection.rs
+++ b/server/src/clients/connection.rs
@@ -10,6 +10,7 @@
 use crate::clients::response_queue::ResponseQueue;
 use crate::clients::session_tokens::ClientSession;
 use crate::clients::socket::{ClientSocket, FlushOutcome, ReadOutcome};
+use crate::clients::stall::StallDetector;
 use crate::endpoints::connection::{BURST_PAUSE, MAX_BURST_BYTES, SMALL_BUFFER_BYTES};
 use crate::log;
 use crate::messages::control::ControlMessage;
@@ -63,9 +64,8 @@
     pub has_queried: bool,
     /// Since when the client's next message, or the rest of one, has been awaited; `None` while no timeout runs.
     pub message_due_since: Option<Timestamp>,
-    /// Since when the socket's send buffer has been full, because the client does not read its responses; `None`
-    /// while all of them are written.
-    pub stalled_since: Option<Timestamp>,
+    /// The client's progress while the socket's send buffer is full; `None` while all responses are written.
+    pub stall: Option<StallDetector>,
     /// When the bytes that were read last had arrived; `None` once the coroutine has waited since.
     pub received_at: Option<Timestamp>,
     /// Whether the next bytes may have been waiting to be read: all that had arrived was not read yet, or reading was
@@ -105,7 +105,7 @@
         has_served: false,
         has_queried: false,
         message_due_since: Some(connected_at),
-        stalled_since: None,
+        stall: None,
         received_at: None,
         may_have_waited: true,
         burst_bytes: 0,
--- a/server/src/clients/connection_limits.rs
+++ b/server/src/clients/connection_limits.rs
@@ -2,6 +2,7 @@
 
 use crate::clients::connection::{ClientConnection, CLIENT_TIMEOUT};
 use crate::clients::socket::FlushOutcome;
+use crate::clients::stall::StallDetector;
 use crate::endpoints::connection::SMALL_BUFFER_BYTES;
 use routing::time::Timestamp;
 
@@ -59,15 +60,21 @@
         is_overdue
     }
 
-    /// Whether the client has not read its responses for [`CLIENT_TIMEOUT`].
+    /// Whether the client has read none of its responses for [`CLIENT_TIMEOUT`].
     pub fn is_stalled(&mut self, flushed: FlushOutcome, now: Timestamp) -> bool {
         if flushed == FlushOutcome::Complete {
-            self.stalled_since = None;
+            self.stall = None;
             return false;
         }
-        let is_overdue = self.is_overdue(self.stalled_since, now);
-        self.stalled_since.get_or_insert(now);
-        is_overdue
+        let acknowledged = self.socket.acknowledged_bytes();
+        let check_before = self.stall.as_ref().map(StallDetector::check_at);
+        let stall = self.stall.get_or_insert_with(|| StallDetector::start(acknowledged, now));
+        let is_stalled = stall.is_stalled(acknowledged, now, CLIENT_TIMEOUT);
+        let check_at = stall.check_at();
+        if check_before != Some(check_at) {
+            self.wake_at(check_at);
+        }
+        is_stalled
     }
 
     /// Whether [`CLIENT_TIMEOUT`] has passed since `since`. If `since` is `None`, the timeout starts now, and a
--- a/server/src/clients/mod.rs
+++ b/server/src/clients/mod.rs
@@ -14,3 +14,4 @@
 mod response_queue;
 pub mod session_tokens;
 mod socket;
+mod stall;
--- a/server/src/clients/socket.rs
+++ b/server/src/clients/socket.rs
@@ -43,6 +43,8 @@
     outbox: VecDeque<Vec<u8>>,
     /// The number of bytes of the outbox's first response that have been written.
     written: usize,
+    /// The number of bytes written on the connection so far.
+    total_written: u64,
 }
 
 impl ClientSocket {
@@ -50,7 +52,7 @@
     pub fn new(stream: TcpStream) -> ClientSocket {
         // Nagle's algorithm would delay small responses.
         let _ = stream.set_nodelay(true);
-        ClientSocket { stream, outbox: VecDeque::new(), written: 0 }
+        ClientSocket { stream, outbox: VecDeque::new(), written: 0, total_written: 0 }
     }
 
     /// A handle that ends the wait of a coroutine in [`ClientSocket::wait`].
@@ -137,6 +139,7 @@
     /// Records that `count` bytes were written, and removes the responses that are complete.
     fn remove_written(&mut self, count: usize) {
         self.written += count;
+        self.total_written += count as u64;
         while let Some(first) = self.outbox.front().filter(|first| first.len() <= self.written) {
             self.written -= first.len();
             self.outbox.pop_front();
@@ -203,6 +206,11 @@
         }
     }
 
+    /// The number of bytes that the client's TCP stack has acknowledged so far.
+    pub fn acknowledged_bytes(&self) -> u64 {
+        self.total_written.saturating_sub(self.unacknowledged_bytes() as u64)
+    }
+
     /// The number of bytes in the socket's send queue that the client's TCP stack has not acknowledged; 0 if unknown.
     pub fn unacknowledged_bytes(&self) -> usize {
         let mut bytes: libc::c_int = 0;
--- a/server/tests/loopback/disconnects.rs
+++ b/server/tests/loopback/disconnects.rs
@@ -404,3 +404,26 @@
     assert!(answered_after < EARLIEST_KILL, "answered {answered_after:?} after SIGTERM");
     assert!(router.wait_for_exit().success());
 }
+
+#[test]
+fn a_client_that_reads_slowly_all_the_time_gets_all_its_answers() {
+    // More than the socket buffers hold, read within several times the limit for a client that reads nothing.
+    const REQUESTS: usize = 40;
+    const ANSWER_BYTES: usize = 400_000;
+    const READ_BYTES: usize = 150_000;
+    const READ_PAUSE: Duration = Duration::from_millis(50);
+    let (router, mut client) = RouterProcess::start().with_client();
+    while client.request("order", "good", 1000) != default_value() {}
+    socket2::SockRef::from(&client.0).set_recv_buffer_size(1 << 16).expect("a socket option failed");
+    for _ in 0..REQUESTS {
+        client.send(&statement("read", "long", 1500));
+    }
+    let (mut received, mut chunk, began) = (0, vec![0; READ_BYTES], Instant::now());
+    while received < REQUESTS * ANSWER_BYTES {
+        let count = client.0.read(&mut chunk).expect("the connection was reset");
+        assert!(count > 0, "closed after {received} bytes, {:?} after the requests", began.elapsed());
+        received += count;
+        thread::sleep(READ_PAUSE.mul_f64(count as f64 / READ_BYTES as f64));
+    }
+    drop(router);
+}
