Time that a query waits behind earlier ones of its client does not shorten its time

Callers saw: of more than 64 queries sent at once behind a slow one, those after the 64th were rejected as over their time. Fix: only bytes that may have waited in the listen queue have an age; once the limit is reached they have not. Test: queries_that_wait_behind_a_slow_one_of_their_client_keep_their_time failed before (3 of 3), passes now (5 of 5), on a used and on a new connection.

--- a/server/src/clients/connection.rs
+++ b/server/src/clients/connection.rs
@@ -68,8 +68,8 @@
     pub stall: Option<StallDetector>,
     /// When the bytes that were read last had arrived; `None` once the coroutine has waited since.
     pub received_at: Option<Timestamp>,
-    /// Whether the next bytes may have been waiting to be read: all that had arrived was not read yet, or reading was
-    /// suspended.
+    /// Whether the next bytes may have waited in the listen queue: not all that had arrived was read yet. Time that a query
+    /// waits behind earlier ones of its client does not count.
     may_have_waited: bool,
     /// Bytes read since the coroutine last waited.
     burst_bytes: usize,
@@ -257,7 +257,7 @@
     fn read(&mut self) -> NextStep {
         let max_bytes = self.max_read_bytes();
         if max_bytes == 0 {
-            self.may_have_waited = true;
+            self.may_have_waited = false;
             return if self.has_client_disconnected() {
                 NextStep::Close(CloseReason::ClientGone)
             } else {
