Fault library without system calls that the kernel has on x86-64 only

Cause: the preloaded replacements of epoll_wait and poll made these system calls themselves.

Change: they call epoll_pwait(2) and ppoll(2) without a signal mask, which every architecture has. With a null mask both equal the older calls; ppoll takes its timeout as a timespec, and a null pointer for none.

--- a/fault-shim/src/calls.rs
+++ b/fault-shim/src/calls.rs
@@ -9,12 +9,15 @@
 use crate::plan::{Call, Fault};
 use crate::raw::{call4, fail};
 use libc::{
-    c_int, c_long, c_void, clockid_t, epoll_event, iovec, nfds_t, off_t, pollfd, size_t, sockaddr, socklen_t,
-    ssize_t, timespec,
+    c_int, c_long, c_void, clockid_t, epoll_event, iovec, nfds_t, off_t, pollfd, sigset_t, size_t, sockaddr,
+    socklen_t, ssize_t, timespec,
 };
+use std::time::Duration;
 
 /// The number of bytes that a short read or write transfers.
 const SHORT_BYTES: size_t = 1;
+/// The size of the kernel's signal set, which is smaller than that of the C library.
+const KERNEL_SIGNAL_SET_BYTES: size_t = 8;
 
 /// What happens to a transfer.
 enum Transfer {
@@ -139,7 +142,7 @@
     injected.map_or(result, fail)
 }
 
-/// epoll_wait(2).
+/// epoll_wait(2), by epoll_pwait(2) without a signal mask: the kernel of some architectures has no epoll_wait.
 #[no_mangle]
 pub unsafe extern "C" fn epoll_wait(
     epoll: c_int,
@@ -150,16 +153,40 @@
     if let Some(errno) = failure(Call::EpollWait, epoll) {
         return fail(errno);
     }
-    call4(libc::SYS_epoll_wait, epoll.into(), events as c_long, max_events.into(), timeout.into()) as c_int
+    libc::syscall(
+        libc::SYS_epoll_pwait,
+        epoll,
+        events,
+        max_events,
+        timeout,
+        std::ptr::null::<sigset_t>(),
+        KERNEL_SIGNAL_SET_BYTES,
+    ) as c_int
 }
 
-/// poll(2).
+/// The duration that ppoll(2) expects for a timeout of poll(2); `None` for a negative one, which is no timeout.
+fn poll_duration(timeout_ms: c_int) -> Option<timespec> {
+    let timeout = Duration::from_millis(u64::try_from(timeout_ms).ok()?);
+    let tv_sec = timeout.as_secs().try_into().ok()?;
+    Some(timespec { tv_sec, tv_nsec: timeout.subsec_nanos().into() })
+}
+
+/// poll(2), by ppoll(2) without a signal mask: the kernel of some architectures has no poll.
 #[no_mangle]
 pub unsafe extern "C" fn poll(descriptors: *mut pollfd, count: nfds_t, timeout: c_int) -> c_int {
     if let Some(errno) = failure(Call::Poll, -1) {
         return fail(errno);
     }
-    call4(libc::SYS_poll, descriptors as c_long, count as c_long, timeout.into(), 0) as c_int
+    let mut duration = poll_duration(timeout);
+    let duration = duration.as_mut().map_or(std::ptr::null_mut(), |duration| &raw mut *duration);
+    libc::syscall(
+        libc::SYS_ppoll,
+        descriptors,
+        count,
+        duration,
+        std::ptr::null::<sigset_t>(),
+        KERNEL_SIGNAL_SET_BYTES,
+    ) as c_int
 }
 
 /// read(2).
