Incident: floods of clients, a program that measures them, and what the evidence excludes

Soak runs keep their clients up to the last kill.

Trace of epoll_pwait under six `no-id` clients: the worker polls for events at least every 10 ms before and after the flood, and not once in the 2.55 s of the flood.

--- a/test-servers/src/daemon.rs
+++ b/test-servers/src/daemon.rs
@@ -12,6 +12,12 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Timeout of [`Daemon::wait_for_log`].
 const LOG_TIMEOUT: Duration = Duration::from_secs(10);
+/// Converts KiB to bytes by a shift.
+const KIB_SHIFT: usize = 10;
+/// The index of the user time in the fields of `/proc/PID/stat` after the name; the system time follows it.
+const USER_TIME_FIELD: usize = 11;
+/// The unit of the times in `/proc/PID/stat`.
+const CLOCK_TICK: Duration = Duration::from_millis(10);
 /// Name of every instance.
 const INSTANCE_NAME: &str = "f";
 
@@ -73,6 +79,23 @@
         self.child.id()
     }
 
+    /// The most memory that the process has used so far, in bytes; `None` if it is not running.
+    pub fn peak_memory_bytes(&self) -> Option<usize> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let kib: usize = line.split_whitespace().next()?.parse().ok()?;
+        Some(kib << KIB_SHIFT)
+    }
+
+    /// The processor time that the process has used so far; `None` if it is not running.
+    pub fn cpu_time(&self) -> Option<Duration> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.pid())).ok()?;
+        let (_, fields) = stat.rsplit_once(')')?;
+        let ticks = fields.split_whitespace().skip(USER_TIME_FIELD).take(2);
+        let ticks: u32 = ticks.filter_map(|field| field.parse::<u32>().ok()).sum();
+        Some(CLOCK_TICK * ticks)
+    }
+
     /// Sends the process a signal with the `kill` program. `name` is the signal's name without `SIG`.
     pub fn signal(&self, name: &str) {
         let _ = Command::new("kill").arg(format!("-{name}")).arg(self.pid().to_string()).status();
--- a/test-servers/src/fault_soak/client.rs
+++ b/test-servers/src/fault_soak/client.rs
@@ -53,6 +53,8 @@
     pub id: String,
     /// The index of the instance to which the request was sent.
     pub instance: usize,
+    /// Whether the client has sent the id again after it had left.
+    pub is_repeated: bool,
     /// Whether the request must not be executed twice.
     pub is_write: bool,
     /// When its last byte was written.
@@ -103,6 +105,14 @@
     pub until: Instant,
 }
 
+impl ClientContext {
+    /// The id of a new request.
+    pub(super) fn new_id(&self) -> String {
+        let number = self.next_id.fetch_add(1, Ordering::Relaxed);
+        format!("{:08x}{number:08x}", self.seed as u32)
+    }
+}
+
 /// The instance that a client uses.
 #[derive(Clone, Copy, Debug)]
 pub struct Target {
@@ -113,15 +123,17 @@
 }
 
 /// A request that was sent and not answered yet.
-struct SentRequest {
-    id: String,
+pub(super) struct SentRequest {
+    pub(super) id: String,
+    /// Whether the client will send the id again after it has left.
+    pub(super) is_repeated: bool,
     is_write: bool,
     deadline: Duration,
     sent_at: Instant,
     sent_bytes: u64,
 }
 
-struct Connection<'a> {
+pub(super) struct Connection<'a> {
     context: &'a ClientContext,
     target: Target,
     stream: TcpStream,
@@ -158,7 +170,7 @@
 }
 
 impl<'a> Connection<'a> {
-    fn open(context: &'a ClientContext, target: Target) -> Option<Connection<'a>> {
+    pub(super) fn open(context: &'a ClientContext, target: Target) -> Option<Connection<'a>> {
         let mut stream = TcpStream::connect_timeout(&target.addr, CONNECT_TIMEOUT).ok()?;
         stream.set_nodelay(true).ok()?;
         let port = stream.local_addr().ok()?.port();
@@ -192,9 +204,19 @@
 
     /// Sends one request; `None` if it was not sent completely.
     fn send(&mut self, rng: &mut Mwc, in_pieces: bool) -> Option<SentRequest> {
-        let number = self.context.next_id.fetch_add(1, Ordering::Relaxed);
-        let id = format!("{:08x}{number:08x}", self.context.seed as u32);
         let is_write = one_in(rng, 3);
+        let id = self.context.new_id();
+        self.send_with_id(rng, id, is_write, in_pieces)
+    }
+
+    /// Sends one request with a given id; `None` if it was not sent completely.
+    pub(super) fn send_with_id(
+        &mut self,
+        rng: &mut Mwc,
+        id: String,
+        is_write: bool,
+        in_pieces: bool,
+    ) -> Option<SentRequest> {
         let longest = self.context.longest_deadline_ms;
         let deadline_ms = choose(rng, &[longest, longest, longest / 2, longest / 4]);
         let (method, text) = if is_write {
@@ -217,11 +239,12 @@
         self.stream.write_all(&message).ok()?;
         self.sent_bytes += message.len() as u64;
         let deadline = Duration::from_millis(deadline_ms);
-        Some(SentRequest { id, is_write, deadline, sent_at: Instant::now(), sent_bytes: self.sent_bytes })
+        let (sent_at, sent_bytes) = (Instant::now(), self.sent_bytes);
+        Some(SentRequest { id, is_repeated: false, is_write, deadline, sent_at, sent_bytes })
     }
 
     /// Closes the connection in one of the ways in which clients leave.
-    fn leave(self, sent: &[SentRequest], rng: &mut Mwc) {
+    pub(super) fn leave(self, sent: &[SentRequest], rng: &mut Mwc) {
         match rng.below(3) {
             0 => _ = socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)),
             1 => _ = self.stream.shutdown(Shutdown::Write),
@@ -305,6 +328,7 @@
     RequestRecord {
         id: request.id.clone(),
         instance: target.instance,
+        is_repeated: request.is_repeated,
         is_write: request.is_write,
         sent_at: request.sent_at,
         deadline: request.deadline,
--- a/test-servers/src/fault_soak/instance.rs
+++ b/test-servers/src/fault_soak/instance.rs
@@ -37,6 +37,10 @@
     pub read_bytes: HashMap<u16, u64>,
     /// The number of faults that were injected.
     pub faults: usize,
+    /// The most memory that it has used before it was told to end, in bytes; 0 if unknown.
+    pub peak_memory_bytes: usize,
+    /// The processor time that it has used before it was told to end.
+    pub cpu_time: Duration,
     /// The plan of its faults.
     pub plan: InstancePlan,
 }
@@ -82,8 +86,9 @@
         let hosts = Value::from(endpoints.to_vec());
         let settings = settings(deadline_ms);
         let bootstrap = format!(
-            r#"{{"seed":"{seed:016x}","limits":{{"sockets":512,"memory_mb":128}},
-            "known":{{"seq":4,"whole":true,"hosts":{hosts}}},"settings":{settings}}}"#
+            r#"{{"seed":"{seed:016x}","limits":{{"sockets":512,"memory_mb":{}}},
+            "known":{{"seq":4,"whole":true,"hosts":{hosts}}},"settings":{settings}}}"#,
+            plan.memory_mb
         );
         let state_dir = folder.join("state");
         std::fs::create_dir_all(&state_dir)?;
@@ -116,6 +121,8 @@
             self.daemon.signal("HUP");
         }
         sleep_until(started + plan.term_at);
+        let peak_memory_bytes = self.daemon.peak_memory_bytes().unwrap_or(0);
+        let cpu_time = self.daemon.cpu_time().unwrap_or_default();
         let term_at = Instant::now();
         self.daemon.signal("TERM");
         for reload_at in reloads.iter().filter(|reload_at| **reload_at >= plan.term_at) {
@@ -131,7 +138,7 @@
         let trace = std::fs::read_to_string(&self.trace).unwrap_or_default();
         let read_bytes = trace.lines().filter_map(parse_close).collect();
         let faults = trace.lines().filter(|line| line.contains("descriptor=")).count();
-        InstanceEnd { term_at, killed_at, log, read_bytes, faults, plan }
+        InstanceEnd { term_at, killed_at, log, read_bytes, faults, peak_memory_bytes, cpu_time, plan }
     }
 }
 
--- a/test-servers/src/fault_soak/mod.rs
+++ b/test-servers/src/fault_soak/mod.rs
@@ -1,11 +1,12 @@
 //! Soak runs under faults: several instances of the daemon as real processes on loopback, with endpoints that fail,
-//! proxies that disturb connections, system calls that fail, clients of all habits, and signals. Each run is planned
+//! proxies that disturb connections, system calls that fail, clients of all habits, floods, and signals. Each run is planned
 //! from its seed and judged by the ids of the requests.
 //!
 //! - [`plan`]: what happens in a run
 //! - [`endpoint`]: endpoints that fail and that record what they are sent
 //! - [`proxy`]: a TCP proxy that disturbs connections
 //! - [`client`]: clients that record what becomes of their requests
+//! - [`leavers`]: clients that leave many requests behind and send some of their ids again
 //! - [`instance`]: an instance of the daemon with the fault library, and its signals
 //! - [`verdict`]: the rules, applied to the records of a run
 //! - [`run`]: a run from its plan to its verdict
@@ -13,6 +14,7 @@
 pub mod client;
 pub mod endpoint;
 pub mod instance;
+pub mod leavers;
 pub mod plan;
 pub mod proxy;
 pub mod run;
--- a/test-servers/src/fault_soak/plan.rs
+++ b/test-servers/src/fault_soak/plan.rs
@@ -1,5 +1,6 @@
 //! The plan of a run: which faults there are, when the instances are told to end, and how clients behave.
 
+use crate::flood::kind::FloodKind;
 use crate::random::{choose, one_in, plan_rng};
 use routing::rng::Mwc;
 use std::time::Duration;
@@ -44,6 +45,28 @@
 const DISK_FAULTS: [&str; 2] =
     ["file_write:ENOSPC:0.8:1000-2500", "file_write:EIO:0.3:800-3000;file_sync:EIO:0.5:800-3000"];
 
+/// How long a flood lasts.
+const FLOOD_TIME: Duration = Duration::from_millis(2_500);
+/// The memory limit of an instance without a planned one, in MB.
+pub const DEFAULT_MEMORY_MB: usize = 128;
+/// When an instance without faults is told to end.
+const UNDISTURBED_TERM: Duration = Duration::from_millis(3_500);
+/// When a flood against an instance without faults begins.
+const UNDISTURBED_FLOOD_START: Duration = Duration::from_millis(500);
+
+/// A flood against an instance.
+#[derive(Clone, Copy, Debug)]
+pub struct PlannedFlood {
+    /// What its clients do.
+    pub kind: FloodKind,
+    /// The number of its clients.
+    pub clients: usize,
+    /// When it begins.
+    pub from: Duration,
+    /// When it ends.
+    pub until: Duration,
+}
+
 /// What happens in a run.
 #[derive(Clone, Debug)]
 pub struct RunPlan {
@@ -74,6 +97,12 @@
     pub kill_at: Duration,
     /// Whether a crowd of clients arrives shortly before the instance is told to end.
     pub has_crowd: bool,
+    /// A flood against the instance.
+    pub flood: Option<PlannedFlood>,
+    /// Whether there are clients that leave many requests behind and send some of their ids again.
+    pub has_leavers: bool,
+    /// The memory limit of the instance, in MB.
+    pub memory_mb: usize,
 }
 
 impl RunPlan {
@@ -89,6 +118,22 @@
             instances: (0..instances).map(|_| InstancePlan::new(&mut rng, longest_deadline_ms)).collect(),
         }
     }
+
+    /// Plans a run of one instance without faults, under a flood.
+    pub fn flood(seed: u64, longest_deadline_ms: u64, kind: FloodKind, clients: usize) -> RunPlan {
+        let flood = PlannedFlood {
+            kind,
+            clients,
+            from: UNDISTURBED_FLOOD_START,
+            until: UNDISTURBED_FLOOD_START + FLOOD_TIME,
+        };
+        let instance = InstancePlan {
+            flood: Some(flood),
+            ..InstancePlan::undisturbed(UNDISTURBED_TERM, longest_deadline_ms)
+        };
+        let instances = vec![instance];
+        RunPlan { seed, longest_deadline_ms, endpoints_fail: false, has_proxies: false, instances }
+    }
 }
 
 impl InstancePlan {
@@ -107,8 +152,23 @@
             has_state_dir,
             reload_at,
             term_at,
-            kill_at: term_at + Duration::from_millis(longest_deadline_ms) + KILL_MARGIN,
             has_crowd: one_in(rng, 3),
+            ..InstancePlan::undisturbed(term_at, longest_deadline_ms)
+        }
+    }
+
+    /// An instance without faults, which is told to end at `term_at`.
+    pub fn undisturbed(term_at: Duration, longest_deadline_ms: u64) -> InstancePlan {
+        InstancePlan {
+            faults: String::new(),
+            has_state_dir: false,
+            reload_at: Vec::new(),
+            term_at,
+            kill_at: term_at + Duration::from_millis(longest_deadline_ms) + KILL_MARGIN,
+            has_crowd: false,
+            flood: None,
+            has_leavers: false,
+            memory_mb: DEFAULT_MEMORY_MB,
         }
     }
 }
--- a/test-servers/src/fault_soak/run.rs
+++ b/test-servers/src/fault_soak/run.rs
@@ -4,9 +4,11 @@
 use crate::fault_soak::client::{self, ClientContext, Target, HABITS};
 use crate::fault_soak::endpoint::{self, ArrivalLog};
 use crate::fault_soak::instance::{Instance, InstanceEnd, Programs};
+use crate::fault_soak::leavers;
 use crate::fault_soak::plan::{InstancePlan, RunPlan, RUN_TIME};
 use crate::fault_soak::proxy;
 use crate::fault_soak::verdict::{judge, Verdict};
+use crate::flood::flooder::Flood;
 use crate::lock;
 use crate::random::client_seed;
 use serde_json::Value;
@@ -22,6 +24,8 @@
 const ENDPOINTS: usize = 3;
 /// The clients of each habit at each instance.
 const CLIENTS_PER_HABIT: usize = 2;
+/// The clients that leave many requests behind, at each instance that has such clients.
+const LEAVERS: usize = 4;
 /// The clients of a crowd.
 const CROWD: usize = 60;
 /// How long before the signal a crowd arrives.
@@ -61,13 +65,18 @@
         longest_deadline_ms: plan.longest_deadline_ms,
         seed: plan.seed,
         next_id: AtomicU64::new(0),
-        until: started + RUN_TIME,
+        until: started + last_kill(plan).max(RUN_TIME),
     };
     let ends = run_clients_and_signals(&context, plan, instances, started);
     let records = std::mem::take(&mut *lock(&context.records));
     Ok(judge(&records, &log, &ends, started))
 }
 
+/// When the last instance is killed, since the start of the run.
+fn last_kill(plan: &RunPlan) -> Duration {
+    plan.instances.iter().map(|instance| instance.kill_at).max().unwrap_or_default()
+}
+
 /// Starts the endpoints and the proxies before them; returns their entries in the endpoint list.
 fn start_endpoints(plan: &RunPlan, log: &Arc<ArrivalLog>) -> Vec<Value> {
     let entry = |index: usize| {
@@ -103,6 +112,13 @@
                 scope.spawn(move || client::run(context, target, HABITS[number % HABITS.len()], seed));
             }
             let instance_plan = plan.instances[index].clone();
+            let flood_plan = instance_plan.clone();
+            scope.spawn(move || run_flood(&flood_plan, target, started));
+            if instance_plan.has_leavers {
+                for number in 0..LEAVERS {
+                    scope.spawn(move || leavers::run(context, target, client_seed(plan.seed, number)));
+                }
+            }
             scope.spawn(move || run_crowd(context, &instance_plan, target, started));
             ends.push(scope.spawn(move || instance.run_signals(started)));
         }
@@ -123,3 +139,11 @@
         }
     });
 }
+
+/// Runs the flood that is planned against an instance.
+fn run_flood(plan: &InstancePlan, target: Target, started: Instant) {
+    let Some(planned) = plan.flood else { return };
+    thread::sleep((started + planned.from).saturating_duration_since(Instant::now()));
+    let _flood = Flood::start(planned.kind, planned.clients, target.addr);
+    thread::sleep((started + planned.until).saturating_duration_since(Instant::now()));
+}
--- a/test-servers/src/fault_soak/verdict.rs
+++ b/test-servers/src/fault_soak/verdict.rs
@@ -15,6 +15,8 @@
 const ARRIVAL_GRACE: Duration = Duration::from_millis(700);
 /// The time limits on sockets are this much longer than the rules say.
 const SOCKET_SLACK: Duration = Duration::from_millis(50);
+/// Converts MiB to bytes by a shift.
+const MIB_SHIFT: usize = 20;
 /// Log lines by which the daemon reports that it has broken one of its own rules.
 const VIOLATION_LINES: [&str; 2] = ["panicked", "violation"];
 
@@ -29,12 +31,20 @@
     pub refused: usize,
     /// Requests whose client has left.
     pub left: usize,
+    /// Requests that were answered late.
+    pub late: usize,
+    /// Requests that were not answered in time on a connection that stayed open.
+    pub unanswered: usize,
     /// Requests that were not read before their connection was closed or their instance killed.
     pub not_read: usize,
     /// Faults that were injected into system calls.
     pub faults: usize,
     /// Instances that were killed because they had not exited in time.
     pub killed: usize,
+    /// The most memory that an instance has used, in bytes.
+    pub peak_memory_bytes: usize,
+    /// The processor time that the instances have used until they were told to end.
+    pub cpu_time: Duration,
 }
 
 /// The verdict on a run.
@@ -44,6 +54,8 @@
     pub counts: Counts,
     /// The broken rules, one line each.
     pub violations: Vec<String>,
+    /// How long the answers to requests took, in ascending order.
+    pub answer_times: Vec<Duration>,
 }
 
 /// Judges the records of a run.
@@ -58,6 +70,7 @@
         let end = &ends[record.instance];
         let arrivals = arrivals.of(&record.id);
         verdict.count(record, end);
+        verdict.answer_times.extend(answer_time(record));
         let mut broken = Vec::new();
         broken.extend(broken_answer(record, end));
         broken.extend(broken_attempts(record, &arrivals));
@@ -65,9 +78,13 @@
             verdict.violations.push(describe(&rule, record, &arrivals, end, started));
         }
     }
+    verdict.answer_times.sort();
     for (index, end) in ends.iter().enumerate() {
         verdict.counts.faults += end.faults;
         verdict.counts.killed += usize::from(end.killed_at.is_some());
+        verdict.counts.peak_memory_bytes = verdict.counts.peak_memory_bytes.max(end.peak_memory_bytes);
+        verdict.counts.cpu_time += end.cpu_time;
+        verdict.violations.extend(broken_memory_limit(index, end));
         for line in end.log.lines().filter(|line| VIOLATION_LINES.iter().any(|text| line.contains(text))) {
             verdict.violations.push(format!("instance {index} ({}): {line}", end.plan.faults));
         }
@@ -76,9 +93,18 @@
 }
 
 impl Verdict {
+    /// The time within which this percentage of the answers came; zero if there were none.
+    pub fn percentile(&self, percent: usize) -> Duration {
+        let index = self.answer_times.len() * percent / 100;
+        self.answer_times.get(index).or(self.answer_times.last()).copied().unwrap_or_default()
+    }
+
     fn count(&mut self, record: &RequestRecord, end: &InstanceEnd) {
         let counts = &mut self.counts;
         counts.requests += 1;
+        counts.late +=
+            usize::from(answer_time(record).is_some_and(|took| took > record.deadline + ANSWER_GRACE));
+        counts.unanswered += usize::from(record.fate == Fate::Unanswered);
         match &record.fate {
             Fate::Value(_) => counts.served += 1,
             Fate::Rejected | Fate::Failed(_) => counts.refused += 1,
@@ -89,15 +115,32 @@
     }
 }
 
+/// The rule that an instance breaks by its use of memory.
+fn broken_memory_limit(index: usize, end: &InstanceEnd) -> Option<String> {
+    let (used, limit) = (end.peak_memory_bytes, end.plan.memory_mb << MIB_SHIFT);
+    (used > limit).then(|| format!("instance {index} used {used} bytes of memory, its limit is {limit}"))
+}
+
 /// Whether the instance had read the request when it closed the connection.
 fn was_read(record: &RequestRecord, end: &InstanceEnd) -> bool {
     end.read_bytes.get(&record.port).is_some_and(|read| *read >= record.sent_bytes)
 }
 
+/// The time from when a request was due to be handled until its fate was known.
+fn time_to_end(record: &RequestRecord) -> Duration {
+    let due_since = record.answered_before_at.map_or(record.sent_at, |at| at.max(record.sent_at));
+    record.ended_at - due_since
+}
+
+/// How long the answer to a request took; `None` if it got none.
+fn answer_time(record: &RequestRecord) -> Option<Duration> {
+    let is_answered = matches!(record.fate, Fate::Value(_) | Fate::Rejected | Fate::Failed(_));
+    is_answered.then(|| time_to_end(record))
+}
+
 /// The rule that the answer to a request breaks.
 fn broken_answer(record: &RequestRecord, end: &InstanceEnd) -> Option<String> {
-    let due_since = record.answered_before_at.map_or(record.sent_at, |at| at.max(record.sent_at));
-    let took = record.ended_at - due_since;
+    let took = time_to_end(record);
     match &record.fate {
         Fate::Left => None,
         Fate::Value(value) if *value != record.id.as_bytes() => {
@@ -130,6 +173,9 @@
     if record.is_write && executions > 1 {
         broken.push(format!("executed {executions} times"));
     }
+    if record.is_repeated {
+        return broken;
+    }
     let has_ended = matches!(record.fate, Fate::Left | Fate::Value(_) | Fate::Rejected | Fate::Failed(_));
     for arrival in arrivals {
         let after_end = arrival.at.saturating_duration_since(record.ended_at);
--- /dev/null
+++ b/test-servers/src/flood/flooder.rs
@@ -0,0 +1,195 @@
+//! The clients of a flood.
+
+use crate::flood::kind::FloodKind;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+/// The startup message: user `backend`, database `store`.
+const STARTUP: &[u8] = b"\0\0\0\x25\0\x03\0\0user\0backend\0database\0store\0\0";
+/// The stack size of a client's threads, of which a flood may have a thousand.
+const STACK_BYTES: usize = 128 << 10;
+/// The buffer in which answers are discarded.
+const READ_BYTES: usize = 64 << 10;
+/// The pause between two bytes of a query that is sent byte by byte, for all clients of its thread.
+const BYTE_PAUSE: Duration = Duration::from_millis(2);
+/// How long a client waits for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a client waits to send before it looks whether the flood is over.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(50);
+/// The number of bytes that a slow client leaves to be sent one by one.
+const TAIL_BYTES: usize = 600;
+
+/// The state that the clients of a flood share.
+#[derive(Default)]
+struct Shared {
+    is_over: AtomicBool,
+    /// The chunks that were sent so far.
+    chunks: AtomicU64,
+    /// The bytes of answers that were received.
+    received: AtomicU64,
+}
+
+/// A flood in progress. It ends when it is dropped.
+pub struct Flood {
+    shared: Arc<Shared>,
+    streams: Vec<TcpStream>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Flood {
+    /// Starts a flood of `clients` clients against the instance that listens on `target`.
+    pub fn start(kind: FloodKind, clients: usize, target: SocketAddr) -> Flood {
+        let mut flood = Flood { shared: Arc::default(), streams: Vec::new(), threads: Vec::new() };
+        match kind {
+            FloodKind::Connects => (0..clients).for_each(|_| flood.start_connecting(target)),
+            FloodKind::HalfQueries | FloodKind::SlowTails => flood.start_slow(kind, clients, target),
+            FloodKind::NeverRead => (0..clients).for_each(|_| flood.start_sending(kind, target, false)),
+            kind => (0..clients).for_each(|_| flood.start_sending(kind, target, true)),
+        }
+        flood
+    }
+
+    /// The bytes of answers that the clients have received.
+    pub fn received_bytes(&self) -> u64 {
+        self.shared.received.load(Ordering::Relaxed)
+    }
+
+    fn spawn(&mut self, run: impl FnOnce(&Shared) + Send + 'static) {
+        let shared = self.shared.clone();
+        let thread = thread::Builder::new().stack_size(STACK_BYTES).spawn(move || run(&shared));
+        self.threads.push(thread.expect("a thread can be started"));
+    }
+
+    /// Starts a client that sends without pause and, if `reads`, reads the answers. It connects again when its
+    /// connection ends.
+    fn start_sending(&mut self, kind: FloodKind, target: SocketAddr, reads: bool) {
+        self.spawn(move |shared| {
+            while !shared.is_over.load(Ordering::Acquire) {
+                let Some(stream) = connect(target) else { return };
+                if reads {
+                    send_and_read(shared, kind, &stream);
+                } else {
+                    send_chunks(shared, kind, &stream);
+                }
+            }
+        });
+    }
+
+    /// Starts a client that connects and closes without pause.
+    fn start_connecting(&mut self, target: SocketAddr) {
+        self.spawn(move |shared| {
+            while !shared.is_over.load(Ordering::Acquire) {
+                drop(connect(target));
+            }
+        });
+    }
+
+    /// Starts clients that send most of a large query, and the rest of it slowly or not at all.
+    fn start_slow(&mut self, kind: FloodKind, clients: usize, target: SocketAddr) {
+        let connected: Vec<TcpStream> = (0..clients).filter_map(|_| connect(target)).collect();
+        for stream in &connected {
+            self.streams.push(stream.try_clone().expect("a socket can be cloned"));
+        }
+        self.spawn(move |shared| send_slowly(shared, kind, connected));
+    }
+}
+
+impl Drop for Flood {
+    fn drop(&mut self) {
+        self.shared.is_over.store(true, Ordering::Release);
+        for stream in &self.streams {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn connect(target: SocketAddr) -> Option<TcpStream> {
+    let mut stream = TcpStream::connect_timeout(&target, CONNECT_TIMEOUT).ok()?;
+    let _ = stream.set_nodelay(true);
+    stream.write_all(STARTUP).ok()?;
+    Some(stream)
+}
+
+/// Sends until the flood is over or the connection ends, while another thread reads the answers.
+fn send_and_read(shared: &Shared, kind: FloodKind, stream: &TcpStream) {
+    thread::scope(|scope| {
+        let reader = thread::Builder::new().stack_size(STACK_BYTES);
+        reader.spawn_scoped(scope, || discard_answers(shared, stream)).expect("a thread can be started");
+        send_chunks(shared, kind, stream);
+        let _ = stream.shutdown(Shutdown::Both);
+    });
+}
+
+fn send_chunks(shared: &Shared, kind: FloodKind, stream: &TcpStream) {
+    let _ = stream.set_write_timeout(Some(WRITE_TIMEOUT));
+    let chunks: Vec<Vec<u8>> = (0..kind.prepared_chunks()).map(|number| kind.chunk(number)).collect();
+    for number in 0.. {
+        let chunk = match chunks.get(number % chunks.len().max(1)) {
+            Some(chunk) => chunk,
+            None => &kind.chunk(shared.chunks.fetch_add(1, Ordering::Relaxed)),
+        };
+        if !send_all(shared, stream, chunk) {
+            return;
+        }
+    }
+}
+
+/// Sends bytes; returns false if the flood is over or the connection has ended.
+fn send_all(shared: &Shared, mut stream: &TcpStream, mut bytes: &[u8]) -> bool {
+    while !bytes.is_empty() {
+        if shared.is_over.load(Ordering::Acquire) {
+            return false;
+        }
+        match stream.write(bytes) {
+            Ok(count) => bytes = &bytes[count..],
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
+            Err(_) => return false,
+        }
+    }
+    true
+}
+
+/// Reads until the connection ends or is shut down.
+fn discard_answers(shared: &Shared, mut stream: &TcpStream) {
+    let mut buffer = vec![0; READ_BYTES];
+    while let Ok(count) = stream.read(&mut buffer) {
+        if count == 0 {
+            // The writer may be blocked by a peer that has closed its side only.
+            let _ = stream.shutdown(Shutdown::Both);
+            return;
+        }
+        shared.received.fetch_add(count as u64, Ordering::Relaxed);
+    }
+}
+
+/// Sends half of a query, or all of one but its last bytes and then these one by one, on each connection.
+fn send_slowly(shared: &Shared, kind: FloodKind, mut streams: Vec<TcpStream>) {
+    let queries: Vec<Vec<u8>> = (0..streams.len()).map(|number| kind.large_query(number as u64)).collect();
+    let first_bytes = |query: &[u8]| match kind {
+        FloodKind::HalfQueries => query.len() / 2,
+        _ => query.len().saturating_sub(TAIL_BYTES),
+    };
+    for (stream, query) in streams.iter_mut().zip(&queries) {
+        let _ = stream.write_all(&query[..first_bytes(query)]);
+    }
+    for offset in 0..TAIL_BYTES {
+        if shared.is_over.load(Ordering::Acquire) {
+            return;
+        }
+        thread::sleep(BYTE_PAUSE);
+        if kind == FloodKind::HalfQueries {
+            continue;
+        }
+        for (stream, query) in streams.iter_mut().zip(&queries) {
+            let at = first_bytes(query) + offset;
+            let _ = stream.write_all(query.get(at..=at).unwrap_or_default());
+        }
+    }
+}
--- /dev/null
+++ b/test-servers/src/flood/kind.rs
@@ -0,0 +1,145 @@
+//! The kinds of floods, and the bytes that their clients send.
+
+use crate::wire;
+use clap::ValueEnum;
+use std::fmt::Write;
+
+/// How many messages a client of a flood encodes at a time.
+const MESSAGES_PER_CHUNK: u64 = 256;
+/// The number of fields in a comment of [`FloodKind::ShortFields`].
+const SHORT_FIELDS: usize = 40;
+/// The number of fields in a comment of [`FloodKind::LongHeads`].
+const LONG_HEAD_FIELDS: usize = 9_000;
+/// The size of a statement of [`FloodKind::Blanks`], [`FloodKind::SlowTails`] and [`FloodKind::HalfQueries`], in bytes.
+const LARGE_STATEMENT_BYTES: usize = 60_000;
+/// The first group number of [`FloodKind::UnknownGroups`]; no list contains it or a greater one.
+const FIRST_UNKNOWN_GROUP: u64 = 1_000_000;
+
+/// What the clients of a flood do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum FloodKind {
+    /// They send queries of methods that do not exist, with a new name each.
+    UnknownMethods,
+    /// They send queries with neither an id nor a timeout.
+    NoId,
+    /// They send queries for groups that do not exist, with a new number each.
+    UnknownGroups,
+    /// They send comments of 40 short fields without an id.
+    ShortFields,
+    /// They send comments of 9,000 short fields without an id.
+    LongHeads,
+    /// They send empty queries.
+    EmptyQueries,
+    /// They send Sync messages.
+    Syncs,
+    /// They send Parse and Sync messages.
+    Parses,
+    /// They send SET statements.
+    Sets,
+    /// They send queries of 60,000 blanks.
+    Blanks,
+    /// They send valid reads, far more than the endpoints can serve.
+    Reads,
+    /// They send empty queries and never read an answer.
+    NeverRead,
+    /// They connect and close again.
+    Connects,
+    /// They send half of a large query, and then nothing.
+    HalfQueries,
+    /// They send the end of a large query byte by byte.
+    SlowTails,
+}
+
+impl FloodKind {
+    /// The kinds whose clients send without pause.
+    pub const CONTINUOUS: [FloodKind; 11] = [
+        FloodKind::UnknownMethods,
+        FloodKind::NoId,
+        FloodKind::UnknownGroups,
+        FloodKind::ShortFields,
+        FloodKind::LongHeads,
+        FloodKind::EmptyQueries,
+        FloodKind::Syncs,
+        FloodKind::Parses,
+        FloodKind::Sets,
+        FloodKind::Blanks,
+        FloodKind::Reads,
+    ];
+
+    /// The next bytes that a client sends. `number` is the number of chunks that were sent by all clients before.
+    pub fn chunk(self, number: u64) -> Vec<u8> {
+        let mut out = Vec::new();
+        let messages = if self.is_large() { 1 } else { MESSAGES_PER_CHUNK };
+        for index in 0..messages {
+            self.append_message(&mut out, number * MESSAGES_PER_CHUNK + index);
+        }
+        out
+    }
+
+    /// The number of different chunks that a client sends in turn; 0 if each chunk must differ from all others.
+    pub fn prepared_chunks(self) -> u64 {
+        match self {
+            FloodKind::UnknownMethods | FloodKind::UnknownGroups => 64,
+            FloodKind::Reads => 0,
+            _ => 1,
+        }
+    }
+
+    fn is_large(self) -> bool {
+        matches!(self, FloodKind::LongHeads | FloodKind::Blanks)
+    }
+
+    fn append_message(self, out: &mut Vec<u8>, number: u64) {
+        match self {
+            FloodKind::Syncs => wire::append_message(out, b'S', b""),
+            FloodKind::Parses if number.is_multiple_of(2) => {
+                wire::append_message(out, b'P', b"\0SELECT 1\0\0\0")
+            }
+            FloodKind::Parses => wire::append_message(out, b'S', b""),
+            kind => wire::append_query(out, &kind.statement(number)),
+        }
+    }
+
+    fn statement(self, number: u64) -> String {
+        match self {
+            FloodKind::UnknownMethods => {
+                format!("/* id=u{number:x},c=method{number},d=500,cluster=1 */ SELECT 1")
+            }
+            FloodKind::NoId => "/* c=read,cluster=1 */ SELECT 1".into(),
+            FloodKind::UnknownGroups => {
+                let group = FIRST_UNKNOWN_GROUP + number;
+                format!("/* id=g{number:x},c=read,d=500,cluster={group} */ SELECT 1")
+            }
+            FloodKind::ShortFields => format!("/*{}*/ SELECT 1", short_fields(SHORT_FIELDS)),
+            FloodKind::LongHeads => format!("/*{}*/ SELECT 1", short_fields(LONG_HEAD_FIELDS)),
+            FloodKind::Sets => "SET application_name = 'flood'".into(),
+            FloodKind::Blanks => " ".repeat(LARGE_STATEMENT_BYTES),
+            FloodKind::Reads => read_statement(number, ""),
+            FloodKind::HalfQueries | FloodKind::SlowTails => {
+                read_statement(number, &" ".repeat(LARGE_STATEMENT_BYTES))
+            }
+            _ => String::new(),
+        }
+    }
+
+    /// A large query of its own, for the clients that do not send it at once.
+    pub fn large_query(self, number: u64) -> Vec<u8> {
+        let mut out = Vec::new();
+        wire::append_query(&mut out, &self.statement(number));
+        out
+    }
+}
+
+fn read_statement(number: u64, padding: &str) -> String {
+    format!("/* id=f{number:x},c=read,d=500,cluster=1 */ SELECT content FROM kv WHERE name = 'k'{padding}")
+}
+
+/// Fields with different names of up to three characters, separated by commas.
+fn short_fields(count: usize) -> String {
+    let mut fields = String::new();
+    for field in 0..count {
+        let separator = if field == 0 { "" } else { "," };
+        write!(fields, "{separator}{field:x}=").expect("a string accepts all text");
+    }
+    fields
+}
--- /dev/null
+++ b/test-servers/src/flood/mod.rs
@@ -0,0 +1,7 @@
+//! Clients that flood an instance: they send as fast as the instance reads, or hold on to its memory.
+//!
+//! - [`kind`]: the kinds of floods and what their clients send
+//! - [`flooder`]: the clients of a flood
+
+pub mod flooder;
+pub mod kind;
--- a/test-servers/src/lib.rs
+++ b/test-servers/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`comparison`]: the builds of the daemon that an experiment compares
 //! - [`daemon`]: the router daemon as a child process
 //! - [`fault_soak`]: runs under faults of system calls, connections and endpoints, judged by the ids of requests
+//! - [`flood`]: clients that flood an instance
 //! - [`settings`]: bootstrap settings of the instances, and the matching models of endpoints
 //! - [`single_endpoint`]: a cluster of one endpoint
 //! - [`random`]: random choices that are reproducible by their seed
@@ -28,6 +29,7 @@
 pub mod discovery;
 pub mod endpoint;
 pub mod fault_soak;
+pub mod flood;
 pub mod random;
 pub mod restart;
 pub mod sessions;
