Handle all messages of a client that were read, although none of them waits

Callers saw: a client that sends more than 64 messages at once which are answered at once (empty or invalid queries, Sync) got 64 answers and each further 64 only 2.5 s later.

Cause: a connection handles at most 64 messages, writes their answers, finds its socket empty and waits. The messages that are still in its decoder need another wake-up, which a response brings for requests; messages that were answered at once have none outstanding, so only the timer of the message timeout woke the coroutine.

Fix: a connection does not wait while its decoder holds a complete message that it may handle. FrontendCodec::has_complete_message looks at one frame's header only.

--- a/server/src/clients/connection.rs
+++ b/server/src/clients/connection.rs
@@ -202,6 +202,10 @@
             NextStep::Wait => {}
             step => return step,
         }
+        // The messages before it may all have been answered at once, so that no response will wake the coroutine.
+        if self.may_handle_message() && self.codec.has_complete_message() {
+            return NextStep::Continue;
+        }
         if self.is_message_overdue(now) {
             self.fail(SqlState::PROTOCOL_VIOLATION, MESSAGE_TIMEOUT);
             return NextStep::Continue;
--- a/server/src/protocol/frontend_codec.rs
+++ b/server/src/protocol/frontend_codec.rs
@@ -154,6 +154,18 @@
         Ok(None)
     }
 
+    /// Whether [`FrontendCodec::next_message`] can proceed without further bytes, because a message is complete or is
+    /// known to be invalid.
+    pub fn has_complete_message(&self) -> bool {
+        match self.phase {
+            Phase::Closed => false,
+            Phase::Startup => !matches!(parse_startup_packet(&self.bytes[self.offset..]), Ok(None)),
+            Phase::Ready | Phase::SkippingToSync => {
+                !matches!(parse_frame(&self.bytes, self.offset, MAX_QUERY_BYTES), Ok(None))
+            }
+        }
+    }
+
     /// The minimum number of bytes by which a partial message is incomplete; 0 if there is no partial message.
     pub fn missing_bytes(&self) -> usize {
         let rest = &self.bytes[self.offset..];
--- a/server/tests/loopback/main.rs
+++ b/server/tests/loopback/main.rs
@@ -3,6 +3,7 @@
 mod disconnects;
 mod discovery_watch;
 mod fixture;
+mod pipelining;
 mod slow_clients;
 mod stub_endpoint;
 mod system_calls;
--- a/test-servers/src/flood/kind.rs
+++ b/test-servers/src/flood/kind.rs
@@ -93,7 +93,7 @@
         match self {
             FloodKind::Syncs => wire::append_message(out, b'S', b""),
             FloodKind::Parses if number.is_multiple_of(2) => {
-                wire::append_message(out, b'P', b"\0SELECT 1\0\0\0")
+                wire::append_message(out, b'P', b"\0SELECT 1\0\0\0");
             }
             FloodKind::Parses => wire::append_message(out, b'S', b""),
             kind => wire::append_query(out, &kind.statement(number)),
