Client connections share the worker in turns, between which it polls for events

Callers saw: beside three or more clients that sent invalid queries at full speed, other clients got their answers up to 3 s late or not at all, and the watch on discovery was lost.

Cause: a connection handled its client's messages for up to 256 KiB (thousands of short queries, some milliseconds) and then slept for 1 ms. The worker polls for events only when no coroutine is ready. With three such clients one of them has always slept out, so the worker never polled: no other socket, endpoint, listener or watch was looked at. Endpoints that send without end had the same pause, and the accept loop too.

Evidence: a trace of epoll_pwait shows no call in the 2.55 s of a flood of six clients, and one at least every 10 ms before and after it.

Fix: messages are handled in turns (admission::turns) of at most 64 messages, 64 KiB or 250 us. All turns together may use 1 ms between two polls; further ones are granted after the next poll, which an event descriptor makes certain (runtime::event_loop). A client that uses under 2 % of the worker comes before the others; every second poll is followed by a heavy client's turn first. Whoever waits stays unread in its socket, and the time of its bytes runs. Pauses of endpoints' connections and of the accept loop also last until a poll. Shortly before a kill all messages that were read are rejected at once, as before.

--- a/admission/src/lib.rs
+++ b/admission/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`handshake_queue`]: connections whose client has not sent its user name yet
 //! - [`concurrency_limiter`]: admission and fair queueing of requests
 //! - [`retry_budget`]: limit on retries as a fraction of first attempts
+//! - [`turns`]: fair division of the worker thread among client connections
 //! - [`accept_backoff`]: backoff of the accept loop after errors
 
 #![warn(clippy::too_many_lines)]
@@ -21,6 +22,7 @@
 mod reason_counts;
 mod retry_after_jitter;
 pub mod retry_budget;
+pub mod turns;
 
 pub use client_address::{AddressConnections, AddressPrefixes, ClientAddress};
 pub use client_class::{ClassError, ClientClass, ConnectionRate};
--- a/routing/src/time.rs
+++ b/routing/src/time.rs
@@ -2,6 +2,7 @@
 
 use std::ops::{Add, AddAssign, Div, Mul, Sub};
 
+const NANOS_PER_MICRO: i64 = 1_000;
 const NANOS_PER_MILLI: i64 = 1_000_000;
 const NANOS_PER_SEC: f64 = 1e9;
 
@@ -33,6 +34,11 @@
         TimeDelta(millis * NANOS_PER_MILLI)
     }
 
+    /// Creates a difference of whole microseconds.
+    pub const fn from_micros(micros: i64) -> TimeDelta {
+        TimeDelta(micros * NANOS_PER_MICRO)
+    }
+
     /// Creates a difference from seconds, truncated to whole nanoseconds.
     pub fn from_secs_f64(secs: f64) -> TimeDelta {
         TimeDelta((secs * NANOS_PER_SEC) as i64)
--- a/server/src/clients/acceptor.rs
+++ b/server/src/clients/acceptor.rs
@@ -5,10 +5,10 @@
 use crate::clients::connection;
 use crate::clients::context::{AdmissionDecision, ClientContext, NewConnection};
 use crate::clients::rejection::reject_without_waiting;
-use crate::endpoints::connection::BURST_PAUSE;
 use crate::log;
 use crate::runtime::clock::Timers;
 use crate::runtime::descriptors::{classify_accept_error, ReserveDescriptor};
+use crate::runtime::event_loop::wait_for_poll;
 use crate::runtime::resource_limits::{ClientDescriptor, Descriptor, DescriptorClass};
 use crate::runtime::sockets::register_with_runtime;
 use crate::runtime::tasks::spawn;
@@ -26,6 +26,8 @@
 /// The maximum number of connections accepted without a pause. With more, a flood of connections would starve the
 /// other coroutines of the single worker thread.
 const MAX_ACCEPT_BURST: usize = 8;
+/// The pause after [`MAX_ACCEPT_BURST`] connections.
+const BURST_PAUSE: TimeDelta = TimeDelta::from_millis(1);
 /// The pause between two attempts to acquire a descriptor while even the overflow descriptors are in use.
 const DESCRIPTOR_RETRY_INTERVAL: TimeDelta = TimeDelta::from_millis(2);
 
@@ -90,6 +92,7 @@
 
     fn pause(&self, time: TimeDelta) {
         self.timers.sleep(time);
+        wait_for_poll();
     }
 }
 
--- a/server/src/clients/closing.rs
+++ b/server/src/clients/closing.rs
@@ -40,6 +40,7 @@
     /// Ends the connection: counts and logs the reason, checks that a graceful close leaves no request without its
     /// answer, and closes the socket.
     pub fn end(&mut self, reason: CloseReason) {
+        self.turns.stop(self.context.timers.now());
         let (unanswered, unwritten) = (self.responses.len(), self.socket.queued());
         tracing::debug!(reason = reason.label(), unanswered, unwritten, "client connection ends");
         metrics::counter!(CLOSED_COUNTER, "reason" => reason.label()).increment(1);
--- a/server/src/clients/connection.rs
+++ b/server/src/clients/connection.rs
@@ -11,7 +11,8 @@
 use crate::clients::session_tokens::ClientSession;
 use crate::clients::socket::{ClientSocket, FlushOutcome, ReadOutcome};
 use crate::clients::stall::StallDetector;
-use crate::endpoints::connection::{BURST_PAUSE, MAX_BURST_BYTES, SMALL_BUFFER_BYTES};
+use crate::clients::turn::ClientTurns;
+use crate::endpoints::connection::SMALL_BUFFER_BYTES;
 use crate::log;
 use crate::messages::control::ControlMessage;
 use crate::messages::response::{RequestResponse, Response, ResponseChannel};
@@ -71,8 +72,8 @@
     /// Whether the next bytes may have waited in the listen queue: not all that had arrived was read yet. Time that a query
     /// waits behind earlier ones of its client does not count.
     may_have_waited: bool,
-    /// Bytes read since the coroutine last waited.
-    burst_bytes: usize,
+    /// The turns in which messages are read and handled.
+    pub turns: ClientTurns,
     /// The registration as an idle client; `None` while the connection is in use.
     pub idle: Option<IdleRegistration>,
     /// Counts the connection's buffers towards the limit on buffer memory.
@@ -94,7 +95,9 @@
     let NewConnection { stream, channel, guard, client_address, descriptor: _descriptor } = connection;
     let connected_at = context.timers.now();
     let client = context.client_prefixes.map(|prefixes| ClientKey::unclassified(client_address, prefixes));
+    let turns = ClientTurns::new(context.turns.clone(), channel.clone(), connected_at);
     let mut connection = ClientConnection {
+        turns,
         charge: context.resources.buffer_charge(),
         context,
         socket: ClientSocket::new(stream),
@@ -108,7 +111,6 @@
         stall: None,
         received_at: None,
         may_have_waited: true,
-        burst_bytes: 0,
         idle: None,
         session: None,
         permit: None,
@@ -169,22 +171,39 @@
     /// Serves the client; returns why the connection ends.
     fn serve(&mut self) -> CloseReason {
         loop {
+            self.begin_turn();
             self.handle_messages();
             self.reject_partial_message_before_kill();
             self.reject_if_displaced();
             self.collect_responses();
             match self.write_and_read() {
                 NextStep::Continue => {}
-                NextStep::Wait => {
-                    self.burst_bytes = 0;
-                    self.received_at = None;
-                    self.socket.wait();
-                }
+                NextStep::Wait => self.wait(),
                 NextStep::Close(reason) => return reason,
             }
         }
     }
 
+    /// Begins a turn or queues for one, unless nothing more is read from the client.
+    fn begin_turn(&mut self) {
+        let now = self.context.timers.now();
+        if self.input_closed {
+            self.turns.stop(now);
+        } else {
+            self.turns.begin(now);
+        }
+    }
+
+    /// Ends the turn, and waits for an event of the socket, a wake-up or the next turn.
+    fn wait(&mut self) {
+        self.turns.end(self.context.timers.now());
+        // The time for which messages wait for a turn counts, but not the time behind earlier messages of the client.
+        if !self.turns.is_waiting() {
+            self.received_at = None;
+        }
+        self.socket.wait();
+    }
+
     /// Writes the responses that are ready, enforces the limits of the connection, and reads.
     fn write_and_read(&mut self) -> NextStep {
         let Ok(flushed) = self.socket.flush() else { return NextStep::Close(CloseReason::ClientGone) };
@@ -202,6 +221,9 @@
             NextStep::Wait => {}
             step => return step,
         }
+        if self.turns.is_waiting() {
+            return NextStep::Wait;
+        }
         // The messages before it may all have been answered at once, so that no response will wake the coroutine.
         if self.may_handle_message() && self.codec.has_complete_message() {
             return NextStep::Continue;
@@ -260,8 +282,9 @@
     /// Reads bytes from the client, as many as the limits allow now.
     fn read(&mut self) -> NextStep {
         let max_bytes = self.max_read_bytes();
-        if max_bytes == 0 {
-            self.may_have_waited = false;
+        if max_bytes == 0 || !self.turns.is_active() {
+            // The bytes of a client that waits for its turn stay in the socket, and their time runs.
+            self.may_have_waited = self.turns.is_waiting();
             return if self.has_client_disconnected() {
                 NextStep::Close(CloseReason::ClientGone)
             } else {
@@ -273,10 +296,8 @@
             ReadOutcome::Bytes(count) => {
                 self.unregister_idle();
                 self.record_arrival();
-                self.burst_bytes += count;
-                if self.burst_bytes >= MAX_BURST_BYTES {
-                    self.burst_bytes = 0;
-                    self.context.timers.sleep(BURST_PAUSE);
+                if let Some(budget) = self.turns.budget_mut() {
+                    budget.add_bytes(count);
                 }
                 NextStep::Continue
             }
--- a/server/src/clients/context.rs
+++ b/server/src/clients/context.rs
@@ -3,6 +3,7 @@
 use crate::clients::admission_control::{AdmissionControl, ConnectionPermit};
 use crate::clients::graceful_shutdown::{ConnectionGuard, GracefulShutdown};
 use crate::clients::session_tokens::SessionTokens;
+use crate::clients::turn::TurnScheduler;
 use crate::messages::control::ControlMessage;
 use crate::messages::request::MethodTable;
 use crate::messages::response::ResponseChannel;
@@ -43,6 +44,8 @@
     pub journal: Option<Arc<WriteJournal>>,
     /// The process-internal id of the next request.
     pub next_request: AtomicU64,
+    /// Divides the worker among the connections.
+    pub turns: Arc<TurnScheduler>,
     /// The id of the next connection, which BackendKeyData carries as the process id.
     pub next_connection: AtomicU64,
 }
--- a/server/src/clients/mod.rs
+++ b/server/src/clients/mod.rs
@@ -15,3 +15,4 @@
 pub mod session_tokens;
 mod socket;
 mod stall;
+pub mod turn;
--- a/server/src/clients/requests.rs
+++ b/server/src/clients/requests.rs
@@ -29,16 +29,24 @@
 const TOKEN_REJECTED_PREFIX: &str = "the session's token is not taken: ";
 
 impl ClientConnection {
-    /// Handles all complete messages that were read, as far as the limits allow.
+    /// Handles complete messages that were read, as far as the limits and the connection's turn allow.
     pub fn handle_messages(&mut self) {
-        while self.may_handle_message() {
-            match self.codec.next_message() {
-                Some(message) => self.handle_message(message),
-                None => return,
+        while self.may_handle_message() && self.has_turn_left() {
+            let Some(message) = self.codec.next_message() else { return };
+            if let Some(budget) = self.turns.budget_mut() {
+                budget.add_message();
             }
+            self.handle_message(message);
         }
     }
 
+    /// Whether the connection's turn allows another message. Shortly before the process may be killed, the messages that
+    /// were read are rejected in any case.
+    fn has_turn_left(&self) -> bool {
+        let now = self.context.timers.now();
+        self.has_answer_time_passed() || (self.turns.is_active() && !self.turns.is_exhausted(now))
+    }
+
     fn handle_message(&mut self, message: FrontendMessage) {
         match message {
             FrontendMessage::EncryptionRequest => self.responses.push_ready(vec![NO_ENCRYPTION]),
@@ -148,6 +156,9 @@
 
     /// Asks the control loop for the fate of a write.
     fn query_fate(&mut self, id: String, origin: Option<Origin>) {
+        if let Some(budget) = self.turns.budget_mut() {
+            budget.add_request();
+        }
         let request = self.next_request_id();
         self.responses.push_pending(request, NO_GROUP);
         let ticket = ResponseTicket::new(request, self.channel.clone());
@@ -170,6 +181,9 @@
                 tokens.seen_position(self.context.timers.now(), session, header.identity.group);
         }
         header.client.clone_from(&self.client);
+        if let Some(budget) = self.turns.budget_mut() {
+            budget.add_request();
+        }
         let request = self.next_request_id();
         self.responses.push_pending(request, header.identity.group);
         let mut charge = self.context.resources.buffer_charge();
--- a/server/src/endpoints/connection.rs
+++ b/server/src/endpoints/connection.rs
@@ -5,6 +5,7 @@
 use crate::log;
 use crate::runtime::cancellation::CancellationToken;
 use crate::runtime::clock::Timers;
+use crate::runtime::event_loop::wait_for_poll;
 use crate::runtime::resource_limits::{BufferCharge, Descriptor};
 use crate::runtime::socket_errors::{classify_socket_error, SocketFailure, MEMORY_RETRY_DELAY};
 use may::io::WaitIo;
@@ -16,11 +17,8 @@
 use std::sync::Arc;
 use thiserror::Error;
 
-/// The number of bytes that are read from one peer without a pause. Without the pause, a peer that sends bytes all the
-/// time would keep the other coroutines of the only worker thread from running.
-pub const MAX_BURST_BYTES: usize = 256 << 10;
-/// The pause after [`MAX_BURST_BYTES`] were read.
-pub const BURST_PAUSE: TimeDelta = TimeDelta::from_millis(1);
+/// The number of bytes that are read from one peer before the worker must poll for other events.
+const MAX_BURST_BYTES: usize = 256 << 10;
 /// The maximum number of bytes of one read.
 const READ_BYTES: u64 = 64 << 10;
 /// The size up to which a buffer may grow even when buffer memory runs short.
@@ -176,8 +174,8 @@
         }
     }
 
-    /// Counts bytes that were read, both as buffer memory and as part of the current burst. Pauses when the burst
-    /// has reached [`MAX_BURST_BYTES`].
+    /// Counts bytes that were read, both as buffer memory and as part of the current burst. When the burst has
+    /// reached [`MAX_BURST_BYTES`], waits until the worker has polled for other events.
     ///
     /// # Errors
     /// Buffer memory is used up, and the buffer is larger than [`SMALL_BUFFER_BYTES`].
@@ -191,7 +189,7 @@
         self.burst_bytes += bytes;
         if self.burst_bytes >= MAX_BURST_BYTES {
             self.burst_bytes = 0;
-            self.timers.sleep(BURST_PAUSE);
+            wait_for_poll();
         }
         Ok(())
     }
--- a/server/src/runtime/mod.rs
+++ b/server/src/runtime/mod.rs
@@ -4,6 +4,7 @@
 pub mod cancellation;
 pub mod clock;
 pub mod descriptors;
+pub mod event_loop;
 pub mod idle_clients;
 pub mod invariants;
 pub mod log;
--- a/server/src/startup/server.rs
+++ b/server/src/startup/server.rs
@@ -315,6 +315,7 @@
             client_prefixes: self.configuration.has_operator_file().then_some(prefixes),
             journal: self.journal.clone(),
             next_request: AtomicU64::new(FIRST_REQUEST),
+            turns: Arc::default(),
             next_connection: AtomicU64::new(FIRST_CONNECTION),
         }
     }
--- a/server/src/startup/shared_services.rs
+++ b/server/src/startup/shared_services.rs
@@ -7,6 +7,7 @@
 use crate::log;
 use crate::runtime::clock::{Clock, Timers};
 use crate::runtime::descriptors::raise_descriptor_limit;
+use crate::runtime::event_loop;
 use crate::runtime::metrics::{install_recorder, Metrics};
 use crate::runtime::resource_limits::ResourceLimits;
 use crate::runtime::tasks::{stack_size, STACK_BYTES};
@@ -44,9 +45,11 @@
     /// Configures the coroutine runtime and creates the shared services.
     ///
     /// # Errors
-    /// The client classes are invalid, or the metrics recorder could not be installed.
+    /// The client classes are invalid, the metrics recorder could not be installed, or the operating system refuses a
+    /// descriptor.
     pub fn new(clock: Clock, configuration: &Configuration) -> Result<SharedServices, Failure> {
         configure_coroutines();
+        event_loop::start().map_err(event_loop_failure)?;
         let timers = Arc::new(Timers::start(clock));
         let resources = resource_limits(configuration);
         let admission = admission_control(configuration, &timers, &resources)?;
@@ -64,6 +67,10 @@
     Failure::new(ExitStatus::OsError, format!("operators-socket: {error}"))
 }
 
+fn event_loop_failure(error: std::io::Error) -> Failure {
+    Failure::new(ExitStatus::OsError, format!("cannot open an event descriptor: {error}"))
+}
+
 /// A random seed, independent of the configured one, for ids and jitter that must differ between starts and between
 /// instances.
 pub fn unpredictable_seed() -> u64 {
--- /dev/null
+++ b/server/tests/floods.rs
@@ -0,0 +1,40 @@
+//! Clients that flood an instance, and what other clients notice of it, judged by the id of each request.
+
+mod common {
+    pub mod router_program;
+}
+
+use common::router_program::ROUTER;
+use std::path::Path;
+use test_servers::fault_soak::instance::Programs;
+use test_servers::fault_soak::plan::RunPlan;
+use test_servers::fault_soak::run::run;
+use test_servers::fault_soak::verdict::Verdict;
+use test_servers::flood::kind::FloodKind;
+
+/// The seed of the runs.
+const SEED: u64 = 68;
+/// The longest deadline of a request of the other clients, in milliseconds.
+const LONGEST_DEADLINE_MS: u64 = 1_000;
+
+fn run_plan(plan: &RunPlan) -> Verdict {
+    let test = std::env::current_exe().expect("the test has a path");
+    let fault_shim = test.with_file_name("libfault_shim.so");
+    assert!(fault_shim.exists(), "the fault library was not built");
+    let programs = Programs { daemon: Path::new(ROUTER), fault_shim: &fault_shim };
+    let folder = tempfile::tempdir().expect("no temporary directory");
+    run(programs, plan, folder.path()).expect("the instance can be started")
+}
+
+/// Runs a flood against one instance that nothing else disturbs.
+fn run_flood(kind: FloodKind, clients: usize) -> Verdict {
+    run_plan(&RunPlan::flood(SEED, LONGEST_DEADLINE_MS, kind, clients))
+}
+
+#[test]
+fn floods_of_invalid_queries_do_not_delay_the_answers_of_other_clients() {
+    for kind in [FloodKind::NoId, FloodKind::UnknownGroups, FloodKind::ShortFields] {
+        let verdict = run_flood(kind, 6);
+        assert_eq!(verdict.violations, Vec::<String>::new(), "{kind:?}: {:?}", verdict.counts);
+    }
+}
