Read from a client only once all its messages that were read are handled

Callers saw: beside one client that pipelined empty queries, Sync, Parse or SET messages, half of the other clients' queries were rejected with 53300, and the router's memory grew.

Cause: a connection read 4 KiB more whenever fewer than 64 responses waited, although its decoder still held complete messages, and the decoder frees decoded bytes only when none is left. Messages that are shorter than their answers' cost piled up there, up to the point where all buffers together count as short memory; from then on whoever sent a request was rejected.

Fix: nothing is read while a complete message is buffered, so the decoder holds at most one partial message and one read. What is not read waits in the sender's own socket.

--- a/server/src/clients/connection_limits.rs
+++ b/server/src/clients/connection_limits.rs
@@ -27,13 +27,15 @@
         self.context.shutdown.has_answer_time_passed(self.context.timers.now())
     }
 
-    /// The number of bytes that may be read now.
+    /// The number of bytes that may be read now. While a message that was read has not been handled, further ones stay
+    /// in the socket, so that the buffer never holds more than one large message.
     ///
     /// Once the shutdown has closed the server, only the rest of a partial message is read. Each query that is read
     /// must be answered, so otherwise a client that keeps sending would keep the connection open. The client can
     /// retry an unread query on another instance.
     pub fn max_read_bytes(&self) -> usize {
-        if self.input_closed || !self.may_read_more() || self.has_answer_time_passed() {
+        let may_read = !self.input_closed && self.may_read_more() && !self.codec.has_complete_message();
+        if !may_read || self.has_answer_time_passed() {
             0
         } else if self.context.shutdown.is_closed() {
             self.codec.missing_bytes()
--- a/server/tests/floods.rs
+++ b/server/tests/floods.rs
@@ -38,3 +38,14 @@
         assert_eq!(verdict.violations, Vec::<String>::new(), "{kind:?}: {:?}", verdict.counts);
     }
 }
+
+#[test]
+fn floods_of_short_messages_do_not_take_the_memory_of_other_clients_requests() {
+    for kind in [FloodKind::EmptyQueries, FloodKind::Syncs, FloodKind::UnknownMethods] {
+        let verdict = run_flood(kind, 6);
+        let counts = verdict.counts;
+        let answerable = counts.requests - counts.left - counts.not_read;
+        assert!(counts.served * 10 >= answerable * 9, "{kind:?}: little was served: {counts:?}");
+        assert_eq!(verdict.violations, Vec::<String>::new(), "{kind:?}: {counts:?}");
+    }
+}
