Reserve memory for a large query before it is read, and refuse it to those who hold much

Callers saw: while hundreds of clients sent large queries slowly, requests of all other clients were rejected with 53300; the operators saw a process pass its memory limit and be killed.

Cause: buffers grew by doubling and were charged afterwards, a complete body was copied out of its buffer, and while all buffers together used more than a third of the memory, whoever sent a request was rejected and whoever had a large partial message was closed.

The operators' report of the limit itself being passed (68 MB of 64) was not seen here.

Fix: when the length of a large message is known, its memory is charged and reserved at once, or the client gets 53200; only the rest of the message is read into it, and the body keeps the buffer. While memory is short a client may still hold 16 KiB: requests are rejected, and clients that do not read are closed, only above that. Answers of endpoints are charged by capacity.

--- a/server/src/clients/connection.rs
+++ b/server/src/clients/connection.rs
@@ -12,7 +12,6 @@
 use crate::clients::socket::{ClientSocket, FlushOutcome, ReadOutcome};
 use crate::clients::stall::StallDetector;
 use crate::clients::turn::ClientTurns;
-use crate::endpoints::connection::SMALL_BUFFER_BYTES;
 use crate::log;
 use crate::messages::control::ControlMessage;
 use crate::messages::response::{RequestResponse, Response, ResponseChannel};
@@ -214,8 +213,8 @@
         if self.is_stalled(flushed, now) {
             return NextStep::Close(CloseReason::ClientStalled);
         }
-        if let Some(step) = self.enforce_memory_limit(flushed) {
-            return step;
+        if self.blocks_memory(flushed) {
+            return NextStep::Close(CloseReason::BufferMemory);
         }
         match self.read() {
             NextStep::Wait => {}
@@ -246,21 +245,14 @@
         NextStep::Wait
     }
 
-    /// If buffer memory is short and this connection's buffers are large, closes the connection if the client does
-    /// not read its responses, or fails it if it has a large partial message. Returns the next step in these cases.
-    fn enforce_memory_limit(&mut self, flushed: FlushOutcome) -> Option<NextStep> {
-        if !self.exceeds_memory() {
-            return None;
-        }
-        if flushed == FlushOutcome::Blocked {
+    /// Whether the client does not read its responses, these are large, and buffer memory is short.
+    fn blocks_memory(&mut self, flushed: FlushOutcome) -> bool {
+        self.update_charge();
+        let blocks = flushed == FlushOutcome::Blocked && !self.input_closed && self.exceeds_memory(0);
+        if blocks {
             log!(WARN, reason = "buffer memory is used up"; "client connection closed, the client does not read its responses");
-            return Some(NextStep::Close(CloseReason::BufferMemory));
-        }
-        if self.codec.buffer_bytes() > SMALL_BUFFER_BYTES {
-            self.fail(SqlState::OUT_OF_MEMORY, BUFFER_MEMORY_EXHAUSTED);
-            return Some(NextStep::Continue);
         }
-        None
+        blocks
     }
 
     /// Rejects the connection if a newer one has displaced it from the handshake queue.
@@ -291,6 +283,10 @@
                 NextStep::Wait
             };
         }
+        if !self.reserve_large_message() {
+            self.fail(SqlState::OUT_OF_MEMORY, BUFFER_MEMORY_EXHAUSTED);
+            return NextStep::Continue;
+        }
         let codec = &mut self.codec;
         match self.socket.read(max_bytes, |bytes| codec.feed(bytes)) {
             ReadOutcome::Bytes(count) => {
--- a/server/src/clients/connection_limits.rs
+++ b/server/src/clients/connection_limits.rs
@@ -27,7 +27,8 @@
         self.context.shutdown.has_answer_time_passed(self.context.timers.now())
     }
 
-    /// The number of bytes that may be read now. While a message that was read has not been handled, further ones stay
+    /// The number of bytes that may be read now. Of a large message only its rest is read, for which memory is reserved.
+    /// While a message that was read has not been handled, further ones stay
     /// in the socket, so that the buffer never holds more than one large message.
     ///
     /// Once the shutdown has closed the server, only the rest of a partial message is read. Each query that is read
@@ -37,7 +38,7 @@
         let may_read = !self.input_closed && self.may_read_more() && !self.codec.has_complete_message();
         if !may_read || self.has_answer_time_passed() {
             0
-        } else if self.context.shutdown.is_closed() {
+        } else if self.context.shutdown.is_closed() || self.codec.buffer_bytes() > SMALL_BUFFER_BYTES {
             self.codec.missing_bytes()
         } else {
             usize::MAX
@@ -88,11 +89,40 @@
         since.is_some_and(|since| now >= since + CLIENT_TIMEOUT)
     }
 
-    /// Updates the charge for the connection's buffers. Returns true if buffer memory is short and this connection's
-    /// buffers are larger than [`SMALL_BUFFER_BYTES`].
-    pub fn exceeds_memory(&mut self) -> bool {
+    /// The memory of the connection's buffers, of its pending requests and of its responses, in bytes.
+    fn held_bytes(&self) -> usize {
+        self.charge.bytes() + self.responses.pending_bytes()
+    }
+
+    /// Updates the charge for the connection's buffers.
+    pub fn update_charge(&mut self) {
         let bytes = self.codec.buffer_bytes() + self.responses.ready_bytes() + self.socket.queued_bytes();
         self.charge.set(bytes);
-        bytes > SMALL_BUFFER_BYTES && !self.input_closed && self.context.resources.is_memory_short()
+    }
+
+    /// Whether buffer memory is short and the connection, with further `bytes`, holds more than
+    /// [`SMALL_BUFFER_BYTES`]. A connection may hold that much in any case, so that short memory is at the expense of
+    /// those that hold much of it.
+    pub fn exceeds_memory(&self, bytes: usize) -> bool {
+        self.context.resources.is_memory_short() && self.held_bytes() + bytes > SMALL_BUFFER_BYTES
+    }
+
+    /// Charges and reserves the memory for the rest of a large message before it is read. Returns false if memory would
+    /// become short.
+    pub fn reserve_large_message(&mut self) -> bool {
+        let Some(bytes) = self.codec.partial_message_bytes().filter(|bytes| *bytes > SMALL_BUFFER_BYTES)
+        else {
+            return true;
+        };
+        if self.codec.buffer_bytes() >= bytes {
+            return true;
+        }
+        self.update_charge();
+        let other_bytes = self.charge.bytes() - self.codec.buffer_bytes();
+        let is_charged = self.charge.try_set(other_bytes + bytes);
+        if is_charged {
+            self.codec.reserve_message(bytes);
+        }
+        is_charged
     }
 }
--- a/server/src/clients/requests.rs
+++ b/server/src/clients/requests.rs
@@ -2,7 +2,9 @@
 
 use crate::clients::connection::ClientConnection;
 use crate::clients::response_encoding::{encode_rejection, encode_response};
+use crate::clients::response_queue::PendingRequest;
 use crate::clients::session_tokens::rejection_sqlstate;
+use crate::endpoints::connection::SMALL_BUFFER_BYTES;
 use crate::messages::control::{ControlMessage, FateQuery, IncomingRequest};
 use crate::messages::request::{ClientRequest, RequestText};
 use crate::messages::response::{Response, ResponseTicket};
@@ -160,19 +162,24 @@
             budget.add_request();
         }
         let request = self.next_request_id();
-        self.responses.push_pending(request, NO_GROUP);
+        let statement_bytes = id.len();
+        self.responses.push_pending(PendingRequest { request, group: NO_GROUP, statement_bytes });
         let ticket = ResponseTicket::new(request, self.channel.clone());
         let _ = self.context.control.send(ControlMessage::QueryFate(FateQuery { id, origin, ticket }));
     }
 
-    /// Sends a request to the control loop, or rejects it if its time is over, buffer memory is short, or it could not be
-    /// answered before the process is killed. `timeout_digits` is the range of the digits of its timeout in the body.
+    /// Sends a request to the control loop, or rejects it if its time is over, if buffer memory is short and the client
+    /// holds much of it, or if it could not be answered before the process is killed. `timeout_digits` is the range of the digits of its timeout in the body.
     fn send_request(&mut self, mut header: ClientRequest, body: Vec<u8>, timeout_digits: Range<usize>) {
         if let Some(answer_by) = self.context.shutdown.answer_by() {
             header.deadline = header.deadline.min(answer_by);
         }
+        if body.capacity() > SMALL_BUFFER_BYTES {
+            // The buffer has become the body, which has a charge of its own.
+            self.update_charge();
+        }
         let has_expired = header.deadline <= self.context.timers.now();
-        if has_expired || self.context.resources.is_memory_short() || self.has_answer_time_passed() {
+        if has_expired || self.exceeds_memory(body.capacity()) || self.has_answer_time_passed() {
             let response = Response::Rejected { retry_after: self.context.max_retry_after };
             return self.responses.push_ready(encode_response(response, None));
         }
@@ -185,9 +192,10 @@
             budget.add_request();
         }
         let request = self.next_request_id();
-        self.responses.push_pending(request, header.identity.group);
+        let (group, statement_bytes) = (header.identity.group, body.capacity());
+        self.responses.push_pending(PendingRequest { request, group, statement_bytes });
         let mut charge = self.context.resources.buffer_charge();
-        charge.set(body.len());
+        charge.set(statement_bytes);
         let text = RequestText { body, timeout_digits, charge };
         let ticket = ResponseTicket::new(request, self.channel.clone());
         // If the control loop has ended, the dropped ticket answers the request as aborted.
--- a/server/src/clients/response_queue.rs
+++ b/server/src/clients/response_queue.rs
@@ -11,6 +11,8 @@
     pub request: RequestId,
     /// The group to which the request is addressed.
     pub group: GroupNumber,
+    /// The size of its statement, in bytes.
+    pub statement_bytes: usize,
 }
 
 /// The response to one query.
@@ -29,8 +31,8 @@
 
 impl ResponseQueue {
     /// Appends a request whose response will arrive later.
-    pub fn push_pending(&mut self, request: RequestId, group: GroupNumber) {
-        self.slots.push_back(Slot::Pending(PendingRequest { request, group }));
+    pub fn push_pending(&mut self, pending: PendingRequest) {
+        self.slots.push_back(Slot::Pending(pending));
     }
 
     /// Appends a response that is known already.
@@ -92,6 +94,11 @@
         }
     }
 
+    /// The size of the statements of all pending requests, in bytes.
+    pub fn pending_bytes(&self) -> usize {
+        self.pending().map(|pending| pending.statement_bytes).sum()
+    }
+
     /// The size of the ready responses in the queue, in bytes.
     pub fn ready_bytes(&self) -> usize {
         let bytes = |slot: &Slot| match slot {
--- a/server/src/endpoints/connection.rs
+++ b/server/src/endpoints/connection.rs
@@ -180,7 +180,7 @@
     /// # Errors
     /// Buffer memory is used up, and the buffer is larger than [`SMALL_BUFFER_BYTES`].
     fn account_read(&mut self, bytes: usize) -> Result<(), IoError> {
-        self.charge.set(self.buffer.len());
+        self.charge.set(self.buffer.capacity());
         if self.buffer.len() > SMALL_BUFFER_BYTES && self.descriptor.is_memory_critical() {
             let buffered = self.buffer.len();
             log!(WARN, buffered = buffered, reason = "buffer memory is used up"; "endpoint connection closed within a long answer");
--- a/server/src/protocol/frontend_codec.rs
+++ b/server/src/protocol/frontend_codec.rs
@@ -6,10 +6,13 @@
     MALFORMED_MESSAGE, MAX_QUERY_BYTES, MESSAGE_TOO_LONG, STARTUP_HEADER_BYTES,
 };
 use crate::protocol::sqlstate::{ClientError, SqlState};
+use std::ops::Range;
 
 /// The buffer is shrunk to this size after it was larger, so that a busy client keeps a small buffer between its
 /// queries.
 const RETAINED_BUFFER_BYTES: usize = 1 << 12;
+/// From this length on, a message's body keeps the buffer into which it was read, instead of being copied.
+const LARGE_BODY_BYTES: usize = 16 << 10;
 /// The error message for a StartupMessage of a major version other than 3.
 const UNSUPPORTED_VERSION: &str = "only version 3 of the protocol is spoken";
 
@@ -139,7 +142,7 @@
                     self.phase = Phase::Ready;
                     FrontendMessage::Sync
                 }
-                b'Q' if !skipping => FrontendMessage::Query(self.bytes[frame.body].to_vec()),
+                b'Q' if !skipping => FrontendMessage::Query(self.take_body(frame.body)),
                 b'F' if !skipping => FrontendMessage::Unsupported { is_function_call: true },
                 b'P' | b'B' | b'D' | b'E' | b'C' | b'H' if !skipping => {
                     self.phase = Phase::SkippingToSync;
@@ -154,6 +157,33 @@
         Ok(None)
     }
 
+    /// Takes the body of a message out of the buffer. A large body keeps the buffer.
+    fn take_body(&mut self, body: Range<usize>) -> Vec<u8> {
+        if body.len() < LARGE_BODY_BYTES {
+            return self.bytes[body].to_vec();
+        }
+        let rest = self.bytes.split_off(body.end);
+        let mut taken = std::mem::replace(&mut self.bytes, rest);
+        taken.drain(..body.start);
+        self.offset = 0;
+        taken
+    }
+
+    /// The length of the partial message, with its header; `None` without one, or before its length has arrived.
+    pub fn partial_message_bytes(&self) -> Option<usize> {
+        let rest = &self.bytes[self.offset..];
+        let tag_bytes = if self.phase == Phase::Startup { 0 } else { HEADER_BYTES - LENGTH_BYTES };
+        let length = rest.get(tag_bytes..tag_bytes + LENGTH_BYTES)?;
+        let length = u32::from_be_bytes(length.try_into().ok()?) as usize;
+        (self.phase != Phase::Closed).then_some(tag_bytes + length)
+    }
+
+    /// Makes room for the partial message of `bytes` bytes, so that the buffer does not grow beyond it.
+    pub fn reserve_message(&mut self, bytes: usize) {
+        self.compact();
+        self.bytes.reserve_exact(bytes.saturating_sub(self.bytes.len()));
+    }
+
     /// Whether [`FrontendCodec::next_message`] can proceed without further bytes, because a message is complete or is
     /// known to be invalid.
     pub fn has_complete_message(&self) -> bool {
@@ -168,19 +198,13 @@
 
     /// The minimum number of bytes by which a partial message is incomplete; 0 if there is no partial message.
     pub fn missing_bytes(&self) -> usize {
-        let rest = &self.bytes[self.offset..];
-        // The tag and the length; startup packets have no tag.
-        let header_bytes = if self.phase == Phase::Startup { LENGTH_BYTES } else { HEADER_BYTES };
-        if rest.is_empty() || self.phase == Phase::Closed {
+        if self.is_empty() || self.phase == Phase::Closed {
             return 0;
         }
-        let tag_bytes = header_bytes - LENGTH_BYTES;
-        let length = rest.get(tag_bytes..header_bytes).and_then(|bytes| bytes.try_into().ok());
-        let message_bytes = match length.map(u32::from_be_bytes) {
-            Some(length) => tag_bytes + length as usize,
-            None => header_bytes,
-        };
-        message_bytes.saturating_sub(rest.len()).max(1)
+        // The tag and the length; startup packets have no tag.
+        let header_bytes = if self.phase == Phase::Startup { LENGTH_BYTES } else { HEADER_BYTES };
+        let message_bytes = self.partial_message_bytes().unwrap_or(header_bytes);
+        message_bytes.saturating_sub(self.bytes.len() - self.offset).max(1)
     }
 
     /// Whether there are no undecoded bytes.
--- a/server/src/runtime/resource_limits.rs
+++ b/server/src/runtime/resource_limits.rs
@@ -123,6 +123,24 @@
     }
 }
 
+impl BufferCharge {
+    /// Sets the size of the buffers, in bytes, unless memory would become short by their growth. Returns whether the size
+    /// was set.
+    pub fn try_set(&mut self, bytes: usize) -> bool {
+        let growth = bytes.saturating_sub(self.bytes);
+        if growth > 0 && self.limits.buffer_bytes() + growth > self.limits.max_buffer_bytes() {
+            return false;
+        }
+        self.set(bytes);
+        true
+    }
+
+    /// The size of the buffers that is charged, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+}
+
 impl Drop for BufferCharge {
     fn drop(&mut self) {
         self.set(0);
--- a/server/tests/client_protocol.rs
+++ b/server/tests/client_protocol.rs
@@ -7,7 +7,7 @@
 use common::message::message;
 use proptest::prelude::*;
 use server::protocol::decode::StartupParameters;
-use server::protocol::encode::startup_message;
+use server::protocol::encode::{query, startup_message};
 use server::protocol::framing::MAX_QUERY_BYTES;
 use server::protocol::frontend_codec::{FrontendCodec, FrontendMessage};
 use server::protocol::sqlstate::{ClientError, SqlState};
@@ -167,3 +167,39 @@
     let unsupported = FrontendMessage::Unsupported { is_function_call: false };
     assert_eq!(decode(&[&extended_query.concat()]), [decoded_startup(), unsupported, FrontendMessage::Sync]);
 }
+
+#[test]
+fn a_large_query_keeps_its_buffer_and_the_messages_behind_it_are_decoded() {
+    let large = "x".repeat(100_000);
+    let mut bytes = startup_message();
+    query(&mut bytes, "first");
+    query(&mut bytes, &large);
+    query(&mut bytes, "last");
+    let mut codec = FrontendCodec::default();
+    let mut queries = Vec::new();
+    let mut fed = 0;
+    while fed < bytes.len() {
+        while let Some(message) = codec.next_message() {
+            queries.extend(match message {
+                FrontendMessage::Query(body) => Some(body),
+                _ => None,
+            });
+        }
+        // Memory is reserved as soon as the length of a message is known.
+        if let Some(message_bytes) = codec.partial_message_bytes() {
+            codec.reserve_message(message_bytes);
+            let reserved = codec.buffer_bytes();
+            assert!(reserved <= message_bytes.max(1 << 12) + 1_000, "{reserved} bytes for {message_bytes}");
+        }
+        let next = (fed + 1_000).min(bytes.len());
+        codec.feed(&bytes[fed..next]);
+        fed = next;
+    }
+    queries.extend(std::iter::from_fn(|| codec.next_message()).filter_map(|message| match message {
+        FrontendMessage::Query(body) => Some(body),
+        _ => None,
+    }));
+    let texts: Vec<&[u8]> = queries.iter().map(|body| &body[..body.len() - 1]).collect();
+    assert_eq!(texts, [b"first".as_slice(), large.as_bytes(), b"last"]);
+    assert!(codec.is_empty() && codec.buffer_bytes() <= 1 << 12, "the large buffer was kept");
+}
--- a/server/tests/floods.rs
+++ b/server/tests/floods.rs
@@ -49,3 +49,19 @@
         assert_eq!(verdict.violations, Vec::<String>::new(), "{kind:?}: {counts:?}");
     }
 }
+
+/// The memory limit of an instance that hundreds of slow clients use, in MB.
+const SMALL_MEMORY_MB: usize = 64;
+
+#[test]
+fn hundreds_of_large_queries_that_arrive_slowly_leave_memory_to_other_clients() {
+    for kind in [FloodKind::SlowTails, FloodKind::HalfQueries] {
+        let mut plan = RunPlan::flood(SEED, LONGEST_DEADLINE_MS, kind, 400);
+        plan.instances[0].memory_mb = SMALL_MEMORY_MB;
+        let verdict = run_plan(&plan);
+        let counts = verdict.counts;
+        let answerable = counts.requests - counts.left - counts.not_read;
+        assert!(counts.served * 10 >= answerable * 9, "{kind:?}: little was served: {counts:?}");
+        assert_eq!(verdict.violations, Vec::<String>::new(), "{kind:?}: {counts:?}");
+    }
+}
--- a/test-servers/src/fault_soak/instance.rs
+++ b/test-servers/src/fault_soak/instance.rs
@@ -86,9 +86,9 @@
         let hosts = Value::from(endpoints.to_vec());
         let settings = settings(deadline_ms);
         let bootstrap = format!(
-            r#"{{"seed":"{seed:016x}","limits":{{"sockets":512,"memory_mb":{}}},
+            r#"{{"seed":"{seed:016x}","limits":{{"sockets":{},"memory_mb":{}}},
             "known":{{"seq":4,"whole":true,"hosts":{hosts}}},"settings":{settings}}}"#,
-            plan.memory_mb
+            plan.descriptors, plan.memory_mb
         );
         let state_dir = folder.join("state");
         std::fs::create_dir_all(&state_dir)?;
--- a/test-servers/src/fault_soak/plan.rs
+++ b/test-servers/src/fault_soak/plan.rs
@@ -49,6 +49,10 @@
 const FLOOD_TIME: Duration = Duration::from_millis(2_500);
 /// The memory limit of an instance without a planned one, in MB.
 pub const DEFAULT_MEMORY_MB: usize = 128;
+/// The limit on descriptors of an instance without a planned one.
+const DEFAULT_DESCRIPTORS: usize = 512;
+/// The limit on descriptors of an instance that is flooded by hundreds of clients.
+const FLOOD_DESCRIPTORS: usize = 1_024;
 /// When an instance without faults is told to end.
 const UNDISTURBED_TERM: Duration = Duration::from_millis(3_500);
 /// When a flood against an instance without faults begins.
@@ -103,6 +107,8 @@
     pub has_leavers: bool,
     /// The memory limit of the instance, in MB.
     pub memory_mb: usize,
+    /// The limit on descriptors of the instance.
+    pub descriptors: usize,
 }
 
 impl RunPlan {
@@ -129,6 +135,7 @@
         };
         let instance = InstancePlan {
             flood: Some(flood),
+            descriptors: FLOOD_DESCRIPTORS,
             ..InstancePlan::undisturbed(UNDISTURBED_TERM, longest_deadline_ms)
         };
         let instances = vec![instance];
@@ -169,6 +176,7 @@
             flood: None,
             has_leavers: false,
             memory_mb: DEFAULT_MEMORY_MB,
+            descriptors: DEFAULT_DESCRIPTORS,
         }
     }
 }
