--- a/server/src/control/active_request.rs
+++ b/server/src/control/active_request.rs
@@ -44,6 +44,8 @@
 /// What is known of a request's execution, and whether the write journal has recorded the request.
 #[derive(Default)]
 pub struct ExecutionState {
+    /// The request must not be executed twice, unless endpoints drop duplicates of it.
+    pub must_run_once: bool,
     /// The attempts of the request are recorded in the write journal: a journal is configured, and the request is
     /// not idempotent.
     pub is_journaled: bool,
--- a/server/src/control/attempt_handling.rs
+++ b/server/src/control/attempt_handling.rs
@@ -88,7 +88,7 @@
         self.log_attempt_end(&end);
         self.report_to_policy(now, Event::AttemptEnded(end));
         let removed = self.requests.end_attempt(request, request_closed);
-        self.release(request, removed);
+        self.release(now, request, removed);
     }
 
     /// Handles the answer to an attempt that succeeded: records the endpoint's epoch, and answers the request if it is
--- a/server/src/control/mod.rs
+++ b/server/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod attempt_handling;
 pub mod control_loop;
 mod deadlines;
+pub mod executed_ids;
 mod primary_discovery;
 pub mod recovery_options;
 mod request_handling;
--- a/server/src/control/request_handling.rs
+++ b/server/src/control/request_handling.rs
@@ -3,10 +3,11 @@
 
 use crate::control::active_request::{ActiveRequest, ExecutionState, PendingResponse};
 use crate::control::control_loop::ControlLoop;
+use crate::control::executed_ids::IncomingWrite;
 use crate::control::request_queue::QueuedRequest;
 use crate::control::router_state::RouterState;
 use crate::messages::control::{FateQuery, IncomingRequest};
-use crate::messages::request::ClientRequest;
+use crate::messages::request::{ClientRequest, RequestIdentity};
 use crate::messages::response::Response;
 use crate::protocol::sqlstate::{ClientError, SqlState};
 use crate::runtime::clock::NANOS_PER_MILLI;
@@ -23,6 +24,11 @@
     ClientError::new(SqlState::UNDEFINED_OBJECT, "cluster names no listed group");
 /// The error for a request whose id another open request has.
 const ID_IN_USE: ClientError = ClientError::new(SqlState::DUPLICATE_OBJECT, "id is that of an open query");
+/// The error for a write whose id is that of an earlier write.
+const ID_EXECUTED: ClientError = ClientError::new(
+    SqlState::DUPLICATE_OBJECT,
+    "id is that of an earlier write, which may have been executed",
+);
 
 impl ControlLoop {
     /// Adds a new request to the request queue, or admits it at once if requests are not limited.
@@ -69,7 +75,7 @@
         let active = state.requests.get_mut(request);
         if active.is_some_and(|active| active.discard(&state.metrics, now)) {
             state.report_to_policy(now, Event::ClientGone { request });
-            state.close(request);
+            state.close(now, request);
         }
     }
 
@@ -114,9 +120,9 @@
     ///
     /// # Errors
     /// The response to a request that cannot be routed: no list is known yet, the group is unknown, the session's
-    /// position is lost, or the id is in use.
+    /// position is lost, the id is in use, or it is that of an earlier write.
     fn check_request(
-        &self,
+        &mut self,
         incoming: &IncomingRequest,
         received_at: Timestamp,
         settings: &RoutingSettings,
@@ -142,6 +148,9 @@
         if self.ids.contains(&identity.id) {
             return Err(Response::Error(ID_IN_USE));
         }
+        if !self.is_new_or_deduplicated(&incoming.header, received_at, settings) {
+            return Err(Response::Error(ID_EXECUTED));
+        }
         Ok(RequestArrival {
             request: incoming.ticket.request,
             method: identity.method,
@@ -155,6 +164,25 @@
         })
     }
 
+    /// Whether the request's id is not that of an earlier write that would be executed again. Journaled writes are checked
+    /// by the write journal.
+    fn is_new_or_deduplicated(
+        &mut self,
+        header: &ClientRequest,
+        now: Timestamp,
+        settings: &RoutingSettings,
+    ) -> bool {
+        let method = settings.methods.get(header.identity.method);
+        let idempotency = method.map(|method| method.idempotency);
+        if self.journal.is_some() || idempotency == Some(Idempotency::Idempotent) {
+            return true;
+        }
+        let RequestIdentity { id, group, .. } = &header.identity;
+        let deduplication = deduplication(idempotency, *group, settings.clock_resolution);
+        let write = IncomingWrite { id, group: *group, deadline: header.deadline, deduplication };
+        self.executed_ids.allows(now, &write)
+    }
+
     /// Creates the control loop's state of a new request.
     fn new_active_request(
         &self,
@@ -169,6 +197,7 @@
         let is_read = method.is_some_and(|method| method.access != Access::Write);
         ActiveRequest {
             execution: ExecutionState {
+                must_run_once: idempotency != Some(Idempotency::Idempotent),
                 is_journaled: self.journal.is_some() && idempotency != Some(Idempotency::Idempotent),
                 deduplication: deduplication(idempotency, header.identity.group, settings.clock_resolution),
                 ..ExecutionState::default()
--- a/server/src/control/router_state.rs
+++ b/server/src/control/router_state.rs
@@ -2,6 +2,7 @@
 
 use crate::control::active_request::{ActiveRequest, StartedAttempt};
 use crate::control::deadlines::Deadlines;
+use crate::control::executed_ids::ExecutedIds;
 use crate::control::recovery_options::RecoveryOptions;
 use crate::control::request_queue::RequestQueue;
 use crate::endpoints::dispatcher::EndpointDispatcher;
@@ -47,6 +48,8 @@
     pub requests: RequestRegistry<ActiveRequest>,
     /// The ids that clients have given to the requests in `requests`.
     pub ids: HashSet<Arc<str>>,
+    /// The ids of writes that may have been executed and have ended.
+    pub executed_ids: ExecutedIds,
     /// Assigns an index to each endpoint name.
     pub endpoints: IdInterner<String>,
     /// The address and start time of each endpoint, by endpoint index.
@@ -104,6 +107,7 @@
             deadlines: Deadlines::default(),
             requests: RequestRegistry::default(),
             ids: HashSet::new(),
+            executed_ids: ExecutedIds::default(),
             endpoints: IdInterner::default(),
             listed_states: Vec::new(),
             groups: IdInterner::default(),
@@ -206,22 +210,27 @@
         if let Some(active) = self.requests.get_mut(request) {
             active.answer(&self.metrics, now, response);
         }
-        self.close(request);
+        self.close(now, request);
     }
 
     /// Closes a request that was answered or whose client has disconnected. The request is removed once it has no
     /// attempt in flight.
-    pub fn close(&mut self, request: RequestId) {
+    pub fn close(&mut self, now: Timestamp, request: RequestId) {
         let removed = self.requests.close(request);
-        self.release(request, removed);
+        self.release(now, request, removed);
     }
 
     /// Releases what a removed request held: its id, its abort time and its slot in the request queue. If the write
-    /// journal has recorded the request, and the request was certainly not executed, the journal records that too. Has
-    /// no effect if `removed` is `None`.
-    pub fn release(&mut self, request: RequestId, removed: Option<ActiveRequest>) {
+    /// journal has recorded the request, and the request was certainly not executed, the journal records that too. The id
+    /// of another write that may have been executed is kept. Has no effect if `removed` is `None`.
+    pub fn release(&mut self, now: Timestamp, request: RequestId, removed: Option<ActiveRequest>) {
         let Some(active) = removed else { return };
         self.ids.remove(&active.identity.id);
+        let execution = &active.execution;
+        if execution.must_run_once && execution.may_have_run && !execution.is_journaled {
+            let (id, received_at) = (active.identity.id.clone(), active.response.received_at);
+            self.executed_ids.record(now, id, received_at, execution.deduplication);
+        }
         if let Some(journal) =
             self.journal.as_ref().filter(|_| active.execution.is_recorded && !active.execution.may_have_run)
         {
@@ -233,6 +242,20 @@
         }
     }
 
+    /// Takes the ids of writes that may have been executed, including those of open requests with an attempt, because
+    /// this state is replaced.
+    pub fn take_executed_ids(&mut self, now: Timestamp) -> ExecutedIds {
+        let mut executed_ids = std::mem::take(&mut self.executed_ids);
+        for (_, active) in self.requests.iter() {
+            let execution = &active.execution;
+            if execution.must_run_once && active.attempt.is_some() && !execution.is_journaled {
+                let (id, received_at) = (active.identity.id.clone(), active.response.received_at);
+                executed_ids.record(now, id, received_at, execution.deduplication);
+            }
+        }
+        executed_ids
+    }
+
     /// Logs a decision of the routing policy on a request at debug level.
     pub fn log_decision(&self, request: RequestId, decision: &str, now: Timestamp) {
         if !tracing::enabled!(tracing::Level::DEBUG) {
--- a/server/tests/floods.rs
+++ b/server/tests/floods.rs
@@ -65,3 +65,11 @@
         assert_eq!(verdict.violations, Vec::<String>::new(), "{kind:?}: {counts:?}");
     }
 }
+
+#[test]
+fn a_write_whose_id_comes_again_after_its_client_has_left_is_not_executed_twice() {
+    let mut plan = RunPlan::flood(SEED, LONGEST_DEADLINE_MS, FloodKind::Reads, 0);
+    plan.instances[0].has_leavers = true;
+    let verdict = run_plan(&plan);
+    assert_eq!(verdict.violations, Vec::<String>::new(), "{:?}", verdict.counts);
+}
