Soak runs have floods and clients that leave; a test for the exit beside pipelining

Every second instance of a soak run is flooded on average, by 1, 6 or 64 clients of eleven kinds, half of the floods up to the kill; every third has clients that leave 40 writes behind and repeat five ids. Both are drawn after the other choices, so that earlier seeds keep their plans. Requests left behind are judged like the others and counted apart, so that the soak's check on how much is served means what it meant.

--- a/server/tests/floods.rs
+++ b/server/tests/floods.rs
@@ -73,3 +73,14 @@
     let verdict = run_plan(&plan);
     assert_eq!(verdict.violations, Vec::<String>::new(), "{:?}", verdict.counts);
 }
+
+#[test]
+fn an_instance_exits_before_the_kill_although_clients_pipeline_queries_without_pause() {
+    for clients in [1, 6] {
+        let mut plan = RunPlan::flood(SEED, LONGEST_DEADLINE_MS, FloodKind::Reads, clients);
+        plan.instances[0].flood_until_kill();
+        let verdict = run_plan(&plan);
+        assert_eq!(verdict.violations, Vec::<String>::new(), "{clients} clients: {:?}", verdict.counts);
+        assert_eq!(verdict.counts.killed, 0, "{clients} clients: {:?}", verdict.counts);
+    }
+}
--- a/test-servers/src/bin/floods.rs
+++ b/test-servers/src/bin/floods.rs
@@ -3,6 +3,7 @@
 
 use clap::{Parser, ValueEnum};
 use std::path::{Path, PathBuf};
+use test_servers::fault_soak::endpoint::MAX_SERVICE_MS;
 use test_servers::fault_soak::instance::Programs;
 use test_servers::fault_soak::plan::{RunPlan, DEFAULT_MEMORY_MB};
 use test_servers::fault_soak::run::run;
@@ -33,12 +34,18 @@
     /// The longest deadline of a request in milliseconds.
     #[arg(long, default_value_t = 1_000)]
     deadline_ms: u64,
+    /// The longest service time of a statement in milliseconds; 0 for answers at once.
+    #[arg(long, default_value_t = MAX_SERVICE_MS)]
+    max_service_ms: usize,
     /// The seed of the runs.
     #[arg(long, default_value_t = 1)]
     seed: u64,
     /// Let clients leave many requests behind and send some of their ids again.
     #[arg(long)]
     leavers: bool,
+    /// Let the flood last until the instance is killed.
+    #[arg(long)]
+    until_kill: bool,
     /// Print the broken rules.
     #[arg(long)]
     verbose: bool,
@@ -63,8 +70,12 @@
 
 fn measure(options: &Options, kind: FloodKind, clients: usize) -> Verdict {
     let mut plan = RunPlan::flood(options.seed, options.deadline_ms, kind, clients);
+    plan.max_service_ms = options.max_service_ms;
     plan.instances[0].memory_mb = options.memory_mb;
     plan.instances[0].has_leavers = options.leavers;
+    if options.until_kill {
+        plan.instances[0].flood_until_kill();
+    }
     let folder = tempfile::tempdir().expect("a temporary directory can be created");
     let (daemon, fault_shim): (&Path, &Path) = (&options.daemon, &options.fault_shim);
     run(Programs { daemon, fault_shim }, &plan, folder.path()).expect("the instance can be started")
@@ -74,7 +85,7 @@
     let counts = verdict.counts;
     let name = kind.to_possible_value().map(|value| value.get_name().to_string()).unwrap_or_default();
     println!(
-        "{name} {clients} {} {} {} {} {} {} {:.1} {:.1} {} {:.2} {}",
+        "{name} {clients} {} {} {} {} {} {} {:.1} {:.1} {} {:.2} {} {}",
         counts.requests,
         counts.served,
         counts.refused,
@@ -86,5 +97,6 @@
         counts.peak_memory_bytes >> MIB_SHIFT,
         counts.cpu_time.as_secs_f64(),
         counts.killed,
+        counts.flood_executed,
     );
 }
--- a/test-servers/src/fault_soak/endpoint.rs
+++ b/test-servers/src/fault_soak/endpoint.rs
@@ -1,6 +1,7 @@
 //! Endpoints that fail at random, and that record each statement that reaches them.
 
 use crate::cluster::unix_ms;
+use crate::fault_soak::plan::RunPlan;
 use crate::lock;
 use crate::random::{choose, one_in};
 use crate::wire::{self, append_error, append_parameter_status, append_ready_for_query, append_single_value};
@@ -21,8 +22,8 @@
 const HANG: Duration = Duration::from_secs(5);
 /// One of this many statements is disturbed, if the endpoints of the run fail.
 const DISTURBED_ONE_IN: usize = 6;
-/// The longest service time of a statement that is not disturbed, in milliseconds.
-const MAX_SERVICE_MS: usize = 30;
+/// The usual longest service time of a statement that is not disturbed, in milliseconds.
+pub const MAX_SERVICE_MS: usize = 30;
 
 /// A statement that has reached an endpoint.
 #[derive(Clone, Copy, Debug)]
@@ -44,6 +45,15 @@
         lock(&self.0).entry(id.to_string()).or_default().push(arrival);
     }
 
+    /// The number of requests that were executed and whose id begins with `prefix`.
+    pub fn executed_with_prefix(&self, prefix: &str) -> usize {
+        let arrivals = lock(&self.0);
+        let is_executed = |(id, arrivals): &(&String, &Vec<Arrival>)| {
+            id.starts_with(prefix) && arrivals.iter().any(|arrival| arrival.executed)
+        };
+        arrivals.iter().filter(is_executed).count()
+    }
+
     /// The arrivals of a request, in their order.
     pub fn of(&self, id: &str) -> Vec<Arrival> {
         lock(&self.0).get(id).cloned().unwrap_or_default()
@@ -83,16 +93,18 @@
 pub struct FailingEndpoint {
     primary: bool,
     fails: bool,
+    max_service_ms: usize,
     seed: u64,
     connections: Arc<AtomicU64>,
     log: Arc<ArrivalLog>,
 }
 
-/// Starts an endpoint on a free port and returns its address. With `fails`, some of its statements are disturbed.
-pub fn start(primary: bool, fails: bool, seed: u64, log: Arc<ArrivalLog>) -> SocketAddr {
+/// Starts an endpoint on a free port and returns its address. It serves and fails as planned.
+pub fn start(primary: bool, plan: &RunPlan, seed: u64, log: Arc<ArrivalLog>) -> SocketAddr {
+    let (fails, max_service_ms) = (plan.endpoints_fail, plan.max_service_ms);
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
     let addr = listener.local_addr().expect("a bound listener has an address");
-    let endpoint = FailingEndpoint { primary, fails, seed, connections: Arc::default(), log };
+    let endpoint = FailingEndpoint { primary, fails, max_service_ms, seed, connections: Arc::default(), log };
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let endpoint = endpoint.clone();
@@ -146,7 +158,9 @@
             append_parameter_status(out, "recovery", "on");
             return Some(());
         }
-        thread::sleep(Duration::from_millis(1 + rng.below(MAX_SERVICE_MS) as u64));
+        if self.max_service_ms > 0 {
+            thread::sleep(Duration::from_millis(1 + rng.below(self.max_service_ms) as u64));
+        }
         match behavior {
             Behavior::Serve => self.append_value(id, out),
             Behavior::ServeSlowly => {
--- a/test-servers/src/fault_soak/plan.rs
+++ b/test-servers/src/fault_soak/plan.rs
@@ -1,7 +1,8 @@
 //! The plan of a run: which faults there are, when the instances are told to end, and how clients behave.
 
+use crate::fault_soak::endpoint::MAX_SERVICE_MS;
 use crate::flood::kind::FloodKind;
-use crate::random::{choose, one_in, plan_rng};
+use crate::random::{choose, client_seed, event_rng, one_in, plan_rng};
 use routing::rng::Mwc;
 use std::time::Duration;
 
@@ -45,6 +46,8 @@
 const DISK_FAULTS: [&str; 2] =
     ["file_write:ENOSPC:0.8:1000-2500", "file_write:EIO:0.3:800-3000;file_sync:EIO:0.5:800-3000"];
 
+/// The numbers of clients in a flood.
+const FLOOD_CLIENTS: [usize; 3] = [1, 6, 64];
 /// How long a flood lasts.
 const FLOOD_TIME: Duration = Duration::from_millis(2_500);
 /// The memory limit of an instance without a planned one, in MB.
@@ -80,6 +83,8 @@
     pub longest_deadline_ms: u64,
     /// Whether endpoints fail.
     pub endpoints_fail: bool,
+    /// The longest service time of a statement that is not disturbed, in milliseconds.
+    pub max_service_ms: usize,
     /// Whether proxies disturb the connections to endpoints.
     pub has_proxies: bool,
     /// The instances.
@@ -120,8 +125,14 @@
             seed,
             longest_deadline_ms,
             endpoints_fail: !one_in(&mut rng, 3),
+            max_service_ms: MAX_SERVICE_MS,
             has_proxies: !one_in(&mut rng, 3),
-            instances: (0..instances).map(|_| InstancePlan::new(&mut rng, longest_deadline_ms)).collect(),
+            instances: (0..instances)
+                .map(|index| {
+                    let mut flood_rng = event_rng(client_seed(seed, index));
+                    InstancePlan::new(&mut rng, longest_deadline_ms).with_flood(&mut flood_rng)
+                })
+                .collect(),
         }
     }
 
@@ -139,7 +150,14 @@
             ..InstancePlan::undisturbed(UNDISTURBED_TERM, longest_deadline_ms)
         };
         let instances = vec![instance];
-        RunPlan { seed, longest_deadline_ms, endpoints_fail: false, has_proxies: false, instances }
+        RunPlan {
+            seed,
+            longest_deadline_ms,
+            endpoints_fail: false,
+            max_service_ms: MAX_SERVICE_MS,
+            has_proxies: false,
+            instances,
+        }
     }
 }
 
@@ -179,4 +197,27 @@
             descriptors: DEFAULT_DESCRIPTORS,
         }
     }
+
+    /// Lets the planned flood last until the instance is killed.
+    pub fn flood_until_kill(&mut self) {
+        if let Some(flood) = &mut self.flood {
+            flood.until = self.kill_at;
+        }
+    }
+
+    /// Adds a flood to every second instance on average, and leaving clients to every third. A flood may last until
+    /// the instance is killed.
+    fn with_flood(mut self, rng: &mut Mwc) -> InstancePlan {
+        let kind = choose(rng, &FloodKind::CONTINUOUS);
+        let clients = choose(rng, &FLOOD_CLIENTS);
+        let from = self.term_at.mul_f64(rng.below(100) as f64 / 100.0);
+        let flood = PlannedFlood { kind, clients, from, until: from + FLOOD_TIME };
+        let lasts_until_kill = one_in(rng, 2);
+        self.flood = one_in(rng, 2).then_some(flood);
+        if lasts_until_kill {
+            self.flood_until_kill();
+        }
+        self.has_leavers = one_in(rng, 3);
+        self
+    }
 }
--- a/test-servers/src/fault_soak/run.rs
+++ b/test-servers/src/fault_soak/run.rs
@@ -9,6 +9,7 @@
 use crate::fault_soak::proxy;
 use crate::fault_soak::verdict::{judge, Verdict};
 use crate::flood::flooder::Flood;
+use crate::flood::kind::FLOOD_ID_PREFIX;
 use crate::lock;
 use crate::random::client_seed;
 use serde_json::Value;
@@ -60,16 +61,36 @@
     }
     instances.iter().for_each(wait_until_listening);
     let started = Instant::now();
-    let context = ClientContext {
+    let clients = RunClients {
+        served: client_context(plan, plan.seed, started),
+        leaving: client_context(plan, !plan.seed, started),
+    };
+    let ends = run_clients_and_signals(&clients, plan, instances, started);
+    let records = std::mem::take(&mut *lock(&clients.served.records));
+    let left_behind = std::mem::take(&mut *lock(&clients.leaving.records));
+    let mut verdict = judge(&records, &log, &ends, started);
+    verdict.counts.flood_executed = log.executed_with_prefix(FLOOD_ID_PREFIX);
+    verdict.add_left_behind(&left_behind, &log, &ends, started);
+    Ok(verdict)
+}
+
+/// The clients of a run, in two groups whose requests are counted separately.
+struct RunClients {
+    /// Clients that wait for most of their answers.
+    served: ClientContext,
+    /// Clients that leave many requests behind.
+    leaving: ClientContext,
+}
+
+/// The context of clients whose ids begin with `id_seed`.
+fn client_context(plan: &RunPlan, id_seed: u64, started: Instant) -> ClientContext {
+    ClientContext {
         records: Mutex::default(),
         longest_deadline_ms: plan.longest_deadline_ms,
-        seed: plan.seed,
+        seed: id_seed,
         next_id: AtomicU64::new(0),
         until: started + last_kill(plan).max(RUN_TIME),
-    };
-    let ends = run_clients_and_signals(&context, plan, instances, started);
-    let records = std::mem::take(&mut *lock(&context.records));
-    Ok(judge(&records, &log, &ends, started))
+    }
 }
 
 /// When the last instance is killed, since the start of the run.
@@ -82,7 +103,7 @@
     let entry = |index: usize| {
         let is_primary = index == 0;
         let seed = client_seed(plan.seed, index);
-        let endpoint = endpoint::start(is_primary, plan.endpoints_fail, seed, log.clone());
+        let endpoint = endpoint::start(is_primary, plan, seed, log.clone());
         let addr = if plan.has_proxies { proxy::start(endpoint, seed) } else { endpoint };
         list_entry(&format!("e{index}"), &addr, 1, is_primary, "SERVING", 0)
     };
@@ -98,11 +119,12 @@
 
 /// Runs all clients, and ends all instances as planned.
 fn run_clients_and_signals(
-    context: &ClientContext,
+    clients: &RunClients,
     plan: &RunPlan,
     instances: Vec<Instance>,
     started: Instant,
 ) -> Vec<InstanceEnd> {
+    let (context, leaving) = (&clients.served, &clients.leaving);
     thread::scope(|scope| {
         let mut ends = Vec::new();
         for (index, instance) in instances.into_iter().enumerate() {
@@ -116,7 +138,7 @@
             scope.spawn(move || run_flood(&flood_plan, target, started));
             if instance_plan.has_leavers {
                 for number in 0..LEAVERS {
-                    scope.spawn(move || leavers::run(context, target, client_seed(plan.seed, number)));
+                    scope.spawn(move || leavers::run(leaving, target, client_seed(plan.seed, number)));
                 }
             }
             scope.spawn(move || run_crowd(context, &instance_plan, target, started));
--- a/test-servers/src/fault_soak/verdict.rs
+++ b/test-servers/src/fault_soak/verdict.rs
@@ -35,6 +35,10 @@
     pub late: usize,
     /// Requests that were not answered in time on a connection that stayed open.
     pub unanswered: usize,
+    /// Valid requests of a flood that were executed.
+    pub flood_executed: usize,
+    /// Requests that clients have left behind in great numbers, not counted in the others.
+    pub left_behind: usize,
     /// Requests that were not read before their connection was closed or their instance killed.
     pub not_read: usize,
     /// Faults that were injected into system calls.
@@ -71,12 +75,7 @@
         let arrivals = arrivals.of(&record.id);
         verdict.count(record, end);
         verdict.answer_times.extend(answer_time(record));
-        let mut broken = Vec::new();
-        broken.extend(broken_answer(record, end));
-        broken.extend(broken_attempts(record, &arrivals));
-        for rule in broken {
-            verdict.violations.push(describe(&rule, record, &arrivals, end, started));
-        }
+        verdict.violations.extend(broken_rules(record, &arrivals, end, started));
     }
     verdict.answer_times.sort();
     for (index, end) in ends.iter().enumerate() {
@@ -99,6 +98,21 @@
         self.answer_times.get(index).or(self.answer_times.last()).copied().unwrap_or_default()
     }
 
+    /// Adds the broken rules of requests that their clients have left behind, and counts these.
+    pub fn add_left_behind(
+        &mut self,
+        records: &[RequestRecord],
+        arrivals: &ArrivalLog,
+        ends: &[InstanceEnd],
+        started: Instant,
+    ) {
+        self.counts.left_behind += records.len();
+        for record in records {
+            let (end, arrivals) = (&ends[record.instance], arrivals.of(&record.id));
+            self.violations.extend(broken_rules(record, &arrivals, end, started));
+        }
+    }
+
     fn count(&mut self, record: &RequestRecord, end: &InstanceEnd) {
         let counts = &mut self.counts;
         counts.requests += 1;
@@ -126,6 +140,18 @@
     end.read_bytes.get(&record.port).is_some_and(|read| *read >= record.sent_bytes)
 }
 
+/// The rules that a request breaks, one line each.
+fn broken_rules(
+    record: &RequestRecord,
+    arrivals: &[Arrival],
+    end: &InstanceEnd,
+    started: Instant,
+) -> Vec<String> {
+    let mut broken = broken_attempts(record, arrivals);
+    broken.extend(broken_answer(record, end));
+    broken.iter().map(|rule| describe(rule, record, arrivals, end, started)).collect()
+}
+
 /// The time from when a request was due to be handled until its fate was known.
 fn time_to_end(record: &RequestRecord) -> Duration {
     let due_since = record.answered_before_at.map_or(record.sent_at, |at| at.max(record.sent_at));
--- a/test-servers/src/flood/kind.rs
+++ b/test-servers/src/flood/kind.rs
@@ -15,6 +15,9 @@
 /// The first group number of [`FloodKind::UnknownGroups`]; no list contains it or a greater one.
 const FIRST_UNKNOWN_GROUP: u64 = 1_000_000;
 
+/// The ids of valid requests of a flood begin with this, and no others do.
+pub const FLOOD_ID_PREFIX: &str = "flood-";
+
 /// What the clients of a flood do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 pub enum FloodKind {
@@ -131,7 +134,7 @@
 }
 
 fn read_statement(number: u64, padding: &str) -> String {
-    format!("/* id=f{number:x},c=read,d=500,cluster=1 */ SELECT content FROM kv WHERE name = 'k'{padding}")
+    format!("/* id={FLOOD_ID_PREFIX}{number:x},c=read,d=500,cluster=1 */ SELECT content FROM kv WHERE name = 'k'{padding}")
 }
 
 /// Fields with different names of up to five characters, separated by commas.
