--- a/test-servers/src/flood/flooder.rs
+++ b/test-servers/src/flood/flooder.rs
@@ -135,7 +135,8 @@
             Some(chunk) => chunk,
             None => &kind.chunk(shared.chunks.fetch_add(1, Ordering::Relaxed)),
         };
-        if !send_all(shared, stream, chunk) {
+        let piece_bytes = kind.bytes_per_write().unwrap_or(chunk.len());
+        if !chunk.chunks(piece_bytes).all(|piece| send_all(shared, stream, piece)) {
             return;
         }
     }
--- a/test-servers/src/flood/kind.rs
+++ b/test-servers/src/flood/kind.rs
@@ -15,6 +15,12 @@
 /// The first group number of [`FloodKind::UnknownGroups`]; no list contains it or a greater one.
 const FIRST_UNKNOWN_GROUP: u64 = 1_000_000;
 
+/// The timeout of a valid read in milliseconds.
+const SHORT_TIMEOUT_MS: u64 = 500;
+/// The timeout of a read of [`FloodKind::LongReads`] in milliseconds: a day.
+const LONG_TIMEOUT_MS: u64 = 86_400_000;
+/// The size of a write of [`FloodKind::SplitQueries`], in bytes: less than an empty query.
+const PIECE_BYTES: usize = 5;
 /// The ids of valid requests of a flood begin with this, and no others do.
 pub const FLOOD_ID_PREFIX: &str = "flood-";
 
@@ -43,6 +49,12 @@
     Blanks,
     /// They send valid reads, far more than the endpoints can serve.
     Reads,
+    /// They send valid reads that may take a day, as [`FloodKind::Reads`].
+    LongReads,
+    /// They send empty queries in pieces that mostly end within a query.
+    SplitQueries,
+    /// They ask for the fates of writes, with a new id each.
+    FateQueries,
     /// They send empty queries and never read an answer.
     NeverRead,
     /// They connect and close again.
@@ -79,11 +91,16 @@
         out
     }
 
+    /// How many bytes of a chunk a client writes at a time; `None` if all.
+    pub fn bytes_per_write(self) -> Option<usize> {
+        (self == FloodKind::SplitQueries).then_some(PIECE_BYTES)
+    }
+
     /// The number of different chunks that a client sends in turn; 0 if each chunk must differ from all others.
     pub fn prepared_chunks(self) -> u64 {
         match self {
             FloodKind::UnknownMethods | FloodKind::UnknownGroups => 64,
-            FloodKind::Reads => 0,
+            FloodKind::Reads | FloodKind::LongReads | FloodKind::FateQueries => 0,
             _ => 1,
         }
     }
@@ -117,9 +134,11 @@
             FloodKind::LongHeads => format!("/*{}*/ SELECT 1", short_fields(LONG_HEAD_FIELDS)),
             FloodKind::Sets => "SET application_name = 'flood'".into(),
             FloodKind::Blanks => " ".repeat(LARGE_STATEMENT_BYTES),
-            FloodKind::Reads => read_statement(number, ""),
+            FloodKind::Reads => read_statement(number, SHORT_TIMEOUT_MS, ""),
+            FloodKind::LongReads => read_statement(number, LONG_TIMEOUT_MS, ""),
+            FloodKind::FateQueries => format!("/* fate=f{number:x} */ SHOW gingerwick.fate"),
             FloodKind::HalfQueries | FloodKind::SlowTails => {
-                read_statement(number, &" ".repeat(LARGE_STATEMENT_BYTES))
+                read_statement(number, SHORT_TIMEOUT_MS, &" ".repeat(LARGE_STATEMENT_BYTES))
             }
             _ => String::new(),
         }
@@ -133,8 +152,8 @@
     }
 }
 
-fn read_statement(number: u64, padding: &str) -> String {
-    format!("/* id={FLOOD_ID_PREFIX}{number:x},c=read,d=500,cluster=1 */ SELECT content FROM kv WHERE name = 'k'{padding}")
+fn read_statement(number: u64, timeout_ms: u64, padding: &str) -> String {
+    format!("/* id={FLOOD_ID_PREFIX}{number:x},c=read,d={timeout_ms},cluster=1 */ SELECT content FROM kv WHERE name = 'k'{padding}")
 }
 
 /// Fields with different names of up to five characters, separated by commas.
