Timers of attempts are set for three seconds at a time, not for the whole deadline

Callers saw nothing yet; found by the search for memory that nobody charges. Each attempt set a timer for its deadline, and a timer stays in memory until it fires.

Fix: a connection's timer is set for at most 3 s, and again when a wait goes on after that. So their number is bounded by what was sent in the last 3 s. A second test: an attempt with 4 s and a silent endpoint times out at its deadline.

Checked beside it: the control loop has one timer at a time and removes abort times when requests close; a client connection's timers are for 2.5 s at most.

--- a/server/src/endpoints/connection.rs
+++ b/server/src/endpoints/connection.rs
@@ -28,6 +28,10 @@
 /// The size of the buffer for reads on an idle connection. It is small because the buffer is on the coroutine's stack.
 const IDLE_READ_BYTES: usize = 512;
 
+/// The longest time for which a timer of a connection is set. A timer stays in memory until it fires, also if what it was
+/// set for has ended, so timers for a client's whole timeout would pile up.
+const MAX_TIMER_DURATION: TimeDelta = TimeDelta::from_millis(3_000);
+
 /// The pause before a connection is opened again for which this machine had no descriptor, port or memory.
 const RESOURCE_RETRY_DELAY: TimeDelta = TimeDelta::from_millis(5);
 
@@ -85,6 +89,8 @@
     /// Bytes read since the coroutine last waited.
     burst_bytes: usize,
     descriptor: Descriptor,
+    /// When the timer fires that was set last.
+    wakes_at: Timestamp,
     /// The epoch that the endpoint has last reported on this connection as the primary; `None` if it has reported none.
     /// An endpoint closes its connections when it stops being the primary, so the epoch is valid as long as the
     /// connection is open.
@@ -120,29 +126,30 @@
             charge: descriptor.buffer_charge(),
             burst_bytes: 0,
             descriptor,
+            wakes_at: Timestamp::DISTANT_PAST,
             primary_epoch: None,
         })
     }
 
     /// Ensures that reads and writes wake up at the deadline and on cancellation. Must be called before the first
     /// read or write with new limits.
-    pub fn schedule_wake_ups(&self, limits: IoLimits) {
-        schedule_wake_ups(&self.timers, &self.stream, limits);
+    pub fn schedule_wake_ups(&mut self, limits: IoLimits) {
+        self.wakes_at = schedule_wake_ups(&self.timers, &self.stream, limits);
     }
 
     /// As [`wait`], for the connection's socket.
     ///
     /// # Errors
     /// The deadline has passed, or the operation was cancelled.
-    fn wait(&self, limits: IoLimits) -> Result<(), IoError> {
-        wait(&self.timers, &self.stream, limits)
+    fn wait(&mut self, limits: IoLimits) -> Result<(), IoError> {
+        wait(&self.timers, &self.stream, limits, &mut self.wakes_at)
     }
 
     /// Waits until a failed read or write can be repeated.
     ///
     /// # Errors
     /// The connection is broken, the deadline has passed, or the operation was cancelled.
-    fn wait_after(&self, error: &std::io::Error, limits: IoLimits) -> Result<(), IoError> {
+    fn wait_after(&mut self, error: &std::io::Error, limits: IoLimits) -> Result<(), IoError> {
         match classify_socket_error(error) {
             SocketFailure::Retry => Ok(()),
             SocketFailure::NotReady => self.wait(limits),
@@ -264,31 +271,44 @@
 /// As for [`PeerConnection::connect`].
 fn open_stream(timers: &Timers, addr: &SocketAddr, limits: IoLimits) -> Result<TcpStream, ConnectFailure> {
     let mut pending = PendingConnection::start(addr)?;
-    schedule_wake_ups(timers, &pending.stream, limits);
+    let mut wakes_at = schedule_wake_ups(timers, &pending.stream, limits);
     while !pending.check_open()? {
-        wait(timers, &pending.stream, limits)?;
+        wait(timers, &pending.stream, limits, &mut wakes_at)?;
     }
     Ok(pending.stream)
 }
 
-/// Ensures that a wait for a socket ends at the deadline and on cancellation.
-fn schedule_wake_ups(timers: &Timers, stream: &TcpStream, limits: IoLimits) {
+/// Ensures that a wait for a socket ends at the deadline and on cancellation. Returns when the timer fires: at the
+/// deadline, but after [`MAX_TIMER_DURATION`] at the latest.
+fn schedule_wake_ups(timers: &Timers, stream: &TcpStream, limits: IoLimits) -> Timestamp {
     let waker = stream.waker();
-    timers.call_at(limits.deadline, move || waker.wakeup());
+    let wakes_at = limits.deadline.min(timers.now() + MAX_TIMER_DURATION);
+    timers.call_at(wakes_at, move || waker.wakeup());
     limits.cancellation.register_socket(stream.waker());
+    wakes_at
 }
 
-/// Waits until the socket is ready, the deadline has passed or the operation is cancelled.
+/// Waits until the socket is ready, the deadline has passed or the operation is cancelled. `wakes_at` is when the timer
+/// fires that was set last.
 ///
 /// # Errors
 /// The deadline has passed, or the operation was cancelled.
-fn wait(timers: &Timers, stream: &TcpStream, limits: IoLimits) -> Result<(), IoError> {
+fn wait(
+    timers: &Timers,
+    stream: &TcpStream,
+    limits: IoLimits,
+    wakes_at: &mut Timestamp,
+) -> Result<(), IoError> {
     if limits.cancellation.is_cancelled() {
         return Err(IoError::Cancelled);
     }
-    if timers.now() >= limits.deadline {
+    let now = timers.now();
+    if now >= limits.deadline {
         return Err(IoError::TimedOut);
     }
+    if now >= *wakes_at {
+        *wakes_at = schedule_wake_ups(timers, stream, limits);
+    }
     stream.wait_io();
     Ok(())
 }
--- a/server/src/endpoints/pool.rs
+++ b/server/src/endpoints/pool.rs
@@ -123,7 +123,7 @@
     pub fn acquire(&self, addr: &SocketAddr, limits: IoLimits) -> Result<AcquiredConnection, ConnectError> {
         let reused = self.reuse(addr, limits);
         let is_reused = reused.is_some();
-        let connection = reused.map_or_else(|| self.open(addr, limits), Ok)?;
+        let mut connection = reused.map_or_else(|| self.open(addr, limits), Ok)?;
         connection.schedule_wake_ups(limits);
         Ok(AcquiredConnection { connection, is_reused })
     }
--- a/server/src/runtime/clock.rs
+++ b/server/src/runtime/clock.rs
@@ -4,8 +4,9 @@
 use routing::time::{TimeDelta, Timestamp};
 use std::collections::BTreeMap;
 use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -81,6 +82,8 @@
 /// resume them on the runtime's timer thread, in parallel with the worker thread.
 pub struct Timers {
     clock: Clock,
+    /// The number of timers that are set and have not fired.
+    pending: Arc<AtomicUsize>,
     requests: Mutex<Sender<TimerRequest>>,
 }
 
@@ -88,8 +91,10 @@
     /// Starts the timer thread, which ends when the `Timers` are dropped.
     pub fn start(clock: Clock) -> Timers {
         let (requests, received) = channel();
-        thread::spawn(move || run_timers(clock, &received));
-        Timers { clock, requests: Mutex::new(requests) }
+        let pending = Arc::new(AtomicUsize::new(0));
+        let counter = pending.clone();
+        thread::spawn(move || run_timers(clock, &received, &counter));
+        Timers { clock, pending, requests: Mutex::new(requests) }
     }
 
     /// The current time, as [`Clock::now`] returns it.
@@ -101,9 +106,15 @@
     /// all other timers.
     pub fn call_at(&self, at: Timestamp, callback: impl FnOnce() + Send + 'static) {
         let requests = self.requests.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        self.pending.fetch_add(1, Ordering::Relaxed);
         let _ = requests.send(TimerRequest { at, callback: Box::new(callback) });
     }
 
+    /// The number of timers that are set and have not fired.
+    pub fn pending(&self) -> usize {
+        self.pending.load(Ordering::Relaxed)
+    }
+
     /// Suspends the calling coroutine for the duration `time`.
     pub fn sleep(&self, time: TimeDelta) {
         self.sleep_unless_cancelled(time, &CancellationToken::default());
@@ -123,7 +134,7 @@
 
 /// The timer thread: runs callbacks in the order of their times, and those of the same time in the order in which
 /// they were set, until the [`Timers`] are dropped.
-fn run_timers(clock: Clock, requests: &Receiver<TimerRequest>) {
+fn run_timers(clock: Clock, requests: &Receiver<TimerRequest>, pending_count: &AtomicUsize) {
     let mut pending: BTreeMap<(Timestamp, u64), Callback> = BTreeMap::new();
     let mut serial = 0;
     loop {
@@ -138,6 +149,7 @@
         }
         let now = clock.now();
         while let Some(first) = pending.first_entry().filter(|first| first.key().0 <= now) {
+            pending_count.fetch_sub(1, Ordering::Relaxed);
             // A panic in a callback must not end the thread, because all other timers depend on it.
             let _ = catch_unwind(AssertUnwindSafe(first.remove()));
         }
--- a/server/tests/attempts.rs
+++ b/server/tests/attempts.rs
@@ -32,7 +32,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const SECOND: TimeDelta = TimeDelta::from_millis(1000);
 /// Time within which bytes sent on loopback arrive.
@@ -144,16 +144,22 @@
     pool: Arc<ConnectionPool>,
     control: Sender<ControlMessage>,
     messages: Receiver<ControlMessage>,
+    /// The time that each attempt has.
+    attempt_timeout: TimeDelta,
 }
 
 impl Fixture {
     fn new() -> Fixture {
+        Fixture::with_attempt_timeout(SECOND * 5)
+    }
+
+    fn with_attempt_timeout(attempt_timeout: TimeDelta) -> Fixture {
         may::config().set_workers(1).set_stack_size(16 << 10).set_worker_pin(false);
         let timers = Arc::new(Timers::start(Clock::start()));
         let resources = ResourceLimits::new(64, 1 << 20, false);
         let pool = Arc::new(ConnectionPool::new(timers, resources, SECOND, SECOND * 30));
         let (control, messages) = channel();
-        Fixture { pool, control, messages }
+        Fixture { pool, control, messages, attempt_timeout }
     }
 
     /// Runs one attempt and returns its result. Calls `before_sending` when the attempt first asks for confirmation,
@@ -210,7 +216,7 @@
         }
     }
 
-    /// An attempt of a read with a timeout of five seconds.
+    /// An attempt of a read.
     fn attempt_job(&self, cancellation: Arc<CancellationToken>, endpoint: &CountingEndpoint) -> AttemptJob {
         let body = b"SELECT d=5\0".to_vec();
         let charge = ResourceLimits::new(1, 1 << 20, false).buffer_charge();
@@ -218,7 +224,7 @@
         AttemptJob {
             attempt: AttemptId { request: 1, number: 0, endpoint: 0 },
             addr: endpoint.addr,
-            times: AttemptTimes { started_at, deadline: started_at + SECOND * 5 },
+            times: AttemptTimes { started_at, deadline: started_at + self.attempt_timeout },
             outgoing: OutgoingRequest {
                 text: Arc::new(RequestText { body, timeout_digits: 9..10, charge }),
                 journal_entry: None,
@@ -342,3 +348,29 @@
     thread::sleep(LOOPBACK_DELAY);
     assert!(!endpoint.was_connected_to(), "a connection was opened for a cancelled attempt");
 }
+
+/// More than the time for which a connection's timer is set at a time.
+const LONGEST_TIMER: Duration = Duration::from_millis(3_500);
+
+#[test]
+fn timers_of_attempts_that_have_ended_do_not_stay_until_a_deadline_far_away() {
+    let (fixture, endpoint) = (Fixture::with_attempt_timeout(SECOND * 86_400), CountingEndpoint::start());
+    for _ in 0..20 {
+        assert_eq!(fixture.run_attempt(&endpoint, || {}).outcome, AttemptOutcome::Succeeded);
+    }
+    thread::sleep(LONGEST_TIMER);
+    assert_eq!(fixture.pool.timers.pending(), 0, "timers are still set");
+}
+
+#[test]
+fn an_attempt_times_out_at_a_deadline_that_is_later_than_its_first_timer() {
+    let fixture = Fixture::with_attempt_timeout(SECOND * 4);
+    let silent = CountingEndpoint::with_answers(|_| Vec::new());
+    let started = Instant::now();
+    assert_eq!(fixture.run_attempt(&silent, || {}).outcome, AttemptOutcome::TimedOut);
+    let took = started.elapsed();
+    assert!(
+        took >= Duration::from_secs(4) && took < Duration::from_millis(4_500),
+        "timed out after {took:?}"
+    );
+}
