A client's statements in progress may hold a quarter of the memory for buffers

Callers saw: a client that pipelines large queries was closed with 53200 once all buffers together reached their limit; until then it took the memory that other clients' large queries need.

Cause: up to 64 queries of one client are in progress, whatever their size.

Fix: reading stops while the statements of a client's pending requests take a quarter of the memory for buffers or more, as it does at 64 queries; the rest waits in the client's own socket.

--- a/server/src/clients/connection_limits.rs
+++ b/server/src/clients/connection_limits.rs
@@ -10,9 +10,12 @@
 const MAX_PIPELINED_QUERIES: usize = 64;
 
 impl ClientConnection {
-    /// Whether the client has fewer queries in progress, and fewer responses in the outbox, than the maximum.
+    /// Whether the client has fewer queries in progress, and fewer responses in the outbox, than the maximum, and its
+    /// queries in progress hold no more than its share of the memory.
     fn may_read_more(&self) -> bool {
-        self.responses.len() < MAX_PIPELINED_QUERIES && self.socket.queued() < MAX_PIPELINED_QUERIES
+        self.responses.len() < MAX_PIPELINED_QUERIES
+            && self.socket.queued() < MAX_PIPELINED_QUERIES
+            && self.responses.pending_bytes() < self.context.resources.max_client_bytes()
     }
 
     /// Whether the next message may be processed, if one was read. Once queries are no longer taken, those that were
--- a/server/src/clients/response_queue.rs
+++ b/server/src/clients/response_queue.rs
@@ -27,11 +27,14 @@
 #[derive(Default)]
 pub struct ResponseQueue {
     slots: VecDeque<Slot>,
+    /// The size of the statements of all pending requests, in bytes.
+    pending_bytes: usize,
 }
 
 impl ResponseQueue {
     /// Appends a request whose response will arrive later.
     pub fn push_pending(&mut self, pending: PendingRequest) {
+        self.pending_bytes += pending.statement_bytes;
         self.slots.push_back(Slot::Pending(pending));
     }
 
@@ -64,6 +67,7 @@
         for slot in &mut self.slots {
             if let Slot::Pending(pending) = slot {
                 if pending.request == request {
+                    self.pending_bytes -= pending.statement_bytes;
                     *slot = Slot::Ready(encode(pending.group));
                     return true;
                 }
@@ -75,6 +79,7 @@
     /// Completes all pending requests with the same response, and returns those requests.
     pub fn complete_all(&mut self, response: &[u8]) -> Vec<PendingRequest> {
         let pending: Vec<PendingRequest> = self.pending().collect();
+        self.pending_bytes = 0;
         for slot in &mut self.slots {
             if matches!(slot, Slot::Pending(_)) {
                 *slot = Slot::Ready(response.to_vec());
@@ -96,7 +101,7 @@
 
     /// The size of the statements of all pending requests, in bytes.
     pub fn pending_bytes(&self) -> usize {
-        self.pending().map(|pending| pending.statement_bytes).sum()
+        self.pending_bytes
     }
 
     /// The size of the ready responses in the queue, in bytes.
--- a/server/src/runtime/resource_limits.rs
+++ b/server/src/runtime/resource_limits.rs
@@ -50,6 +50,9 @@
 /// Memory is critical once buffers use more than the process's memory divided by this.
 const CRITICAL_MEMORY_DIVISOR: usize = 2;
 
+/// A client may hold the memory for all buffers divided by this.
+const CLIENT_MEMORY_DIVISOR: usize = 4;
+
 /// The descriptors in use, and the idle clients whose descriptors can be reclaimed.
 #[derive(Default)]
 struct State {
@@ -262,6 +265,11 @@
         self.memory / SHORT_MEMORY_DIVISOR
     }
 
+    /// The size of the pending statements of one client from which on no further ones are read, in bytes.
+    pub fn max_client_bytes(&self) -> usize {
+        self.max_buffer_bytes() / CLIENT_MEMORY_DIVISOR
+    }
+
     /// Registers a client that has become idle, so that it can be asked to close when descriptors run short.
     pub fn register_idle(
         &self,
--- a/server/tests/loopback/pipelining.rs
+++ b/server/tests/loopback/pipelining.rs
@@ -26,3 +26,38 @@
         }
     }
 }
+
+/// The size of a large statement in bytes.
+const LARGE_BYTES: usize = 100_000;
+
+/// A statement of about [`LARGE_BYTES`] bytes.
+fn large_statement(method: &str, key: &str) -> String {
+    statement(method, key, 1_500) + &" ".repeat(LARGE_BYTES)
+}
+
+#[test]
+fn a_client_that_pipelines_large_queries_leaves_memory_for_those_of_others() {
+    // Buffers may use 4 MB, which 40 large queries in progress would fill.
+    let router = RouterProcess::with_limits(1024, 12, SETTINGS);
+    let mut other = Client::connect(router.listen);
+    assert_eq!(other.request("read", "good", 1_500), default_value());
+    let greedy = Client::connect(router.listen);
+    let mut messages = Vec::new();
+    (0..64).for_each(|_| query(&mut messages, &large_statement("order", "slow")));
+    let writer = std::thread::spawn(move || {
+        let mut greedy = greedy;
+        let _ = greedy.0.write_all(&messages);
+        greedy
+    });
+    std::thread::sleep(Duration::from_millis(300));
+    for _ in 0..5 {
+        other.send(&large_statement("read", "good"));
+        assert_eq!(other.read_response(), default_value());
+    }
+    let mut greedy = writer.join().expect("the writer panicked");
+    for number in 0..64 {
+        let response = greedy.read_response();
+        assert_ne!(response, error_response("53200"), "message {number}");
+        assert_ne!(response, ClientResponse::Closed, "message {number}");
+    }
+}
--- a/test-servers/src/bin/floods.rs
+++ b/test-servers/src/bin/floods.rs
@@ -43,6 +43,9 @@
     /// Let clients leave many requests behind and send some of their ids again.
     #[arg(long)]
     leavers: bool,
+    /// Record writes in a write journal.
+    #[arg(long)]
+    journal: bool,
     /// Let the flood last until the instance is killed.
     #[arg(long)]
     until_kill: bool,
@@ -73,6 +76,7 @@
     plan.max_service_ms = options.max_service_ms;
     plan.instances[0].memory_mb = options.memory_mb;
     plan.instances[0].has_leavers = options.leavers;
+    plan.instances[0].has_state_dir = options.journal;
     if options.until_kill {
         plan.instances[0].flood_until_kill();
     }
