Soak runs draw all kinds of floods and three memory limits; no import cycle

The constant is now in the plan.

Soak runs draw from all kinds of floods and from limits of 64, 128 and 192 MB.

--- a/server/tests/fault_soak.rs
+++ b/server/tests/fault_soak.rs
@@ -12,7 +12,7 @@
 use test_servers::fault_soak::run::run;
 
 /// The seeds that are run.
-const SEEDS: [u64; 2] = [1, 8];
+const SEEDS: [u64; 14] = [1, 8, 301, 302, 303, 304, 305, 306, 307, 308, 309, 310, 311, 312];
 /// The number of instances in each run.
 const INSTANCES: usize = 4;
 
--- a/test-servers/src/bin/floods.rs
+++ b/test-servers/src/bin/floods.rs
@@ -3,9 +3,8 @@
 
 use clap::{Parser, ValueEnum};
 use std::path::{Path, PathBuf};
-use test_servers::fault_soak::endpoint::MAX_SERVICE_MS;
 use test_servers::fault_soak::instance::Programs;
-use test_servers::fault_soak::plan::{RunPlan, DEFAULT_MEMORY_MB};
+use test_servers::fault_soak::plan::{RunPlan, DEFAULT_MEMORY_MB, MAX_SERVICE_MS};
 use test_servers::fault_soak::run::run;
 use test_servers::fault_soak::verdict::Verdict;
 use test_servers::flood::kind::FloodKind;
--- a/test-servers/src/fault_soak/endpoint.rs
+++ b/test-servers/src/fault_soak/endpoint.rs
@@ -22,8 +22,6 @@
 const HANG: Duration = Duration::from_secs(5);
 /// One of this many statements is disturbed, if the endpoints of the run fail.
 const DISTURBED_ONE_IN: usize = 6;
-/// The usual longest service time of a statement that is not disturbed, in milliseconds.
-pub const MAX_SERVICE_MS: usize = 30;
 
 /// A statement that has reached an endpoint.
 #[derive(Clone, Copy, Debug)]
--- a/test-servers/src/fault_soak/plan.rs
+++ b/test-servers/src/fault_soak/plan.rs
@@ -1,8 +1,8 @@
 //! The plan of a run: which faults there are, when the instances are told to end, and how clients behave.
 
-use crate::fault_soak::endpoint::MAX_SERVICE_MS;
 use crate::flood::kind::FloodKind;
 use crate::random::{choose, client_seed, event_rng, one_in, plan_rng};
+use clap::ValueEnum;
 use routing::rng::Mwc;
 use std::time::Duration;
 
@@ -14,6 +14,8 @@
 const TERM_RANGE_MS: usize = 2_000;
 /// By the operators' terms, an instance is killed this long plus the longest deadline after it was told to end.
 const KILL_MARGIN: Duration = Duration::from_millis(700);
+/// The usual longest service time of a statement that is not disturbed, in milliseconds.
+pub const MAX_SERVICE_MS: usize = 30;
 /// The longest deadlines of a deployment, in milliseconds.
 const LONGEST_DEADLINES_MS: [u64; 3] = [600, 1_500, 3_000];
 /// The maximum number of kinds of system call faults in one instance.
@@ -50,6 +52,8 @@
 const FLOOD_CLIENTS: [usize; 3] = [1, 6, 64];
 /// How long a flood lasts.
 const FLOOD_TIME: Duration = Duration::from_millis(2_500);
+/// The memory limits of instances that may be flooded, in MB.
+const MEMORY_LIMITS_MB: [usize; 3] = [64, 128, 192];
 /// The memory limit of an instance without a planned one, in MB.
 pub const DEFAULT_MEMORY_MB: usize = 128;
 /// The limit on descriptors of an instance without a planned one.
@@ -208,7 +212,7 @@
     /// Adds a flood to every second instance on average, and leaving clients to every third. A flood may last until
     /// the instance is killed.
     fn with_flood(mut self, rng: &mut Mwc) -> InstancePlan {
-        let kind = choose(rng, &FloodKind::CONTINUOUS);
+        let kind = choose(rng, FloodKind::value_variants());
         let clients = choose(rng, &FLOOD_CLIENTS);
         let from = self.term_at.mul_f64(rng.below(100) as f64 / 100.0);
         let flood = PlannedFlood { kind, clients, from, until: from + FLOOD_TIME };
@@ -218,6 +222,7 @@
             self.flood_until_kill();
         }
         self.has_leavers = one_in(rng, 3);
+        self.memory_mb = choose(rng, &MEMORY_LIMITS_MB);
         self
     }
 }
