--- a/server/src/runtime/event_loop.rs
+++ b/server/src/runtime/event_loop.rs
@@ -7,18 +7,22 @@
 //! An event descriptor is written to, and the coroutine that waits for its event runs the callbacks. The event is seen
 //! only by a poll.
 
+use crate::runtime::clock::Timers;
+use crate::runtime::tasks::spawn;
 use may::io::{CoIo, WaitIo};
+use routing::time::TimeDelta;
 use std::fs::File;
 use std::io::{Error, ErrorKind, Read, Result, Write};
 use std::os::fd::FromRawFd;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 
-use crate::runtime::tasks::spawn;
-
 /// The size of an event descriptor's counter.
 const COUNTER_BYTES: usize = 8;
 
+/// How long callbacks wait for the event. It normally comes within milliseconds; if it is lost, clients must not wait
+/// for good.
+const MAX_EVENT_DELAY: TimeDelta = TimeDelta::from_millis(100);
 /// How often a read or write is made that signals interrupt.
 const MAX_CALLS: usize = 16;
 
@@ -28,16 +32,22 @@
 struct PollNotifier {
     event: CoIo<File>,
     callbacks: Mutex<Vec<Callback>>,
+    timers: Arc<Timers>,
+    /// How often the event was seen.
+    events_seen: AtomicU64,
+    /// Whether a timer is set that checks that the event is seen.
+    is_watched: AtomicBool,
 }
 
 /// The notifier of the process, whose only worker is the runtime's.
 static NOTIFIER: OnceLock<Arc<PollNotifier>> = OnceLock::new();
 
-/// Starts the coroutine that runs the callbacks. Later calls have no effect.
+/// Starts the coroutine that runs the callbacks. Later calls have no effect. If an event is not seen within
+/// [`MAX_EVENT_DELAY`], the callbacks run on the thread of `timers`.
 ///
 /// # Errors
 /// The operating system refuses the event descriptor.
-pub fn start() -> Result<()> {
+pub fn start(timers: Arc<Timers>) -> Result<()> {
     if NOTIFIER.get().is_some() {
         return Ok(());
     }
@@ -49,7 +59,13 @@
     // SAFETY: the descriptor was just opened, and nothing else owns it.
     let file = unsafe { File::from_raw_fd(descriptor) };
     let event = CoIo::new(file).map_err(|_| Error::from(ErrorKind::OutOfMemory))?;
-    let notifier = Arc::new(PollNotifier { event, callbacks: Mutex::default() });
+    let notifier = Arc::new(PollNotifier {
+        event,
+        callbacks: Mutex::default(),
+        timers,
+        events_seen: AtomicU64::new(0),
+        is_watched: AtomicBool::new(false),
+    });
     if NOTIFIER.set(notifier.clone()).is_ok() {
         spawn(move || notifier.run());
     }
@@ -84,15 +100,38 @@
         self.callbacks.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
-    fn add(&self, callback: Callback) {
+    fn add(self: &Arc<Self>, callback: Callback) {
         let is_first = {
             let mut callbacks = self.lock();
             callbacks.push(callback);
             callbacks.len() == 1
         };
-        if is_first && self.signal().is_err() {
+        if !is_first {
+            return;
+        }
+        if self.signal().is_err() {
             // Without the event nobody would run the callbacks.
             self.run_callbacks();
+        } else if !self.is_watched.swap(true, Ordering::AcqRel) {
+            self.watch();
+        }
+    }
+
+    /// Sets a timer that runs the callbacks if no event is seen until then.
+    fn watch(self: &Arc<Self>) {
+        let this = self.clone();
+        let events_seen = self.events_seen.load(Ordering::Acquire);
+        self.timers.call_at(self.timers.now() + MAX_EVENT_DELAY, move || this.check(events_seen));
+    }
+
+    /// Runs the callbacks if no event was seen since there were `events_seen`.
+    fn check(self: &Arc<Self>, events_seen: u64) {
+        if self.events_seen.load(Ordering::Acquire) == events_seen {
+            self.run_callbacks();
+        }
+        self.is_watched.store(false, Ordering::Release);
+        if !self.lock().is_empty() && !self.is_watched.swap(true, Ordering::AcqRel) {
+            self.watch();
         }
     }
 
@@ -115,6 +154,7 @@
     fn run(&self) {
         loop {
             self.event.wait_io();
+            self.events_seen.fetch_add(1, Ordering::AcqRel);
             self.clear();
             self.run_callbacks();
         }
--- a/server/src/startup/shared_services.rs
+++ b/server/src/startup/shared_services.rs
@@ -49,8 +49,8 @@
     /// descriptor.
     pub fn new(clock: Clock, configuration: &Configuration) -> Result<SharedServices, Failure> {
         configure_coroutines();
-        event_loop::start().map_err(event_loop_failure)?;
         let timers = Arc::new(Timers::start(clock));
+        event_loop::start(timers.clone()).map_err(event_loop_failure)?;
         let resources = resource_limits(configuration);
         let admission = admission_control(configuration, &timers, &resources)?;
         // The recorder is installed before the metrics are created, because it does not record earlier ones.
