--- a/server/src/clients/connection.rs
+++ b/server/src/clients/connection.rs
@@ -245,16 +245,6 @@
         NextStep::Wait
     }
 
-    /// Whether the client does not read its responses, these are large, and buffer memory is short.
-    fn blocks_memory(&mut self, flushed: FlushOutcome) -> bool {
-        self.update_charge();
-        let blocks = flushed == FlushOutcome::Blocked && !self.input_closed && self.exceeds_memory(0);
-        if blocks {
-            log!(WARN, reason = "buffer memory is used up"; "client connection closed, the client does not read its responses");
-        }
-        blocks
-    }
-
     /// Rejects the connection if a newer one has displaced it from the handshake queue.
     fn reject_if_displaced(&mut self) {
         let close_requested = !self.input_closed && self.channel.is_close_requested();
--- a/server/src/clients/connection_limits.rs
+++ b/server/src/clients/connection_limits.rs
@@ -4,6 +4,7 @@
 use crate::clients::socket::FlushOutcome;
 use crate::clients::stall::StallDetector;
 use crate::endpoints::connection::SMALL_BUFFER_BYTES;
+use crate::log;
 use routing::time::Timestamp;
 
 /// The maximum number of one client's queries in progress. Further queries stay in the socket's receive buffer.
@@ -110,6 +111,16 @@
         self.context.resources.is_memory_short() && self.held_bytes() + bytes > SMALL_BUFFER_BYTES
     }
 
+    /// Whether the client does not read its responses, these are large, and buffer memory is short.
+    pub fn blocks_memory(&mut self, flushed: FlushOutcome) -> bool {
+        self.update_charge();
+        let blocks = flushed == FlushOutcome::Blocked && !self.input_closed && self.exceeds_memory(0);
+        if blocks {
+            log!(WARN, reason = "buffer memory is used up"; "client connection closed, the client does not read its responses");
+        }
+        blocks
+    }
+
     /// Charges and reserves the memory for the rest of a large message before it is read. Returns false if memory would
     /// become short.
     pub fn reserve_large_message(&mut self) -> bool {
