Time behind earlier queries does not count while a client waits for its turn

Callers saw: query 184 of 200 behind a slow one was rejected with 53300, once in a run of all tests beside a soak run (queries_that_wait_behind_a_slow_one_of_their_client_keep_their_time).

Fix: a connection notes since when bytes may have waited, in the listen queue or for a turn, and their age is counted from then at most; while it must not read it notes nothing.

Evidence: the failure itself; the code path needs a wait for a turn at the moment at which the slow query is answered.

--- a/server/src/clients/connection.rs
+++ b/server/src/clients/connection.rs
@@ -68,9 +68,9 @@
     pub stall: Option<StallDetector>,
     /// When the bytes that were read last had arrived; `None` once the coroutine has waited since.
     pub received_at: Option<Timestamp>,
-    /// Whether the next bytes may have waited in the listen queue: not all that had arrived was read yet. Time that a query
-    /// waits behind earlier ones of its client does not count.
-    may_have_waited: bool,
+    /// Since when the next bytes may have waited unread in the listen queue or for the connection's turn; `None` if they
+    /// have not. Time that a query waits behind earlier ones of its client does not count.
+    unread_since: Option<Timestamp>,
     /// The turns in which messages are read and handled.
     pub turns: ClientTurns,
     /// The registration as an idle client; `None` while the connection is in use.
@@ -109,7 +109,7 @@
         message_due_since: Some(connected_at),
         stall: None,
         received_at: None,
-        may_have_waited: true,
+        unread_since: Some(Timestamp::DISTANT_PAST),
         idle: None,
         session: None,
         permit: None,
@@ -265,8 +265,10 @@
     fn read(&mut self) -> NextStep {
         let max_bytes = self.max_read_bytes();
         if max_bytes == 0 || !self.turns.is_active() {
-            // The bytes of a client that waits for its turn stay in the socket, and their time runs.
-            self.may_have_waited = self.turns.is_waiting();
+            self.unread_since = match max_bytes {
+                0 => None,
+                _ => self.unread_since.or(Some(self.context.timers.now())),
+            };
             return if self.has_client_disconnected() {
                 NextStep::Close(CloseReason::ClientGone)
             } else {
@@ -288,7 +290,7 @@
                 NextStep::Continue
             }
             ReadOutcome::WouldBlock => {
-                self.may_have_waited = false;
+                self.unread_since = None;
                 NextStep::Wait
             }
             ReadOutcome::NoMemory => {
@@ -299,11 +301,13 @@
         }
     }
 
-    /// Records when the bytes that were just read had arrived. Bytes of a connection that waited in the listen queue may
-    /// be old.
+    /// Records when the bytes that were just read had arrived, at most as long ago as they may have waited.
     fn record_arrival(&mut self) {
-        let age = if self.may_have_waited { self.socket.time_since_last_data() } else { TimeDelta::ZERO };
-        self.received_at = Some(self.context.timers.now() - age);
+        let now = self.context.timers.now();
+        let age = self
+            .unread_since
+            .map_or(TimeDelta::ZERO, |since| self.socket.time_since_last_data().min(now - since));
+        self.received_at = Some(now - age);
     }
 
     /// Whether to close an idle connection, because its descriptor is needed or the server shuts down.
