The listener is closed with the server, although clients keep connecting or accept fails

Cause: after the accept period the accept loop went on until the listen queue was empty. With clients that connect without pause, or with accept failing, it never was, and the open listener let further clients connect to a process that would not read them.

Clients in the queue are reset unread and can send their query elsewhere.

--- a/server/src/clients/acceptor.rs
+++ b/server/src/clients/acceptor.rs
@@ -4,6 +4,7 @@
 
 use crate::clients::connection;
 use crate::clients::context::{AdmissionDecision, ClientContext, NewConnection};
+use crate::clients::graceful_shutdown::GracefulShutdown;
 use crate::clients::rejection::reject_without_waiting;
 use crate::log;
 use crate::runtime::clock::Timers;
@@ -50,6 +51,8 @@
     fn reject_one(&mut self) -> bool;
     /// Suspends the calling coroutine for the duration `time`.
     fn pause(&self, time: TimeDelta);
+    /// Whether no further connection is accepted, although there may be some in the queue.
+    fn is_over(&self) -> bool;
 }
 
 /// A listening socket, with a reserve descriptor by which it can reject clients when the process is out of
@@ -63,6 +66,8 @@
     pub timers: Arc<Timers>,
     /// Whether to stop once the queue is empty; set before the listener is woken.
     pub stopping: Arc<AtomicBool>,
+    /// The shutdown, after whose close nothing more is accepted.
+    pub shutdown: Arc<GracefulShutdown>,
 }
 
 impl AcceptQueue for ListenerQueue {
@@ -94,13 +99,18 @@
         self.timers.sleep(time);
         wait_for_poll();
     }
+
+    fn is_over(&self) -> bool {
+        self.shutdown.is_closed()
+    }
 }
 
-/// Accepts connections and passes them to `on_accepted`, until the queue has stopped and is empty.
+/// Accepts connections and passes them to `on_accepted`, until the queue has stopped and is empty, or is over: clients that
+/// keep connecting must not keep the listener open.
 pub fn run(queue: &mut impl AcceptQueue, mut on_accepted: impl FnMut(AcceptedConnection)) {
     let mut backoff = AcceptBackoff::default();
     let mut burst = 0;
-    loop {
+    while !queue.is_over() {
         match queue.accept() {
             Ok(None) => return,
             Ok(Some(accepted)) => {
--- a/server/src/startup/server.rs
+++ b/server/src/startup/server.rs
@@ -285,7 +285,13 @@
         let reserve =
             if has_operator_file { ReserveDescriptor::open() } else { ReserveDescriptor::default() };
         let timers = self.services.timers.clone();
-        let mut queue = ListenerQueue { listener, reserve, timers, stopping: accept_loop.stopping.clone() };
+        let mut queue = ListenerQueue {
+            listener,
+            reserve,
+            timers,
+            stopping: accept_loop.stopping.clone(),
+            shutdown: shutdown.clone(),
+        };
         spawn(move || {
             acceptor::run(&mut queue, |accepted| acceptor::spawn_connection(&context, accepted));
             drop(queue);
--- a/server/tests/loopback/system_calls.rs
+++ b/server/tests/loopback/system_calls.rs
@@ -87,6 +87,23 @@
     assert!(faulty.router.wait_for_exit().success(), "the process did not exit by itself");
 }
 
+#[test]
+fn the_listener_is_closed_in_time_although_clients_keep_connecting_and_accept_fails() {
+    let faulty = FaultyRouter::serving("accept:ENFILE:0.95");
+    faulty.switch_on();
+    faulty.router.signal("-TERM");
+    let signalled = Instant::now();
+    // Clients keep connecting for 0.4 s after the signal, and here for longer.
+    let mut waiting = Vec::new();
+    while signalled.elapsed() < Duration::from_secs(2) {
+        let Ok(stream) = TcpStream::connect(faulty.router.listen) else { break };
+        waiting.push(stream);
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    let refused_after = signalled.elapsed();
+    assert!(refused_after < Duration::from_millis(700), "connected {refused_after:?} after SIGTERM");
+}
+
 #[test]
 fn the_time_that_a_request_waited_to_be_accepted_is_no_longer_left_to_it() {
     let faulty = FaultyRouter::serving("accept:ENFILE:1");
