--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -1,6 +1,7 @@
 //! The cases. Each plays one order of events and judges it by what clients were answered and what machines have run.
 
 mod abandoned_log;
+mod moved_machine;
 
 use crate::discovery::{entry, Discovery};
 use crate::machines::Machines;
@@ -10,6 +11,7 @@
 pub fn play(name: &str, with_trouble: bool) -> Verdict {
     match name {
         "abandoned-log" => abandoned_log::play(with_trouble),
+        "moved-machine" => moved_machine::play(with_trouble),
         _ => Verdict::NotRun(format!("there is no case {name}")),
     }
 }
