--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -2,6 +2,7 @@
 
 mod abandoned_log;
 mod moved_machine;
+mod old_copy;
 
 use crate::discovery::{entry, Discovery};
 use crate::machines::Machines;
@@ -12,6 +13,7 @@
     match name {
         "abandoned-log" => abandoned_log::play(with_trouble),
         "moved-machine" => moved_machine::play(with_trouble),
+        "old-copy" => old_copy::play(with_trouble),
         _ => Verdict::NotRun(format!("there is no case {name}")),
     }
 }
