--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -3,6 +3,7 @@
 mod abandoned_log;
 mod moved_machine;
 mod old_copy;
+mod repeated_report;
 
 use crate::discovery::{entry, Discovery};
 use crate::machines::Machines;
@@ -14,6 +15,7 @@
         "abandoned-log" => abandoned_log::play(with_trouble),
         "moved-machine" => moved_machine::play(with_trouble),
         "old-copy" => old_copy::play(with_trouble),
+        "repeated-report" => repeated_report::play(with_trouble),
         _ => Verdict::NotRun(format!("there is no case {name}")),
     }
 }
