Review case 10: a session of 17 groups is not told of a lost write

Cause: the common lower bound of a session's groups has no epoch, so a fork before it is not noticed (sessions/src/positions.rs, sessions/src/epochs.rs).

Change: the case.

--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -4,6 +4,7 @@
 mod moved_machine;
 mod old_copy;
 mod repeated_report;
+mod seventeen_groups;
 
 use crate::discovery::{entry, Discovery};
 use crate::machines::Machines;
@@ -13,6 +14,7 @@
 pub fn play(name: &str, with_trouble: bool) -> Verdict {
     match name {
         "abandoned-log" => abandoned_log::play(with_trouble),
+        "seventeen-groups" => seventeen_groups::play(with_trouble),
         "moved-machine" => moved_machine::play(with_trouble),
         "old-copy" => old_copy::play(with_trouble),
         "repeated-report" => repeated_report::play(with_trouble),
