--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -1,6 +1,6 @@
 //! The cases. Each plays one order of events and judges it by what clients were answered and what machines have run.
 
-mod abandoned_log;
+mod fate_then_read;
 mod moved_machine;
 mod old_copy;
 mod repeated_report;
@@ -13,7 +13,7 @@
 
 pub fn play(name: &str, with_trouble: bool) -> Verdict {
     match name {
-        "abandoned-log" => abandoned_log::play(with_trouble),
+        "fate-then-read" => fate_then_read::play(with_trouble),
         "seventeen-groups" => seventeen_groups::play(with_trouble),
         "moved-machine" => moved_machine::play(with_trouble),
         "old-copy" => old_copy::play(with_trouble),
@@ -42,3 +42,10 @@
         .expect("a key file");
     format!("session-keys {}\n", keys.display())
 }
+
+/// The operators' file of a router with sessions and a write journal.
+fn conf_with_journal(folder: &Path) -> String {
+    let state = folder.join("state");
+    let _ = std::fs::create_dir_all(&state);
+    format!("{}state-dir {}\nwrite-journal system\n", conf_with_sessions(folder), state.display())
+}
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -8,6 +8,7 @@
 mod client;
 mod discovery;
 mod machines;
+mod proxy;
 mod record;
 mod router;
 mod wire;
