--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2021 -O -o target/review-2/cases review/stand-ins-2/main.rs
+"${RUSTC:-rustc}" --edition 2021 -O -o target/review-2/cases review/stand-ins-2/main.rs
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -38,6 +38,7 @@
         std::thread::sleep(LIMIT);
         record::line("the case took too long and is ended");
         router::kill_all();
+        router::remove_folders();
         std::process::exit(2);
     });
     record::line(&format!("case {name}, disruption: {}", if with_trouble { "yes" } else { "no" }));
